--- /dev/null
+++ b/include/buckthornring/Common/Time.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace buckthornring {
+
+/// Clock of the core: monotonic, passed in by the caller, never read inside.
+struct MonotonicClock {
+  using rep = std::int64_t;
+  using period = std::micro;
+  using duration = std::chrono::duration<rep, period>;
+  using time_point = std::chrono::time_point<MonotonicClock>;
+  static constexpr bool is_steady =
+      true; // NOLINT(readability-identifier-naming)
+};
+
+/// Time span in microseconds.
+using Duration = MonotonicClock::duration;
+
+/// Point on the monotonic clock of one process.
+using TimePoint = MonotonicClock::time_point;
+
+} // namespace buckthornring
--- /dev/null
+++ b/include/buckthornring/Ownership/Epoch.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace buckthornring {
+
+/// Fencing token of a slice. Rises strictly with each move: the term comes
+/// from a conditional update at the platform, the sequence from the leader.
+struct Epoch {
+  std::uint64_t Term = 0;
+  std::uint64_t Sequence = 0;
+
+  friend auto operator<=>(const Epoch &, const Epoch &) = default;
+};
+
+} // namespace buckthornring
--- /dev/null
+++ b/lib/Common/Invariant.cpp
@@ -0,0 +1,15 @@
+#include "buckthornring/Common/Invariant.h"
+
+#include <cstdio>
+#include <cstdlib>
+
+namespace buckthornring {
+
+auto failInvariant(const char *Description, const char *File, int Line)
+    -> void {
+  std::fprintf(stderr, "[invariant] broken: %s (%s:%d)\n", Description, File,
+               Line);
+  std::abort();
+}
+
+} // namespace buckthornring
