--- /dev/null
+++ b/lib/Entry/OwnershipDriver.cpp
@@ -0,0 +1,288 @@
+#include "Entry/OwnershipDriver.h"
+
+#include "IO/SteadyTime.h"
+
+#include <boost/asio/post.hpp>
+
+#include <utility>
+
+namespace buckthornring {
+
+namespace {
+
+// Interval in which the core is asked for work; part of the recovery budget.
+constexpr Duration TickInterval = std::chrono::milliseconds(15);
+constexpr Duration LeaseCallTimeout = std::chrono::milliseconds(600);
+// A kept-alive connection that was idle for longer may have gone silent.
+constexpr Duration LeaseConnectionMaxIdle = std::chrono::seconds(1);
+constexpr Duration ProbeInterval = std::chrono::milliseconds(150);
+
+auto writeOutcome(PlatformStatus Status) -> WriteAnswer::Kind {
+  switch (Status) {
+  case PlatformStatus::Done:
+    return WriteAnswer::Kind::Written;
+  case PlatformStatus::Conflict:
+  case PlatformStatus::Absent:
+    return WriteAnswer::Kind::Conflict;
+  case PlatformStatus::Unknown:
+    return WriteAnswer::Kind::Unknown;
+  case PlatformStatus::TooLarge:
+  case PlatformStatus::Rejected:
+  case PlatformStatus::Unreachable:
+    break;
+  }
+  return WriteAnswer::Kind::NotSent;
+}
+
+auto readAnswer(PlatformRead Read) -> ReadAnswer {
+  ReadAnswer Answer;
+  Answer.Answered = Read.Status == PlatformStatus::Done ||
+                    Read.Status == PlatformStatus::Absent;
+  if (Read.Status == PlatformStatus::Done)
+    Answer.Found = ObjectValue{std::move(Read.Value), Read.Version};
+  return Answer;
+}
+
+} // namespace
+
+auto OwnershipDriver::create(boost::asio::io_context &Context,
+                             PlatformClient &Platform, PeerLinks &Links,
+                             Options Settings)
+    -> std::unique_ptr<OwnershipDriver> {
+  std::unique_ptr<OwnershipDriver> Driver(
+      new OwnershipDriver(Context, Platform, Links, std::move(Settings)));
+  Driver->scheduleTick();
+  return Driver;
+}
+
+OwnershipDriver::OwnershipDriver(boost::asio::io_context &Context,
+                                 PlatformClient &Platform, PeerLinks &Links,
+                                 Options Settings)
+    : Context(Context), Platform(Platform), Links(Links),
+      Settings(std::move(Settings)),
+      Lease(this->Settings.Times, SafetySwitches()), TickTimer(Context) {
+  const PeerIdentity &Self = this->Settings.Self;
+  Core = std::make_unique<LeaderCore>(
+      LeaderCore::Identity{Self.Process, Self.DataCentre, Self.FailureDomain},
+      this->Settings.Times, SafetySwitches(), steadyNow());
+}
+
+OwnershipDriver::~OwnershipDriver() { *Alive = false; }
+
+auto OwnershipDriver::setConfiguration(
+    const std::shared_ptr<const Configuration> &Accepted) -> void {
+  Config = Accepted;
+  const auto Services = ownedServices();
+  for (const OwnedService &Service : Services) {
+    auto &Table = Tables[Service.Id];
+    if (!Table)
+      Table = std::make_shared<InFlightTable>(Service.Slices);
+  }
+  connectTargets();
+  Core->setServices(Services, steadyNow());
+  Core->setGeneration(Config->Generation);
+}
+
+auto OwnershipDriver::updatePeers() -> void {
+  std::vector<PairCandidate> Candidates;
+  for (const PeerIdentity &Peer : Links.peers())
+    if (Peer.DataCentre == Settings.Self.DataCentre)
+      Candidates.push_back({Peer.Process, Peer.FailureDomain});
+  Core->setInstances(Candidates, steadyNow());
+}
+
+auto OwnershipDriver::receive(const InstanceId &From,
+                              const LinkMessage &Message) -> bool {
+  const bool Mine = std::holds_alternative<TermConfirmRequest>(Message) ||
+                    std::holds_alternative<TermConfirm>(Message) ||
+                    std::holds_alternative<TermAnnounce>(Message) ||
+                    std::holds_alternative<TermAck>(Message) ||
+                    std::holds_alternative<AssignmentCopy>(Message) ||
+                    std::holds_alternative<AssignmentCopied>(Message) ||
+                    std::holds_alternative<RoutingHeartbeat>(Message) ||
+                    std::holds_alternative<RoutingAck>(Message) ||
+                    std::holds_alternative<Resign>(Message);
+  if (Mine)
+    deliver(From, Message);
+  return Mine;
+}
+
+auto OwnershipDriver::resign() -> void { perform(Core->resign(steadyNow())); }
+
+auto OwnershipDriver::confirmTargetLost(const TargetId &Target) -> void {
+  Core->confirmTargetLost(Target, steadyNow());
+}
+
+auto OwnershipDriver::confirmInstanceLost(const InstanceId &Process) -> void {
+  Core->confirmInstanceLost(Process, steadyNow());
+}
+
+auto OwnershipDriver::scheduleTick() -> void {
+  TickTimer.expires_after(TickInterval);
+  TickTimer.async_wait(
+      [this, Living = Alive](boost::system::error_code Cancelled) {
+        if (Cancelled || !*Living)
+          return;
+        perform(Core->tick(steadyNow()));
+        probeUnverifiedTargets();
+        scheduleTick();
+      });
+}
+
+auto OwnershipDriver::probeUnverifiedTargets() -> void {
+  const TimePoint Now = steadyNow();
+  if (!Config || Core->term().role() != TermRole::Leader ||
+      Now - LastProbe < ProbeInterval)
+    return;
+  LastProbe = Now;
+  for (const auto &[Id, Service] : Config->Services) {
+    if (Service.Kind != ServiceKind::Divided ||
+        Service.Verification != TargetVerification::Unverified)
+      continue;
+    for (const auto &[Target, Unused] : Service.Targets) {
+      const auto Found = Targets.find(Target);
+      if (Found == Targets.end() || Found->second.HealthPending)
+        continue;
+      Found->second.HealthPending = true;
+      HttpRequest Request;
+      Request.Target = "/control/health";
+      HttpCallOptions Limits;
+      Limits.TimeLimit = LeaseCallTimeout;
+      Found->second.Client->request(
+          std::move(Request), Limits,
+          [this, Living = Alive, Target = Target](const HttpOutcome &Outcome) {
+            const auto Asked = *Living ? Targets.find(Target) : Targets.end();
+            if (!*Living || Asked == Targets.end())
+              return;
+            Asked->second.HealthPending = false;
+            if (Outcome.done())
+              Core->targetAlive(Target, steadyNow());
+          });
+    }
+  }
+}
+
+auto OwnershipDriver::perform(const OwnershipActions &Actions) -> void {
+  for (const OwnershipAction &Action : Actions)
+    std::visit([this](const auto &Kind) { perform(Kind); }, Action);
+}
+
+auto OwnershipDriver::perform(const SendLink &Action) -> void {
+  if (Action.To != Settings.Self.Process) {
+    Links.send(Action.To, Action.Message);
+    return;
+  }
+  // The leader is also an instance that routes. Its own messages take the same
+  // path, later, so that the core is never entered again from inside itself.
+  boost::asio::post(Context,
+                    [this, Living = Alive, Message = Action.Message] {
+                      if (*Living)
+                        deliver(Settings.Self.Process, Message);
+                    });
+}
+
+auto OwnershipDriver::perform(const SendLease &Action) -> void {
+  const auto Found = Targets.find(Action.Message.Target);
+  if (Found == Targets.end())
+    return;
+  HttpRequest Request;
+  Request.Method = "POST";
+  Request.Target = "/control/lease";
+  Request.Headers.set("Content-Type", "application/json");
+  Request.Body = leaseMessageText(Action.Message);
+  HttpCallOptions Limits;
+  Limits.TimeLimit = LeaseCallTimeout;
+  Limits.MaxIdleAge = LeaseConnectionMaxIdle;
+  Found->second.Client->request(
+      std::move(Request), Limits,
+      [this, Living = Alive,
+       Target = Action.Message.Target](const HttpOutcome &Outcome) {
+        if (!*Living || !Outcome.done())
+          return;
+        const auto Reply = parseLeaseReply(Outcome.Response.Body);
+        if (Reply)
+          perform(Core->leaseReply(Target, *Reply, steadyNow()));
+      });
+}
+
+auto OwnershipDriver::perform(const ReadObject &Action) -> void {
+  Platform.get(Action.Name, [this, Living = Alive,
+                             Name = Action.Name](PlatformRead Read) {
+    if (*Living)
+      perform(
+          Core->objectRead(Name, readAnswer(std::move(Read)), steadyNow()));
+  });
+}
+
+auto OwnershipDriver::perform(const WriteObject &Action) -> void {
+  Platform.put(Action.Name, Action.IfVersion.value_or(0), Action.Value,
+               [this, Living = Alive,
+                Name = Action.Name](const PlatformWrite &Write) {
+                 if (!*Living)
+                   return;
+                 WriteAnswer Answer;
+                 Answer.Outcome = writeOutcome(Write.Status);
+                 Answer.Version = Write.Version;
+                 perform(Core->objectWritten(Name, Answer, steadyNow()));
+               });
+}
+
+auto OwnershipDriver::deliver(const InstanceId &From,
+                              const LinkMessage &Message) -> void {
+  if (const auto *Heartbeat = std::get_if<RoutingHeartbeat>(&Message))
+    return receiveHeartbeat(From, *Heartbeat);
+  perform(Core->receive(From, Message, steadyNow()));
+}
+
+auto OwnershipDriver::receiveHeartbeat(const InstanceId &From,
+                                       const RoutingHeartbeat &Heartbeat)
+    -> void {
+  Lease.receive(Heartbeat, steadyNow());
+  // The snapshot goes out before the counts are read; see InFlightTable.
+  if (Settings.OnRoutingChanged)
+    Settings.OnRoutingChanged();
+  for (const auto &[Service, Table] : Tables)
+    Lease.setInFlight(Service, Table->counts());
+  perform(SendLink{From, Lease.acknowledgement(steadyNow())});
+}
+
+auto OwnershipDriver::ownedServices() const -> std::vector<OwnedService> {
+  std::vector<OwnedService> Owned;
+  for (const auto &[Id, Service] : Config->Services) {
+    if (Service.Kind != ServiceKind::Divided)
+      continue;
+    OwnedService Entry;
+    Entry.Id = Id;
+    Entry.Slices = Service.Slices;
+    Entry.Verification = Service.Verification;
+    Entry.MaxDeadline = Service.MaxDeadline;
+    for (const auto &[Target, Settled] : Service.Targets)
+      if (Settled.DataCentre == Settings.Self.DataCentre)
+        Entry.Targets[Target] = Settled.State;
+    Owned.push_back(std::move(Entry));
+  }
+  return Owned;
+}
+
+auto OwnershipDriver::connectTargets() -> void {
+  std::map<TargetId, TargetLink> Connected;
+  for (const auto &[Id, Service] : Config->Services) {
+    if (Service.Kind != ServiceKind::Divided)
+      continue;
+    for (const auto &[Target, Settled] : Service.Targets) {
+      if (Settled.DataCentre != Settings.Self.DataCentre)
+        continue;
+      const auto Old = Targets.find(Target);
+      if (Old != Targets.end() && Old->second.Address == Settled.Address) {
+        Connected[Target] = std::move(Old->second);
+        continue;
+      }
+      auto Client = HttpClient::create(Context, Settled.Address);
+      if (Client)
+        Connected[Target] = {Settled.Address, std::move(Client).value(), false};
+    }
+  }
+  Targets = std::move(Connected);
+}
+
+} // namespace buckthornring
