--- /dev/null
+++ b/lib/IO/HttpExchange.cpp
@@ -0,0 +1,200 @@
+#include "HttpExchange.h"
+
+#include "HttpWire.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <sys/socket.h>
+
+namespace buckthornring {
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::beast::error_code;
+
+namespace {
+
+// A response that waits on an idle connection belongs to no request, and an
+// end of stream means that the server has closed it.
+auto isUsable(tcp::socket &Socket) -> bool {
+  char Byte = 0;
+  const auto Count =
+      ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace
+
+auto HttpClientState::takeIdle(Duration MaxAge) -> std::optional<tcp::socket> {
+  while (!Idle.empty()) {
+    auto Last = std::move(Idle.back());
+    Idle.pop_back();
+    if (std::chrono::steady_clock::now() - Last.Since <= MaxAge &&
+        isUsable(Last.Socket))
+      return std::move(Last.Socket);
+  }
+  return std::nullopt;
+}
+
+HttpExchange::HttpExchange(std::shared_ptr<HttpClientState> Client,
+                           HttpRequest Request, HttpCallOptions Options,
+                           HttpClient::Callback OnOutcome)
+    : Client(std::move(Client)), Request(std::move(Request)),
+      Options(std::move(Options)), OnOutcome(std::move(OnOutcome)),
+      Socket(this->Client->Context), Timer(this->Client->Context) {}
+
+auto HttpExchange::start() -> void {
+  Timer.expires_after(Options.TimeLimit);
+  Timer.async_wait([Self = shared_from_this()](error_code Cancelled) {
+    if (Cancelled || Self->Finished)
+      return;
+    Self->Outcome.TimedOut = true;
+    Self->fail("time limit exceeded");
+  });
+  if (!Options.FreshConnection)
+    if (auto Kept = Client->takeIdle(Options.MaxIdleAge)) {
+      Socket = std::move(*Kept);
+      Outcome.ReusedConnection = true;
+      boost::asio::post(Socket.get_executor(), [Self = shared_from_this()] {
+        if (!Self->Finished)
+          Self->write();
+      });
+      return;
+    }
+  connect();
+}
+
+auto HttpExchange::cancel() -> void {
+  if (Finished)
+    return;
+  OnOutcome = nullptr;
+  fail("cancelled");
+}
+
+auto HttpExchange::enter(HttpPhase Phase) -> void {
+  Outcome.Phase = Phase;
+  if (Options.OnPhase)
+    Options.OnPhase(Phase);
+}
+
+auto HttpExchange::connect() -> void {
+  Socket.async_connect(Client->Endpoint,
+                       [Self = shared_from_this()](error_code Code) {
+                         if (Self->Finished)
+                           return;
+                         if (Code) {
+                           Self->fail("cannot connect: " + Code.message());
+                           return;
+                         }
+                         error_code Ignored;
+                         Self->Socket.set_option(tcp::no_delay(true), Ignored);
+                         Self->write();
+                       });
+}
+
+auto HttpExchange::write() -> void {
+  Wire = Request.Method + ' ' + Request.Target + " HTTP/1.1\r\n";
+  if (!Request.Headers.contains("Host"))
+    Wire.append("Host: ").append(Client->Address).append("\r\n");
+  appendFields(Wire, Request.Headers);
+  if (!Request.Body.empty() || Request.Method == "POST" ||
+      Request.Method == "PUT" || Request.Method == "PATCH")
+    Wire.append("Content-Length: ")
+        .append(std::to_string(Request.Body.size()))
+        .append("\r\n");
+  Wire.append("\r\n").append(Request.Body);
+  enter(HttpPhase::Writing);
+  if (Finished)
+    return;
+  boost::asio::async_write(
+      Socket, boost::asio::buffer(Wire),
+      [Self = shared_from_this()](error_code Code, std::size_t) {
+        if (Self->Finished)
+          return;
+        if (Code) {
+          Self->fail("connection lost while writing: " + Code.message());
+          return;
+        }
+        Self->enter(HttpPhase::Written);
+        if (!Self->Finished)
+          Self->readHead();
+      });
+}
+
+auto HttpExchange::readHead() -> void {
+  Response.emplace();
+  Response->body_limit(Client->Options.BodyLimit);
+  Response->skip(Request.Method == "HEAD");
+  http::async_read_header(
+      Socket, Buffer, *Response,
+      [Self = shared_from_this()](error_code Code, std::size_t) {
+        if (Self->Finished)
+          return;
+        if (Code) {
+          Self->fail("connection lost before the response: " + Code.message());
+          return;
+        }
+        const auto Status = Self->Response->get().result_int();
+        if (Status >= 100 && Status < 200 && Status != 101) {
+          Self->readHead();
+          return;
+        }
+        Self->enter(HttpPhase::Answering);
+        if (!Self->Finished)
+          Self->readBody();
+      });
+}
+
+auto HttpExchange::readBody() -> void {
+  if (Response->need_eof() && !Response->is_done()) {
+    fail("response has no length");
+    return;
+  }
+  http::async_read(Socket, Buffer, *Response,
+                   [Self = shared_from_this()](error_code Code, std::size_t) {
+                     if (Self->Finished)
+                       return;
+                     if (Code)
+                       Self->fail("response cut short: " + Code.message());
+                     else
+                       Self->succeed();
+                   });
+}
+
+auto HttpExchange::succeed() -> void {
+  auto &Message = Response->get();
+  Outcome.Phase = HttpPhase::Done;
+  Outcome.Response.Status = Message.result_int();
+  Outcome.Response.Headers = readFields(Message.base());
+  Outcome.Response.Body = std::move(Message.body());
+  if (Response->keep_alive() && Buffer.size() == 0 &&
+      Client->Idle.size() < Client->Options.MaxIdle)
+    Client->Idle.push_back(
+        {std::move(Socket), std::chrono::steady_clock::now()});
+  finish();
+}
+
+auto HttpExchange::fail(const std::string &Reason) -> void {
+  Outcome.Reason = Reason;
+  finish();
+}
+
+auto HttpExchange::finish() -> void {
+  const auto Self = shared_from_this();
+  Finished = true;
+  Timer.cancel();
+  error_code Ignored;
+  if (Socket.is_open())
+    Socket.close(Ignored);
+  Client->Exchanges.erase(Self);
+  auto Callback = std::move(OnOutcome);
+  OnOutcome = nullptr;
+  if (Callback)
+    Callback(std::move(Outcome));
+}
+
+} // namespace buckthornring
--- /dev/null
+++ b/lib/IO/HttpExchange.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "buckthornring/IO/HttpClient.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <optional>
+#include <set>
+
+namespace buckthornring {
+
+/// A connection without an exchange.
+struct IdleConnection {
+  boost::asio::ip::tcp::socket Socket;
+  std::chrono::steady_clock::time_point Since;
+};
+
+struct HttpClientState {
+  HttpClientState(boost::asio::io_context &Context,
+                  boost::asio::ip::tcp::endpoint Endpoint, std::string Address,
+                  HttpClientOptions Options)
+      : Context(Context), Endpoint(std::move(Endpoint)),
+        Address(std::move(Address)), Options(Options) {}
+
+  /// Takes the most recently used idle connection that is still usable.
+  auto takeIdle(Duration MaxAge) -> std::optional<boost::asio::ip::tcp::socket>;
+
+  boost::asio::io_context &Context;
+  boost::asio::ip::tcp::endpoint Endpoint;
+  std::string Address;
+  HttpClientOptions Options;
+  std::vector<IdleConnection> Idle;
+  std::set<std::shared_ptr<HttpExchange>> Exchanges;
+};
+
+/// One request and its response on one connection.
+class HttpExchange : public std::enable_shared_from_this<HttpExchange> {
+public:
+  HttpExchange(std::shared_ptr<HttpClientState> Client, HttpRequest Request,
+               HttpCallOptions Options, HttpClient::Callback OnOutcome);
+
+  auto start() -> void;
+  auto cancel() -> void;
+
+private:
+  using Parser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  auto enter(HttpPhase Phase) -> void;
+  auto connect() -> void;
+  auto write() -> void;
+  auto readHead() -> void;
+  auto readBody() -> void;
+  auto succeed() -> void;
+  auto fail(const std::string &Reason) -> void;
+  auto finish() -> void;
+
+  std::shared_ptr<HttpClientState> Client;
+  HttpRequest Request;
+  HttpCallOptions Options;
+  HttpClient::Callback OnOutcome;
+  boost::asio::ip::tcp::socket Socket;
+  boost::asio::steady_timer Timer;
+  boost::beast::flat_buffer Buffer;
+  std::optional<Parser> Response;
+  std::string Wire;
+  HttpOutcome Outcome;
+  bool Finished = false;
+};
+
+} // namespace buckthornring
--- /dev/null
+++ b/lib/IO/HttpSession.cpp
@@ -0,0 +1,354 @@
+#include "HttpSession.h"
+
+#include "HttpWire.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <sys/socket.h>
+
+namespace buckthornring {
+
+namespace http = boost::beast::http;
+using boost::beast::error_code;
+
+namespace {
+
+constexpr auto LingerLimit = std::chrono::seconds(1);
+constexpr std::size_t DiscardBytes = 16384;
+
+auto protocolError(error_code Code) -> HttpProtocolError {
+  if (Code == http::error::header_limit)
+    return HttpProtocolError::HeadTooLarge;
+  if (Code == http::error::body_limit)
+    return HttpProtocolError::BodyTooLarge;
+  return HttpProtocolError::Malformed;
+}
+
+auto defaultAnswer(HttpProtocolError Error) -> HttpResponse {
+  HttpResponse Response;
+  Response.Status = 400;
+  if (Error == HttpProtocolError::TooSlow)
+    Response.Status = 408;
+  else if (Error != HttpProtocolError::Malformed)
+    Response.Status = 413;
+  return Response;
+}
+
+} // namespace
+
+HttpSession::HttpSession(boost::asio::ip::tcp::socket Socket,
+                         std::shared_ptr<HttpServerState> Server)
+    : Socket(std::move(Socket)), Timer(this->Socket.get_executor()),
+      Server(std::move(Server)) {}
+
+auto HttpSession::start(Duration Delay) -> void {
+  error_code Ignored;
+  Socket.set_option(boost::asio::ip::tcp::no_delay(true), Ignored);
+  if (Delay <= Duration::zero()) {
+    beIdle();
+    return;
+  }
+  Timer.expires_after(Delay);
+  Timer.async_wait([Self = shared_from_this()](error_code Code) {
+    if (!Code && Self->Current == Phase::Idle)
+      Self->beIdle();
+  });
+}
+
+auto HttpSession::close() -> void {
+  if (Current == Phase::Closed)
+    return;
+  Current = Phase::Closed;
+  ++Exchange;
+  OnDisconnect = nullptr;
+  Timer.cancel();
+  error_code Ignored;
+  Socket.close(Ignored);
+  Server->remove(shared_from_this());
+}
+
+auto HttpSession::silence() -> void {
+  if (Current == Phase::Closed)
+    return;
+  Current = Phase::Silent;
+  ++Exchange;
+  OnDisconnect = nullptr;
+  Timer.cancel();
+  error_code Ignored;
+  Socket.cancel(Ignored);
+}
+
+auto HttpSession::closeWhenIdle() -> void {
+  KeepAlive = false;
+  if (Current == Phase::Idle || Current == Phase::Silent)
+    close();
+}
+
+auto HttpSession::limitPhase(Duration Limit) -> void {
+  Timer.expires_after(Limit);
+  Timer.async_wait(
+      [Self = shared_from_this(), Limited = Current](error_code Cancelled) {
+        if (Cancelled || Self->Current != Limited ||
+            Self->Timer.expiry() > std::chrono::steady_clock::now())
+          return;
+        if (Limited != Phase::Reading) {
+          Self->close();
+          return;
+        }
+        error_code Ignored;
+        Self->Socket.cancel(Ignored);
+        Self->refuse(HttpProtocolError::TooSlow);
+      });
+}
+
+auto HttpSession::beIdle() -> void {
+  Current = Phase::Idle;
+  if (DataWaiting || Buffer.size() > 0) {
+    DataWaiting = false;
+    readHead();
+    return;
+  }
+  armReadable();
+}
+
+// One wait serves both purposes: the next request, and the caller's
+// disconnection while a request is handled.
+auto HttpSession::armReadable() -> void {
+  if (ReadableArmed)
+    return;
+  ReadableArmed = true;
+  Socket.async_wait(boost::asio::ip::tcp::socket::wait_read,
+                    [Self = shared_from_this()](error_code Code) {
+                      Self->ReadableArmed = false;
+                      if (!Code)
+                        Self->onReadable();
+                    });
+}
+
+auto HttpSession::onReadable() -> void {
+  if (Current == Phase::Idle) {
+    readHead();
+    return;
+  }
+  if (Current != Phase::Handling)
+    return;
+  char Byte = 0;
+  const auto Count =
+      ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (Count > 0 || (Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))) {
+    DataWaiting = Count > 0;
+    return;
+  }
+  auto Callback = std::move(OnDisconnect);
+  close();
+  if (Callback)
+    Callback();
+}
+
+auto HttpSession::readHead() -> void {
+  Current = Phase::Reading;
+  Request.emplace();
+  Request->header_limit(Server->Options.HeadLimit);
+  Request->body_limit(Server->Options.BodyLimit);
+  limitPhase(Server->Options.ReadLimit);
+  http::async_read_header(
+      Socket, Buffer, *Request,
+      [Self = shared_from_this()](error_code Code, std::size_t) {
+        if (Self->Current != Phase::Reading)
+          return;
+        if (Code)
+          Self->refuse(Code);
+        else
+          Self->readBody();
+      });
+}
+
+auto HttpSession::readBody() -> void {
+  if (sameHeaderName(Request->get()[http::field::expect], "100-continue")) {
+    static constexpr std::string_view Continue =
+        "HTTP/1.1 100 Continue\r\n\r\n";
+    boost::asio::async_write(
+        Socket, boost::asio::buffer(Continue),
+        [Self = shared_from_this()](error_code Code, std::size_t) {
+          if (Code && Self->Current == Phase::Reading)
+            Self->close();
+        });
+  }
+  http::async_read(Socket, Buffer, *Request,
+                   [Self = shared_from_this()](error_code Code, std::size_t) {
+                     if (Self->Current != Phase::Reading)
+                       return;
+                     if (Code)
+                       Self->refuse(Code);
+                     else
+                       Self->handle();
+                   });
+}
+
+auto HttpSession::handle() -> void {
+  Timer.cancel();
+  Current = Phase::Handling;
+  auto &Message = Request->get();
+  HttpRequest Incoming;
+  Incoming.Method = std::string(Message.method_string());
+  Incoming.Target = std::string(Message.target());
+  Incoming.Headers = readFields(Message.base());
+  Incoming.Body = std::move(Message.body());
+  IsHead = Message.method() == http::verb::head;
+  KeepAlive = Message.keep_alive();
+  const auto Number = ++Exchange;
+  if (Buffer.size() == 0)
+    armReadable();
+  // The handler may answer, and even close, before it returns.
+  auto OnRequest = Server->OnRequest;
+  OnRequest(std::move(Incoming), HttpResponder(shared_from_this(), Number));
+}
+
+auto HttpSession::refuse(error_code Code) -> void {
+  const bool IsParseError =
+      Code.category() == make_error_code(http::error::bad_method).category();
+  if (Code == http::error::end_of_stream || !IsParseError)
+    close();
+  else
+    refuse(protocolError(Code));
+}
+
+auto HttpSession::refuse(HttpProtocolError Error) -> void {
+  ++Exchange;
+  IsHead = false;
+  const auto Answer = Server->Options.OnProtocolError
+                          ? Server->Options.OnProtocolError(Error)
+                          : defaultAnswer(Error);
+  write(Answer, Answer.Body.size(), false);
+}
+
+auto HttpSession::respond(std::uint64_t Number, const HttpResponse &Response,
+                          std::optional<std::size_t> BodyBytes) -> void {
+  if (Number != Exchange || Current != Phase::Handling)
+    return;
+  OnDisconnect = nullptr;
+  const bool Whole = !BodyBytes.has_value();
+  write(Response, Whole ? Response.Body.size() : *BodyBytes,
+        Whole && KeepAlive && !Server->Draining);
+}
+
+auto HttpSession::abort(std::uint64_t Number, bool Silently) -> void {
+  if (Number != Exchange || Current != Phase::Handling)
+    return;
+  if (Silently)
+    silence();
+  else
+    close();
+}
+
+auto HttpSession::watchDisconnect(std::uint64_t Number,
+                                  std::function<void()> Callback) -> void {
+  if (Number == Exchange && Current == Phase::Handling)
+    OnDisconnect = std::move(Callback);
+}
+
+auto HttpSession::write(const HttpResponse &Response, std::size_t BodyBytes,
+                        bool KeepOpen) -> void {
+  Current = Phase::Writing;
+  const auto Reason =
+      http::obsolete_reason(http::int_to_status(Response.Status));
+  Wire = "HTTP/1.1 " + std::to_string(Response.Status) + ' ' +
+         std::string(Reason) + "\r\n";
+  appendFields(Wire, Response.Headers);
+  auto Length = std::to_string(Response.Body.size());
+  if (const auto Given = Response.Headers.find("Content-Length");
+      IsHead && Given.has_value())
+    Length = std::string(*Given);
+  if (Response.Status != 204 && Response.Status != 304)
+    Wire.append("Content-Length: ").append(Length).append("\r\n");
+  Wire.append(KeepOpen ? "\r\n" : "Connection: close\r\n\r\n");
+  if (!IsHead)
+    Wire.append(Response.Body, 0, BodyBytes);
+  limitPhase(Server->Options.WriteLimit);
+  boost::asio::async_write(
+      Socket, boost::asio::buffer(Wire),
+      [Self = shared_from_this(), KeepOpen](error_code Code, std::size_t) {
+        if (Self->Current != Phase::Writing)
+          return;
+        Self->Timer.cancel();
+        if (Code)
+          Self->close();
+        else if (KeepOpen)
+          Self->beIdle();
+        else
+          Self->closeAfterAnswer();
+      });
+}
+
+// Closing a socket with unread data resets the connection, and a reset can
+// discard the answer before the caller has read it.
+auto HttpSession::closeAfterAnswer() -> void {
+  Current = Phase::Closing;
+  error_code Ignored;
+  Socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, Ignored);
+  limitPhase(LingerLimit);
+  discardRest();
+}
+
+auto HttpSession::discardRest() -> void {
+  Buffer.clear();
+  Socket.async_read_some(
+      Buffer.prepare(DiscardBytes),
+      [Self = shared_from_this()](error_code Code, std::size_t) {
+        if (Self->Current != Phase::Closing)
+          return;
+        if (Code)
+          Self->close();
+        else
+          Self->discardRest();
+      });
+}
+
+HttpResponder::HttpResponder(std::shared_ptr<HttpSession> Session,
+                             std::uint64_t Exchange)
+    : Session(std::move(Session)), Exchange(Exchange) {}
+
+auto HttpResponder::respond(HttpResponse Response) const -> void {
+  boost::asio::dispatch(
+      Session->executor(),
+      [Session = Session, Exchange = Exchange, Response = std::move(Response)] {
+        Session->respond(Exchange, Response, std::nullopt);
+      });
+}
+
+auto HttpResponder::respondTruncated(HttpResponse Response,
+                                     std::size_t BodyBytes) const -> void {
+  boost::asio::dispatch(Session->executor(),
+                        [Session = Session, Exchange = Exchange, BodyBytes,
+                         Response = std::move(Response)] {
+                          Session->respond(Exchange, Response, BodyBytes);
+                        });
+}
+
+auto HttpResponder::abort() const -> void {
+  boost::asio::dispatch(Session->executor(),
+                        [Session = Session, Exchange = Exchange] {
+                          Session->abort(Exchange, false);
+                        });
+}
+
+auto HttpResponder::silence() const -> void {
+  boost::asio::dispatch(Session->executor(),
+                        [Session = Session, Exchange = Exchange] {
+                          Session->abort(Exchange, true);
+                        });
+}
+
+auto HttpResponder::onDisconnect(std::function<void()> Callback) const -> void {
+  boost::asio::dispatch(
+      Session->executor(), [Session = Session, Exchange = Exchange,
+                            Callback = std::move(Callback)]() mutable {
+        Session->watchDisconnect(Exchange, std::move(Callback));
+      });
+}
+
+} // namespace buckthornring
--- /dev/null
+++ b/lib/IO/HttpWire.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "buckthornring/IO/HttpMessage.h"
+
+#include <boost/beast/http/fields.hpp>
+
+namespace buckthornring {
+
+/// Whether a field is set by the sender of a message itself. Fields with line
+/// breaks are left out too, since they would start a new field.
+inline auto isLeftOutOfWire(const HttpHeaders::Field &Field) -> bool {
+  for (const char *Name : {"Connection", "Keep-Alive", "Proxy-Connection",
+                           "Transfer-Encoding", "Content-Length", "Expect"})
+    if (sameHeaderName(Field.first, Name))
+      return true;
+  return Field.first.empty() ||
+         Field.first.find_first_of("\r\n: ") != std::string::npos ||
+         Field.second.find_first_of("\r\n") != std::string::npos;
+}
+
+inline auto appendFields(std::string &Wire, const HttpHeaders &Headers)
+    -> void {
+  for (const auto &Field : Headers) {
+    if (isLeftOutOfWire(Field))
+      continue;
+    Wire.append(Field.first).append(": ").append(Field.second).append("\r\n");
+  }
+}
+
+inline auto readFields(const boost::beast::http::fields &Fields)
+    -> HttpHeaders {
+  HttpHeaders Headers;
+  for (const auto &Field : Fields)
+    Headers.add(std::string(Field.name_string()), std::string(Field.value()));
+  return Headers;
+}
+
+} // namespace buckthornring
--- /dev/null
+++ b/tests/process/HttpTest.cpp
@@ -0,0 +1,242 @@
+#include "buckthornring/IO/HttpClient.h"
+#include "buckthornring/IO/HttpServer.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <gtest/gtest.h>
+
+using namespace buckthornring;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct HttpTest : testing::Test {
+  auto serve(HttpServer::Handler OnRequest, HttpServerOptions Options = {})
+      -> void {
+    Server =
+        HttpServer::start(Context, std::move(Options), std::move(OnRequest))
+            .value();
+    Client = HttpClient::create(Context,
+                                "127.0.0.1:" + std::to_string(Server->port()))
+                 .value();
+  }
+
+  auto call(HttpRequest Request, HttpCallOptions Options = {}) -> HttpOutcome {
+    std::optional<HttpOutcome> Result;
+    Client->request(
+        std::move(Request), std::move(Options),
+        [&Result](HttpOutcome Outcome) { Result = std::move(Outcome); });
+    runUntil([&Result] { return Result.has_value(); });
+    return Result.value_or(HttpOutcome{});
+  }
+
+  auto runUntil(const std::function<bool()> &Condition) -> void {
+    const auto Limit = std::chrono::steady_clock::now() + 10s;
+    while (!Condition() && std::chrono::steady_clock::now() < Limit) {
+      Context.restart();
+      Context.run_one_for(10ms);
+    }
+    EXPECT_TRUE(Condition());
+  }
+
+  boost::asio::io_context Context{1};
+  std::unique_ptr<HttpServer> Server;
+  std::unique_ptr<HttpClient> Client;
+};
+
+auto get(std::string Target) -> HttpRequest {
+  HttpRequest Request;
+  Request.Target = std::move(Target);
+  return Request;
+}
+
+// Guards against fields or bodies being lost, and against a connection being
+// opened for each request.
+TEST_F(HttpTest, RequestsShareAKeptAliveConnection) {
+  serve([](const HttpRequest &Request, const HttpResponder &Responder) {
+    HttpResponse Response;
+    Response.Headers.add("X-Method", Request.Method);
+    Response.Headers.add("X-Query", Request.query("a b").value_or("none"));
+    Response.Body = Request.Body;
+    Responder.respond(Response);
+  });
+  auto Request = get("/path?x=1&a%20b=c%2Fd");
+  Request.Method = "POST";
+  Request.Body = std::string(100000, 'z');
+  for (int I = 0; I < 3; ++I) {
+    const auto Outcome = call(Request);
+    ASSERT_TRUE(Outcome.done()) << Outcome.Reason;
+    EXPECT_EQ(Outcome.Response.Body, Request.Body);
+    EXPECT_EQ(Outcome.Response.Headers.find("x-query"), "c/d");
+    EXPECT_EQ(Outcome.ReusedConnection, I > 0);
+  }
+  EXPECT_EQ(Server->openConnections(), 1U);
+}
+
+// Guards against a late response being matched to the next request.
+TEST_F(HttpTest, LateResponseIsNeverGivenToAnotherRequest) {
+  std::vector<HttpResponder> Late;
+  serve([&Late](const HttpRequest &Request, const HttpResponder &Responder) {
+    if (Request.path() == "/late")
+      Late.push_back(Responder);
+    else
+      Responder.respond({200, {}, std::string(Request.path())});
+  });
+  HttpCallOptions Short;
+  Short.TimeLimit = 50ms;
+  const auto Timed = call(get("/late"), Short);
+  EXPECT_TRUE(Timed.TimedOut);
+  EXPECT_EQ(Timed.Phase, HttpPhase::Written);
+  ASSERT_EQ(Late.size(), 1U);
+  Late.front().respond({200, {}, "late"});
+  const auto Next = call(get("/next"));
+  ASSERT_TRUE(Next.done());
+  EXPECT_EQ(Next.Response.Body, "/next");
+  EXPECT_FALSE(Next.ReusedConnection);
+}
+
+// Guards against a response cut short being taken for a complete one.
+TEST_F(HttpTest, ResponseCutShortIsAFailure) {
+  serve([](const HttpRequest &, const HttpResponder &Responder) {
+    Responder.respondTruncated({200, {}, "complete body"}, 5);
+  });
+  const auto Outcome = call(get("/"));
+  EXPECT_FALSE(Outcome.done());
+  EXPECT_EQ(Outcome.Phase, HttpPhase::Answering);
+}
+
+// Guards against a refused connection being reported as possibly run.
+TEST_F(HttpTest, RefusedConnectionIsReportedAsNotSent) {
+  serve([](const HttpRequest &, const HttpResponder &) {});
+  Server.reset();
+  const auto Outcome = call(get("/"));
+  EXPECT_EQ(Outcome.Phase, HttpPhase::Connecting);
+  EXPECT_FALSE(Outcome.mayHaveRun());
+}
+
+// Guards against a response that ends with the connection passing as complete.
+TEST_F(HttpTest, ResponseWithoutLengthIsAFailure) {
+  using boost::asio::ip::tcp;
+  tcp::acceptor Acceptor(
+      Context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+  Acceptor.async_accept([](boost::system::error_code, tcp::socket Peer) {
+    boost::asio::write(Peer,
+                       boost::asio::buffer("HTTP/1.1 200 OK\r\n\r\nhalf", 23));
+  });
+  Client = HttpClient::create(
+               Context,
+               "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port()))
+               .value();
+  const auto Outcome = call(get("/"));
+  EXPECT_FALSE(Outcome.done());
+}
+
+// Guards against malformed and oversized requests reaching the handler.
+TEST_F(HttpTest, ProtocolErrorsAreAnsweredBeforeTheHandler) {
+  HttpServerOptions Options;
+  Options.BodyLimit = 100;
+  Options.HeadLimit = 1000;
+  int Handled = 0;
+  serve(
+      [&Handled](const HttpRequest &, const HttpResponder &Responder) {
+        ++Handled;
+        Responder.respond({});
+      },
+      Options);
+  auto Large = get("/");
+  Large.Method = "PUT";
+  Large.Body = std::string(2000000, 'x');
+  const auto TooLarge = call(Large);
+  EXPECT_EQ(TooLarge.Response.Status, 413U) << TooLarge.Reason;
+  auto Long = get("/");
+  Long.Headers.add("X-Long", std::string(2000, 'x'));
+  EXPECT_EQ(call(Long).Response.Status, 413U);
+  auto Malformed = get("/a b");
+  EXPECT_EQ(call(Malformed).Response.Status, 400U);
+  EXPECT_EQ(Handled, 0);
+}
+
+// Guards against a slow sender holding its connection for ever.
+TEST_F(HttpTest, SlowSenderIsAnsweredAndClosed) {
+  using boost::asio::ip::tcp;
+  HttpServerOptions Options;
+  Options.ReadLimit = 50ms;
+  serve([](const HttpRequest &,
+           const HttpResponder &) { ADD_FAILURE() << "handled"; },
+        Options);
+  tcp::socket Sender(Context);
+  Sender.connect({boost::asio::ip::make_address("127.0.0.1"), Server->port()});
+  boost::asio::write(Sender, boost::asio::buffer("GET / HTTP/1.1\r\nHos", 19));
+  std::string Answer;
+  bool Ended = false;
+  boost::asio::async_read(Sender, boost::asio::dynamic_buffer(Answer),
+                          [&Ended](auto, std::size_t) { Ended = true; });
+  runUntil([&Ended] { return Ended; });
+  EXPECT_EQ(Answer.substr(0, 12), "HTTP/1.1 408");
+}
+
+// Guards against requests in progress being cut off by a graceful stop.
+TEST_F(HttpTest, DrainCompletesRequestsInProgress) {
+  std::vector<HttpResponder> Waiting;
+  HttpServerOptions Options;
+  Options.DrainGrace = 20ms;
+  serve(
+      [&Waiting](const HttpRequest &, const HttpResponder &Responder) {
+        Waiting.push_back(Responder);
+      },
+      Options);
+  std::optional<HttpOutcome> Result;
+  Client->request(get("/"), {}, [&Result](HttpOutcome Outcome) {
+    Result = std::move(Outcome);
+  });
+  runUntil([&Waiting] { return !Waiting.empty(); });
+  bool Drained = false;
+  Server->drain([&Drained] { Drained = true; });
+  boost::asio::steady_timer Later(Context, 100ms);
+  Later.async_wait([&Waiting](auto) {
+    Waiting.front().respond({200, {}, "whole"});
+  });
+  runUntil([&] { return Drained && Result.has_value(); });
+  ASSERT_TRUE(Result.has_value());
+  EXPECT_TRUE(Result->done()) << Result->Reason;
+  EXPECT_EQ(Result->Response.Body, "whole");
+  EXPECT_EQ(call(get("/")).Phase, HttpPhase::Connecting);
+}
+
+// Guards against work going on for a caller that has left.
+TEST_F(HttpTest, DisconnectOfTheCallerIsReported) {
+  bool Disconnected = false;
+  bool Handled = false;
+  serve([&](const HttpRequest &, const HttpResponder &Responder) {
+    Handled = true;
+    Responder.onDisconnect([&Disconnected] { Disconnected = true; });
+  });
+  auto Call = Client->request(get("/"), {}, [](const HttpOutcome &) {
+    ADD_FAILURE() << "a cancelled call has no outcome";
+  });
+  runUntil([&Handled] { return Handled; });
+  Call.cancel();
+  runUntil([&Disconnected] { return Disconnected; });
+}
+
+// Guards against a silent connection stopping new ones.
+TEST_F(HttpTest, NewConnectionsWorkBesideSilentOnes) {
+  serve([](const HttpRequest &, const HttpResponder &Responder) {
+    Responder.respond({});
+  });
+  EXPECT_TRUE(call(get("/")).done());
+  Server->silenceConnections();
+  HttpCallOptions Options;
+  Options.TimeLimit = 50ms;
+  EXPECT_TRUE(call(get("/"), Options).TimedOut);
+  const auto Next = call(get("/"));
+  EXPECT_TRUE(Next.done());
+  EXPECT_FALSE(Next.ReusedConnection);
+}
+
+} // namespace
