--- a/include/buckthornring/Link/LinkMessage.h
+++ b/include/buckthornring/Link/LinkMessage.h
@@ -17,12 +17,16 @@
 struct TermConfirmRequest {
   TermRecord Record;
   std::uint64_t Number = 0; ///< Echoed by the confirmation.
+  /// Reading of the deputy's clock, echoed from its last confirmation. The
+  /// deputy counts its last contact from it, so a late request adds nothing.
+  std::int64_t ClockUs = 0;
 };
 
 /// Deputy to leader.
 struct TermConfirm {
   std::uint64_t Term = 0;
   std::uint64_t Number = 0;
+  std::int64_t ClockUs = 0; ///< Reading of the sender's clock.
 };
 
 /// New leader to every instance of the data centre.
@@ -33,12 +37,16 @@
 /// Answer to TermAnnounce: the sender acts in no lower term any more.
 struct TermAck {
   std::uint64_t Term = 0;
+  /// No instance that the sender replaced may still renew leases.
+  bool Quiet = false;
 };
 
 /// Leader to deputy, before a change takes effect.
 struct AssignmentCopy {
   std::uint64_t Term = 0;
   SliceDelta Delta;
+  /// False while a new leader is still finding out who holds which slice.
+  bool Resolved = false;
 };
 
 /// Deputy to leader.
@@ -134,6 +142,7 @@
 /// Leader or deputy to its counterpart: it gives up its role in this term.
 struct Resign {
   std::uint64_t Term = 0;
+  bool Quiet = false; ///< As in TermAck.
 };
 
 using LinkMessage =
--- a/include/buckthornring/Ownership/LeaderCore.h
+++ b/include/buckthornring/Ownership/LeaderCore.h
@@ -66,8 +66,11 @@
 
   auto tick(TimePoint Now) -> OwnershipActions;
 
-  /// Takes the ownership messages; other kinds are ignored. RoutingHeartbeat
-  /// is for the instance's RoutingLease, not for this object.
+  /// Takes the ownership messages; other kinds are ignored. A RoutingHeartbeat
+  /// goes to the instance's RoutingLease and, as a sign of life, to this
+  /// object; the RoutingAck that RoutingLease returns is sent back to the
+  /// heartbeat's sender. A message to the instance itself is fed back in the
+  /// same way.
   auto receive(const InstanceId &From, const LinkMessage &Message,
                TimePoint Now) -> OwnershipActions;
 
--- a/include/buckthornring/Ownership/LeaseMessage.h
+++ b/include/buckthornring/Ownership/LeaseMessage.h
@@ -73,6 +73,9 @@
   std::vector<SliceEpoch> Held;
   /// "running": released slices whose requests have not all finished.
   std::vector<std::uint32_t> Running;
+  /// "lapses": how often this process dropped its slices because the lease
+  /// had ended. A change tells the leader to grant them again.
+  std::uint64_t Lapses = 0;
 };
 
 /// Returns the JSON text with the field names given above.
--- a/include/buckthornring/Ownership/LeaseTable.h
+++ b/include/buckthornring/Ownership/LeaseTable.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace buckthornring {
 
@@ -20,30 +21,31 @@
   enum class ReplyEffect {
     Ignored,    ///< Older than a reply already seen, or unknown target.
     Known,      ///< The target continues.
+    Lapsed,     ///< Its lease ended meanwhile: it has dropped its slices.
     Restarted,  ///< A new process start: it holds nothing.
     HigherTerm, ///< The target has seen a term above ours.
   };
 
   LeaseTable(OwnershipTimes Times, SafetySwitches Switches);
 
-  /// Adds a target. Until it answers, its lease bound is \p Now plus a whole
-  /// lease, since a message of this process may not be the last one it got.
-  auto add(const TargetId &Target, TimePoint Now) -> void;
+  auto add(const TargetId &Target) -> void;
   auto remove(const TargetId &Target) -> void;
   auto contains(const TargetId &Target) const -> bool;
 
-  /// Forgets the acknowledgements of lower terms.
-  auto beginTerm(std::uint64_t NewTerm, TimePoint Now) -> void;
+  /// Forgets the acknowledgements of lower terms; lease ends are kept.
+  auto beginTerm(std::uint64_t NewTerm) -> void;
 
   auto reply(const TargetId &Target, const LeaseReply &Reply, TimePoint Now)
       -> ReplyEffect;
 
-  /// Fills Start, ClockUs and LeaseUs from the last reply and notes that the
-  /// lease may be held that long. Leaves them empty when no reply was seen.
-  auto stampLease(LeaseMessage &Message) -> void;
+  /// Notes a message that is about to be sent and fills in Start. With a lease,
+  /// and when the target has answered before, also fills in ClockUs and LeaseUs
+  /// and notes that the lease may be held that long.
+  auto sent(LeaseMessage &Message, bool WithLease) -> void;
 
-  /// Returns the time after which the target holds no lease that this process
-  /// sent: receipt of the last echoed reading, plus the lease, stretched.
+  /// Returns the time after which the target holds no lease from this process,
+  /// nor any that it held when it acknowledged the term: receipt of the last
+  /// echoed reading plus the lease, stretched by the drift bound.
   auto leaseEnd(const TargetId &Target) const -> TimePoint;
 
   auto acknowledged(const TargetId &Target) const -> bool;
@@ -52,10 +54,11 @@
 
   /// False after three renewal intervals without a reply.
   auto alive(const TargetId &Target, TimePoint Now) const -> bool;
-  auto lastReply(const TargetId &Target) const -> std::optional<TimePoint>;
 
-  /// Start identifier of the last reply, empty before the first.
+  /// Start identifier of the target, empty before the first reply.
   auto start(const TargetId &Target) const -> const std::string &;
+  /// When that start identifier was first accepted.
+  auto startSeen(const TargetId &Target) const -> TimePoint;
 
   /// Highest change sequence that the target applied in this term.
   auto applied(const TargetId &Target) const -> std::uint64_t;
@@ -63,29 +66,35 @@
   /// Slices of the last complete report in this term, or nothing.
   auto report(const TargetId &Target) const
       -> const std::optional<std::map<std::uint32_t, Epoch>> &;
-  /// Discards reports, so that the next one is newer than this moment.
+  /// Discards reports; only replies to later messages count as new ones.
   auto clearReports() -> void;
 
-  /// Notes that the target is lost for good (operator).
-  auto confirmLost(const TargetId &Target) -> void;
+  /// Notes that the target is lost for good (operator): it holds nothing.
+  auto confirmLost(const TargetId &Target, TimePoint Now) -> void;
 
 private:
   struct Entry {
     bool Acknowledged = false;
     std::string Start;
+    TimePoint StartSeen;
+    /// Another start identifier, with the last sequence sent before it.
+    std::optional<std::pair<std::string, std::uint64_t>> Candidate;
     std::int64_t ClockUs = 0;
+    std::uint64_t Answered = 0;
     TimePoint ClockAt;
     std::optional<TimePoint> LastReply;
     TimePoint LeaseEnd;
+    std::uint64_t Lapses = 0;
     std::uint64_t Applied = 0;
     std::set<std::uint32_t> Running;
     std::optional<std::map<std::uint32_t, Epoch>> Report;
-    /// Replies to messages up to this sequence are older than clearReports().
     std::uint64_t ReportAfter = 0;
     std::uint64_t LastSequence = 0;
   };
 
   auto entry(const TargetId &Target) const -> const Entry &;
+  auto leaseAfter(TimePoint From) const -> TimePoint;
+  static auto otherStart(Entry &Each, const LeaseReply &Reply) -> bool;
 
   OwnershipTimes Times;
   SafetySwitches Switches;
--- a/include/buckthornring/Ownership/TermRecord.h
+++ b/include/buckthornring/Ownership/TermRecord.h
@@ -6,10 +6,12 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace buckthornring {
 
-/// Value of the platform object terms/DC. JSON: {"term","leader","deputy"}.
+/// Value of the platform object terms/DC. JSON:
+/// {"term","leader","deputy","unsettled":[instances]}.
 ///
 /// An identifier names one process start of an instance ("id#random"). A
 /// restarted process has lost its copy and its memory of confirmations, so it
@@ -18,6 +20,10 @@
   std::uint64_t Term = 0;
   InstanceId Leader;
   InstanceId Deputy; ///< Empty when none is recorded.
+  /// Leaders and deputies that a third instance replaced and that have not
+  /// acknowledged a later term. No time bound ends their renewals, so later
+  /// leaders must know of them.
+  std::vector<InstanceId> Unsettled;
 
   friend auto operator==(const TermRecord &, const TermRecord &)
       -> bool = default;
--- /dev/null
+++ b/lib/Link/LinkCodec.cpp
@@ -0,0 +1,265 @@
+#include "buckthornring/Link/LinkCodec.h"
+
+#include <nlohmann/json.hpp>
+
+#include <concepts>
+#include <limits>
+#include <tuple>
+#include <type_traits>
+#include <utility>
+
+namespace buckthornring {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// Each message is the array of its members, in this order.
+
+template <class M>
+constexpr auto fields(M &Value) {
+  using T = std::remove_const_t<M>;
+  if constexpr (std::same_as<T, Epoch>)
+    return std::tie(Value.Term, Value.Sequence);
+  else if constexpr (std::same_as<T, TermRecord>)
+    return std::tie(Value.Term, Value.Leader, Value.Deputy, Value.Unsettled);
+  else if constexpr (std::same_as<T, SliceAssignment>)
+    return std::tie(Value.Owner, Value.Successor, Value.At, Value.Serving);
+  else if constexpr (std::same_as<T, SliceDelta::Entry>)
+    return std::tie(Value.Slice, Value.To);
+  else if constexpr (std::same_as<T, SliceDelta>)
+    return std::tie(Value.Service, Value.Slices, Value.Term, Value.From,
+                    Value.To, Value.Entries);
+  else if constexpr (std::same_as<T, TermConfirmRequest>)
+    return std::tie(Value.Record, Value.Number, Value.ClockUs);
+  else if constexpr (std::same_as<T, TermConfirm>)
+    return std::tie(Value.Term, Value.Number, Value.ClockUs);
+  else if constexpr (std::same_as<T, TermAnnounce>)
+    return std::tie(Value.Record);
+  else if constexpr (std::same_as<T, TermAck> || std::same_as<T, Resign>)
+    return std::tie(Value.Term, Value.Quiet);
+  else if constexpr (std::same_as<T, AssignmentCopy>)
+    return std::tie(Value.Term, Value.Delta, Value.Resolved);
+  else if constexpr (std::same_as<T, AssignmentCopied>)
+    return std::tie(Value.Term, Value.Service, Value.Version, Value.NeedAll);
+  else if constexpr (std::same_as<T, RoutingHeartbeat>)
+    return std::tie(Value.Term, Value.Number, Value.ClockUs, Value.LeaseUs,
+                    Value.Generation, Value.Deltas, Value.Routable);
+  else if constexpr (std::same_as<T, RoutingAck::Service>)
+    return std::tie(Value.Term, Value.Version, Value.InFlight, Value.Requests);
+  else if constexpr (std::same_as<T, RoutingAck>)
+    return std::tie(Value.Term, Value.Number, Value.ClockUs, Value.Generation,
+                    Value.Services);
+  else if constexpr (std::same_as<T, ShareRequest>)
+    return std::tie(Value.Quantity, Value.Number, Value.Demand, Value.Held,
+                    Value.Urgent);
+  else if constexpr (std::same_as<T, ShareGrant>)
+    return std::tie(Value.Quantity, Value.Term, Value.Transfer, Value.Number,
+                    Value.Rate, Value.Burst, Value.LeaseUs);
+  else if constexpr (std::same_as<T, ShareReturn>)
+    return std::tie(Value.Quantity, Value.Term, Value.Transfer, Value.Burst);
+  else if constexpr (std::same_as<T, ConfigOffer>)
+    return std::tie(Value.Generation, Value.Digest, Value.Content,
+                    Value.ConfirmedAgoUs);
+  else if constexpr (std::same_as<T, PlatformReachability>)
+    return std::tie(Value.Reachable, Value.LastReadAgoUs, Value.Generation);
+  else if constexpr (std::same_as<T, Relay>)
+    return std::tie(Value.RequestId, Value.Method, Value.Path, Value.Headers,
+                    Value.Body, Value.DeadlineUs);
+}
+
+template <class T>
+struct IsId : std::false_type {};
+template <class Tag>
+struct IsId<Id<Tag>> : std::true_type {};
+
+template <class T>
+auto put(const T &Value) -> Json;
+
+template <class... Ts>
+auto putTuple(const std::tuple<Ts...> &Tuple) -> Json {
+  return std::apply(
+      [](const auto &...Each) {
+        Json Array = Json::array();
+        (Array.push_back(put(Each)), ...);
+        return Array;
+      },
+      Tuple);
+}
+
+template <class T>
+struct Container {
+  static constexpr bool Sequence = false;
+  static constexpr bool Map = false;
+  static constexpr bool Pair = false;
+};
+template <class V>
+struct Container<std::vector<V>> {
+  static constexpr bool Sequence = true;
+  static constexpr bool Map = false;
+  static constexpr bool Pair = false;
+};
+template <class K, class V>
+struct Container<std::map<K, V>> {
+  static constexpr bool Sequence = false;
+  static constexpr bool Map = true;
+  static constexpr bool Pair = false;
+};
+template <class A, class B>
+struct Container<std::pair<A, B>> {
+  static constexpr bool Sequence = false;
+  static constexpr bool Map = false;
+  static constexpr bool Pair = true;
+};
+
+template <class T>
+auto put(const T &Value) -> Json {
+  if constexpr (std::is_arithmetic_v<T>) {
+    return Value;
+  } else if constexpr (std::same_as<T, std::string>) {
+    // Bodies are arbitrary bytes, which CBOR text strings do not allow.
+    return Json::binary(std::vector<std::uint8_t>(Value.begin(), Value.end()));
+  } else if constexpr (IsId<T>::value) {
+    return put(Value.str());
+  } else if constexpr (Container<T>::Sequence) {
+    Json Array = Json::array();
+    for (const auto &Each : Value)
+      Array.push_back(put(Each));
+    return Array;
+  } else if constexpr (Container<T>::Map) {
+    Json Array = Json::array();
+    for (const auto &[Key, Each] : Value)
+      Array.push_back(Json::array({put(Key), put(Each)}));
+    return Array;
+  } else if constexpr (Container<T>::Pair) {
+    return Json::array({put(Value.first), put(Value.second)});
+  } else {
+    return putTuple(fields(Value));
+  }
+}
+
+template <class T>
+auto take(const Json &From, T &Value) -> bool;
+
+template <class... Ts>
+auto takeTuple(const Json &From, std::tuple<Ts &...> Tuple) -> bool {
+  if (!From.is_array() || From.size() != sizeof...(Ts))
+    return false;
+  return [&]<std::size_t... At>(std::index_sequence<At...>) {
+    return (take(From[At], std::get<At>(Tuple)) && ...);
+  }
+  (std::index_sequence_for<Ts...>());
+}
+
+template <class T>
+auto takeNumber(const Json &From, T &Value) -> bool {
+  if constexpr (std::same_as<T, bool>) {
+    if (!From.is_boolean())
+      return false;
+    Value = From.template get<bool>();
+  } else if constexpr (std::floating_point<T>) {
+    if (!From.is_number())
+      return false;
+    Value = From.template get<T>();
+  } else if constexpr (std::is_unsigned_v<T>) {
+    if (!From.is_number_unsigned() ||
+        From.template get<std::uint64_t>() > std::numeric_limits<T>::max())
+      return false;
+    Value = From.template get<T>();
+  } else {
+    if (!From.is_number_integer() ||
+        (From.is_number_unsigned() &&
+         From.template get<std::uint64_t>() >
+             static_cast<std::uint64_t>(std::numeric_limits<T>::max())))
+      return false;
+    Value = From.template get<T>();
+  }
+  return true;
+}
+
+template <class V>
+auto takeSequence(const Json &From, std::vector<V> &Value) -> bool {
+  if (!From.is_array())
+    return false;
+  for (const Json &Each : From)
+    if (!take(Each, Value.emplace_back()))
+      return false;
+  return true;
+}
+
+template <class K, class V>
+auto takeMap(const Json &From, std::map<K, V> &Value) -> bool {
+  if (!From.is_array())
+    return false;
+  for (const Json &Each : From) {
+    K Key{};
+    if (!Each.is_array() || Each.size() != 2 || !take(Each[0], Key) ||
+        !take(Each[1], Value[Key]))
+      return false;
+  }
+  return true;
+}
+
+template <class T>
+auto take(const Json &From, T &Value) -> bool {
+  if constexpr (std::is_arithmetic_v<T>) {
+    return takeNumber(From, Value);
+  } else if constexpr (std::same_as<T, std::string>) {
+    if (!From.is_binary())
+      return false;
+    Value.assign(From.get_binary().begin(), From.get_binary().end());
+    return true;
+  } else if constexpr (IsId<T>::value) {
+    std::string Text;
+    if (!take(From, Text))
+      return false;
+    Value = T(std::move(Text));
+    return true;
+  } else if constexpr (Container<T>::Sequence) {
+    return takeSequence(From, Value);
+  } else if constexpr (Container<T>::Map) {
+    return takeMap(From, Value);
+  } else if constexpr (Container<T>::Pair) {
+    return From.is_array() && From.size() == 2 && take(From[0], Value.first) &&
+           take(From[1], Value.second);
+  } else {
+    return takeTuple(From, fields(Value));
+  }
+}
+
+template <std::size_t Index = 0>
+auto takeMessage(std::size_t Type, const Json &From, LinkMessage &Message)
+    -> bool {
+  if constexpr (Index < std::variant_size_v<LinkMessage>) {
+    if (Type != Index)
+      return takeMessage<Index + 1>(Type, From, Message);
+    return take(From, Message.emplace<Index>());
+  } else {
+    return false;
+  }
+}
+
+} // namespace
+
+auto LinkCodec::encode(const LinkMessage &Message)
+    -> std::vector<std::uint8_t> {
+  return std::visit(
+      [&](const auto &Body) {
+        return Json::to_cbor(Json::array({Message.index(), put(Body)}));
+      },
+      Message);
+}
+
+auto LinkCodec::decode(std::span<const std::uint8_t> Bytes)
+    -> Result<LinkMessage> {
+  const Json Value = Json::from_cbor(Bytes.begin(), Bytes.end(), true, false);
+  if (!Value.is_array() || Value.size() != 2 || !Value[0].is_number_unsigned())
+    return Error("link message is not a CBOR pair of type and fields");
+  LinkMessage Message;
+  if (!takeMessage(Value[0].get<std::size_t>(), Value[1], Message))
+    return Error("link message of type " + Value[0].dump() +
+                 " has unexpected fields");
+  return Message;
+}
+
+} // namespace buckthornring
