--- a/tests/unit/CountersTest.cpp
+++ b/tests/unit/CountersTest.cpp
@@ -14,6 +14,7 @@
 TEST(CountersTest, CountsFromSeveralThreads) {
   Counters All(2);
   std::vector<std::thread> Threads;
+  Threads.reserve(4);
   for (std::size_t Index = 0; Index < 4; ++Index)
     Threads.emplace_back([&All, Index] {
       auto &Stripe = All.stripe(Index % 2);
--- a/tests/unit/LatencyHistogramTest.cpp
+++ b/tests/unit/LatencyHistogramTest.cpp
@@ -54,6 +54,7 @@
 TEST(LatencyHistogramTest, ThreadsAndMerge) {
   LatencyHistogram First;
   std::vector<std::thread> Threads;
+  Threads.reserve(4);
   for (int Index = 0; Index < 4; ++Index)
     Threads.emplace_back([&First] {
       for (int I = 0; I < 10'000; ++I)
