--- a/include/buckthornring/Common/Time.h
+++ b/include/buckthornring/Common/Time.h
@@ -11,8 +11,8 @@
   using period = std::micro;
   using duration = std::chrono::duration<rep, period>;
   using time_point = std::chrono::time_point<MonotonicClock>;
-  static constexpr bool is_steady =
-      true; // NOLINT(readability-identifier-naming)
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  static constexpr bool is_steady = true;
 };
 
 /// Time span in microseconds.
--- /dev/null
+++ b/lib/Attempt/HedgePolicy.cpp
@@ -0,0 +1,23 @@
+#include "buckthornring/Attempt/HedgePolicy.h"
+
+#include <algorithm>
+
+namespace buckthornring {
+
+auto HedgePolicy::delay(const RunRecord &Record,
+                        std::optional<Duration> TypicalHigh) const
+    -> std::optional<Duration> {
+  if (!Record.idempotent() || !TypicalHigh)
+    return std::nullopt;
+  return std::max(*TypicalHigh, Settings.MinimumDelay);
+}
+
+auto HedgePolicy::tryHedge(const RunRecord &Record, TimePoint Now) -> bool {
+  if (!Record.idempotent() || !Record.replayable() || Record.settled())
+    return false;
+  if (Record.liveAttempts() != 1)
+    return false;
+  return Budget.tryTake(Now);
+}
+
+} // namespace buckthornring
--- /dev/null
+++ b/lib/Attempt/RetryBudget.cpp
@@ -0,0 +1,50 @@
+#include "buckthornring/Attempt/RetryBudget.h"
+
+#include <algorithm>
+
+namespace buckthornring {
+
+namespace {
+
+auto secondOf(TimePoint Now) -> std::int64_t {
+  return std::chrono::floor<std::chrono::seconds>(Now.time_since_epoch())
+      .count();
+}
+
+} // namespace
+
+auto RetryBudget::bucketAt(TimePoint Now) -> Bucket & {
+  const std::int64_t Second = secondOf(Now);
+  const auto Count = static_cast<std::int64_t>(Buckets);
+  const std::int64_t Index = ((Second % Count) + Count) % Count;
+  Bucket &Slot = Window.at(static_cast<std::size_t>(Index));
+  if (Slot.Second != Second)
+    Slot = Bucket{Second, 0, 0};
+  return Slot;
+}
+
+auto RetryBudget::requestSeen(TimePoint Now) -> void {
+  ++bucketAt(Now).Requests;
+}
+
+auto RetryBudget::tryTake(TimePoint Now) -> bool {
+  Bucket &Current = bucketAt(Now);
+  std::uint64_t Requests = 0;
+  std::uint64_t Taken = 0;
+  const auto Oldest = Current.Second - static_cast<std::int64_t>(Buckets);
+  for (const Bucket &Slot : Window) {
+    if (Slot.Second <= Oldest)
+      continue;
+    Requests += Slot.Requests;
+    Taken += Slot.Taken;
+  }
+  const double Allowed =
+      std::max(Settings.Share * static_cast<double>(Requests),
+               Settings.MinimumPerSecond * static_cast<double>(Buckets));
+  if (static_cast<double>(Taken + 1) > Allowed)
+    return false;
+  ++Current.Taken;
+  return true;
+}
+
+} // namespace buckthornring
