Add escrowed shares and the fair queue

Cause: workspace rates, slots, connections and cold-start allowances count over all instances (docs/design.md, section 7). Ruled out: one lease per transfer; a holder that grows every 100 ms would hold dozens of leases. Each grant instead replaces the share under a rising version, and the giver counts the largest share that an unconfirmed grant may have put in force. Token transfers are running totals, so repeated or reordered messages apply once. Ruled out: tokens without their capacity; a holder whose bucket is full would then exceed the burst on receipt. Change: TokenBucket, ShareLedger, ShareHolder, FairQueue. The rate is divided by (1 + drift) because a holder's fast clock earns that much more. The lint exemption in Ids.h covers clang 14's report on a defaulted comparison.

--- a/include/buckthornring/Common/Ids.h
+++ b/include/buckthornring/Common/Ids.h
@@ -19,8 +19,12 @@
   auto empty() const -> bool { return Text.empty(); }
 
   friend auto operator==(const Id &, const Id &) -> bool = default;
+  // The linter's compiler (clang 14) reports the code that it generates for a
+  // defaulted comparison.
+  // NOLINTBEGIN(modernize-use-nullptr,readability-identifier-naming)
   friend auto operator<=>(const Id &, const Id &)
       -> std::strong_ordering = default;
+  // NOLINTEND(modernize-use-nullptr,readability-identifier-naming)
 
 private:
   std::string Text;
--- a/include/buckthornring/Common/Time.h
+++ b/include/buckthornring/Common/Time.h
@@ -11,6 +11,7 @@
   using period = std::micro;
   using duration = std::chrono::duration<rep, period>;
   using time_point = std::chrono::time_point<MonotonicClock>;
+  // The name is fixed by <chrono>.
   // NOLINTNEXTLINE(readability-identifier-naming)
   static constexpr bool is_steady = true;
 };
--- /dev/null
+++ b/tests/unit/LimitsTest.cpp
@@ -0,0 +1,144 @@
+#include "buckthornring/Limits/FairQueue.h"
+#include "buckthornring/Limits/ShareHolder.h"
+#include "buckthornring/Limits/ShareLedger.h"
+#include "buckthornring/Limits/TokenBucket.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+using namespace buckthornring;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Start{1000s};
+
+// Guards against rounding that creates or loses tokens over many small steps.
+TEST(TokenBucketTest, RefillIsExactOverSmallSteps) {
+  TokenBucket Bucket(7, 1'000'000, 0, Start);
+  for (int Step = 1; Step <= 1'000'000; ++Step)
+    Bucket.tokens(Start + Duration(Step * 3));
+  EXPECT_EQ(Bucket.tokens(Start + 3s), 21);
+}
+
+// Guards against a Retry-After that is too short.
+TEST(TokenBucketTest, TokenIsThereAfterTheAnnouncedTime) {
+  TokenBucket Bucket(3 * OneUnit, OneUnit, 0, Start);
+  const auto Wait = Bucket.timeUntil(OneUnit, Start);
+  ASSERT_TRUE(Wait.has_value());
+  EXPECT_FALSE(Bucket.tryTake(OneUnit, Start + *Wait - 1us));
+  EXPECT_TRUE(Bucket.tryTake(OneUnit, Start + *Wait));
+}
+
+auto exchange(ShareHolder &Holder, ShareLedger &Ledger, TimePoint Now) -> void {
+  if (const auto Grant = Ledger.handle(Holder.makeRequest(Now), Now))
+    Holder.apply(*Grant, Now);
+}
+
+// Guards against a new giver that lends what an earlier one has lent.
+TEST(ShareLedgerTest, NewGiverLendsNothingForOneLease) {
+  ShareLedger Ledger({}, {100 * OneUnit, 100 * OneUnit}, 1, Start);
+  ShareHolder Holder("a/0", ShareKind::Rate, 1, Start);
+  Holder.follow(1);
+  Holder.setWaiting(1);
+  exchange(Holder, Ledger, Start + 1ms);
+  EXPECT_FALSE(Holder.tryTake(Start + 900ms));
+  exchange(Holder, Ledger, Start + 1011ms);
+  exchange(Holder, Ledger, Start + 1050ms);
+  EXPECT_TRUE(Holder.tryTake(Start + 1050ms));
+}
+
+// Guards against waits that last to the next regular report: a request for a
+// token is answered at once.
+TEST(ShareLedgerTest, WaitingRequestGetsTokensAtOnce) {
+  ShareLedger Ledger({}, {100 * OneUnit, 100 * OneUnit}, 1, Start);
+  ShareHolder Holder("a/0", ShareKind::Rate, 1, Start);
+  Holder.follow(1);
+  const TimePoint Later = Start + 3s;
+  exchange(Holder, Ledger, Start + 2s);
+  Holder.setWaiting(20);
+  exchange(Holder, Ledger, Later);
+  int Taken = 0;
+  while (Holder.tryTake(Later))
+    ++Taken;
+  EXPECT_GE(Taken, 20);
+}
+
+// Guards against a holder that uses its share after the lease.
+TEST(ShareHolderTest, ShareEndsWithTheLease) {
+  ShareLedger Ledger({}, {100 * OneUnit, 100 * OneUnit}, 1, Start);
+  ShareHolder Holder("a/0", ShareKind::Rate, 1, Start);
+  Holder.follow(1);
+  Holder.setWaiting(5);
+  exchange(Holder, Ledger, Start + 2s);
+  exchange(Holder, Ledger, Start + 2100ms);
+  EXPECT_TRUE(Holder.tryTake(Start + 3099ms));
+  EXPECT_FALSE(Holder.tryTake(Start + 3100ms));
+}
+
+// Guards against slots that are lost for good when holders stop using them, and
+// against holders that never get one: more holders than slots take turns.
+TEST(ShareLedgerTest, MoreHoldersThanSlotsTakeTurns) {
+  ShareLedger::Options Settings;
+  Settings.Kind = ShareKind::Units;
+  ShareLedger Ledger(Settings, {0, 4 * OneUnit}, 1, Start);
+  std::map<int, ShareHolder> Holders;
+  std::map<int, int> Served;
+  for (int I = 0; I < 11; ++I) {
+    const auto Made = Holders.emplace(
+        I, ShareHolder("h" + std::to_string(I), ShareKind::Units, 1, Start));
+    Made.first->second.follow(1);
+    Made.first->second.setWaiting(2);
+  }
+  for (TimePoint Now = Start + 2s; Now < Start + 12s; Now += 10ms) {
+    std::uint32_t InUse = 0;
+    for (auto &[Index, Holder] : Holders) {
+      while (Holder.inUse() > 0)
+        Holder.release();
+      exchange(Holder, Ledger, Now);
+      if (Holder.tryAcquire(Now))
+        ++Served[Index];
+    }
+    for (auto &[Index, Holder] : Holders)
+      InUse += Holder.inUse();
+    ASSERT_LE(InUse, 4U);
+  }
+  for (int I = 0; I < 11; ++I)
+    EXPECT_GT(Served[I], 100) << I;
+}
+
+// Guards against a workspace that takes slots beyond its weight.
+TEST(FairQueueTest, SlotsFollowWeights) {
+  FairQueue Queue;
+  const WorkspaceId Heavy("heavy");
+  const WorkspaceId Light("light");
+  Queue.configure(Heavy, {3, 1000});
+  Queue.configure(Light, {1, 1000});
+  for (FairQueue::Ticket I = 0; I < 1000; ++I) {
+    Queue.push(Heavy, I);
+    Queue.push(Light, 1000 + I);
+  }
+  int HeavyCount = 0;
+  for (int I = 0; I < 400; ++I)
+    if (*Queue.pop() < 1000)
+      ++HeavyCount;
+  EXPECT_EQ(HeavyCount, 300);
+}
+
+// Guards against a queue that grows without bound, and against a withdrawn
+// request that is still served.
+TEST(FairQueueTest, BoundedAndWithdrawable) {
+  FairQueue Queue;
+  const WorkspaceId Own("own");
+  Queue.configure(Own, {1, 2});
+  EXPECT_TRUE(Queue.push(Own, 1));
+  EXPECT_TRUE(Queue.push(Own, 2));
+  EXPECT_FALSE(Queue.push(Own, 3));
+  EXPECT_TRUE(Queue.remove(Own, 1));
+  EXPECT_FALSE(Queue.remove(Own, 1));
+  EXPECT_EQ(Queue.pop(), 2U);
+  EXPECT_FALSE(Queue.pop().has_value());
+}
+
+} // namespace
