Add the request path with a thin whole daemon

Cause: the router had core classes but no process that serves a request. Ruled out: C++ coroutines for connections, because the linter's compiler (clang 14) cannot read them with this standard library; the Beast serializer, because it copies each message once per attempt. Change: lib/IO gets the caller's stream, target connections and their pool; lib/Entry gets the planner, the attempt runner, the request exchange, traffic threads and the control thread; daemons/buckthornringd starts them. Slice owners come from a rendezvous hash behind SliceOwnerSource for now.

--- /dev/null
+++ b/daemons/buckthornringd/Main.cpp
@@ -0,0 +1,65 @@
+#include "Entry/EntryInstance.h"
+
+#include <cxxopts.hpp>
+
+#include <cstdio>
+#include <fstream>
+#include <optional>
+#include <sstream>
+
+using namespace buckthornring;
+
+namespace {
+
+auto readFile(const std::string &Path) -> std::optional<std::string> {
+  std::ifstream File(Path);
+  if (!File)
+    return std::nullopt;
+  std::ostringstream Text;
+  Text << File.rdbuf();
+  return Text.str();
+}
+
+auto settingsPath(int Count, char **Arguments) -> Result<std::string> {
+  try {
+    cxxopts::Options Options("buckthornringd", "Router for owned keys");
+    Options.add_options()("settings", "Settings file (JSON with comments)",
+                          cxxopts::value<std::string>());
+    const auto Parsed = Options.parse(Count, Arguments);
+    if (!Parsed.count("settings"))
+      return Error(Options.help());
+    return Parsed["settings"].as<std::string>();
+  } catch (const cxxopts::exceptions::exception &Failure) {
+    return Error(Failure.what());
+  }
+}
+
+auto loadSettings(const std::string &Path) -> Result<DaemonSettings> {
+  const auto Text = readFile(Path);
+  if (!Text)
+    return Error("cannot read " + Path);
+  return DaemonSettings::read(*Text, Path).result();
+}
+
+auto fail(const Error &Reason) -> int {
+  std::fprintf(stderr, "buckthornringd: %s\n", Reason.message().c_str());
+  return 2;
+}
+
+} // namespace
+
+auto main(int Count, char **Arguments) -> int {
+  const auto Path = settingsPath(Count, Arguments);
+  if (!Path)
+    return fail(Path.error());
+  auto Settings = loadSettings(*Path);
+  if (!Settings)
+    return fail(Settings.error());
+  auto Instance = EntryInstance::create(std::move(Settings).value());
+  if (!Instance)
+    return fail(Instance.error());
+  std::printf("%s\n", Instance.value()->listeningLine().c_str());
+  std::fflush(stdout);
+  Instance.value()->run();
+  return 0;
+}
--- /dev/null
+++ b/lib/Entry/CallerConnection.cpp
@@ -0,0 +1,122 @@
+#include "Entry/CallerConnection.h"
+
+#include "Entry/RefusalAnswer.h"
+#include "Entry/RequestExchange.h"
+#include "Entry/TrafficThread.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <optional>
+
+namespace buckthornring {
+
+namespace {
+
+/// Refusal for a head that cannot be read, or nothing when the caller left.
+auto refusalOf(ReadOutcome Outcome) -> std::optional<RefusalReason> {
+  switch (Outcome) {
+  case ReadOutcome::Malformed:
+    return RefusalReason::MalformedRequest;
+  case ReadOutcome::HeadTooLarge:
+    return RefusalReason::HeadTooLarge;
+  case ReadOutcome::BodyTooLarge:
+    return RefusalReason::BodyTooLarge;
+  case ReadOutcome::SlowSender:
+    return RefusalReason::SlowSender;
+  case ReadOutcome::Ok:
+  case ReadOutcome::Closed:
+  case ReadOutcome::Idle:
+    break;
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+CallerConnection::CallerConnection(TrafficThread &Thread,
+                                   boost::asio::ip::tcp::socket Socket)
+    : Thread(Thread), Stream(std::make_shared<CallerStream>(
+                          std::move(Socket), Thread.options().Caller)) {}
+
+CallerConnection::~CallerConnection() = default;
+
+auto CallerConnection::start() -> void {
+  readRequest();
+  if (Thread.shuttingDown())
+    shutDown();
+}
+
+auto CallerConnection::readRequest() -> void {
+  Stream->readHead([Self = shared_from_this()](ReadOutcome Outcome) {
+    Self->gotHead(Outcome);
+  });
+}
+
+auto CallerConnection::gotHead(ReadOutcome Outcome) -> void {
+  if (Ended)
+    return;
+  if (Outcome != ReadOutcome::Ok)
+    return refuseUnreadable(Outcome);
+  Current = std::make_shared<RequestExchange>(
+      Thread, Stream, [Self = shared_from_this()](AfterRequest Next) {
+        Self->requestEnded(Next);
+      });
+  Current->start();
+}
+
+auto CallerConnection::refuseUnreadable(ReadOutcome Outcome) -> void {
+  if (Outcome == ReadOutcome::Idle)
+    Thread.counters().add(EntryEvent::CallerIdle);
+  if (Outcome == ReadOutcome::SlowSender)
+    Thread.counters().add(EntryEvent::CallerSlowHead);
+  const auto Reason = refusalOf(Outcome);
+  if (!Reason)
+    return end(Outcome == ReadOutcome::Idle ? AfterRequest::CloseGracefully
+                                            : AfterRequest::Abort);
+  Thread.counters().add(*Reason);
+  Stream->write(refusalAnswer(*Reason, RunStatus::NotRun, false), {},
+                [Self = shared_from_this()](bool Success) {
+                  Self->end(Success ? AfterRequest::CloseGracefully
+                                    : AfterRequest::Abort);
+                });
+}
+
+auto CallerConnection::requestEnded(AfterRequest Next) -> void {
+  Current.reset();
+  if (Next != AfterRequest::KeepOpen)
+    return end(Next);
+  readRequest();
+  if (Thread.shuttingDown())
+    shutDown();
+}
+
+auto CallerConnection::end(AfterRequest How) -> void {
+  if (Ended)
+    return;
+  Ended = true;
+  if (How == AfterRequest::Abort)
+    Stream->abort();
+  else
+    Stream->closeGracefully();
+  Thread.connectionEnded(shared_from_this());
+}
+
+auto CallerConnection::snapshotChanged() -> void {
+  if (Current)
+    Current->snapshotChanged();
+}
+
+auto CallerConnection::shutDown() -> void {
+  if (Current)
+    return;
+  auto Timer = std::make_shared<boost::asio::steady_timer>(Thread.context());
+  Timer->expires_after(Thread.options().IdleGrace);
+  Timer->async_wait(
+      [Self = shared_from_this(), Timer](const boost::system::error_code &) {
+        // A head that has begun to arrive is read to its end.
+        if (!Self->Current && !Self->Stream->receiving())
+          Self->end(AfterRequest::CloseGracefully);
+      });
+}
+
+} // namespace buckthornring
--- /dev/null
+++ b/lib/Entry/RequestExchange.cpp
@@ -0,0 +1,478 @@
+#include "Entry/RequestExchange.h"
+
+#include "Entry/RefusalAnswer.h"
+#include "Entry/TrafficThread.h"
+
+#include <algorithm>
+#include <array>
+
+namespace buckthornring {
+
+namespace {
+
+/// First wait before an owned key is tried again. A move takes about 50 ms to
+/// reach the instances, so a shorter wait would only consume retry budget.
+constexpr Duration FirstRetryDelay = std::chrono::milliseconds(20);
+constexpr Duration LongestRetryDelay = std::chrono::milliseconds(400);
+
+/// A request that several targets in a row failed to answer may itself be the
+/// cause, so the remaining targets are spared. Owned keys have one target and
+/// are retried until their slice has moved.
+constexpr std::uint32_t RetryLimit = 3;
+
+auto remainingMilliseconds(TimePoint Until) -> std::int64_t {
+  return std::max<std::int64_t>(
+      1, std::chrono::duration_cast<std::chrono::milliseconds>(Until -
+                                                               monotonicNow())
+             .count());
+}
+
+} // namespace
+
+/// Where the next attempt goes.
+struct RequestExchange::Placement {
+  const TargetView *Target;
+  std::optional<Epoch> Slice;
+};
+
+RequestExchange::RequestExchange(TrafficThread &Thread,
+                                 std::shared_ptr<CallerStream> Stream,
+                                 EndHandler Ended)
+    : Thread(Thread), Stream(std::move(Stream)), Ended(std::move(Ended)),
+      Head(std::move(this->Stream->head())), Deadline(Thread.context()),
+      RetryTimer(Thread.context()), NextDelay(FirstRetryDelay) {}
+
+RequestExchange::~RequestExchange() = default;
+
+auto RequestExchange::start() -> void {
+  Thread.counters().add(EntryEvent::Request);
+  if (!Thread.snapshot())
+    return refuse(RefusalReason::StaleConfiguration, RunStatus::NotRun);
+  const auto Planned = planRequest(*Thread.snapshot(), Head);
+  if (const auto *Reason = std::get_if<RefusalReason>(&Planned))
+    return refuse(*Reason, RunStatus::NotRun);
+  Plan = std::get<RequestPlan>(Planned);
+  Record = std::make_unique<RunRecord>(Plan.Idempotent);
+  RequestId = Thread.nextRequestId();
+  Thread.retryBudget(Plan.Workspace).requestSeen(monotonicNow());
+  armDeadline();
+  if (Head.ExpectsContinue && !Stream->bodyDone())
+    return sendContinue();
+  readPrefix();
+}
+
+auto RequestExchange::armDeadline() -> void {
+  DeadlineAt = monotonicNow() + Plan.Deadline;
+  Deadline.expires_after(Plan.Deadline);
+  Deadline.async_wait(
+      [Self = shared_from_this()](const boost::system::error_code &Failure) {
+        if (!Failure && !Self->Settled)
+          Self->stop(Self->WaitingForOwner ? RefusalReason::NoOwner
+                                           : RefusalReason::DeadlineExceeded);
+      });
+}
+
+auto RequestExchange::sendContinue() -> void {
+  Stream->write("HTTP/1.1 100 Continue\r\n\r\n", {},
+                [Self = shared_from_this()](bool Success) {
+                  if (Self->Settled)
+                    return;
+                  if (!Success)
+                    return Self->callerGone();
+                  Self->readPrefix();
+                });
+}
+
+auto RequestExchange::readPrefix() -> void {
+  if (Stream->bodyDone() || Prefix.size() >= Thread.options().ReplayBytes)
+    return startAttempt();
+  Stream->readBody(
+      [Self = shared_from_this()](ReadOutcome Outcome, std::string_view Part) {
+        Self->gotPrefix(Outcome, Part);
+      });
+}
+
+auto RequestExchange::gotPrefix(ReadOutcome Outcome, std::string_view Part)
+    -> void {
+  if (Settled)
+    return;
+  if (Outcome != ReadOutcome::Ok)
+    return bodyFailed(Outcome);
+  Prefix.append(Part);
+  readPrefix();
+}
+
+auto RequestExchange::bodyFailed(ReadOutcome Outcome) -> void {
+  switch (Outcome) {
+  case ReadOutcome::Malformed:
+    return stop(RefusalReason::MalformedRequest);
+  case ReadOutcome::BodyTooLarge:
+    return stop(RefusalReason::BodyTooLarge);
+  case ReadOutcome::SlowSender:
+    Thread.counters().add(EntryEvent::CallerSlowBody);
+    return stop(RefusalReason::SlowSender);
+  default:
+    return callerGone();
+  }
+}
+
+auto RequestExchange::startAttempt() -> void {
+  if (Settled)
+    return;
+  if (Stream->bodyDone())
+    watchCaller();
+  const auto Where = place();
+  WaitingForOwner = !Where && Plan.Divided;
+  if (Where)
+    return run(*Where);
+  waitForTarget();
+}
+
+auto RequestExchange::place() -> std::optional<Placement> {
+  const auto &Services = Thread.snapshot()->Services;
+  const auto Service = Services.find(Plan.Service);
+  if (Service == Services.end())
+    return std::nullopt;
+  return Plan.Divided ? placeBySlice(Service->second)
+                      : placeByLoad(Service->second);
+}
+
+auto RequestExchange::placeBySlice(const ServiceView &Service)
+    -> std::optional<Placement> {
+  if (Plan.Slice >= Service.Owners.size())
+    return std::nullopt;
+  const SliceOwner &Owner = Service.Owners[Plan.Slice];
+  if (Owner.Target == SliceOwner::None)
+    return std::nullopt;
+  return Placement{&Service.Targets[Owner.Target], Owner.Current};
+}
+
+auto RequestExchange::placeByLoad(const ServiceView &Service)
+    -> std::optional<Placement> {
+  std::vector<const TargetView *> Candidates;
+  for (const TargetView &Target : Service.Targets)
+    if (Target.Available && Target.Local &&
+        std::find(Tried.begin(), Tried.end(), Target.Id) == Tried.end())
+      Candidates.push_back(&Target);
+  if (Candidates.empty())
+    return std::nullopt;
+  const auto *First = Candidates[Thread.random().below(Candidates.size())];
+  const auto *Second = Candidates[Thread.random().below(Candidates.size())];
+  const bool SecondIsBetter =
+      Thread.inFlight(Second->Id) < Thread.inFlight(First->Id);
+  return Placement{SecondIsBetter ? Second : First, std::nullopt};
+}
+
+auto RequestExchange::waitForTarget() -> void {
+  if (Plan.Divided)
+    return retryLater(FirstRetryDelay);
+  if (Tried.empty())
+    return refuse(RefusalReason::NoTarget, runStatus());
+  // Every target failed once; they are tried again after a pause.
+  Tried.clear();
+  retryLater(
+      std::exchange(NextDelay, std::min(2 * NextDelay, LongestRetryDelay)));
+}
+
+auto RequestExchange::retryLater(Duration Delay) -> void {
+  RetryTimer.expires_after(Delay);
+  RetryTimer.async_wait(
+      [Self = shared_from_this()](const boost::system::error_code &Failure) {
+        if (!Failure)
+          Self->startAttempt();
+      });
+}
+
+auto RequestExchange::run(const Placement &Where) -> void {
+  AttemptJob Job;
+  Job.Service = Plan.Service;
+  Job.Target = Where.Target->Id;
+  Job.Address = Where.Target->Config->Address;
+  Job.ConnectionLimit = Where.Target->Connections;
+  Job.RequestId = RequestId;
+  Job.BodyContinues = !Stream->bodyDone();
+  Job.HeadOnly = Head.Method == "HEAD";
+  Job.Idempotent = Plan.Idempotent;
+  Job.Slice = Where.Slice;
+  Job.Head = headFor(Where);
+  Job.Body = Prefix;
+  if (!SentFraming.Length) {
+    // The first part has to be a chunk of its own.
+    appendChunk(Job.Head, Prefix);
+    Job.Body = {};
+  }
+  Tried.push_back(Job.Target);
+  Runners.push_back(std::make_shared<AttemptRunner>(Thread, shared_from_this(),
+                                                    *Record, std::move(Job)));
+  Runners.back()->start();
+}
+
+auto RequestExchange::headFor(const Placement &Where) -> std::string {
+  std::string Out;
+  Out.reserve(1024);
+  Out.append(Head.Method).append(" ").append(Head.Target);
+  Out.append(" HTTP/1.1\r\n");
+  const std::string Connection(Head.Fields.find("Connection").value_or(""));
+  for (const auto &Field : Head.Fields)
+    if (!isWithheldFromTarget(Field, Connection))
+      appendField(Out, Field.first, Field.second);
+  appendField(Out, "Btr-Request-Id", RequestId);
+  if (!Plan.Workspace.empty())
+    appendField(Out, "Btr-Workspace", Plan.Workspace.str());
+  appendField(Out, "Btr-Deadline-Ms",
+              std::to_string(remainingMilliseconds(DeadlineAt)));
+  if (Where.Slice) {
+    appendField(Out, "Btr-Slice", std::to_string(Plan.Slice));
+    appendField(Out, "Btr-Epoch", epochText(*Where.Slice));
+  }
+  // A chunked body that has arrived as a whole has a known length.
+  SentFraming = Head.Framing;
+  if (Stream->bodyDone() && !SentFraming.Length)
+    SentFraming.Length = Prefix.size();
+  if (SentFraming.Length != 0 || Head.Fields.contains("Content-Length"))
+    appendFraming(Out, SentFraming);
+  return Out.append("\r\n");
+}
+
+auto RequestExchange::wantsMoreBody(AttemptRunner &Runner) -> void {
+  // What is read from here on is gone afterwards.
+  Record->bodyDiscarded();
+  Stream->readBody([Self = shared_from_this(),
+                    Same = Runner.shared_from_this()](ReadOutcome Outcome,
+                                                      std::string_view Part) {
+    if (!Self->Settled)
+      Self->gotMoreBody(*Same, Outcome, Part);
+  });
+}
+
+auto RequestExchange::gotMoreBody(AttemptRunner &Runner, ReadOutcome Outcome,
+                                  std::string_view Part) -> void {
+  if (Outcome != ReadOutcome::Ok)
+    return bodyFailed(Outcome);
+  const bool Last = Stream->bodyDone();
+  std::string Text;
+  if (SentFraming.Length) {
+    Text.assign(Part);
+  } else {
+    appendChunk(Text, Part);
+    if (Last)
+      Text.append(LastChunk);
+  }
+  if (Last)
+    watchCaller();
+  Runner.writeMore(std::move(Text), Last);
+}
+
+auto RequestExchange::attemptOutcome(AttemptRunner &Runner,
+                                     const AttemptOutcome &Outcome) -> void {
+  static constexpr std::array<ActionHandler, AttemptActionNames.size()>
+      Handlers = {
+          &RequestExchange::proceed,      &RequestExchange::forward,
+          &RequestExchange::finishAnswer, &RequestExchange::retry,
+          &RequestExchange::abortAnswer,  &RequestExchange::refuseOutcome,
+          &RequestExchange::drop,
+      };
+  const auto Self = shared_from_this();
+  const auto Same = Runner.shared_from_this();
+  if (Runner.finished())
+    std::erase(Runners, Same);
+  if (!Settled)
+    (this->*Handlers.at(static_cast<std::size_t>(Outcome.Action)))(Runner,
+                                                                   Outcome);
+}
+
+auto RequestExchange::retry(AttemptRunner & /*Runner*/,
+                            const AttemptOutcome &Outcome) -> void {
+  if (!Plan.Divided && ++Retries > RetryLimit)
+    return refuse(Outcome.Refusal, Outcome.Run);
+  if (!Thread.retryBudget(Plan.Workspace).tryTake(monotonicNow()))
+    return refuse(RefusalReason::RetryBudgetSpent, Outcome.Run);
+  Thread.counters().add(Outcome.Retry);
+  if (!Plan.Divided)
+    return startAttempt();
+  retryLater(
+      std::exchange(NextDelay, std::min(2 * NextDelay, LongestRetryDelay)));
+}
+
+auto RequestExchange::abortAnswer(AttemptRunner & /*Runner*/,
+                                  const AttemptOutcome & /*Outcome*/) -> void {
+  Thread.counters().add(EntryEvent::AnswerAborted);
+  finish(AfterRequest::Abort);
+}
+
+auto RequestExchange::refuseOutcome(AttemptRunner & /*Runner*/,
+                                    const AttemptOutcome &Outcome) -> void {
+  refuse(Outcome.Refusal, Outcome.Run);
+}
+
+auto RequestExchange::answerHeadText(const AnswerHead &Answer) -> std::string {
+  std::string Out = "HTTP/1.1 " + std::to_string(Answer.Status) + " ";
+  Out.append(Answer.Reason).append("\r\n");
+  const std::string Connection(Answer.Fields.find("Connection").value_or(""));
+  for (const auto &[Name, Value] : Answer.Fields) {
+    // Only the router says what a refusal means.
+    if (sameHeaderName(Name, "Btr-Refusal") || sameHeaderName(Name, "Btr-Run"))
+      continue;
+    const bool AnnouncedLength =
+        Answer.Bodiless && sameHeaderName(Name, "Content-Length");
+    if (AnnouncedLength || !isHopByHop(Name, Connection))
+      appendField(Out, Name, Value);
+  }
+  if (!Answer.Bodiless)
+    appendFraming(Out, Answer.Framing);
+  if (!keepsConnection())
+    appendField(Out, "Connection", "close");
+  return Out.append("\r\n");
+}
+
+auto RequestExchange::forward(AttemptRunner &Runner,
+                              const AttemptOutcome & /*Outcome*/) -> void {
+  const auto Chosen = Runner.shared_from_this();
+  const auto Others = Runners;
+  for (const auto &Other : Others)
+    if (Other != Chosen)
+      Other->superseded();
+  ChunkedAnswer = !Runner.answer().Bodiless && !Runner.answer().Framing.Length;
+  std::string Text = answerHeadText(Runner.answer());
+  AnswerBegun = true;
+  Stream->stopWatching();
+  if (Runner.answerDone())
+    return writePart(Chosen, std::move(Text), {}, true);
+  if (!Runner.bodyReady())
+    return writePart(Chosen, std::move(Text), {}, false);
+  // The head and the first part of the body leave in one packet.
+  Runner.readBody([Self = shared_from_this(), Chosen, Text = std::move(Text)](
+                      std::string_view Part, bool Last) mutable {
+    if (!Self->Settled)
+      Self->writePart(Chosen, std::move(Text), Part, Last);
+  });
+}
+
+auto RequestExchange::pumpAnswer(std::shared_ptr<AttemptRunner> Runner)
+    -> void {
+  auto &Source = *Runner;
+  Source.readBody([Self = shared_from_this(), Runner = std::move(Runner)](
+                      std::string_view Part, bool Last) {
+    if (!Self->Settled)
+      Self->writePart(Runner, {}, Part, Last);
+  });
+}
+
+auto RequestExchange::writePart(std::shared_ptr<AttemptRunner> Runner,
+                                std::string Text, std::string_view Part,
+                                bool Last) -> void {
+  if (!ChunkedAnswer)
+    Text.append(Part);
+  else
+    appendChunk(Text, Part);
+  if (Last) {
+    if (ChunkedAnswer)
+      Text.append(LastChunk);
+    Runner->responseEnd();
+    Stream->write(std::move(Text), {},
+                  [Self = shared_from_this()](bool Success) {
+                    Self->answerWritten(Success);
+                  });
+    return;
+  }
+  if (Text.empty())
+    return pumpAnswer(std::move(Runner));
+  Stream->write(
+      std::move(Text), {},
+      [Self = shared_from_this(), Runner = std::move(Runner)](bool Success) {
+        if (Self->Settled)
+          return;
+        if (!Success)
+          return Self->callerGone();
+        Self->pumpAnswer(Runner);
+      });
+}
+
+auto RequestExchange::answerWritten(bool Success) -> void {
+  if (Settled)
+    return;
+  if (!Success)
+    return callerGone();
+  Thread.counters().add(EntryEvent::Answered);
+  finish(keepsConnection() ? AfterRequest::KeepOpen
+                           : AfterRequest::CloseGracefully);
+}
+
+auto RequestExchange::keepsConnection() const -> bool {
+  return Stream->bodyDone() && Stream->keepAlive() && !Thread.shuttingDown();
+}
+
+auto RequestExchange::watchCaller() -> void {
+  Stream->watchClosed([Weak = weak_from_this()] {
+    if (const auto Self = Weak.lock())
+      Self->callerGone();
+  });
+}
+
+auto RequestExchange::callerGone() -> void {
+  if (Settled)
+    return;
+  Thread.counters().add(EntryEvent::CallerGone);
+  const auto Running = Runners;
+  for (const auto &Runner : Running)
+    Runner->callerGone();
+  finish(AfterRequest::Abort);
+}
+
+auto RequestExchange::snapshotChanged() -> void {
+  if (Settled || !Plan.Caller)
+    return;
+  const auto *Entry = Thread.snapshot()->Keys.find(*Plan.Caller);
+  if (!Entry || Entry->Withdrawn)
+    stop(RefusalReason::WithdrawnCallerKey);
+}
+
+auto RequestExchange::stop(RefusalReason Reason) -> void {
+  const auto Running = Runners;
+  for (const auto &Runner : Running)
+    Runner->stop(Reason);
+  // Without a running attempt nobody else ends the request.
+  if (!Settled)
+    refuse(Reason, runStatus());
+}
+
+auto RequestExchange::runStatus() const -> RunStatus {
+  return Record && Record->mayHaveRun() ? RunStatus::Unknown
+                                        : RunStatus::NotRun;
+}
+
+auto RequestExchange::refuse(RefusalReason Reason, RunStatus Run) -> void {
+  if (std::exchange(Settled, true))
+    return;
+  Thread.counters().add(Reason);
+  if (Record)
+    Record->settle();
+  if (AnswerBegun)
+    return finish(AfterRequest::Abort);
+  AnswerBegun = true;
+  Deadline.cancel();
+  RetryTimer.cancel();
+  Stream->stopWatching();
+  const bool Keep = keepsConnection();
+  Stream->write(refusalAnswer(Reason, Run, Keep), {},
+                [Self = shared_from_this(), Keep](bool Success) {
+                  if (!Success)
+                    return Self->finish(AfterRequest::Abort);
+                  Self->finish(Keep ? AfterRequest::KeepOpen
+                                    : AfterRequest::CloseGracefully);
+                });
+}
+
+auto RequestExchange::finish(AfterRequest Next) -> void {
+  Settled = true;
+  if (std::exchange(Finished, true))
+    return;
+  Deadline.cancel();
+  RetryTimer.cancel();
+  Stream->stopWatching();
+  if (Record)
+    Record->settle();
+  std::exchange(Ended, nullptr)(Next);
+}
+
+} // namespace buckthornring
--- /dev/null
+++ b/lib/IO/CallerStream.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "IO/MessageHead.h"
+#include "buckthornring/Common/EnumNames.h"
+#include "buckthornring/Common/Time.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace buckthornring {
+
+/// Limits on one caller's connection.
+struct CallerLimits {
+  std::size_t HeadBytes = std::size_t{16} * 1024;
+  std::uint64_t BodyBytes = 16ULL * 1024 * 1024;
+  Duration IdleTime = std::chrono::seconds(60);   ///< Between requests.
+  Duration HeadTime = std::chrono::seconds(10);   ///< First to last head byte.
+  Duration BodyStall = std::chrono::seconds(10);  ///< Between two body reads.
+  Duration WriteStall = std::chrono::seconds(10); ///< For one write.
+};
+
+/// Why nothing more can be read from a caller.
+enum class ReadOutcome {
+  Ok,
+  Closed,
+  Idle,
+  Malformed,
+  HeadTooLarge,
+  BodyTooLarge,
+  SlowSender,
+};
+
+/// One caller's HTTP/1.1 connection: parses requests, writes prepared bytes.
+///
+/// All calls come from the thread of the socket's executor; handlers run there
+/// too. One read and one write may be outstanding at a time.
+class CallerStream : public std::enable_shared_from_this<CallerStream> {
+public:
+  using ReadHandler = std::function<void(ReadOutcome)>;
+  using BodyHandler = std::function<void(ReadOutcome, std::string_view)>;
+  using WriteHandler = std::function<void(bool)>;
+
+  CallerStream(boost::asio::ip::tcp::socket Socket, const CallerLimits &Limits);
+  ~CallerStream();
+  CallerStream(const CallerStream &) = delete;
+  auto operator=(const CallerStream &) -> CallerStream & = delete;
+
+  /// Reads the next request's head into head().
+  auto readHead(ReadHandler Done) -> void;
+  auto head() -> RequestHead &;
+  auto keepAlive() const -> bool;
+
+  /// Whether a request has begun to arrive and is not yet read.
+  auto receiving() const -> bool;
+
+  /// Whether the current request's body has been read to its end.
+  auto bodyDone() const -> bool;
+
+  /// Reads more of the body. The view is valid until the next read.
+  auto readBody(BodyHandler Done) -> void;
+
+  /// Writes \p Head and \p Body in one go. The head is moved in; \p Body must
+  /// stay valid until the handler runs.
+  auto write(std::string Head, std::string_view Body, WriteHandler Done)
+      -> void;
+
+  /// Calls \p Gone once when the caller closes its connection. Data of a
+  /// further request ends the watch without a call.
+  auto watchClosed(std::function<void()> Gone) -> void;
+  auto stopWatching() -> void;
+
+  /// Closes after the caller has had time to read what was written: an
+  /// immediate close with unread request bytes would reset the connection and
+  /// drop the answer (RFC 9112, section 9.6).
+  auto closeGracefully() -> void;
+
+  /// Resets the connection, so that the caller sees a failure and never a
+  /// complete answer.
+  auto abort() -> void;
+
+private:
+  struct State;
+  std::unique_ptr<State> Io;
+
+  auto continueHead(ReadHandler Done) -> void;
+  auto armTimer(Duration Limit) -> void;
+  auto discardUntilClosed(std::size_t Remaining) -> void;
+};
+
+} // namespace buckthornring
