Add target selection and membership decisions

Cause: the request path needs routes, keys, target choice, ejection, cold-start allowances, staleness and drains as core components (docs/design.md, 8 and 9). Ruled out: comparing all candidates by the late load report; every instance then sends to the same target until the next report. The report only breaks ties. Ruled out: waiting for a new start identifier before limiting a restarted target; a broken connection limits it to one request until a health report confirms or refutes the restart. Ruled out: suspecting peers right after an own pause, when their messages are unread. Change: RouteTable, TargetChooser, LatencyTracker, Ejector, ColdStartRamp, StalenessGuard, Roster, FailureDetector, DrainTracker.

--- /dev/null
+++ b/include/buckthornring/Routing/RouteTable.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "buckthornring/Config/Configuration.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace buckthornring {
+
+/// Routes of one configuration, matched by the longest path prefix.
+class RouteTable {
+public:
+  /// Returns the value of a header, or nothing when the request has none.
+  using HeaderLookup =
+      std::function<std::optional<std::string_view>(std::string_view Name)>;
+
+  /// Keeps pointers into \p Config, which must outlive the table.
+  explicit RouteTable(const Configuration &Config);
+
+  /// Returns the route whose prefix is the longest that \p Path starts with at
+  /// a segment boundary ("/a" matches "/a" and "/a/b", not "/ab"), or null.
+  auto match(std::string_view Path) const -> const RouteConfig *;
+
+  /// Returns the request's key on \p Route, or nothing when it is missing,
+  /// empty or has a malformed percent escape (RFC 3986, 2.1).
+  ///
+  /// \p Target is the request target, with the query. Keys from the path and
+  /// the query are decoded, so that two spellings of a key have one owner.
+  static auto extractKey(const RouteConfig &Route, std::string_view Target,
+                         const HeaderLookup &Header)
+      -> std::optional<std::string>;
+
+private:
+  std::vector<const RouteConfig *> LongestFirst;
+};
+
+} // namespace buckthornring
--- /dev/null
+++ b/lib/Routing/ColdStartRamp.cpp
@@ -0,0 +1,74 @@
+#include "buckthornring/Routing/ColdStartRamp.h"
+#include "buckthornring/Common/Invariant.h"
+
+#include <algorithm>
+
+namespace buckthornring {
+
+namespace {
+
+constexpr double LatencyWeight = 0.1;
+
+} // namespace
+
+auto ColdStartRamp::silent(TimePoint Now) const -> bool {
+  return LastAnswer != TimePoint::min() &&
+         Now - LastAnswer > Settings.SilenceLimit;
+}
+
+auto ColdStartRamp::restart(TimePoint Now) -> void {
+  ColdSince = Now;
+  Suspect = false;
+  Average = 0;
+}
+
+auto ColdStartRamp::reported(const std::string &StartId,
+                             std::optional<Duration> Uptime, TimePoint Now)
+    -> void {
+  const bool First = LastStartId.empty();
+  const bool Same = StartId == LastStartId;
+  LastStartId = StartId;
+  LastAnswer = Now;
+  Suspect = false;
+  if (Same)
+    return;
+  restart(Now);
+  // A known target with a new identifier ramps up from the report, because its
+  // uptime was spent without load.
+  if (First && Uptime && *Uptime >= Settings.Ramp)
+    ColdSince.reset();
+}
+
+auto ColdStartRamp::answered(Duration Latency, TimePoint Now) -> void {
+  const auto Value = static_cast<double>(Latency.count());
+  const bool Slow = Average > 0 && Value > Settings.SlowRatio * Average;
+  if (silent(Now) && Slow)
+    restart(Now);
+  LastAnswer = Now;
+  Average = Average == 0 ? Value : Average + LatencyWeight * (Value - Average);
+}
+
+auto ColdStartRamp::troubled(TimePoint Now) -> void {
+  if (silent(Now))
+    restart(Now);
+  // A restart breaks connections; until a health report shows the start
+  // identifier, the target may be cold.
+  Suspect = true;
+}
+
+auto ColdStartRamp::allowance(TimePoint Now) const -> std::uint32_t {
+  if (Suspect)
+    return 1;
+  if (!ColdSince)
+    return Settings.Slots;
+  if (Now - *ColdSince >= Settings.Ramp)
+    return Settings.Slots;
+  const auto Elapsed = std::max((Now - *ColdSince).count(), Duration::rep(0));
+  const auto Growth = static_cast<std::uint32_t>(
+      (Settings.Slots - 1) * Elapsed / Settings.Ramp.count());
+  const std::uint32_t Allowed = 1 + Growth;
+  invariant(Allowed <= Settings.Slots, "the allowance stays within the slots");
+  return Allowed;
+}
+
+} // namespace buckthornring
--- /dev/null
+++ b/lib/Routing/Ejector.cpp
@@ -0,0 +1,118 @@
+#include "buckthornring/Routing/Ejector.h"
+#include "buckthornring/Common/Invariant.h"
+
+#include <algorithm>
+
+namespace buckthornring {
+
+namespace {
+
+// Weight of one observation. A tenth settles within about 20 requests and is
+// not moved past the outlier ratio by a single slow one.
+constexpr double ObservationWeight = 0.1;
+
+// Fewer observations don't make an outlier.
+constexpr std::uint32_t MinimumObserved = 10;
+
+auto merge(double Average, Duration Latency) -> double {
+  const auto Value = static_cast<double>(Latency.count());
+  return Average == 0 ? Value : Average + ObservationWeight * (Value - Average);
+}
+
+} // namespace
+
+auto Ejector::setTargets(const std::vector<TargetId> &Kept) -> void {
+  std::map<TargetId, State> Next;
+  for (const TargetId &Target : Kept)
+    Next[Target] = Targets[Target];
+  Targets = std::move(Next);
+}
+
+auto Ejector::ejectedCount() const -> std::size_t {
+  return static_cast<std::size_t>(
+      std::count_if(Targets.begin(), Targets.end(), [](const auto &Entry) {
+        return Entry.second.EjectedUntil.has_value();
+      }));
+}
+
+auto Ejector::eject(State &Of, TimePoint Now) -> void {
+  if (Of.EjectedUntil || 3 * (ejectedCount() + 1) > Targets.size())
+    return;
+  if (Now - Settings.LongestEjection > Of.ReturnedAt)
+    Of.Ejections = 0;
+  Duration Span = Settings.FirstEjection;
+  for (std::uint32_t I = 0; I < Of.Ejections; ++I)
+    Span = std::min(Span * 2, Settings.LongestEjection);
+  ++Of.Ejections;
+  Of.EjectedUntil = Now + Span;
+  invariant(3 * ejectedCount() <= Targets.size(),
+            "at most a third of a service's targets is ejected");
+}
+
+auto Ejector::succeeded(const TargetId &Target, Duration Latency, TimePoint)
+    -> void {
+  const auto Found = Targets.find(Target);
+  if (Found == Targets.end())
+    return;
+  Found->second.Failures = 0;
+  Found->second.Average = merge(Found->second.Average, Latency);
+  ++Found->second.Observed;
+}
+
+auto Ejector::unfinished(const TargetId &Target, Duration Age) -> void {
+  const auto Found = Targets.find(Target);
+  if (Found == Targets.end() ||
+      static_cast<double>(Age.count()) <= Found->second.Average)
+    return;
+  Found->second.Average = merge(Found->second.Average, Age);
+  ++Found->second.Observed;
+}
+
+auto Ejector::failed(const TargetId &Target, TimePoint Now) -> void {
+  const auto Found = Targets.find(Target);
+  if (Found == Targets.end())
+    return;
+  if (++Found->second.Failures >= Settings.ConsecutiveFailures)
+    eject(Found->second, Now);
+}
+
+auto Ejector::medianLatency() const -> double {
+  std::vector<double> Averages;
+  for (const auto &[Id, Each] : Targets)
+    if (Each.Observed >= MinimumObserved && !Each.EjectedUntil)
+      Averages.push_back(Each.Average);
+  if (Averages.empty())
+    return 0;
+  const auto Middle =
+      Averages.begin() + static_cast<std::ptrdiff_t>(Averages.size() / 2);
+  std::nth_element(Averages.begin(), Middle, Averages.end());
+  return *Middle;
+}
+
+auto Ejector::evaluate(TimePoint Now) -> std::vector<TargetId> {
+  std::vector<TargetId> Returned;
+  for (auto &[Id, Each] : Targets)
+    if (Each.EjectedUntil && Now >= *Each.EjectedUntil) {
+      Each.EjectedUntil.reset();
+      Each.ReturnedAt = Now;
+      Each.Failures = 0;
+      Each.Average = 0;
+      Each.Observed = 0;
+      Returned.push_back(Id);
+    }
+  const double Median = medianLatency();
+  const auto Minimum = static_cast<double>(Settings.OutlierMinimum.count());
+  for (auto &[Id, Each] : Targets)
+    if (Each.Observed >= MinimumObserved &&
+        Each.Average > Settings.OutlierRatio * Median &&
+        Each.Average > Median + Minimum)
+      eject(Each, Now);
+  return Returned;
+}
+
+auto Ejector::ejected(const TargetId &Target) const -> bool {
+  const auto Found = Targets.find(Target);
+  return Found != Targets.end() && Found->second.EjectedUntil.has_value();
+}
+
+} // namespace buckthornring
--- /dev/null
+++ b/tests/unit/RoutingTest.cpp
@@ -0,0 +1,148 @@
+#include "buckthornring/Routing/ColdStartRamp.h"
+#include "buckthornring/Routing/Ejector.h"
+#include "buckthornring/Routing/LatencyTracker.h"
+#include "buckthornring/Routing/RouteTable.h"
+#include "buckthornring/Routing/TargetChooser.h"
+
+#include <gtest/gtest.h>
+
+using namespace buckthornring;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Start{1000s};
+
+auto noHeaders(std::string_view) -> std::optional<std::string_view> {
+  return std::nullopt;
+}
+
+// Guards against a request that reaches the service of a shorter prefix or of
+// a prefix that ends inside a segment.
+TEST(RouteTableTest, LongestPrefixAtSegmentBoundaryWins) {
+  Configuration Config;
+  Config.Routes["all"].PathPrefix = "/";
+  Config.Routes["a"].PathPrefix = "/a";
+  Config.Routes["deep"].PathPrefix = "/a/b";
+  const RouteTable Table(Config);
+  EXPECT_EQ(Table.match("/a/b/c"), &Config.Routes["deep"]);
+  EXPECT_EQ(Table.match("/a/bc"), &Config.Routes["a"]);
+  EXPECT_EQ(Table.match("/ab"), &Config.Routes["all"]);
+}
+
+// Guards against one key with two owners because it is spelled differently.
+TEST(RouteTableTest, KeysAreDecoded) {
+  RouteConfig Route;
+  Route.PathPrefix = "/stock";
+  Route.KeySegment = 1;
+  EXPECT_EQ(RouteTable::extractKey(Route, "/stock/x/%41b?q=1", noHeaders),
+            "Ab");
+  EXPECT_EQ(RouteTable::extractKey(Route, "/stock/x/Ab/y", noHeaders), "Ab");
+  EXPECT_FALSE(RouteTable::extractKey(Route, "/stock/x", noHeaders));
+  EXPECT_FALSE(RouteTable::extractKey(Route, "/stock/x/", noHeaders));
+  EXPECT_FALSE(RouteTable::extractKey(Route, "/stock/x/%4", noHeaders));
+}
+
+// Guards against a key that is taken from the wrong part of the request.
+TEST(RouteTableTest, KeysFromQueryAndHeader) {
+  RouteConfig Route;
+  Route.PathPrefix = "/";
+  Route.Source = KeySource::Query;
+  Route.KeyName = "id";
+  EXPECT_EQ(RouteTable::extractKey(Route, "/x?xid=1&id=2", noHeaders), "2");
+  EXPECT_FALSE(RouteTable::extractKey(Route, "/id=2", noHeaders));
+  Route.Source = KeySource::Header;
+  const auto Headers =
+      [](std::string_view Name) -> std::optional<std::string_view> {
+    return Name == "id" ? std::optional<std::string_view>("7") : std::nullopt;
+  };
+  EXPECT_EQ(RouteTable::extractKey(Route, "/x", Headers), "7");
+}
+
+// Guards against a choice that ignores latency, and against a late or wrong
+// load report that outweighs own observations.
+TEST(TargetChooserTest, TwoChoicesAvoidsTheSlowTarget) {
+  const auto Chooser = TargetChooser::make(ChooserKind::TwoChoices);
+  RandomSource Random(1);
+  std::vector<TargetCandidate> Candidates(10, {1, 5ms, 0.9});
+  Candidates[3] = {1, 50ms, 0.0};
+  for (int I = 0; I < 1000; ++I)
+    EXPECT_NE(Chooser->choose(Candidates, Random), 3U);
+}
+
+// Guards against a slow target that is noticed only by its first response.
+TEST(LatencyTrackerTest, UnfinishedRequestRaisesTheAverage) {
+  LatencyTracker Tracker;
+  for (int I = 0; I < 20; ++I)
+    Tracker.observe(5ms, Start + I * 100ms);
+  Tracker.observeUnfinished(40ms, Start + 2500ms);
+  EXPECT_GT(*Tracker.average(), 10ms);
+  EXPECT_EQ(Tracker.typicalHigh(), 5ms);
+}
+
+// Guards against the loss of most of a service's capacity to ejection.
+TEST(EjectorTest, AtMostAThirdIsEjected) {
+  Ejector Guard;
+  std::vector<TargetId> Targets;
+  Targets.reserve(8);
+  for (int I = 0; I < 8; ++I)
+    Targets.emplace_back("t" + std::to_string(I));
+  Guard.setTargets(Targets);
+  for (const TargetId &Target : Targets)
+    for (int I = 0; I < 10; ++I)
+      Guard.failed(Target, Start);
+  EXPECT_EQ(Guard.ejectedCount(), 2U);
+  EXPECT_EQ(Guard.evaluate(Start + 5s).size(), 2U);
+  EXPECT_EQ(Guard.ejectedCount(), 0U);
+}
+
+// Guards against a slow target that stays in selection because it fails no
+// request.
+TEST(EjectorTest, LatencyOutlierIsEjected) {
+  Ejector Guard;
+  Guard.setTargets({TargetId("a"), TargetId("b"), TargetId("c")});
+  for (int I = 0; I < 20; ++I) {
+    Guard.succeeded(TargetId("a"), 5ms, Start);
+    Guard.succeeded(TargetId("b"), 6ms, Start);
+    Guard.succeeded(TargetId("c"), 50ms, Start);
+  }
+  Guard.evaluate(Start);
+  EXPECT_TRUE(Guard.ejected(TargetId("c")));
+  EXPECT_FALSE(Guard.ejected(TargetId("a")));
+}
+
+// Guards against full load on a target that has just restarted.
+TEST(ColdStartRampTest, AllowanceGrowsFromOneToTheSlots) {
+  ColdStartRamp Ramp({}, Start);
+  Ramp.reported("first", 60s, Start);
+  EXPECT_EQ(Ramp.allowance(Start), 4U);
+  Ramp.reported("second", 0s, Start + 1s);
+  EXPECT_EQ(Ramp.allowance(Start + 1s), 1U);
+  EXPECT_EQ(Ramp.allowance(Start + 6s), 2U);
+  EXPECT_EQ(Ramp.allowance(Start + 11s), 4U);
+}
+
+// Guards against full load between a restart and the health report that shows
+// it.
+TEST(ColdStartRampTest, BrokenConnectionLimitsUntilTheNextReport) {
+  ColdStartRamp Ramp({}, Start);
+  Ramp.reported("first", 60s, Start);
+  Ramp.troubled(Start + 500ms);
+  EXPECT_EQ(Ramp.allowance(Start + 500ms), 1U);
+  Ramp.reported("first", 61s, Start + 600ms);
+  EXPECT_EQ(Ramp.allowance(Start + 600ms), 4U);
+}
+
+// Guards against a cold start without a new identifier: the target froze, lost
+// its caches and answers slowly.
+TEST(ColdStartRampTest, SlowAnswerAfterSilenceStartsARamp) {
+  ColdStartRamp Ramp({}, Start);
+  Ramp.reported("first", 60s, Start);
+  Ramp.answered(5ms, Start + 100ms);
+  Ramp.answered(50ms, Start + 200ms);
+  EXPECT_FALSE(Ramp.cold(Start + 200ms));
+  Ramp.answered(50ms, Start + 2s);
+  EXPECT_EQ(Ramp.allowance(Start + 2s), 1U);
+}
+
+} // namespace
