--- a/include/buckthornring/Link/LinkMessage.h
+++ b/include/buckthornring/Link/LinkMessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "buckthornring/Common/Ids.h"
+#include "buckthornring/Limits/ShareMessages.h"
 #include "buckthornring/Ownership/SliceMap.h"
 #include "buckthornring/Ownership/TermRecord.h"
 
@@ -87,45 +88,36 @@
   std::map<ServiceId, Service> Services;
 };
 
-/// Taker to giver: demand since the last request, and tokens left.
-struct ShareRequest {
+/// Holder to giver: a request for a share of one quantity.
+struct ShareRequestMessage {
   std::string Quantity; ///< For example "rate/WORKSPACE" or "slots/TARGET".
-  std::uint64_t Number = 0;
-  double Demand = 0;
-  double Held = 0;
-  bool Urgent = false;
+  ShareRequest Request;
 };
 
-/// Giver to taker; applied once per Transfer.
-struct ShareGrant {
+/// Giver to holder: the answer.
+struct ShareGrantMessage {
   std::string Quantity;
-  std::uint64_t Term = 0;
-  std::uint64_t Transfer = 0;
-  std::uint64_t Number = 0; ///< Of the request answered, or zero.
-  double Rate = 0;
-  double Burst = 0;
-  std::int64_t LeaseUs = 0;
+  ShareGrant Grant;
 };
 
-/// Taker to giver; applied once per Transfer.
-struct ShareReturn {
-  std::string Quantity;
-  std::uint64_t Term = 0;
-  std::uint64_t Transfer = 0;
-  double Burst = 0;
-};
-
-/// A newer configuration for the receiver.
+/// A generation that the sender has in force, with or without its content.
 struct ConfigOffer {
   std::uint64_t Generation = 0;
   std::string Digest;
-  std::string Content;
-  std::int64_t ConfirmedAgoUs = 0; ///< Age of the last confirmation.
+  std::string Content; ///< Text of the record; empty: confirmation only.
+  /// Age of the sender's last confirmation; negative: never confirmed.
+  std::int64_t ConfirmedAgoUs = 0;
+  /// Last reading of the receiver's clock that the sender received. The
+  /// confirmation counts from it, so that a message that waited in the buffer
+  /// of a paused process does not look fresh. Negative: none.
+  std::int64_t EchoUs = -1;
 };
 
+/// Sent to every peer; also carries the clock reading for ConfigOffer.
 struct PlatformReachability {
+  bool Known = false; ///< False: the sender does not ask the platform.
   bool Reachable = false;
-  std::int64_t LastReadAgoUs = 0;
+  std::int64_t ClockUs = 0;
   std::uint64_t Generation = 0;
 };
 
@@ -148,7 +140,7 @@
 using LinkMessage =
     std::variant<TermConfirmRequest, TermConfirm, TermAnnounce, TermAck,
                  AssignmentCopy, AssignmentCopied, RoutingHeartbeat, RoutingAck,
-                 ShareRequest, ShareGrant, ShareReturn, ConfigOffer,
+                 ShareRequestMessage, ShareGrantMessage, ConfigOffer,
                  PlatformReachability, Relay, Resign>;
 
 } // namespace buckthornring
--- a/lib/Entry/PeerLinks.cpp
+++ b/lib/Entry/PeerLinks.cpp
@@ -53,7 +53,9 @@
 
 auto PeerLinks::setAddresses(const std::set<Endpoint> &Addresses) -> void {
   for (auto It = Peers.begin(); It != Peers.end();) {
-    const bool Kept = Addresses.count(It->first) != 0;
+    // The platform's list lags, so a peer with a live link stays.
+    const bool Kept =
+        Addresses.count(It->first) != 0 || It->second.Link->connected();
     It = Kept ? std::next(It) : Peers.erase(It);
   }
   for (const Endpoint &Address : Addresses) {
--- a/lib/Link/LinkCodec.cpp
+++ b/lib/Link/LinkCodec.cpp
@@ -50,19 +50,26 @@
   else if constexpr (std::same_as<T, RoutingAck>)
     return std::tie(Value.Term, Value.Number, Value.ClockUs, Value.Generation,
                     Value.Services);
+  else if constexpr (std::same_as<T, ShareAmount>)
+    return std::tie(Value.Rate, Value.Units);
   else if constexpr (std::same_as<T, ShareRequest>)
-    return std::tie(Value.Quantity, Value.Number, Value.Demand, Value.Held,
-                    Value.Urgent);
+    return std::tie(Value.Holder, Value.Session, Value.Term, Value.Sequence,
+                    Value.AppliedVersion, Value.Held, Value.ReleasedTotal,
+                    Value.WantedRate, Value.WantedUnits);
   else if constexpr (std::same_as<T, ShareGrant>)
-    return std::tie(Value.Quantity, Value.Term, Value.Transfer, Value.Number,
-                    Value.Rate, Value.Burst, Value.LeaseUs);
-  else if constexpr (std::same_as<T, ShareReturn>)
-    return std::tie(Value.Quantity, Value.Term, Value.Transfer, Value.Burst);
+    return std::tie(Value.Holder, Value.Session, Value.Term, Value.Sequence,
+                    Value.Version, Value.Share, Value.GrantedTotal, Value.Lease,
+                    Value.Rejected);
+  else if constexpr (std::same_as<T, ShareRequestMessage>)
+    return std::tie(Value.Quantity, Value.Request);
+  else if constexpr (std::same_as<T, ShareGrantMessage>)
+    return std::tie(Value.Quantity, Value.Grant);
   else if constexpr (std::same_as<T, ConfigOffer>)
     return std::tie(Value.Generation, Value.Digest, Value.Content,
-                    Value.ConfirmedAgoUs);
+                    Value.ConfirmedAgoUs, Value.EchoUs);
   else if constexpr (std::same_as<T, PlatformReachability>)
-    return std::tie(Value.Reachable, Value.LastReadAgoUs, Value.Generation);
+    return std::tie(Value.Known, Value.Reachable, Value.ClockUs,
+                    Value.Generation);
   else if constexpr (std::same_as<T, Relay>)
     return std::tie(Value.RequestId, Value.Method, Value.Path, Value.Headers,
                     Value.Body, Value.DeadlineUs);
@@ -121,6 +128,8 @@
     return Json::binary(std::vector<std::uint8_t>(Value.begin(), Value.end()));
   } else if constexpr (IsId<T>::value) {
     return put(Value.str());
+  } else if constexpr (std::same_as<T, Duration>) {
+    return put(Value.count());
   } else if constexpr (Container<T>::Sequence) {
     Json Array = Json::array();
     for (const auto &Each : Value)
@@ -215,6 +224,12 @@
       return false;
     Value = T(std::move(Text));
     return true;
+  } else if constexpr (std::same_as<T, Duration>) {
+    Duration::rep Count = 0;
+    if (!takeNumber(From, Count))
+      return false;
+    Value = Duration(Count);
+    return true;
   } else if constexpr (Container<T>::Sequence) {
     return takeSequence(From, Value);
   } else if constexpr (Container<T>::Map) {
--- a/tests/unit/LinkCodecTest.cpp
+++ b/tests/unit/LinkCodecTest.cpp
@@ -27,11 +27,11 @@
       AssignmentCopied{3, ServiceId("s"), 4, true},
       RoutingHeartbeat{3, 4, -5, 6, 7, {sampleDelta()}, {ServiceId("s")}},
       Ack,
-      ShareRequest{"rate/w", 1, 2.5, 3.5, true},
-      ShareGrant{"rate/w", 1, 2, 3, 4.5, 5.5, 6},
-      ShareReturn{"rate/w", 1, 2, 3.5},
-      ConfigOffer{1, "digest", "content", 2},
-      PlatformReachability{true, 1, 2},
+      ShareRequestMessage{"rate/w", {"i/0", 1, 2, 3, 4, {5, 6}, 7, 8, 9}},
+      ShareGrantMessage{"rate/w",
+                        {"i/0", 1, 2, 3, 4, {5, 6}, 7, Duration(8), true}},
+      ConfigOffer{1, "digest", "content", 2, -1},
+      PlatformReachability{true, false, 1, 2},
       Relay{1, "GET", "/", {{"A", "b"}}, Bytes, 9},
       Resign{4, true}};
   ASSERT_EQ(All.size(), std::variant_size_v<LinkMessage>);
@@ -42,7 +42,7 @@
     EXPECT_EQ(Decoded->index(), Message.index());
     EXPECT_EQ(LinkCodec::encode(*Decoded), Encoded);
   }
-  const auto Sent = LinkCodec::decode(LinkCodec::encode(All[13]));
+  const auto Sent = LinkCodec::decode(LinkCodec::encode(All[12]));
   EXPECT_EQ(std::get<Relay>(*Sent).Body, Bytes);
   const auto Beat = LinkCodec::decode(LinkCodec::encode(All[6]));
   EXPECT_EQ(std::get<RoutingHeartbeat>(*Beat).ClockUs, -5);
