--- a/include/buckthornring/Ownership/LeaseMessage.h
+++ b/include/buckthornring/Ownership/LeaseMessage.h
@@ -27,15 +27,18 @@
 ///  1. A term below the highest term seen is refused with StaleTerm. A higher
 ///     term is remembered at once (fencing); the held slices are kept.
 ///  2. When Start is not the target's own start identifier, the message only
-///     announces the term and asks for a report: nothing else is applied.
-///     The same holds when LeaseUs is zero.
+///     announces the term and may ask for a report. The refusal is OtherStart,
+///     or None when Start is empty. A message whose LeaseUs is zero also only
+///     announces.
 ///  3. The lease end becomes max(lease end, ClockUs + LeaseUs) on the target's
 ///     clock. When the lease had already ended, the held slices were dropped
 ///     at that moment: a renewal never revives them.
-///  4. When ClockUs + LeaseUs is in the past, Grant is not applied.
-///  5. Grant and Release are applied once, when Sequence is higher than that of
-///     the last applied change of this term. A renewal without changes is not
-///     ordered by Sequence, since the deputy also sends renewals.
+///  4. When ClockUs + LeaseUs is in the past, Grant and Release are not applied
+///     and the refusal is Expired.
+///  5. Grant and Release are applied only when Sequence is higher than that of
+///     every message of this term that passed rule 2's start check before,
+///     announcements included. A deputy that only renews sends Sequence zero,
+///     which takes no part in this order.
 ///
 /// ClockUs makes the lease independent of network delay and of messages that
 /// waited in the receive buffer of a paused target: it is a reading of the
@@ -64,9 +67,11 @@
 struct LeaseReply {
   std::uint64_t Term = 0;     ///< "term": highest term seen.
   std::uint64_t Sequence = 0; ///< "sequence" of the message answered.
-  std::uint64_t Applied = 0;  ///< "applied": last applied change of this term.
-  std::string Start;          ///< "start": identifier of this process start.
-  std::int64_t ClockUs = 0;   ///< "clock_us": target clock at the reply.
+  /// "applied": highest sequence of this term whose changes were applied; a
+  /// message with an unexpired lease and no changes counts too.
+  std::uint64_t Applied = 0;
+  std::string Start;        ///< "start": identifier of this process start.
+  std::int64_t ClockUs = 0; ///< "clock_us": target clock at the reply.
   LeaseRefusal Refusal = LeaseRefusal::None; ///< "refusal"
   bool Reported = false; ///< "reported": Held is complete, not omitted.
   /// "held": slices held under an unexpired lease.
--- a/include/buckthornring/Ownership/MoveTracker.h
+++ b/include/buckthornring/Ownership/MoveTracker.h
@@ -1,12 +1,9 @@
 #pragma once
 
 #include "buckthornring/Common/Ids.h"
-#include "buckthornring/Common/Time.h"
 
 #include <cstdint>
 #include <map>
-#include <optional>
-#include <vector>
 
 namespace buckthornring {
 
@@ -25,37 +22,34 @@
   struct Move {
     MovePhase Phase = MovePhase::Releasing;
     TargetId From; ///< Empty when no target can hold the slice.
-    TargetId To;
-    /// Change sequence of the release; zero until it was sent.
-    std::uint64_t ReleaseSequence = 0;
+    TargetId To;   ///< Empty: chosen when the slice is free.
+    /// The old owner was silent and is not asked; the end of its lease counts.
+    bool OwnerLost = false;
     /// Map version in which the slice stopped serving.
     std::uint64_t RevokedVersion = 0;
     /// Map version that records the new owner.
     std::uint64_t RecordedVersion = 0;
-    TimePoint Since;
   };
 
-  /// Starts a move. A slice that is already moving only changes its new owner,
-  /// and only while it is Releasing. Returns whether the move was accepted.
-  auto start(std::uint32_t Slice, const TargetId &From, const TargetId &To,
-             TimePoint Now) -> bool;
+  /// Starts a move of a slice that is not moving.
+  auto start(std::uint32_t Slice, Move Planned) -> void;
 
   auto moving(std::uint32_t Slice) const -> bool;
-  auto find(std::uint32_t Slice) const -> const Move *;
-  auto moves() const -> const std::map<std::uint32_t, Move> &;
+  auto moves() const -> const std::map<std::uint32_t, Move> & { return Moves; }
 
-  auto releaseSent(std::uint32_t Slice, std::uint64_t Sequence) -> void;
-  auto revokedIn(std::uint32_t Slice, std::uint64_t Version) -> void;
+  /// The old owner holds nothing any more, for example after its restart.
+  auto ownerGone(const TargetId &From) -> void;
 
-  /// The old owner released the slice or cannot hold it any more.
-  auto ownerCleared(std::uint32_t Slice, std::uint64_t RecordedVersion) -> void;
+  /// Nobody holds the slice; the new owner is in the given map version.
+  auto ownerCleared(std::uint32_t Slice, const TargetId &To,
+                    std::uint64_t RecordedVersion) -> void;
 
   /// The new owner is recorded: ends the move.
   auto recorded(std::uint32_t Slice) -> void;
 
   /// Gives up a move that has not left Releasing.
   auto cancel(std::uint32_t Slice) -> void;
-  auto clear() -> void;
+  auto clear() -> void { Moves.clear(); }
 
 private:
   std::map<std::uint32_t, Move> Moves;
--- a/include/buckthornring/Ownership/OwnershipAction.h
+++ b/include/buckthornring/Ownership/OwnershipAction.h
@@ -23,12 +23,14 @@
   LeaseMessage Message;
 };
 
-/// Read an object; the answer goes to LeaderCore::objectRead.
+/// Read an object; exactly one answer goes to LeaderCore::objectRead, also
+/// after a timeout.
 struct ReadObject {
   std::string Name;
 };
 
-/// Conditional write; the answer goes to LeaderCore::objectWritten.
+/// Conditional write; exactly one answer goes to LeaderCore::objectWritten,
+/// Unknown after a timeout, and nothing for the same write afterwards.
 struct WriteObject {
   std::string Name;
   std::string Value;
--- a/include/buckthornring/Ownership/RoutingLease.h
+++ b/include/buckthornring/Ownership/RoutingLease.h
@@ -15,10 +15,12 @@
 /// An instance's slice maps and its permission to use them.
 ///
 /// The caller counts each request with begin() and end(), so that a revocation
-/// is acknowledged only when nothing is in flight.
+/// is acknowledged only when nothing is in flight. A request to an unverified
+/// target is in flight until its complete response arrived or the service's
+/// maximum deadline has passed: after a cancellation the target may still run.
 class RoutingLease {
 public:
-  RoutingLease(OwnershipTimes Times, SafetySwitches Switches);
+  explicit RoutingLease(SafetySwitches Switches);
 
   /// Applies a heartbeat and returns the acknowledgement. A heartbeat of a
   /// lower term changes nothing; the answer then carries the higher term.
@@ -56,10 +58,10 @@
                    std::map<std::uint32_t, std::uint32_t> Counts) -> void;
 
 private:
-  OwnershipTimes Times;
+  auto update(const SliceDelta &Delta) -> bool;
+
   SafetySwitches Switches;
   std::uint64_t Term = 0;
-  std::uint64_t LastNumber = 0;
   TimePoint LeaseEnd;
   std::uint64_t Generation = 0;
   std::map<ServiceId, SliceMap> Maps;
--- a/include/buckthornring/Ownership/SliceMap.h
+++ b/include/buckthornring/Ownership/SliceMap.h
@@ -80,8 +80,16 @@
   /// between was missed or the slice count differs.
   auto apply(const SliceDelta &Delta) -> Result<bool>;
 
+  /// Version in which the slice changed last.
+  auto changedAt(std::uint32_t Slice) const -> std::uint64_t {
+    return ChangedAt[Slice];
+  }
+
   auto segments() const -> std::uint32_t;
 
+  /// Version in which any slice of the segment changed last.
+  auto segmentChangedAt(std::uint32_t Segment) const -> std::uint64_t;
+
   /// Returns the JSON value of the platform object of one segment:
   /// {"service","slices","segment","term","targets":[names],
   ///  "entries":[[owner,successor,term,sequence]...]}, with indexes into
--- a/lib/Ownership/LeaseTable.cpp
+++ b/lib/Ownership/LeaseTable.cpp
@@ -51,9 +51,10 @@
 
 auto LeaseTable::sent(LeaseMessage &Message, bool WithLease) -> void {
   Entry &Each = Entries.at(Message.Target);
-  invariant(Message.Sequence > Each.LastSequence,
+  // A renewing deputy sends sequence zero.
+  invariant(Message.Sequence == 0 || Message.Sequence > Each.LastSequence,
             "sequences of lease messages rise");
-  Each.LastSequence = Message.Sequence;
+  Each.LastSequence = std::max(Each.LastSequence, Message.Sequence);
   Message.Start = Each.Start;
   if (!WithLease || Each.Start.empty())
     return;
@@ -101,7 +102,7 @@
   if (Other)
     Each.LeaseEnd = Now;
   // Until now another leader, or the deputy, may have renewed.
-  if (!Each.Acknowledged && !Other)
+  if (!Each.Acknowledged)
     Each.LeaseEnd = std::max(Each.LeaseEnd, leaseAfter(Now));
   Each.Acknowledged = true;
   const bool Lapsed = Each.Lapses != Reply.Lapses;
--- a/lib/Ownership/SliceMap.cpp
+++ b/lib/Ownership/SliceMap.cpp
@@ -125,6 +125,13 @@
   return (slices() + SegmentSlices - 1) / SegmentSlices;
 }
 
+auto SliceMap::segmentChangedAt(std::uint32_t Segment) const -> std::uint64_t {
+  const auto First = ChangedAt.begin() + Segment * SegmentSlices;
+  const std::uint32_t Count =
+      std::min(SegmentSlices, slices() - Segment * SegmentSlices);
+  return *std::max_element(First, First + Count);
+}
+
 auto SliceMap::segmentText(std::uint32_t Segment,
                            std::uint64_t WriterTerm) const -> std::string {
   invariant(Segment < segments(), "segment is inside the map");
--- a/lib/Ownership/TermKeeper.cpp
+++ b/lib/Ownership/TermKeeper.cpp
@@ -10,6 +10,8 @@
 
 // A leader and its deputy read the term object this often, as a watch would.
 constexpr Duration ReadEvery = std::chrono::seconds(1);
+// Limits how often a leader proves its term while the platform answers.
+constexpr Duration ProofRetry = std::chrono::milliseconds(50);
 // A platform call without an answer for this long counts as not answered.
 constexpr Duration CallTimeout = std::chrono::seconds(2);
 // A deputy without confirmation for this long is replaced. It is longer than
@@ -64,16 +66,19 @@
     return true;
   // The deputy waits for the stretched span after it sent the confirmation,
   // which is after the request was sent.
-  return RequestsSent.empty()
-             ? false
-             : Now < ConfirmedFrom + Times.ConfirmLease && DeputyClock != 0;
+  return DeputyClock != 0 && Now < ConfirmedFrom + Times.ConfirmLease;
 }
 
 auto TermKeeper::mayRenew(TimePoint Now) const -> bool {
   if (superseded() || Resigned)
     return false;
   if (role() == TermRole::Leader) {
-    if (withoutDeputy() || !Switches.RenewOnlyLimit)
+    if (!Switches.RenewOnlyLimit)
+      return true;
+    // The pending update may have made another instance deputy already.
+    if (Pending && Now >= Pending->SentAt + Times.RenewOnlyLimit)
+      return false;
+    if (withoutDeputy())
       return true;
     return Now < ConfirmedFrom + Times.ConfirmLease + Times.RenewOnlyLimit;
   }
@@ -97,11 +102,17 @@
   return Latest;
 }
 
+/// Instances without a time bound do not count: the record names them.
 auto TermKeeper::quiet(TimePoint Now) const -> bool {
-  if (role() != TermRole::Leader)
-    return true;
-  const auto Bound = silentAt();
-  return Bound && Now >= *Bound;
+  return Now >= QuietAfter &&
+         std::all_of(Previous.begin(), Previous.end(), [&](const auto &Each) {
+           return !Each.second || Now >= *Each.second;
+         });
+}
+
+auto TermKeeper::noteLapse(TimePoint Now) -> void {
+  if (DeputyEchoed && Now >= ConfirmedFrom + Times.ConfirmLease)
+    LapsedAt = Now;
 }
 
 auto TermKeeper::setCandidates(std::vector<PairCandidate> List) -> void {
@@ -137,8 +148,11 @@
   ConfirmedAt = Now;
   LeaderContact.reset();
   PairHeard = Now;
-  if (role() != TermRole::Leader)
-    Previous.clear();
+  if (role() == TermRole::Leader)
+    return;
+  for (const auto &[Instance, Bound] : Previous)
+    QuietAfter = std::max(QuietAfter, Bound.value_or(QuietAfter));
+  Previous.clear();
 }
 
 /// Takes the record of this instance's own successful update into use.
@@ -250,16 +264,14 @@
     ReadPending = false;
     PlatformAnswers = false;
   }
-  if (WritePending && Now >= WriteAt + CallTimeout) {
-    WritePending = false;
-    PlatformAnswers = false;
-  }
   if (role() == TermRole::Leader && !withoutDeputy() && !superseded() &&
-      !Resigned && Now >= LastRequest + Times.RenewEvery)
+      !Resigned && !Pending && Now >= LastRequest + Times.RenewEvery)
     sendConfirmRequest(Now, Actions);
   const bool Wanted = wantsUpdate(Now) || superseded() || ProofWanted;
-  const Duration Every =
-      Wanted || Record.Term == 0 ? Times.PlatformRetry : ReadEvery;
+  Duration Every = Wanted || Record.Term == 0 ? Times.PlatformRetry : ReadEvery;
+  // Grants to a restarted target wait for the proof.
+  if (ProofWanted && PlatformAnswers)
+    Every = ProofRetry;
   if (Resigned || ReadPending || WritePending || Now < ReadAt + Every)
     return;
   if (!Wanted && role() == TermRole::Follower && Record.Term != 0)
@@ -362,11 +374,12 @@
                          TimePoint Now) -> void {
   heardFrom(From, Confirm.Term, Now);
   if (role() != TermRole::Leader || Confirm.Term != Record.Term ||
-      From != Record.Deputy)
+      From != Record.Deputy || Pending)
     return;
   const auto Sent = RequestsSent.find(Confirm.Number);
   if (Sent == RequestsSent.end())
     return;
+  noteLapse(Now);
   ConfirmedFrom = std::max(ConfirmedFrom, Sent->second);
   if (Confirm.ClockUs > DeputyClock) {
     DeputyClock = Confirm.ClockUs;
@@ -406,6 +419,7 @@
     ReadAt = Now - ReadEvery;
   }
   if (From == Record.Deputy && role() == TermRole::Leader) {
+    noteLapse(Now);
     DeputyResigned = true;
     ReadAt = Now - ReadEvery;
   }
