Wire the control plane into the daemon

Cause: the daemon computed owners by itself with a fixed epoch, so two instances with different views could send one key to two targets. Ruled out: keeping the rendezvous owners as a fallback; a fallback would be a second owner. Change: EntryInstance uses ControlPlane (links, configuration feed, ownership); homes are confirmed by each new leader before anything moves. Conclusion: owners come from the leader of the data centre only.

--- a/include/buckthornring/Ownership/LeaderCore.h
+++ b/include/buckthornring/Ownership/LeaderCore.h
@@ -27,6 +27,9 @@
   std::map<TargetId, ServingState> Targets;
   /// Slices homed in this data centre; empty means all.
   std::vector<bool> Home;
+  /// False until this leader has proved that Home is current (HomeKeeper).
+  /// Until then slices are renewed, but none is moved or granted anew.
+  bool HomeConfirmed = true;
 };
 
 /// Ownership of one data centre's slices: one object in every instance.
--- a/lib/Entry/ConfigFeed.h
+++ b/lib/Entry/ConfigFeed.h
@@ -83,7 +83,7 @@
   bool IsWatcher = false;
   bool Watching = false;
   std::uint64_t Revision = 0;
-  TimePoint LastAnswer = TimePoint::min();   ///< Of the platform.
+  TimePoint LastAnswer = TimePoint::min(); ///< Of the platform.
   TimePoint ConfirmedByPeer = TimePoint::min();
   boost::asio::steady_timer TickTimer;
   std::uint64_t Ticks = 0;
--- a/lib/Entry/EntryInstance.cpp
+++ b/lib/Entry/EntryInstance.cpp
@@ -3,7 +3,6 @@
 #include "Entry/EntryMetrics.h"
 #include "Entry/SnapshotBuilder.h"
 #include "IO/Endpoint.h"
-#include "buckthornring/Config/ConfigChecker.h"
 
 #include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
@@ -19,11 +18,8 @@
 
 namespace {
 
-constexpr const char *ConfigObject = "config/current";
-constexpr auto WatchWait = std::chrono::seconds(10);
-/// Pause after a failed watch, so that an outage of the platform does not turn
-/// into a busy loop.
-constexpr auto WatchRetry = std::chrono::milliseconds(200);
+/// Time in which the deputy and the platform learn that this instance leaves.
+constexpr auto LeaveTime = std::chrono::milliseconds(200);
 
 auto listenOn(tcp::acceptor &Listener, const std::string &Address)
     -> Result<bool> {
@@ -63,9 +59,8 @@
 } // namespace
 
 EntryInstance::EntryInstance(DaemonSettings Given)
-    : Settings(std::move(Given)), CallerListener(Io), LinkListener(Io),
-      Signals(Io, SIGTERM, SIGINT), WatchTimer(Io),
-      Owners(std::make_unique<RendezvousOwners>()) {
+    : Settings(std::move(Given)), CallerListener(Io),
+      Signals(Io, SIGTERM, SIGINT), LeaveTimer(Io) {
   for (std::size_t Index = 0; Index < Settings.TrafficThreads; ++Index)
     Threads.push_back(
         std::make_unique<TrafficThread>(Index, trafficOptions(Settings)));
@@ -89,8 +84,6 @@
 auto EntryInstance::bind() -> Result<bool> {
   if (auto Bound = listenOn(CallerListener, Settings.CallerAddress); !Bound)
     return Bound;
-  if (auto Bound = listenOn(LinkListener, Settings.LinkAddress); !Bound)
-    return Bound;
   if (auto Bound = bindAdmin(); !Bound)
     return Bound;
   PlatformClientOptions Options;
@@ -100,6 +93,11 @@
   if (!Client)
     return Client.error();
   Platform = std::move(Client).value();
+  auto Created =
+      ControlPlane::create(Io, *Platform, Settings, [this] { publish(); });
+  if (!Created)
+    return Created.error();
+  Control = std::move(Created).value();
   return true;
 }
 
@@ -127,7 +125,7 @@
       parseEndpoint(Settings.AdminAddress)->address().to_string();
   return "listening caller=" + addressOf(CallerListener) +
          " admin=" + AdminHost + ":" + std::to_string(Admin->port()) +
-         " link=" + addressOf(LinkListener);
+         " link=" + Control->linkAddress();
 }
 
 auto EntryInstance::run() -> void {
@@ -138,7 +136,6 @@
       beginShutdown();
   });
   accept();
-  watchConfiguration();
   Io.run();
 }
 
@@ -184,60 +181,17 @@
   CallerListener.close(Failure);
 }
 
-auto EntryInstance::watchConfiguration() -> void {
-  Platform->watch(ConfigObject, Revision, WatchWait,
-                  [this](const PlatformChanges &Changes) {
-                    if (!ShuttingDown)
-                      gotConfiguration(Changes);
-                  });
-}
-
-auto EntryInstance::gotConfiguration(const PlatformChanges &Changes) -> void {
-  if (Changes.Status == PlatformStatus::Done) {
-    for (const PlatformObject &Object : Changes.Objects)
-      if (Object.Name == ConfigObject && Object.Value)
-        acceptConfiguration(*Object.Value);
-    Revision = Changes.Revision;
-    return watchConfiguration();
-  }
-  WatchTimer.expires_after(WatchRetry);
-  WatchTimer.async_wait([this](const error_code &Failure) {
-    if (!Failure && !ShuttingDown)
-      watchConfiguration();
-  });
-}
-
-auto EntryInstance::acceptConfiguration(const std::string &Text) -> void {
-  const auto Envelope = nlohmann::json::parse(Text, nullptr, false);
-  if (!Envelope.is_object() || !Envelope.contains("generation") ||
-      !Envelope["generation"].is_number_unsigned() ||
-      !Envelope.contains("content")) {
-    std::fprintf(stderr, "[config] the object %s is malformed\n", ConfigObject);
-    return;
-  }
-  const auto Generation = Envelope["generation"].get<std::uint64_t>();
-  if (Config && Generation <= Config->Generation)
-    return;
-  auto Checked = ConfigChecker::check(SettingsDocument(Envelope["content"], {}),
-                                      Generation);
-  if (!Checked) {
-    std::fprintf(stderr, "[config] generation %llu is invalid: %s\n",
-                 static_cast<unsigned long long>(Generation),
-                 settingsErrorText(Checked.Errors).c_str());
-    return;
-  }
-  Config = std::make_shared<const Configuration>(*std::move(Checked.Value));
-  publish();
-}
-
 auto EntryInstance::publish() -> void {
+  if (!Control || !Control->config())
+    return;
   const TargetConditions Conditions = [](const ServiceId &, const TargetId &,
                                          const ServiceConfig &Service) {
     return TargetCondition{true, Service.SlotsPerTarget,
                            Service.ConnectionsPerTarget};
   };
-  Current = buildSnapshot(Config, Settings.DataCentre, Conditions, *Owners,
-                          ++Version, false);
+  Current = buildSnapshot(Control->config(), Settings.DataCentre, Conditions,
+                          Control->owners(), ++Version,
+                          Control->stale(WorkspaceConfig().StalenessLimit));
   for (const auto &Thread : Threads)
     Thread->publish(Current);
 }
@@ -259,7 +213,7 @@
   nlohmann::json Status = {
       {"instance", Settings.Instance.str()},
       {"data_centre", Settings.DataCentre.str()},
-      {"generation", Config ? Config->Generation : 0},
+      {"generation", Control->config() ? Control->config()->Generation : 0},
       {"snapshot", Version},
       {"shutting_down", ShuttingDown},
   };
@@ -267,6 +221,7 @@
   for (const auto &Thread : Threads)
     Open += Thread->connections();
   Status["caller_connections"] = Open;
+  Control->describe(Status);
   return Status.dump() + "\n";
 }
 
@@ -286,7 +241,11 @@
 auto EntryInstance::threadDrained() -> void {
   if (--Draining > 0)
     return;
-  Io.stop();
+  // Leader and deputy keep their role while requests finish; then the deputy
+  // takes over at once instead of after the end of a confirmation.
+  Control->leave();
+  LeaveTimer.expires_after(LeaveTime);
+  LeaveTimer.async_wait([this](const error_code &) { Io.stop(); });
 }
 
 } // namespace buckthornring
--- a/lib/Entry/EntryInstance.h
+++ b/lib/Entry/EntryInstance.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Entry/SliceOwnerSource.h"
+#include "Entry/ControlPlane.h"
 #include "Entry/TrafficThread.h"
 #include "buckthornring/Common/Result.h"
 #include "buckthornring/Config/DaemonSettings.h"
@@ -45,9 +45,6 @@
       -> void;
   auto drainAcceptQueue() -> void;
 
-  auto watchConfiguration() -> void;
-  auto gotConfiguration(const PlatformChanges &Changes) -> void;
-  auto acceptConfiguration(const std::string &Text) -> void;
   auto publish() -> void;
 
   auto answerAdmin(const HttpRequest &Request) -> HttpResponse;
@@ -60,16 +57,13 @@
   DaemonSettings Settings;
   boost::asio::io_context Io{1};
   boost::asio::ip::tcp::acceptor CallerListener;
-  boost::asio::ip::tcp::acceptor LinkListener;
   boost::asio::signal_set Signals;
-  boost::asio::steady_timer WatchTimer;
+  boost::asio::steady_timer LeaveTimer;
   std::unique_ptr<HttpServer> Admin;
   std::unique_ptr<PlatformClient> Platform;
-  std::unique_ptr<SliceOwnerSource> Owners;
+  std::unique_ptr<ControlPlane> Control;
   std::vector<std::unique_ptr<TrafficThread>> Threads;
-  std::shared_ptr<const Configuration> Config;
   std::shared_ptr<const RoutingSnapshot> Current;
-  std::uint64_t Revision = 0;
   std::uint64_t Version = 0;
   std::size_t NextThread = 0;
   std::size_t Draining = 0;
--- a/lib/Entry/OwnershipDriver.cpp
+++ b/lib/Entry/OwnershipDriver.cpp
@@ -60,7 +60,7 @@
                                  Options Settings)
     : Context(Context), Platform(Platform), Links(Links),
       Settings(std::move(Settings)),
-      Lease(this->Settings.Times, SafetySwitches()), TickTimer(Context) {
+      Lease(SafetySwitches()), TickTimer(Context) {
   const PeerIdentity &Self = this->Settings.Self;
   Core = std::make_unique<LeaderCore>(
       LeaderCore::Identity{Self.Process, Self.DataCentre, Self.FailureDomain},
@@ -72,14 +72,23 @@
 auto OwnershipDriver::setConfiguration(
     const std::shared_ptr<const Configuration> &Accepted) -> void {
   Config = Accepted;
-  const auto Services = ownedServices();
-  for (const OwnedService &Service : Services) {
-    auto &Table = Tables[Service.Id];
+  for (const auto &[Id, Service] : Config->Services) {
+    if (Service.Kind != ServiceKind::Divided)
+      continue;
+    auto &Table = Tables[Id];
     if (!Table)
       Table = std::make_shared<InFlightTable>(Service.Slices);
+    const auto Entry =
+        Homes
+            .try_emplace(Id, HomeState{HomeKeeper(Id, Settings.Self.DataCentre,
+                                                  HomeKeeper::Times()),
+                                       {},
+                                       false})
+            .first;
+    Entry->second.Keeper.setWanted(HomeMap::wanted(*Config, Id));
   }
   connectTargets();
-  Core->setServices(Services, steadyNow());
+  Core->setServices(ownedServices(), steadyNow());
   Core->setGeneration(Config->Generation);
 }
 
@@ -124,6 +133,7 @@
         if (Cancelled || !*Living)
           return;
         perform(Core->tick(steadyNow()));
+        tickHomes();
         probeUnverifiedTargets();
         scheduleTick();
       });
@@ -227,9 +237,9 @@
 
 auto OwnershipDriver::deliver(const InstanceId &From,
                               const LinkMessage &Message) -> void {
-  if (const auto *Heartbeat = std::get_if<RoutingHeartbeat>(&Message))
-    return receiveHeartbeat(From, *Heartbeat);
   perform(Core->receive(From, Message, steadyNow()));
+  if (const auto *Heartbeat = std::get_if<RoutingHeartbeat>(&Message))
+    receiveHeartbeat(From, *Heartbeat);
 }
 
 auto OwnershipDriver::receiveHeartbeat(const InstanceId &From,
@@ -257,11 +267,48 @@
     for (const auto &[Target, Settled] : Service.Targets)
       if (Settled.DataCentre == Settings.Self.DataCentre)
         Entry.Targets[Target] = Settled.State;
+    const HomeState &Home = Homes.at(Id);
+    Entry.Home = Home.Keeper.homes();
+    Entry.HomeConfirmed = Home.Keeper.confirmed();
     Owned.push_back(std::move(Entry));
   }
   return Owned;
 }
 
+auto OwnershipDriver::tickHomes() -> void {
+  std::optional<std::uint64_t> Term;
+  if (Core->term().role() == TermRole::Leader)
+    Term = Core->term().record().Term;
+  OwnershipActions Actions;
+  for (auto &[Id, Home] : Homes)
+    Home.Keeper.tick(Term, Core->releasedAway(Id), steadyNow(), Actions);
+  applyHomes();
+  perform(Actions);
+}
+
+auto OwnershipDriver::applyHomes() -> void {
+  bool Changed = false;
+  for (auto &[Id, Home] : Homes) {
+    auto Next = Home.Keeper.homes();
+    const bool Confirmed = Home.Keeper.confirmed();
+    if (Next == Home.Applied && Confirmed == Home.Confirmed)
+      continue;
+    Home.Applied = std::move(Next);
+    Home.Confirmed = Confirmed;
+    Changed = true;
+  }
+  if (Changed)
+    Core->setServices(ownedServices(), steadyNow());
+}
+
+auto OwnershipDriver::homeKeeper(const std::string &ObjectName)
+    -> HomeKeeper * {
+  for (auto &[Id, Home] : Homes)
+    if (homeObjectName(Id) == ObjectName)
+      return &Home.Keeper;
+  return nullptr;
+}
+
 auto OwnershipDriver::connectTargets() -> void {
   std::map<TargetId, TargetLink> Connected;
   for (const auto &[Id, Service] : Config->Services) {
--- a/lib/Entry/OwnershipDriver.h
+++ b/lib/Entry/OwnershipDriver.h
@@ -5,6 +5,7 @@
 #include "buckthornring/Config/Configuration.h"
 #include "buckthornring/IO/HttpClient.h"
 #include "buckthornring/IO/PlatformClient.h"
+#include "buckthornring/Ownership/HomeKeeper.h"
 #include "buckthornring/Ownership/LeaderCore.h"
 #include "buckthornring/Ownership/RoutingLease.h"
 
@@ -80,6 +81,10 @@
   auto receiveHeartbeat(const InstanceId &From,
                         const RoutingHeartbeat &Heartbeat) -> void;
   auto ownedServices() const -> std::vector<OwnedService>;
+  auto tickHomes() -> void;
+  /// Passes changed homes on to the core.
+  auto applyHomes() -> void;
+  auto homeKeeper(const std::string &ObjectName) -> HomeKeeper *;
   auto connectTargets() -> void;
 
   boost::asio::io_context &Context;
@@ -90,6 +95,12 @@
   RoutingLease Lease;
   std::shared_ptr<const Configuration> Config;
   InFlightTables Tables;
+  struct HomeState {
+    HomeKeeper Keeper;
+    std::vector<bool> Applied;
+    bool Confirmed = false;
+  };
+  std::map<ServiceId, HomeState> Homes;
   std::map<TargetId, TargetLink> Targets;
   boost::asio::steady_timer TickTimer;
   TimePoint LastProbe;
--- a/lib/Ownership/HomeKeeper.cpp
+++ b/lib/Ownership/HomeKeeper.cpp
@@ -18,8 +18,11 @@
 auto HomeKeeper::tick(std::optional<std::uint64_t> Term, bool ReleasedAway,
                       TimePoint Now, OwnershipActions &Actions) -> void {
   if (Term != LeadingTerm) {
+    // A leader that replaced its deputy led the term before as well, so no
+    // other leader can have written in between.
+    const bool Continues = Term && LeadingTerm && *Term == *LeadingTerm + 1;
     LeadingTerm = Term;
-    Confirmed = false;
+    Confirmed = Confirmed && Continues;
     Read = false;
     NextCall = Now;
   }
--- a/lib/Ownership/ServiceLeader.cpp
+++ b/lib/Ownership/ServiceLeader.cpp
@@ -212,7 +212,8 @@
   Load.decay(Now);
   if (State != Knowledge::Resolved)
     resolve(Now);
-  if (State == Knowledge::Resolved && Context.Term.mayMove(Now)) {
+  if (State == Knowledge::Resolved && Service.HomeConfirmed &&
+      Context.Term.mayMove(Now)) {
     cancelReturned(Now);
     startMoves(Now);
     planMoves(Now);
