Add the platform and target test servers

Cause: routing, ownership and failure behaviour need a platform and targets whose faults can be switched on. Ruled out: a freeze by timers only (control calls would still be answered, so the process sleeps as a whole); a target clock equal to the machine's (a sender that mixes up the two clocks would go unnoticed). Change: standin_platform and standin_target, docs/design/target-protocol.md, process fixture with posix_spawn, tests of both servers and of PlatformClient; the comparison of Epoch names its return type for the linter. Conclusion: lost answers, silent watches, pauses, cold starts and stale grants can be produced and observed.

--- /dev/null
+++ b/standins/target/GrantHolder.cpp
@@ -0,0 +1,81 @@
+#include "GrantHolder.h"
+
+#include <algorithm>
+
+namespace buckthornring::standin {
+
+// The offset keeps senders from comparing the readings with their own clock.
+auto GrantHolder::clockUs(std::int64_t SteadyUs) const -> std::int64_t {
+  constexpr std::int64_t Offset = 86'400'000'000;
+  return SteadyUs + Offset;
+}
+
+auto GrantHolder::apply(const LeaseMessage &Message, std::int64_t SteadyUs)
+    -> LeaseReply {
+  const auto NowUs = clockUs(SteadyUs);
+  expire(NowUs);
+  LeaseReply Reply;
+  if (Message.Term < HighestTerm) {
+    Reply.Refusal = LeaseRefusal::StaleTerm;
+  } else {
+    if (Message.Term > HighestTerm) {
+      HighestTerm = Message.Term;
+      Applied = 0;
+    }
+    Reply.Refusal = applyLease(Message, NowUs);
+  }
+  Reply.Term = HighestTerm;
+  Reply.Sequence = Message.Sequence;
+  Reply.Applied = Applied;
+  Reply.Start = Start;
+  Reply.ClockUs = NowUs;
+  Reply.Reported = Message.Report;
+  if (Message.Report)
+    for (const auto &[Slice, At] : Slices)
+      Reply.Held.push_back({Slice, At});
+  return Reply;
+}
+
+auto GrantHolder::applyLease(const LeaseMessage &Message, std::int64_t NowUs)
+    -> LeaseRefusal {
+  if (Message.Start != Start)
+    return LeaseRefusal::OtherStart;
+  if (Message.LeaseUs == 0)
+    return LeaseRefusal::None;
+  const auto EndUs = Message.ClockUs + Message.LeaseUs;
+  const bool InPast = EndUs <= NowUs;
+  LeaseEndUs = std::max(LeaseEndUs, EndUs);
+  if (Message.Sequence > Applied &&
+      (!Message.Grant.empty() || !Message.Release.empty())) {
+    for (const auto &Entry : Message.Release)
+      Slices.erase(Entry.Slice);
+    if (!InPast)
+      for (const auto &Entry : Message.Grant)
+        Slices[Entry.Slice] = Entry.At;
+    if (!InPast || Message.Grant.empty())
+      Applied = Message.Sequence;
+  }
+  return InPast ? LeaseRefusal::Expired : LeaseRefusal::None;
+}
+
+auto GrantHolder::held(std::uint32_t Slice, std::int64_t SteadyUs)
+    -> std::optional<Epoch> {
+  expire(clockUs(SteadyUs));
+  const auto Found = Slices.find(Slice);
+  if (Found == Slices.end())
+    return std::nullopt;
+  return Found->second;
+}
+
+auto GrantHolder::heldCount(std::int64_t SteadyUs) -> std::size_t {
+  expire(clockUs(SteadyUs));
+  return Slices.size();
+}
+
+// Slices dropped here stay dropped: a later renewal extends the lease only.
+auto GrantHolder::expire(std::int64_t NowUs) -> void {
+  if (NowUs >= LeaseEndUs)
+    Slices.clear();
+}
+
+} // namespace buckthornring::standin
--- /dev/null
+++ b/standins/target/Main.cpp
@@ -0,0 +1,69 @@
+#include "TargetServer.h"
+
+#include "../common/Program.h"
+
+#include <cxxopts.hpp>
+
+using namespace buckthornring;
+
+namespace {
+
+auto describe() -> cxxopts::Options {
+  cxxopts::Options Options("standin_target", "Target test server");
+  auto Add = Options.add_options();
+  Add("name", "Target name in the configuration; empty accepts any",
+      cxxopts::value<std::string>()->default_value(""));
+  Add("port", "TCP port, 0: chosen by the kernel",
+      cxxopts::value<std::uint16_t>()->default_value("0"));
+  Add("verified", "Run only slices granted by a lease");
+  Add("slots", "Requests run at a time",
+      cxxopts::value<unsigned>()->default_value("4"));
+  Add("queue", "Requests that wait for a slot",
+      cxxopts::value<std::size_t>()->default_value("16"));
+  Add("connections", "Open connections",
+      cxxopts::value<std::size_t>()->default_value("120"));
+  Add("service-us", "Service time in microseconds",
+      cxxopts::value<unsigned>()->default_value("2000"));
+  Add("cold-ms", "Time from a start to full capacity",
+      cxxopts::value<unsigned>()->default_value("0"));
+  Add("max-seconds", "End after this time",
+      cxxopts::value<unsigned>()->default_value("600"));
+  return Options;
+}
+
+auto read(const cxxopts::ParseResult &Parsed) -> standin::TargetOptions {
+  standin::TargetOptions Options;
+  Options.Name = Parsed["name"].as<std::string>();
+  Options.Port = Parsed["port"].as<std::uint16_t>();
+  Options.Verified = Parsed.count("verified") > 0;
+  Options.Connections = Parsed["connections"].as<std::size_t>();
+  Options.Work.Slots = std::max(1U, Parsed["slots"].as<unsigned>());
+  Options.Work.QueueLimit = Parsed["queue"].as<std::size_t>();
+  Options.Work.Service =
+      std::chrono::microseconds(Parsed["service-us"].as<unsigned>());
+  Options.Work.ColdTime =
+      std::chrono::milliseconds(Parsed["cold-ms"].as<unsigned>());
+  return Options;
+}
+
+} // namespace
+
+auto main(int Count, char **Arguments) -> int {
+  try {
+    auto Described = describe();
+    const auto Parsed = Described.parse(Count, Arguments);
+    boost::asio::io_context Context(1);
+    const auto Server = standin::TargetServer::start(Context, read(Parsed));
+    if (!Server) {
+      std::fprintf(stderr, "standin_target: %s\n",
+                   Server.error().message().c_str());
+      return 1;
+    }
+    standin::runProgram(Context, Server.value()->port(),
+                        Parsed["max-seconds"].as<unsigned>());
+    return 0;
+  } catch (const cxxopts::exceptions::exception &Failure) {
+    std::fprintf(stderr, "standin_target: %s\n", Failure.what());
+    return 2;
+  }
+}
--- /dev/null
+++ b/standins/target/RunLog.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace buckthornring::standin {
+
+/// One run of a request. Times are readings of the machine's monotonic clock,
+/// comparable between processes.
+struct Run {
+  std::string RequestId;
+  std::string Workspace;
+  std::string Slice;
+  std::string Epoch; ///< "TERM.SEQUENCE" as sent with the request.
+  std::string Method;
+  std::string Path;
+  bool SawCallerKey = false;
+  std::int64_t StartedUs = 0;
+  std::int64_t EndedUs = 0; ///< 0 while running.
+  bool Cancelled = false;
+};
+
+/// All runs since the start, in order.
+class RunLog {
+public:
+  auto begin(Run Entry) -> std::size_t;
+  auto end(std::size_t Index, std::int64_t NowUs, bool Cancelled) -> void;
+  auto countOf(const std::string &RequestId) const -> std::size_t;
+  auto json() const -> nlohmann::json;
+
+private:
+  std::vector<Run> Runs;
+  std::unordered_map<std::string, std::size_t> Counts;
+  std::uint64_t Twice = 0;
+  std::uint64_t KeysSeen = 0;
+};
+
+} // namespace buckthornring::standin
--- /dev/null
+++ b/tests/process/ChildProcess.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <sys/types.h>
+
+namespace buckthornring::test {
+
+/// A program under test, started with posix_spawn and ended by its process id.
+class ChildProcess {
+public:
+  /// Starts \p Program of the build folder. Its standard error goes to that of
+  /// the test.
+  ChildProcess(const std::string &Program, std::vector<std::string> Arguments);
+  /// Kills the program when it still runs.
+  ~ChildProcess();
+  ChildProcess(ChildProcess &&Other) noexcept;
+  ChildProcess(const ChildProcess &) = delete;
+  auto operator=(const ChildProcess &) -> ChildProcess & = delete;
+
+  /// Returns the next line of standard output, or nothing after \p Limit or at
+  /// the end.
+  auto readLine(std::chrono::milliseconds Limit) -> std::optional<std::string>;
+  /// Reads lines until one starts with \p Prefix and returns the rest of it;
+  /// empty when there is none.
+  auto waitForLine(const std::string &Prefix,
+                   std::chrono::milliseconds Limit = std::chrono::seconds(10))
+      -> std::string;
+
+  auto signal(int Number) const -> void;
+  /// Returns the exit code, minus the signal number when a signal ended the
+  /// program, or nothing when it still runs after \p Limit.
+  auto waitForEnd(std::chrono::milliseconds Limit) -> std::optional<int>;
+  auto kill() -> void;
+  auto isRunning() -> bool;
+
+private:
+  pid_t Pid = -1;
+  int Output = -1;
+  std::string Pending;
+  std::optional<int> ExitCode;
+};
+
+/// Returns whether the condition holds within \p Limit.
+auto waitUntil(const std::function<bool()> &Condition,
+               std::chrono::milliseconds Limit = std::chrono::seconds(10))
+    -> bool;
+
+} // namespace buckthornring::test
