Add randomized checks of at-most-once execution and cold starts

Ruled out: a flag for quantities that "can't have been lent before"; a new leader can hold an outdated start identifier and would skip its wait wrongly. The ledger instead counts its wait from the beginning of the giver's term. Late health reports of an earlier start no longer restart the ramp.

--- a/include/buckthornring/Limits/ShareLedger.h
+++ b/include/buckthornring/Limits/ShareLedger.h
@@ -27,16 +27,13 @@
     /// How long a use that began under a lease can outlast it. For slots this
     /// is the longest request deadline of the service; for tokens zero.
     Duration UseTail{};
-    /// No giver can have lent this quantity before, for example the allowance
-    /// of a target that has just started. Without this the new giver treats
-    /// everything as lent until one lease (and use tail) has passed, because an
-    /// earlier giver's grants may still be in force.
-    bool NeverLent = false;
   };
 
-  /// A giver that takes over at \p Now.
+  /// \p TermBegan is when the own authority began, also for a quantity that is
+  /// new. Until one lease (and use tail) after it, everything is treated as
+  /// lent, because an earlier giver's grants may still be in force.
   ShareLedger(Options Settings, ShareAmount Total, std::uint64_t Term,
-              TimePoint Now);
+              TimePoint TermBegan);
 
   /// Grants are given only before \p Until, the end of the leader's move
   /// authority. A successor starts after it, so its wait covers all leases.
--- a/include/buckthornring/Routing/ColdStartRamp.h
+++ b/include/buckthornring/Routing/ColdStartRamp.h
@@ -60,6 +60,8 @@
 
   Options Settings;
   std::string LastStartId;
+  std::string
+      EarlierStartId; ///< Late reports of the earlier start are ignored.
   std::optional<TimePoint> ColdSince; ///< Nothing once warm.
   TimePoint LastAnswer = TimePoint::min();
   double Average = 0; ///< Microseconds.
--- a/lib/Limits/ShareLedger.cpp
+++ b/lib/Limits/ShareLedger.cpp
@@ -37,13 +37,12 @@
 } // namespace
 
 ShareLedger::ShareLedger(Options Settings, ShareAmount Total,
-                         std::uint64_t Term, TimePoint Now)
+                         std::uint64_t Term, TimePoint TermBegan)
     : Settings(Settings), Total(), Term(Term),
-      ThawAt(Settings.NeverLent ? Now
-                                : Now + withDrift(Settings.Lease) +
-                                      withDrift(Settings.UseTail)),
-      Rest(0, 0, 0, Now) {
-  setTotal(Total, Now);
+      ThawAt(TermBegan + withDrift(Settings.Lease) +
+             withDrift(Settings.UseTail)),
+      Rest(0, 0, 0, TermBegan) {
+  setTotal(Total, TermBegan);
 }
 
 auto ShareLedger::withDrift(Duration Span) const -> Duration {
--- a/lib/Routing/ColdStartRamp.cpp
+++ b/lib/Routing/ColdStartRamp.cpp
@@ -2,6 +2,7 @@
 #include "buckthornring/Common/Invariant.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace buckthornring {
 
@@ -25,9 +26,12 @@
 auto ColdStartRamp::reported(const std::string &StartId,
                              std::optional<Duration> Uptime, TimePoint Now)
     -> void {
+  if (!EarlierStartId.empty() && StartId == EarlierStartId)
+    return;
   const bool First = LastStartId.empty();
   const bool Same = StartId == LastStartId;
-  LastStartId = StartId;
+  if (!Same)
+    EarlierStartId = std::exchange(LastStartId, StartId);
   LastAnswer = Now;
   Suspect = false;
   if (Same)
--- /dev/null
+++ b/tests/property/ColdStartPropertyTest.cpp
@@ -0,0 +1,46 @@
+#include "support/ColdWorld.h"
+#include "support/SeededSchedules.h"
+
+#include <gtest/gtest.h>
+
+using namespace buckthornring;
+using namespace buckthornring::testing;
+
+namespace {
+
+auto schedule(ColdPolicy Policy) -> Schedule {
+  return [=](std::uint64_t Seed) { return ColdWorld(Policy, Seed).run(); };
+}
+
+// Guards against more concurrent requests on a restarted target than its
+// allowance, over all holders, with leader takeovers and late messages.
+TEST(ColdStartPropertyTest, TargetsStayWithinTheirAllowance) {
+  expectAllPass(100, schedule(ColdPolicy::Escrow));
+}
+
+// Guards against an allowance that is respected because nothing is sent.
+TEST(ColdStartPropertyTest, TheAllowanceIsUsed) {
+  std::uint64_t Sent = 0;
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    ColdWorld World(ColdPolicy::Escrow, Seed);
+    World.run();
+    Sent += World.sent();
+  }
+  // 24 s with one request of 150 ms at a time are about 160 requests.
+  EXPECT_GT(Sent / 10, 100U);
+}
+
+// Each test below guards against a check that can't fail.
+TEST(ColdStartPropertyTest, DetectsASharePastTheRestart) {
+  expectSomeFailure(100, schedule(ColdPolicy::KeepShare));
+}
+
+TEST(ColdStartPropertyTest, DetectsATakeoverWithoutWait) {
+  expectSomeFailure(100, schedule(ColdPolicy::NoWait));
+}
+
+TEST(ColdStartPropertyTest, DetectsLocalRamps) {
+  expectSomeFailure(100, schedule(ColdPolicy::LocalRamp));
+}
+
+} // namespace
--- a/tests/support/EscrowWorld.h
+++ b/tests/support/EscrowWorld.h
@@ -138,10 +138,11 @@
       Ledger.UseTail = MaxUse;
     if (Settings.Fault == EscrowFault::EarlyReclaim)
       Ledger.Lease = std::chrono::milliseconds(150);
-    if (Settings.Fault == EscrowFault::NoWaitOnTakeover)
-      Ledger.NeverLent = Current.Term > 1;
-    Current.Ledger = std::make_unique<ShareLedger>(
-        Ledger, Total, Current.Term, Current.Clock.read(Queue.now()));
+    TimePoint Began = Current.Clock.read(Queue.now());
+    if (Settings.Fault == EscrowFault::NoWaitOnTakeover && Current.Term > 1)
+      Began -= std::chrono::seconds(10);
+    Current.Ledger =
+        std::make_unique<ShareLedger>(Ledger, Total, Current.Term, Began);
   }
 
   auto scheduleTakeover() -> void {
