--- a/tests/unit/LimitsTest.cpp
+++ b/tests/unit/LimitsTest.cpp
@@ -1,3 +1,4 @@
+#include "buckthornring/Limits/AdmissionGate.h"
 #include "buckthornring/Limits/FairQueue.h"
 #include "buckthornring/Limits/ShareHolder.h"
 #include "buckthornring/Limits/ShareLedger.h"
@@ -132,6 +133,27 @@
     EXPECT_GT(Served[I], 100) << I;
 }
 
+// Guards against a request that is refused although a token is one round trip
+// away, and against one that waits for ever.
+TEST(AdmissionGateTest, WaitsForTokensAndGivesUp) {
+  ShareLedger Ledger({}, {100 * OneUnit, 10 * OneUnit}, 1, Start);
+  AdmissionGate Gate({2, 200ms}, ShareHolder("a/0", ShareKind::Rate, 1, Start));
+  Gate.share().follow(1);
+  const TimePoint Now = Start + 2s;
+  exchange(Gate.share(), Ledger, Start + 1500ms);
+  const TimePoint Deadline = Now + 5s;
+  EXPECT_EQ(Gate.offer(1, Deadline, Now), AdmissionGate::Answer::Wait);
+  EXPECT_EQ(Gate.offer(2, Deadline, Now), AdmissionGate::Answer::Wait);
+  EXPECT_EQ(Gate.offer(3, Deadline, Now), AdmissionGate::Answer::Refuse);
+  exchange(Gate.share(), Ledger, Now);
+  EXPECT_EQ(Gate.advance(Now).Admitted.size(), 2U);
+  ShareHolder Empty("b/0", ShareKind::Rate, 1, Start);
+  AdmissionGate Alone({2, 200ms}, Empty);
+  EXPECT_EQ(Alone.offer(4, Deadline, Now), AdmissionGate::Answer::Wait);
+  EXPECT_EQ(Alone.nextChange(Now), Now + 200ms);
+  EXPECT_EQ(Alone.advance(Now + 200ms).Refused.size(), 1U);
+}
+
 // Guards against a workspace that takes slots beyond its weight.
 TEST(FairQueueTest, SlotsFollowWeights) {
   FairQueue Queue;
