--- a/include/buckthornring/Limits/ShareLedger.h
+++ b/include/buckthornring/Limits/ShareLedger.h
@@ -29,11 +29,11 @@
     Duration UseTail{};
   };
 
-  /// A giver that takes over at \p Now. It treats everything as lent until one
-  /// lease (and use tail) has passed, because an earlier giver's grants may
-  /// still be in force.
+  /// \p TermBegan is when the own authority began, also for a quantity that is
+  /// new. Until one lease (and use tail) after it, everything is treated as
+  /// lent, because an earlier giver's grants may still be in force.
   ShareLedger(Options Settings, ShareAmount Total, std::uint64_t Term,
-              TimePoint Now);
+              TimePoint TermBegan);
 
   /// Grants are given only before \p Until, the end of the leader's move
   /// authority. A successor starts after it, so its wait covers all leases.
--- a/lib/Limits/ShareLedger.cpp
+++ b/lib/Limits/ShareLedger.cpp
@@ -37,11 +37,12 @@
 } // namespace
 
 ShareLedger::ShareLedger(Options Settings, ShareAmount Total,
-                         std::uint64_t Term, TimePoint Now)
+                         std::uint64_t Term, TimePoint TermBegan)
     : Settings(Settings), Total(), Term(Term),
-      ThawAt(Now + withDrift(Settings.Lease) + withDrift(Settings.UseTail)),
-      Rest(0, 0, 0, Now) {
-  setTotal(Total, Now);
+      ThawAt(TermBegan + withDrift(Settings.Lease) +
+             withDrift(Settings.UseTail)),
+      Rest(0, 0, 0, TermBegan) {
+  setTotal(Total, TermBegan);
 }
 
 auto ShareLedger::withDrift(Duration Span) const -> Duration {
@@ -150,14 +151,16 @@
     Of.Held = {std::min(Request.Held.Rate, Of.Counted.Rate),
                std::min(Request.Held.Units, Of.Counted.Units)};
   }
+  const MilliUnits Before = Of.Counted.Units;
   recount(Of);
   reshapeRest(Now);
-  // Released tokens return with the capacity that held them.
-  const MilliUnits Released = Request.ReleasedTotal - Of.ReleasedSeen;
-  if (Released <= 0)
-    return;
-  Of.ReleasedSeen = Request.ReleasedTotal;
-  if (thawed(Now))
+  // Released tokens return only with the capacity that held them. When a later
+  // grant has raised the share again, the holder may have refilled it, and the
+  // released tokens would come on top.
+  const MilliUnits Released = std::min(Request.ReleasedTotal - Of.ReleasedSeen,
+                                       Before - Of.Counted.Units);
+  Of.ReleasedSeen = std::max(Of.ReleasedSeen, Request.ReleasedTotal);
+  if (Released > 0 && thawed(Now))
     Rest.add(Released, Now);
 }
 
@@ -194,9 +197,11 @@
   ShareAmount Next = Of.Target;
   if (Settings.Kind == ShareKind::Rate && Of.WantedUnits > 0) {
     // Tokens are given together with the capacity that they are kept in,
-    // because the holder's own capacity may be full when they arrive.
-    const MilliUnits Base = std::max(Next.Units, Of.Counted.Units);
-    Next.Units = Base + std::min(Of.WantedUnits, Rest.tokens(Now));
+    // because the holder's own capacity may be full when they arrive. Without
+    // tokens to give, spent capacity goes back and refills here.
+    const MilliUnits Give = std::min(Of.WantedUnits, Rest.tokens(Now));
+    if (Give >= OneUnit)
+      Next.Units = std::max(Next.Units, Of.Counted.Units) + Give;
   }
   Next.Rate = std::min(Next.Rate, Of.Counted.Rate + Rest.rate());
   Next.Units = std::min(Next.Units, Of.Counted.Units + Rest.capacity());
