Use the shared route table and slice map in the planner

Cause: the planner had its own copies of key extraction and slice hashing. Ruled out: dropping the check for repeated keys; a target might read another one of two values than the router. Change: RequestPlanner calls RouteTable::extractKey and SliceMap::sliceOf; the epoch's comparison has a trailing return type, which the linter asks for. Conclusion: one definition of a slice.

--- a/include/buckthornring/Ownership/Epoch.h
+++ b/include/buckthornring/Ownership/Epoch.h
@@ -11,7 +11,8 @@
   std::uint64_t Term = 0;
   std::uint64_t Sequence = 0;
 
-  friend auto operator<=>(const Epoch &, const Epoch &) = default;
+  friend auto operator<=>(const Epoch &, const Epoch &)
+      -> std::strong_ordering = default;
 };
 
 } // namespace buckthornring
--- a/lib/Entry/RequestPlanner.cpp
+++ b/lib/Entry/RequestPlanner.cpp
@@ -1,22 +1,15 @@
 #include "Entry/RequestPlanner.h"
 
+#include "buckthornring/Ownership/SliceMap.h"
+
 #include <algorithm>
 #include <array>
-#include <bit>
 #include <charconv>
-#include <xxhash.h>
 
 namespace buckthornring {
 
 namespace {
 
-/// The top bits of the key's hash.
-auto sliceOf(std::string_view Key, std::uint32_t Slices) -> std::uint32_t {
-  const int Bits = std::countr_zero(Slices);
-  const std::uint64_t Hash = XXH64(Key.data(), Key.size(), 0);
-  return Bits == 0 ? 0 : static_cast<std::uint32_t>(Hash >> (64 - Bits));
-}
-
 constexpr std::string_view BearerScheme = "bearer ";
 
 auto startsWithIgnoringCase(std::string_view Text, std::string_view Prefix)
@@ -55,17 +48,12 @@
   return Lower >= 'a' && Lower <= 'f' ? Lower - 'a' + 10 : -1;
 }
 
-/// Decodes percent escapes, so that all spellings of a key reach one owner.
-/// Returns nothing for an invalid escape.
-auto decoded(std::string_view Text, bool PlusIsSpace)
+/// Decodes percent escapes. Returns nothing for an invalid one.
+auto decoded(std::string_view Text)
     -> std::optional<std::string> {
   std::string Out;
   Out.reserve(Text.size());
   for (std::size_t Index = 0; Index < Text.size(); ++Index) {
-    if (Text[Index] == '+' && PlusIsSpace) {
-      Out.push_back(' ');
-      continue;
-    }
     if (Text[Index] != '%') {
       Out.push_back(Text[Index]);
       continue;
@@ -100,66 +88,45 @@
 /// separators.
 auto isAmbiguousPath(std::string_view Path) -> bool {
   return anyPart(Path, '/', [](std::string_view Segment) {
-    const auto Text = decoded(Segment, false);
+    const auto Text = decoded(Segment);
     return !Text || *Text == "." || *Text == ".." ||
            Text->find_first_of("/\\") != std::string::npos ||
            Text->find('\0') != std::string::npos;
   });
 }
 
-struct KeyRequest {
-  const RouteConfig &Route;
-  std::string_view Path;
-  std::string_view Query;
-  const HttpHeaders &Fields;
-};
-
-auto keyInPath(const KeyRequest &Request) -> std::optional<std::string> {
-  std::string_view Rest = Request.Path.substr(Request.Route.PathPrefix.size());
-  if (Rest.starts_with('/'))
-    Rest.remove_prefix(1);
-  std::optional<std::string> Key;
-  std::uint32_t Index = 0;
-  anyPart(Rest, '/', [&](std::string_view Segment) {
-    if (Index++ != Request.Route.KeySegment)
+/// Whether the key's header or query parameter occurs more than once. The
+/// target might read another one of the values than the router.
+auto isRepeatedKey(const RouteConfig &Route, std::string_view Query,
+                   const HttpHeaders &Fields) -> bool {
+  std::size_t Count = 0;
+  if (Route.Source == KeySource::Header)
+    for (const auto &[Name, Value] : Fields)
+      Count += sameHeaderName(Name, Route.KeyName) ? 1 : 0;
+  if (Route.Source == KeySource::Query)
+    anyPart(Query, '&', [&](std::string_view Pair) {
+      Count += decoded(Pair.substr(0, Pair.find('='))) == Route.KeyName ? 1 : 0;
       return false;
-    Key = decoded(Segment, false);
-    return true;
-  });
-  return Key;
-}
-
-auto keyInHeader(const KeyRequest &Request) -> std::optional<std::string> {
-  std::optional<std::string> Key;
-  for (const auto &[Name, Value] : Request.Fields) {
-    if (!sameHeaderName(Name, Request.Route.KeyName))
-      continue;
-    // The target might read another one of two values than the router.
-    if (Key)
-      return std::nullopt;
-    Key = Value;
-  }
-  return Key;
+    });
+  return Count > 1;
 }
 
-auto keyInQuery(const KeyRequest &Request) -> std::optional<std::string> {
-  std::optional<std::string> Key;
-  bool Repeated = false;
-  anyPart(Request.Query, '&', [&](std::string_view Pair) {
-    const std::size_t Equals = std::min(Pair.find('='), Pair.size());
-    if (decoded(Pair.substr(0, Equals), true) != Request.Route.KeyName)
-      return false;
-    Repeated = Key.has_value();
-    Key = decoded(Pair.substr(std::min(Equals + 1, Pair.size())), true);
-    return Repeated;
-  });
-  return Repeated ? std::nullopt : Key;
+/// Returns the slice of the request's key, or nothing without a usable key.
+auto sliceOf(const RouteConfig &Route, const ServiceConfig &Service,
+             const RequestHead &Head) -> std::optional<std::uint32_t> {
+  const std::string_view Target = Head.Target;
+  const std::size_t PathEnd = std::min(Target.find('?'), Target.size());
+  const auto Query = Target.substr(std::min(PathEnd + 1, Target.size()));
+  if (isRepeatedKey(Route, Query, Head.Fields))
+    return std::nullopt;
+  const auto Key = RouteTable::extractKey(
+      Route, Target,
+      [&Head](std::string_view Name) { return Head.Fields.find(Name); });
+  if (!Key)
+    return std::nullopt;
+  return SliceMap::sliceOf(*Key, Service.Slices);
 }
 
-/// Indexed by KeySource.
-constexpr std::array<std::optional<std::string> (*)(const KeyRequest &), 3>
-    KeyReaders = {keyInPath, keyInHeader, keyInQuery};
-
 auto isIdempotentMethod(std::string_view Method) -> bool {
   constexpr std::array<std::string_view, 5> Methods = {"GET", "HEAD", "PUT",
                                                        "DELETE", "OPTIONS"};
@@ -238,14 +205,11 @@
   if (Config.Kind == ServiceKind::Undivided)
     return Plan;
 
-  const std::string_view Query =
-      Target.substr(std::min(PathEnd + 1, Target.size()));
-  const auto Key = KeyReaders.at(static_cast<std::size_t>(Route->Source))(
-      {*Route, Path, Query, Head.Fields});
-  if (!Key || Key->empty())
+  const auto Slice = sliceOf(*Route, Config, Head);
+  if (!Slice)
     return RefusalReason::MissingKey;
   Plan.Divided = true;
-  Plan.Slice = sliceOf(*Key, Config.Slices);
+  Plan.Slice = *Slice;
   return Plan;
 }
 
