--- a/include/buckthornring/Ownership/Epoch.h
+++ b/include/buckthornring/Ownership/Epoch.h
@@ -11,6 +11,7 @@
   std::uint64_t Term = 0;
   std::uint64_t Sequence = 0;
 
+  friend auto operator==(const Epoch &, const Epoch &) -> bool = default;
   friend auto operator<=>(const Epoch &, const Epoch &)
       -> std::strong_ordering = default;
 };
