Connect the control plane's share handlers in the daemon

Cause: ControlPlane::create now takes handlers for grants. Ruled out: a default without handlers; a missing handler would hide a grant. Change: EntryInstance passes handlers that do nothing until the request path uses shares. Conclusion: no change in behaviour.

--- a/lib/Entry/ControlPlane.cpp
+++ b/lib/Entry/ControlPlane.cpp
@@ -47,8 +47,7 @@
 
 auto ControlPlane::create(boost::asio::io_context &Context,
                           PlatformClient &Platform,
-                          const DaemonSettings &Settings,
-                          Handlers Callbacks)
+                          const DaemonSettings &Settings, Handlers Callbacks)
     -> Result<std::unique_ptr<ControlPlane>> {
   std::unique_ptr<ControlPlane> Plane(
       new ControlPlane(Context, Platform, Settings, std::move(Callbacks)));
@@ -60,8 +59,7 @@
 
 ControlPlane::ControlPlane(boost::asio::io_context &Context,
                            PlatformClient &Platform,
-                           const DaemonSettings &Settings,
-                           Handlers Callbacks)
+                           const DaemonSettings &Settings, Handlers Callbacks)
     : Context(Context), Platform(Platform), Settings(Settings),
       Callbacks(std::move(Callbacks)), PeerTimer(Context), TickTimer(Context) {}
 
@@ -74,7 +72,7 @@
                  "\" is not an IP address and port");
   PeerLinks::Handlers LinkHandlers;
   LinkHandlers.OnMessage = [this](const PeerIdentity &From,
-                              const LinkMessage &Message) {
+                                  const LinkMessage &Message) {
     receive(From, Message);
   };
   LinkHandlers.OnPeersChanged = [this] {
--- a/lib/Entry/EntryInstance.cpp
+++ b/lib/Entry/EntryInstance.cpp
@@ -93,8 +93,12 @@
   if (!Client)
     return Client.error();
   Platform = std::move(Client).value();
+  ControlPlane::Handlers Handlers;
+  Handlers.OnChanged = [this] { publish(); };
+  Handlers.OnGrant = [](const std::string &, const ShareGrant &) {};
+  Handlers.OnGiverChanged = [](std::uint64_t) {};
   auto Created =
-      ControlPlane::create(Io, *Platform, Settings, [this] { publish(); });
+      ControlPlane::create(Io, *Platform, Settings, std::move(Handlers));
   if (!Created)
     return Created.error();
   Control = std::move(Created).value();
--- a/lib/Entry/RequestPlanner.cpp
+++ b/lib/Entry/RequestPlanner.cpp
@@ -49,8 +49,7 @@
 }
 
 /// Decodes percent escapes. Returns nothing for an invalid one.
-auto decoded(std::string_view Text)
-    -> std::optional<std::string> {
+auto decoded(std::string_view Text) -> std::optional<std::string> {
   std::string Out;
   Out.reserve(Text.size());
   for (std::size_t Index = 0; Index < Text.size(); ++Index) {
@@ -119,9 +118,10 @@
   const auto Query = Target.substr(std::min(PathEnd + 1, Target.size()));
   if (isRepeatedKey(Route, Query, Head.Fields))
     return std::nullopt;
-  const auto Key = RouteTable::extractKey(
-      Route, Target,
-      [&Head](std::string_view Name) { return Head.Fields.find(Name); });
+  const auto Key =
+      RouteTable::extractKey(Route, Target, [&Head](std::string_view Name) {
+        return Head.Fields.find(Name);
+      });
   if (!Key)
     return std::nullopt;
   return SliceMap::sliceOf(*Key, Service.Slices);
