--- a/lib/Entry/AttemptRunner.cpp
+++ b/lib/Entry/AttemptRunner.cpp
@@ -1,6 +1,7 @@
 #include "Entry/AttemptRunner.h"
 
 #include "Entry/TrafficThread.h"
+#include "IO/SteadyTime.h"
 
 #include <utility>
 
@@ -45,10 +46,9 @@
 
 auto AttemptRunner::start() -> void {
   Phase.targetChosen();
-  Counted = true;
-  Thread.attemptStarted(Job);
+  Number = Thread.attemptStarted(Job);
   Ticket = Thread.pool().acquire(
-      {Job.Address, Job.Idempotent, Job.ConnectionLimit},
+      {Job.Place.Address, Job.Idempotent, Job.Place.ConnectionLimit},
       [Self = shared_from_this()](UpstreamPool::ConnectionPtr Ready) {
         Self->gotConnection(std::move(Ready));
       });
@@ -58,17 +58,19 @@
   Ticket = 0;
   if (finished()) {
     if (Ready)
-      Thread.pool().release(Job.Address, Ready);
+      Thread.pool().release(Job.Place.Address, Ready);
     return;
   }
   if (!Ready)
-    return report(Phase.connectionLost());
+    return lost();
   Connection = std::move(Ready);
   Phase.connectionReady();
+  if (!Thread.beginSlice(Job, InFlight))
+    return report(Phase.connectionLost());
   Connection->beginExchange(Job.HeadOnly);
   // From here on any byte may have been sent, whatever the write reports.
   Phase.writeStarted();
-  SentAt = monotonicNow();
+  SentAt = steadyNow();
   Connection->write(
       std::move(Job.Head), Job.Body,
       [Self = shared_from_this()](bool Success) { Self->written(Success); });
@@ -97,7 +99,8 @@
 
 auto AttemptRunner::answeredOtherEpoch() -> bool {
   const auto Answered = answer().Fields.find("Btr-Epoch");
-  return Job.Slice && Answered && *Answered != epochText(*Job.Slice);
+  return Job.Place.Slice && Answered &&
+         *Answered != epochText(*Job.Place.Slice);
 }
 
 auto AttemptRunner::gotHead(bool Success) -> void {
@@ -105,12 +108,15 @@
     return;
   // An answer under another epoch comes from a target whose lease has ended.
   if (!Success || answeredOtherEpoch())
-    return report(Phase.connectionLost());
+    return lost();
+  Latency = steadyNow() - SentAt;
   const AnswerHead &Head = answer();
   if (Head.Status == 409 || Head.Status == 503)
     if (const auto Name = Head.Fields.find("Btr-Refusal"))
-      if (const auto Reason = TargetRefusalNames.parse(*Name))
+      if (const auto Reason = TargetRefusalNames.parse(*Name)) {
+        Ending = TargetStats::End::Refused;
         return report(Phase.refusedByTarget(*Reason));
+      }
   report(Phase.responseHead());
 }
 
@@ -121,30 +127,57 @@
     if (Self->finished())
       return;
     if (!Success)
-      return Self->report(Self->Phase.connectionLost());
+      return Self->lost();
     Done(Part, Last);
   });
 }
 
 auto AttemptRunner::giveUpConnection(bool Close) -> void {
   if (Ticket != 0)
-    Thread.pool().cancel(Job.Address, std::exchange(Ticket, 0));
+    Thread.pool().cancel(Job.Place.Address, std::exchange(Ticket, 0));
   if (!Connection)
     return;
   const auto Given = std::exchange(Connection, nullptr);
   if (Close)
-    return Thread.pool().discard(Job.Address, Given);
-  drainInto(Thread, Job.Address, Given, DrainLimit);
+    return Thread.pool().discard(Job.Place.Address, Given);
+  drainInto(Thread, Job.Place.Address, Given, DrainLimit);
+}
+
+auto AttemptRunner::settleAccounts() -> void {
+  if (Number == 0)
+    return;
+  if (InFlight)
+    Thread.endSlice(Job, std::exchange(InFlight, nullptr),
+                    Ending != TargetStats::End::Answered &&
+                        Ending != TargetStats::End::Refused);
+  Thread.attemptEnded(Job, std::exchange(Number, 0), Ending, Latency);
+}
+
+auto AttemptRunner::lost() -> void {
+  Ending = TargetStats::End::Failed;
+  report(Phase.connectionLost());
+}
+
+auto AttemptRunner::responseEnd() -> void {
+  Ending = TargetStats::End::Answered;
+  report(Phase.responseEnd());
+}
+
+auto AttemptRunner::stop(RefusalReason Reason) -> void {
+  // A deadline that ends during the answer says nothing against the target.
+  if (Reason == RefusalReason::DeadlineExceeded &&
+      Phase.phase() != AttemptPhase::Answering)
+    Ending = TargetStats::End::Failed;
+  report(Phase.stop(Reason));
 }
 
 auto AttemptRunner::report(const AttemptOutcome &Outcome) -> void {
   const auto Self = shared_from_this();
   if (Outcome.CancelAtTarget)
-    Thread.cancelAtTarget(Job.Address, Job.RequestId);
+    Thread.cancelAtTarget(Job.Place.Address, Job.RequestId);
   if (finished()) {
     giveUpConnection(Outcome.CloseConnection);
-    if (std::exchange(Counted, false))
-      Thread.attemptEnded(Job, SentAt, Outcome);
+    settleAccounts();
   }
   if (Outcome.Action != AttemptAction::Proceed)
     Owner->attemptOutcome(*this, Outcome);
--- a/lib/Entry/AttemptRunner.h
+++ b/lib/Entry/AttemptRunner.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Entry/Dispatcher.h"
+#include "Entry/TargetStats.h"
 #include "IO/MessageHead.h"
 #include "IO/UpstreamPool.h"
 #include "buckthornring/Attempt/Attempt.h"
@@ -32,16 +34,14 @@
 /// Everything that one attempt sends, and where to.
 struct AttemptJob {
   ServiceId Service;
-  TargetId Target;
-  std::string Address;
-  std::size_t ConnectionLimit = 1;
+  DispatchPlace Place; ///< Its slot is given back at the attempt's end.
+  std::optional<std::uint32_t> Slice; ///< For owned keys.
   std::string RequestId;
   std::string Head;           ///< Complete head with the empty line.
   std::string_view Body;      ///< First part, or all of it.
   bool BodyContinues = false; ///< More parts follow through writeMore().
   bool HeadOnly = false;      ///< HEAD request.
   bool Idempotent = false;
-  std::optional<Epoch> Slice; ///< Epoch sent with an owned key.
 };
 
 /// Performs the input and output of one attempt and feeds its phase machine.
@@ -70,8 +70,8 @@
   auto readBody(std::function<void(std::string_view, bool)> Done) -> void;
 
   /// Ends the attempt; the outcome goes to the listener.
-  auto responseEnd() -> void { report(Phase.responseEnd()); }
-  auto stop(RefusalReason Reason) -> void { report(Phase.stop(Reason)); }
+  auto responseEnd() -> void;
+  auto stop(RefusalReason Reason) -> void;
   auto callerGone() -> void { report(Phase.callerGone()); }
   auto superseded() -> void { report(Phase.superseded()); }
 
@@ -82,6 +82,8 @@
   auto answeredOtherEpoch() -> bool;
   auto report(const AttemptOutcome &Outcome) -> void;
   auto giveUpConnection(bool Close) -> void;
+  auto settleAccounts() -> void;
+  auto lost() -> void;
 
   TrafficThread &Thread;
   std::shared_ptr<AttemptListener> Owner;
@@ -90,8 +92,11 @@
   UpstreamPool::ConnectionPtr Connection;
   UpstreamPool::Ticket Ticket = 0;
   TimePoint SentAt;
+  std::optional<Duration> Latency; ///< Until the answer's head.
+  std::uint64_t Number = 0;        ///< In the statistics; zero when ended.
   bool LastPart = true;
-  bool Counted = false;
+  std::shared_ptr<InFlightTable> InFlight; ///< Counts the slice while set.
+  TargetStats::End Ending = TargetStats::End::Unused;
 };
 
 /// Text of an epoch in the Btr-Epoch field: "TERM.SEQUENCE".
--- a/lib/Entry/CallerConnection.cpp
+++ b/lib/Entry/CallerConnection.cpp
@@ -66,14 +66,15 @@
 
 auto CallerConnection::refuseUnreadable(ReadOutcome Outcome) -> void {
   if (Outcome == ReadOutcome::Idle)
-    Thread.counters().add(EntryEvent::CallerIdle);
+    Thread.events().add(EntryEvent::CallerIdle);
   if (Outcome == ReadOutcome::SlowSender)
-    Thread.counters().add(EntryEvent::CallerSlowHead);
+    Thread.events().add(EntryEvent::CallerSlowHead);
   const auto Reason = refusalOf(Outcome);
   if (!Reason)
     return end(Outcome == ReadOutcome::Idle ? AfterRequest::CloseGracefully
                                             : AfterRequest::Abort);
   Thread.counters().add(*Reason);
+  Thread.counters().add(RequestOutcome::RefusedNotRun);
   Stream->write(refusalAnswer(*Reason, RunStatus::NotRun, false), {},
                 [Self = shared_from_this()](bool Success) {
                   Self->end(Success ? AfterRequest::CloseGracefully
--- a/lib/Entry/EntryCounters.h
+++ b/lib/Entry/EntryCounters.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "buckthornring/Common/EnumNames.h"
-#include "buckthornring/Observe/Reasons.h"
 
 #include <array>
 #include <atomic>
@@ -10,70 +9,59 @@
 
 namespace buckthornring {
 
-/// Events of the request path that are neither refusals nor retries.
+/// Events of the request path besides the outcomes, refusals and retries that
+/// Counters holds.
 enum class EntryEvent {
   CallerConnected,
-  CallerRejected, ///< Closed at once: too many open connections.
-  CallerIdle,     ///< Closed after the idle limit.
-  CallerSlowHead,
-  CallerSlowBody,
-  CallerSlowReader,
-  CallerGone, ///< Closed its connection before the answer was complete.
-  Request,
-  Answered,
-  AnswerAborted, ///< Cut short; the caller's connection was reset.
+  CallerIdle,       ///< Closed after the idle limit.
+  CallerSlowHead,   ///< The head was not complete in time.
+  CallerSlowBody,   ///< The body stalled.
+  CallerSlowReader, ///< Did not read the answer in time.
   Attempt,
   CancelSent,
+  RateWait, ///< Waited for a token.
+  SlotWait, ///< Waited for a slot of a target.
 };
 
-inline constexpr EnumNames<EntryEvent, 12> EntryEventNames({
+inline constexpr EnumNames<EntryEvent, 9> EntryEventNames({
     "caller-connected",
-    "caller-rejected",
     "caller-idle",
     "caller-slow-head",
     "caller-slow-body",
     "caller-slow-reader",
-    "caller-gone",
-    "request",
-    "answered",
-    "answer-aborted",
     "attempt",
     "cancel-sent",
+    "rate-wait",
+    "slot-wait",
 });
 
 /// Counters of one traffic thread. The thread writes, the control thread
 /// reads; relaxed order suffices, since each counter stands for itself.
 class EntryCounters {
 public:
-  auto add(EntryEvent Event) -> void { bump(Events, Event); }
-  auto add(RefusalReason Reason) -> void { bump(Refusals, Reason); }
-  auto add(RetryReason Reason) -> void { bump(Retries, Reason); }
-
-  auto value(EntryEvent Event) const { return read(Events, Event); }
-  auto value(RefusalReason Reason) const { return read(Refusals, Reason); }
-  auto value(RetryReason Reason) const { return read(Retries, Reason); }
-
-private:
-  template <std::size_t Size>
-  using Cells = std::array<std::atomic<std::uint64_t>, Size>;
-
   /// Only one thread writes, so a load and a store replace the locked
   /// read-modify-write instruction.
-  template <std::size_t Size, class Enum>
-  static auto bump(Cells<Size> &Of, Enum Which) -> void {
-    auto &Cell = Of.at(static_cast<std::size_t>(Which));
+  auto add(EntryEvent Event) -> void {
+    auto &Cell = Cells.at(static_cast<std::size_t>(Event));
     Cell.store(Cell.load(std::memory_order_relaxed) + 1,
                std::memory_order_relaxed);
   }
-  template <std::size_t Size, class Enum>
-  static auto read(const Cells<Size> &Of, Enum Which) -> std::uint64_t {
-    return Of.at(static_cast<std::size_t>(Which))
+  auto value(EntryEvent Event) const -> std::uint64_t {
+    return Cells.at(static_cast<std::size_t>(Event))
         .load(std::memory_order_relaxed);
   }
 
-  Cells<EntryEventNames.size()> Events{};
-  Cells<RefusalReasonNames.size()> Refusals{};
-  Cells<RetryReasonNames.size()> Retries{};
+  /// Targets that this thread has ejected at the moment.
+  auto setEjected(std::size_t Count) -> void {
+    Ejected.store(Count, std::memory_order_relaxed);
+  }
+  auto ejected() const -> std::size_t {
+    return Ejected.load(std::memory_order_relaxed);
+  }
+
+private:
+  std::array<std::atomic<std::uint64_t>, EntryEventNames.size()> Cells{};
+  std::atomic<std::size_t> Ejected = 0;
 };
 
 } // namespace buckthornring
--- a/lib/Entry/EntryInstance.cpp
+++ b/lib/Entry/EntryInstance.cpp
@@ -1,12 +1,16 @@
 #include "Entry/EntryInstance.h"
 
 #include "Entry/EntryMetrics.h"
+#include "Entry/LocalShareGiver.h"
 #include "Entry/SnapshotBuilder.h"
 #include "IO/Endpoint.h"
+#include "IO/SteadyTime.h"
+#include "buckthornring/Observe/PrometheusText.h"
 
 #include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 
@@ -18,6 +22,7 @@
 
 namespace {
 
+constexpr auto TickInterval = std::chrono::milliseconds(100);
 /// Time in which the deputy and the platform learn that this instance leaves.
 constexpr auto LeaveTime = std::chrono::milliseconds(200);
 
@@ -58,12 +63,44 @@
 
 } // namespace
 
+/// Takes share requests of the traffic threads to the control thread.
+class EntryInstance::LocalShares final : public ShareChannel {
+public:
+  explicit LocalShares(EntryInstance &Owner)
+      : Owner(Owner),
+        Giver([&Owner](std::size_t Thread, const std::string &Quantity,
+                       const ShareGrant &Grant) {
+          Owner.Threads[Thread]->applyGrant(Quantity, Grant);
+        }) {}
+
+  auto send(std::size_t Thread, const std::string &Quantity,
+            const ShareRequest &Request) -> void override {
+    asio::post(Owner.Io, [this, Thread, Quantity, Request] {
+      Giver.handle(Thread, Quantity, Request, steadyNow());
+    });
+  }
+  auto giver() -> LocalShareGiver & { return Giver; }
+
+private:
+  EntryInstance &Owner;
+  LocalShareGiver Giver;
+};
+
 EntryInstance::EntryInstance(DaemonSettings Given)
     : Settings(std::move(Given)), CallerListener(Io),
-      Signals(Io, SIGTERM, SIGINT), LeaveTimer(Io) {
-  for (std::size_t Index = 0; Index < Settings.TrafficThreads; ++Index)
-    Threads.push_back(
-        std::make_unique<TrafficThread>(Index, trafficOptions(Settings)));
+      Signals(Io, SIGTERM, SIGINT), LeaveTimer(Io), TickTimer(Io),
+      Totals(std::make_unique<Counters>(Settings.TrafficThreads)),
+      Shares(std::make_unique<LocalShares>(*this)) {
+  const TrafficShared Shared = {
+      *Totals, Published, Shares.get(),
+      [this](std::size_t Thread, const ServiceId &Service) {
+        Threads[Thread]->wake(Service);
+      }};
+  for (std::size_t Number = 0; Number < Settings.TrafficThreads; ++Number) {
+    Threads.push_back(std::make_unique<TrafficThread>(
+        Number, trafficOptions(Settings), Shared));
+    Threads.back()->followShares(LocalShareGiver::Term);
+  }
 }
 
 EntryInstance::~EntryInstance() {
@@ -136,6 +173,7 @@
       beginShutdown();
   });
   accept();
+  tick();
   Io.run();
 }
 
@@ -181,17 +219,48 @@
   CallerListener.close(Failure);
 }
 
+auto EntryInstance::tick() -> void {
+  TickTimer.expires_after(TickInterval);
+  TickTimer.async_wait([this](const error_code &Failure) {
+    if (Failure)
+      return;
+    Shares->giver().expire(steadyNow());
+    tick();
+  });
+}
+
+auto EntryInstance::conditionOf(const ServiceConfig &Service) const
+    -> TargetCondition {
+  const auto ThreadCount = static_cast<std::uint32_t>(Threads.size());
+  TargetCondition Condition;
+  Condition.Slots = Service.SlotsPerTarget;
+  Condition.Connections =
+      std::max(1U, Service.ConnectionsPerTarget / ThreadCount);
+  return Condition;
+}
+
 auto EntryInstance::publish() -> void {
   if (!Control || !Control->config())
     return;
-  const TargetConditions Conditions = [](const ServiceId &, const TargetId &,
-                                         const ServiceConfig &Service) {
-    return TargetCondition{true, Service.SlotsPerTarget,
-                           Service.ConnectionsPerTarget};
-  };
-  Current = buildSnapshot(Control->config(), Settings.DataCentre, Conditions,
-                          Control->owners(), ++Version,
-                          Control->stale(WorkspaceConfig().StalenessLimit));
+  if (!Index || Index->Config != Control->config()) {
+    Index = std::make_shared<const ConfigIndex>(Control->config());
+    Shares->giver().setConfiguration(*Index->Config, steadyNow());
+  }
+  const SnapshotInputs Inputs{
+      Index,
+      Settings.DataCentre,
+      [this](const ServiceId &, const TargetId &,
+             const ServiceConfig &Service) { return conditionOf(Service); },
+      Control->owners(),
+      Gates,
+      Control->ownership().inFlight(),
+      [this](const WorkspaceConfig &Workspace) {
+        return Control->stale(Workspace.StalenessLimit);
+      },
+      ++Version};
+  Published.setLeaseEnd(Control->ownership().routing().validUntil());
+  Current = buildSnapshot(Inputs);
+  Published.publish(Current);
   for (const auto &Thread : Threads)
     Thread->publish(Current);
 }
@@ -203,8 +272,9 @@
     Response.Status = 404;
     return Response;
   }
-  Response.Headers.set("Content-Type", Metrics ? "text/plain; version=0.0.4"
-                                               : "application/json");
+  Response.Headers.set("Content-Type",
+                       Metrics ? std::string(PrometheusText::ContentType)
+                               : "application/json");
   Response.Body = Metrics ? metricsText() : statusText();
   return Response;
 }
@@ -226,7 +296,7 @@
 }
 
 auto EntryInstance::metricsText() const -> std::string {
-  return entryMetrics(Threads, RejectedCallers);
+  return entryMetrics(Threads, *Totals, RejectedCallers);
 }
 
 auto EntryInstance::beginShutdown() -> void {
--- a/lib/Entry/EntryInstance.h
+++ b/lib/Entry/EntryInstance.h
@@ -1,6 +1,9 @@
 #pragma once
 
 #include "Entry/ControlPlane.h"
+#include "Entry/Gates.h"
+#include "Entry/Publication.h"
+#include "Entry/SnapshotBuilder.h"
 #include "Entry/TrafficThread.h"
 #include "buckthornring/Common/Result.h"
 #include "buckthornring/Config/DaemonSettings.h"
@@ -36,6 +39,8 @@
   auto run() -> void;
 
 private:
+  class LocalShares;
+
   explicit EntryInstance(DaemonSettings Settings);
 
   auto bind() -> Result<bool>;
@@ -45,6 +50,8 @@
       -> void;
   auto drainAcceptQueue() -> void;
 
+  auto tick() -> void;
+  auto conditionOf(const ServiceConfig &Service) const -> TargetCondition;
   auto publish() -> void;
 
   auto answerAdmin(const HttpRequest &Request) -> HttpResponse;
@@ -59,9 +66,15 @@
   boost::asio::ip::tcp::acceptor CallerListener;
   boost::asio::signal_set Signals;
   boost::asio::steady_timer LeaveTimer;
+  boost::asio::steady_timer TickTimer;
   std::unique_ptr<HttpServer> Admin;
   std::unique_ptr<PlatformClient> Platform;
   std::unique_ptr<ControlPlane> Control;
+  GateTable Gates;
+  Publication Published;
+  std::unique_ptr<Counters> Totals;
+  std::unique_ptr<LocalShares> Shares;
+  std::shared_ptr<const ConfigIndex> Index;
   std::vector<std::unique_ptr<TrafficThread>> Threads;
   std::shared_ptr<const RoutingSnapshot> Current;
   std::uint64_t Version = 0;
--- a/lib/Entry/EntryMetrics.cpp
+++ b/lib/Entry/EntryMetrics.cpp
@@ -1,47 +1,44 @@
 #include "Entry/EntryMetrics.h"
 
-namespace buckthornring {
-
-namespace {
+#include "buckthornring/Observe/PrometheusText.h"
 
-using ThreadList = std::vector<std::unique_ptr<TrafficThread>>;
+namespace buckthornring {
 
-template <class Enum, std::size_t Size>
-auto appendCounters(std::string &Out, const ThreadList &Threads,
-                    const std::string &Metric, const std::string &Label,
-                    const EnumNames<Enum, Size> &Names) -> void {
-  Out.append("# TYPE ").append(Metric).append(" counter\n");
-  for (std::size_t Index = 0; Index < Size; ++Index) {
-    const auto Which = static_cast<Enum>(Index);
+auto entryMetrics(const std::vector<std::unique_ptr<TrafficThread>> &Threads,
+                  const Counters &Totals, std::uint64_t RejectedCallers)
+    -> std::string {
+  PrometheusText Out;
+  Out.add(Totals.totals());
+  Out.counterFamily("buckthornring_events_total",
+                    "Events of the request path.");
+  for (std::size_t Index = 0; Index < EntryEventNames.size(); ++Index) {
+    const auto Event = static_cast<EntryEvent>(Index);
     std::uint64_t Sum = 0;
     for (const auto &Thread : Threads)
-      Sum += Thread->counters().value(Which);
-    Out.append(Metric).append("{").append(Label).append("=\"");
-    Out.append(Names.name(Which)).append("\"} ");
-    Out.append(std::to_string(Sum)).append("\n");
+      Sum += Thread->events().value(Event);
+    Out.sample({{"event", std::string(EntryEventNames.name(Event))}}, Sum);
   }
-}
-
-} // namespace
-
-auto entryMetrics(const ThreadList &Threads, std::uint64_t RejectedCallers)
-    -> std::string {
-  std::string Out;
-  appendCounters(Out, Threads, "buckthornring_events_total", "event",
-                 EntryEventNames);
-  appendCounters(Out, Threads, "buckthornring_refusals_total", "reason",
-                 RefusalReasonNames);
-  appendCounters(Out, Threads, "buckthornring_retries_total", "reason",
-                 RetryReasonNames);
-  std::size_t Open = 0;
-  for (const auto &Thread : Threads)
+  std::uint64_t Open = 0;
+  std::uint64_t Ejected = 0;
+  LatencyHistogram Latency;
+  for (const auto &Thread : Threads) {
     Open += Thread->connections();
-  Out.append("# TYPE buckthornring_caller_connections gauge\n"
-             "buckthornring_caller_connections ");
-  Out.append(std::to_string(Open)).append("\n");
-  Out.append("# TYPE buckthornring_callers_rejected_total counter\n"
-             "buckthornring_callers_rejected_total ");
-  return Out.append(std::to_string(RejectedCallers)).append("\n");
+    Ejected += Thread->events().ejected();
+    Latency.merge(Thread->latency());
+  }
+  Out.counterFamily("buckthornring_callers_rejected_total",
+                    "Connections closed at once: too many were open.");
+  Out.sample({}, RejectedCallers);
+  Out.gaugeFamily("buckthornring_caller_connections",
+                  "Open connections of callers.");
+  Out.sample({}, Open);
+  Out.gaugeFamily("buckthornring_ejected_targets",
+                  "Ejected targets, summed over traffic threads.");
+  Out.sample({}, Ejected);
+  Out.histogramFamily("buckthornring_request_seconds",
+                      "Time from a request's head to the end of its answer.");
+  Out.sample({}, Latency);
+  return Out.text();
 }
 
 } // namespace buckthornring
--- a/lib/Entry/EntryMetrics.h
+++ b/lib/Entry/EntryMetrics.h
@@ -11,6 +11,7 @@
 
 /// Returns the counters of all threads together as Prometheus text.
 auto entryMetrics(const std::vector<std::unique_ptr<TrafficThread>> &Threads,
-                  std::uint64_t RejectedCallers) -> std::string;
+                  const Counters &Totals, std::uint64_t RejectedCallers)
+    -> std::string;
 
 } // namespace buckthornring
--- a/lib/Entry/RefusalAnswer.cpp
+++ b/lib/Entry/RefusalAnswer.cpp
@@ -57,16 +57,15 @@
   return statusLine(Reason).Status;
 }
 
-auto refusalAnswer(RefusalReason Reason, RunStatus Run, bool KeepAlive)
-    -> std::string {
+auto refusalAnswer(RefusalReason Reason, RunStatus Run, bool KeepAlive,
+                   std::int64_t RetryAfter) -> std::string {
   const StatusLine &Line = statusLine(Reason);
   std::string Out = "HTTP/1.1 " + std::to_string(Line.Status) + " ";
   Out.append(Line.Phrase).append("\r\n");
   appendField(Out, "Btr-Refusal", RefusalReasonNames.name(Reason));
   appendField(Out, "Btr-Run", RunStatusNames.name(Run));
-  // Whole seconds are the finest unit of Retry-After.
   if (Reason == RefusalReason::OverRate)
-    appendField(Out, "Retry-After", "1");
+    appendField(Out, "Retry-After", std::to_string(RetryAfter));
   if (Line.Status == Unauthorized.Status)
     appendField(Out, "WWW-Authenticate", "Bearer");
   if (!KeepAlive)
--- a/lib/Entry/RefusalAnswer.h
+++ b/lib/Entry/RefusalAnswer.h
@@ -2,6 +2,7 @@
 
 #include "buckthornring/Observe/Reasons.h"
 
+#include <cstdint>
 #include <string>
 
 namespace buckthornring {
@@ -10,8 +11,8 @@
 auto refusalStatus(RefusalReason Reason) -> unsigned;
 
 /// Returns the whole answer that refuses a request: status, Btr-Refusal,
-/// Btr-Run and, for over-rate, Retry-After.
-auto refusalAnswer(RefusalReason Reason, RunStatus Run, bool KeepAlive)
-    -> std::string;
+/// Btr-Run and, for over-rate, Retry-After with \p RetryAfter in seconds.
+auto refusalAnswer(RefusalReason Reason, RunStatus Run, bool KeepAlive,
+                   std::int64_t RetryAfter = 1) -> std::string;
 
 } // namespace buckthornring
--- a/lib/Entry/RequestExchange.cpp
+++ b/lib/Entry/RequestExchange.cpp
@@ -2,6 +2,7 @@
 
 #include "Entry/RefusalAnswer.h"
 #include "Entry/TrafficThread.h"
+#include "IO/SteadyTime.h"
 
 #include <algorithm>
 #include <array>
@@ -15,6 +16,12 @@
 constexpr Duration FirstRetryDelay = std::chrono::milliseconds(20);
 constexpr Duration LongestRetryDelay = std::chrono::milliseconds(400);
 
+auto ownerName(const RoutingSnapshot &Snapshot, const ServiceId &Service,
+               const SliceOwner &Owner) -> std::pair<TargetId, Epoch> {
+  return {Snapshot.Services.at(Service).Targets[Owner.Target].Id,
+          Owner.Current};
+}
+
 /// A request that several targets in a row failed to answer may itself be the
 /// cause, so the remaining targets are spared. Owned keys have one target and
 /// are retried until their slice has moved.
@@ -22,30 +29,25 @@
 
 auto remainingMilliseconds(TimePoint Until) -> std::int64_t {
   return std::max<std::int64_t>(
-      1, std::chrono::duration_cast<std::chrono::milliseconds>(Until -
-                                                               monotonicNow())
-             .count());
+      1,
+      std::chrono::duration_cast<std::chrono::milliseconds>(Until - steadyNow())
+          .count());
 }
 
 } // namespace
 
-/// Where the next attempt goes.
-struct RequestExchange::Placement {
-  const TargetView *Target;
-  std::optional<Epoch> Slice;
-};
-
 RequestExchange::RequestExchange(TrafficThread &Thread,
                                  std::shared_ptr<CallerStream> Stream,
                                  EndHandler Ended)
     : Thread(Thread), Stream(std::move(Stream)), Ended(std::move(Ended)),
       Head(std::move(this->Stream->head())), Deadline(Thread.context()),
-      RetryTimer(Thread.context()), NextDelay(FirstRetryDelay) {}
+      RetryTimer(Thread.context()), HedgeTimer(Thread.context()),
+      NextDelay(FirstRetryDelay) {}
 
 RequestExchange::~RequestExchange() = default;
 
 auto RequestExchange::start() -> void {
-  Thread.counters().add(EntryEvent::Request);
+  Begun = steadyNow();
   if (!Thread.snapshot())
     return refuse(RefusalReason::StaleConfiguration, RunStatus::NotRun);
   const auto Planned = planRequest(*Thread.snapshot(), Head);
@@ -54,15 +56,33 @@
   Plan = std::get<RequestPlan>(Planned);
   Record = std::make_unique<RunRecord>(Plan.Idempotent);
   RequestId = Thread.nextRequestId();
-  Thread.retryBudget(Plan.Workspace).requestSeen(monotonicNow());
+  Thread.retryBudget(Plan.Workspace).requestSeen(steadyNow());
+  Thread.hedges(Plan.Service).requestSeen(steadyNow());
   armDeadline();
+  if (Thread.rates().tryAdmit(Plan.Workspace, steadyNow()))
+    return admit();
+  Thread.events().add(EntryEvent::RateWait);
+  RateTicket = Thread.rates().wait(
+      Plan.Workspace, steadyNow(), [Self = shared_from_this()](bool Admitted) {
+        Self->RateTicket = 0;
+        if (Self->Settled)
+          return;
+        if (!Admitted)
+          return Self->refuse(RefusalReason::OverRate, RunStatus::NotRun);
+        Self->admit();
+      });
+  if (RateTicket == 0)
+    refuse(RefusalReason::OverRate, RunStatus::NotRun);
+}
+
+auto RequestExchange::admit() -> void {
   if (Head.ExpectsContinue && !Stream->bodyDone())
     return sendContinue();
   readPrefix();
 }
 
 auto RequestExchange::armDeadline() -> void {
-  DeadlineAt = monotonicNow() + Plan.Deadline;
+  DeadlineAt = Begun + Plan.Deadline;
   Deadline.expires_after(Plan.Deadline);
   Deadline.async_wait(
       [Self = shared_from_this()](const boost::system::error_code &Failure) {
@@ -109,105 +129,152 @@
   case ReadOutcome::BodyTooLarge:
     return stop(RefusalReason::BodyTooLarge);
   case ReadOutcome::SlowSender:
-    Thread.counters().add(EntryEvent::CallerSlowBody);
+    Thread.events().add(EntryEvent::CallerSlowBody);
     return stop(RefusalReason::SlowSender);
   default:
     return callerGone();
   }
 }
 
+auto RequestExchange::wish() const -> DispatchWish {
+  DispatchWish Wish{Plan.Service, Plan.Workspace, std::nullopt, Tried};
+  if (Plan.Divided)
+    Wish.Slice = Plan.Slice;
+  return Wish;
+}
+
 auto RequestExchange::startAttempt() -> void {
   if (Settled)
     return;
   if (Stream->bodyDone())
     watchCaller();
-  const auto Where = place();
-  WaitingForOwner = !Where && Plan.Divided;
-  if (Where)
-    return run(*Where);
-  waitForTarget();
-}
-
-auto RequestExchange::place() -> std::optional<Placement> {
-  const auto &Services = Thread.snapshot()->Services;
-  const auto Service = Services.find(Plan.Service);
-  if (Service == Services.end())
-    return std::nullopt;
-  return Plan.Divided ? placeBySlice(Service->second)
-                      : placeByLoad(Service->second);
-}
-
-auto RequestExchange::placeBySlice(const ServiceView &Service)
-    -> std::optional<Placement> {
-  if (Plan.Slice >= Service.Owners.size())
-    return std::nullopt;
-  const SliceOwner &Owner = Service.Owners[Plan.Slice];
-  if (Owner.Target == SliceOwner::None)
-    return std::nullopt;
-  return Placement{&Service.Targets[Owner.Target], Owner.Current};
-}
-
-auto RequestExchange::placeByLoad(const ServiceView &Service)
-    -> std::optional<Placement> {
-  std::vector<const TargetView *> Candidates;
-  for (const TargetView &Target : Service.Targets)
-    if (Target.Available && Target.Local &&
-        std::find(Tried.begin(), Tried.end(), Target.Id) == Tried.end())
-      Candidates.push_back(&Target);
-  if (Candidates.empty())
-    return std::nullopt;
-  const auto *First = Candidates[Thread.random().below(Candidates.size())];
-  const auto *Second = Candidates[Thread.random().below(Candidates.size())];
-  const bool SecondIsBetter =
-      Thread.inFlight(Second->Id) < Thread.inFlight(First->Id);
-  return Placement{SecondIsBetter ? Second : First, std::nullopt};
-}
-
-auto RequestExchange::waitForTarget() -> void {
-  if (Plan.Divided)
-    return retryLater(FirstRetryDelay);
-  if (Tried.empty())
+  const auto Placed = Thread.dispatcher().tryPlace(wish());
+  WaitingForOwner = false;
+  if (const auto *Place = std::get_if<DispatchPlace>(&Placed))
+    return run(*Place);
+  notPlaced(std::get<DispatchFailure>(Placed));
+}
+
+auto RequestExchange::notPlaced(DispatchFailure Reason) -> void {
+  switch (Reason) {
+  case DispatchFailure::Busy:
+    return waitForSlot();
+  case DispatchFailure::NoOwner:
+    WaitingForOwner = true;
+    return retryLater(LongestRetryDelay);
+  case DispatchFailure::NoTarget:
     return refuse(RefusalReason::NoTarget, runStatus());
-  // Every target failed once; they are tried again after a pause.
-  Tried.clear();
-  retryLater(
-      std::exchange(NextDelay, std::min(2 * NextDelay, LongestRetryDelay)));
+  case DispatchFailure::AllTried:
+    // Every target failed once; they are tried again after a pause.
+    Tried.clear();
+    return retryLater(nextDelay());
+  }
+}
+
+auto RequestExchange::waitForSlot() -> void {
+  Thread.events().add(EntryEvent::SlotWait);
+  if (const SliceOwner *Owner =
+          Plan.Divided ? Thread.dispatcher().owner(Plan.Service, Plan.Slice)
+                       : nullptr)
+    LastOwner = ownerName(*Thread.snapshot(), Plan.Service, *Owner);
+  const auto Ticket = Thread.dispatcher().wait(
+      wish(), [Self = shared_from_this()](const DispatchPlace &Place) {
+        Self->SlotTicket = 0;
+        if (!Place.Gate)
+          return Self->startAttempt();
+        Self->run(Place);
+      });
+  if (!Ticket)
+    return refuse(RefusalReason::QueueFull, runStatus());
+  SlotTicket = *Ticket;
+}
+
+auto RequestExchange::stopWaiting() -> void {
+  RetryTimer.cancel();
+  HedgeTimer.cancel();
+  RetryPending = false;
+  if (SlotTicket != 0)
+    Thread.dispatcher().cancel(std::exchange(SlotTicket, 0));
+  if (RateTicket != 0)
+    Thread.rates().cancel(Plan.Workspace, std::exchange(RateTicket, 0));
+}
+
+auto RequestExchange::nextDelay() -> Duration {
+  return std::exchange(NextDelay, std::min(2 * NextDelay, LongestRetryDelay));
 }
 
 auto RequestExchange::retryLater(Duration Delay) -> void {
+  RetryPending = true;
   RetryTimer.expires_after(Delay);
   RetryTimer.async_wait(
       [Self = shared_from_this()](const boost::system::error_code &Failure) {
-        if (!Failure)
-          Self->startAttempt();
+        if (Failure || !std::exchange(Self->RetryPending, false))
+          return;
+        Self->startAttempt();
       });
 }
 
-auto RequestExchange::run(const Placement &Where) -> void {
+auto RequestExchange::ownerChanged() const -> bool {
+  const SliceOwner *Owner = Thread.dispatcher().owner(Plan.Service, Plan.Slice);
+  return Owner &&
+         ownerName(*Thread.snapshot(), Plan.Service, *Owner) != LastOwner;
+}
+
+auto RequestExchange::run(const DispatchPlace &Place) -> void {
   AttemptJob Job;
   Job.Service = Plan.Service;
-  Job.Target = Where.Target->Id;
-  Job.Address = Where.Target->Config->Address;
-  Job.ConnectionLimit = Where.Target->Connections;
+  Job.Place = Place;
   Job.RequestId = RequestId;
   Job.BodyContinues = !Stream->bodyDone();
   Job.HeadOnly = Head.Method == "HEAD";
   Job.Idempotent = Plan.Idempotent;
-  Job.Slice = Where.Slice;
-  Job.Head = headFor(Where);
+  if (Plan.Divided)
+    Job.Slice = Plan.Slice;
+  if (Place.Slice)
+    LastOwner = {Place.Target, *Place.Slice};
+  Job.Head = headFor(Place);
   Job.Body = Prefix;
   if (!SentFraming.Length) {
     // The first part has to be a chunk of its own.
     appendChunk(Job.Head, Prefix);
     Job.Body = {};
   }
-  Tried.push_back(Job.Target);
+  Tried.push_back(Place.Target);
   Runners.push_back(std::make_shared<AttemptRunner>(Thread, shared_from_this(),
                                                     *Record, std::move(Job)));
   Runners.back()->start();
+  armHedge();
 }
 
-auto RequestExchange::headFor(const Placement &Where) -> std::string {
+auto RequestExchange::armHedge() -> void {
+  // An owned key has one target, and a body that is not kept has one use.
+  if (Plan.Divided || !Stream->bodyDone() || Runners.size() != 1)
+    return;
+  const auto Delay =
+      Thread.hedges(Plan.Service)
+          .delay(*Record, Thread.stats().typicalHigh(Plan.Service));
+  if (!Delay)
+    return;
+  HedgeTimer.expires_after(*Delay);
+  HedgeTimer.async_wait(
+      [Self = shared_from_this()](const boost::system::error_code &Failure) {
+        if (!Failure && !Self->Settled && Self->Runners.size() == 1)
+          Self->hedge();
+      });
+}
+
+auto RequestExchange::hedge() -> void {
+  const auto Placed = Thread.dispatcher().tryPlace(wish());
+  const auto *Place = std::get_if<DispatchPlace>(&Placed);
+  if (!Place)
+    return;
+  if (!Thread.hedges(Plan.Service).tryHedge(*Record, steadyNow()))
+    return Thread.dispatcher().release(Plan.Service, *Place->Gate);
+  Thread.counters().add(RetryReason::Hedge);
+  run(*Place);
+}
+
+auto RequestExchange::headFor(const DispatchPlace &Place) -> std::string {
   std::string Out;
   Out.reserve(1024);
   Out.append(Head.Method).append(" ").append(Head.Target);
@@ -221,9 +288,9 @@
     appendField(Out, "Btr-Workspace", Plan.Workspace.str());
   appendField(Out, "Btr-Deadline-Ms",
               std::to_string(remainingMilliseconds(DeadlineAt)));
-  if (Where.Slice) {
+  if (Place.Slice) {
     appendField(Out, "Btr-Slice", std::to_string(Plan.Slice));
-    appendField(Out, "Btr-Epoch", epochText(*Where.Slice));
+    appendField(Out, "Btr-Epoch", epochText(*Place.Slice));
   }
   // A chunked body that has arrived as a whole has a known length.
   SentFraming = Head.Framing;
@@ -285,7 +352,7 @@
                             const AttemptOutcome &Outcome) -> void {
   if (!Plan.Divided && ++Retries > RetryLimit)
     return refuse(Outcome.Refusal, Outcome.Run);
-  if (!Thread.retryBudget(Plan.Workspace).tryTake(monotonicNow()))
+  if (!Thread.retryBudget(Plan.Workspace).tryTake(steadyNow()))
     return refuse(RefusalReason::RetryBudgetSpent, Outcome.Run);
   Thread.counters().add(Outcome.Retry);
   if (!Plan.Divided)
@@ -296,7 +363,7 @@
 
 auto RequestExchange::abortAnswer(AttemptRunner & /*Runner*/,
                                   const AttemptOutcome & /*Outcome*/) -> void {
-  Thread.counters().add(EntryEvent::AnswerAborted);
+  Thread.counters().add(RequestOutcome::Aborted);
   finish(AfterRequest::Abort);
 }
 
@@ -335,6 +402,8 @@
   ChunkedAnswer = !Runner.answer().Bodiless && !Runner.answer().Framing.Length;
   std::string Text = answerHeadText(Runner.answer());
   AnswerBegun = true;
+  HedgeTimer.cancel();
+  Thread.counters().add(statusClass(Runner.answer().Status));
   Stream->stopWatching();
   if (Runner.answerDone())
     return writePart(Chosen, std::move(Text), {}, true);
@@ -393,7 +462,8 @@
     return;
   if (!Success)
     return callerGone();
-  Thread.counters().add(EntryEvent::Answered);
+  Thread.counters().add(RequestOutcome::Answered);
+  Thread.latency().record(steadyNow() - Begun);
   finish(keepsConnection() ? AfterRequest::KeepOpen
                            : AfterRequest::CloseGracefully);
 }
@@ -412,7 +482,9 @@
 auto RequestExchange::callerGone() -> void {
   if (Settled)
     return;
-  Thread.counters().add(EntryEvent::CallerGone);
+  Thread.counters().add(RequestOutcome::CallerLeft);
+  if (Stream->writeTimedOut())
+    Thread.events().add(EntryEvent::CallerSlowReader);
   const auto Running = Runners;
   for (const auto &Runner : Running)
     Runner->callerGone();
@@ -420,11 +492,18 @@
 }
 
 auto RequestExchange::snapshotChanged() -> void {
-  if (Settled || !Plan.Caller)
+  if (Settled)
     return;
-  const auto *Entry = Thread.snapshot()->Keys.find(*Plan.Caller);
-  if (!Entry || Entry->Withdrawn)
-    stop(RefusalReason::WithdrawnCallerKey);
+  if (Plan.Caller) {
+    const auto *Entry = Thread.snapshot()->Index->Keys.find(*Plan.Caller);
+    if (!Entry || Entry->Withdrawn)
+      return stop(RefusalReason::WithdrawnCallerKey);
+  }
+  const bool Waits = SlotTicket != 0 || RetryPending;
+  if (!Plan.Divided || !Waits || !ownerChanged())
+    return;
+  stopWaiting();
+  startAttempt();
 }
 
 auto RequestExchange::stop(RefusalReason Reason) -> void {
@@ -447,14 +526,21 @@
   Thread.counters().add(Reason);
   if (Record)
     Record->settle();
-  if (AnswerBegun)
+  if (AnswerBegun) {
+    Thread.counters().add(RequestOutcome::Aborted);
     return finish(AfterRequest::Abort);
+  }
+  Thread.counters().add(Run == RunStatus::NotRun
+                            ? RequestOutcome::RefusedNotRun
+                            : RequestOutcome::RefusedUnknown);
   AnswerBegun = true;
   Deadline.cancel();
-  RetryTimer.cancel();
+  stopWaiting();
   Stream->stopWatching();
   const bool Keep = keepsConnection();
-  Stream->write(refusalAnswer(Reason, Run, Keep), {},
+  const auto RetryAfter =
+      Thread.rates().retryAfter(Plan.Workspace, steadyNow());
+  Stream->write(refusalAnswer(Reason, Run, Keep, RetryAfter), {},
                 [Self = shared_from_this(), Keep](bool Success) {
                   if (!Success)
                     return Self->finish(AfterRequest::Abort);
@@ -468,7 +554,7 @@
   if (std::exchange(Finished, true))
     return;
   Deadline.cancel();
-  RetryTimer.cancel();
+  stopWaiting();
   Stream->stopWatching();
   if (Record)
     Record->settle();
--- a/lib/Entry/RequestExchange.h
+++ b/lib/Entry/RequestExchange.h
@@ -2,6 +2,8 @@
 
 #include "Entry/AttemptRunner.h"
 #include "Entry/CallerConnection.h"
+#include "Entry/Dispatcher.h"
+#include "Entry/RateGate.h"
 #include "Entry/RequestPlanner.h"
 #include "IO/CallerStream.h"
 #include "buckthornring/Attempt/RunRecord.h"
@@ -41,7 +43,6 @@
   auto wantsMoreBody(AttemptRunner &Runner) -> void override;
 
 private:
-  struct Placement;
   using ActionHandler = void (RequestExchange::*)(AttemptRunner &,
                                                   const AttemptOutcome &);
 
@@ -52,14 +53,19 @@
   auto bodyFailed(ReadOutcome Outcome) -> void;
 
   // Attempts.
+  auto admit() -> void;
   auto startAttempt() -> void;
-  auto place() -> std::optional<Placement>;
-  auto placeBySlice(const ServiceView &Service) -> std::optional<Placement>;
-  auto placeByLoad(const ServiceView &Service) -> std::optional<Placement>;
-  auto run(const Placement &Where) -> void;
-  auto headFor(const Placement &Where) -> std::string;
-  auto waitForTarget() -> void;
+  auto wish() const -> DispatchWish;
+  auto notPlaced(DispatchFailure Reason) -> void;
+  auto waitForSlot() -> void;
+  auto run(const DispatchPlace &Place) -> void;
+  auto headFor(const DispatchPlace &Place) -> std::string;
   auto retryLater(Duration Delay) -> void;
+  auto nextDelay() -> Duration;
+  auto ownerChanged() const -> bool;
+  auto armHedge() -> void;
+  auto hedge() -> void;
+  auto stopWaiting() -> void;
   auto gotMoreBody(AttemptRunner &Runner, ReadOutcome Outcome,
                    std::string_view Part) -> void;
 
@@ -100,14 +106,21 @@
   BodyFraming SentFraming;
   std::vector<std::shared_ptr<AttemptRunner>> Runners;
   std::vector<TargetId> Tried;
+  /// Owner that the request waits for or was last sent to.
+  std::optional<std::pair<TargetId, Epoch>> LastOwner;
+  Dispatcher::Ticket SlotTicket = 0;
+  RateGate::Ticket RateTicket = 0;
   boost::asio::steady_timer Deadline;
   boost::asio::steady_timer RetryTimer;
+  boost::asio::steady_timer HedgeTimer;
+  TimePoint Begun;
   TimePoint DeadlineAt;
   Duration NextDelay;
   std::uint32_t Retries = 0;
   bool ChunkedAnswer = false;
   bool AnswerBegun = false;     ///< Some byte of an answer was written.
   bool WaitingForOwner = false; ///< The slice has no owner at the moment.
+  bool RetryPending = false;    ///< The retry timer runs.
   bool Settled = false;         ///< Refused or ended; nothing more may start.
   bool Finished = false;        ///< The end handler has run.
 };
--- a/lib/Entry/RequestPlanner.cpp
+++ b/lib/Entry/RequestPlanner.cpp
@@ -49,8 +49,7 @@
 }
 
 /// Decodes percent escapes. Returns nothing for an invalid one.
-auto decoded(std::string_view Text)
-    -> std::optional<std::string> {
+auto decoded(std::string_view Text) -> std::optional<std::string> {
   std::string Out;
   Out.reserve(Text.size());
   for (std::size_t Index = 0; Index < Text.size(); ++Index) {
@@ -119,9 +118,10 @@
   const auto Query = Target.substr(std::min(PathEnd + 1, Target.size()));
   if (isRepeatedKey(Route, Query, Head.Fields))
     return std::nullopt;
-  const auto Key = RouteTable::extractKey(
-      Route, Target,
-      [&Head](std::string_view Name) { return Head.Fields.find(Name); });
+  const auto Key =
+      RouteTable::extractKey(Route, Target, [&Head](std::string_view Name) {
+        return Head.Fields.find(Name);
+      });
   if (!Key)
     return std::nullopt;
   return SliceMap::sliceOf(*Key, Service.Slices);
@@ -153,14 +153,17 @@
 /// Finds the workspace of the caller key and stores both in \p Plan.
 auto identifyCaller(const RoutingSnapshot &Snapshot, const RequestHead &Head,
                     RequestPlan &Plan) -> std::optional<RefusalReason> {
-  if (Snapshot.Stale)
-    return RefusalReason::StaleConfiguration;
   const KeyDigest Digest = CallerKeys::digest(callerKey(Head.Fields));
-  const CallerKeys::Entry *Entry = Snapshot.Keys.find(Digest);
+  const CallerKeys::Entry *Entry = Snapshot.Index->Keys.find(Digest);
+  // A key that is not known may be newer than a stale configuration, so the
+  // refusal must not say that the key is wrong.
   if (!Entry)
-    return RefusalReason::UnknownCallerKey;
+    return Snapshot.Stale.empty() ? RefusalReason::UnknownCallerKey
+                                  : RefusalReason::StaleConfiguration;
   if (Entry->Withdrawn)
     return RefusalReason::WithdrawnCallerKey;
+  if (Snapshot.Stale.contains(Entry->Workspace))
+    return RefusalReason::StaleConfiguration;
   Plan.Workspace = Entry->Workspace;
   Plan.Caller = Digest;
   return std::nullopt;
@@ -184,7 +187,7 @@
   const std::string_view Path = Target.substr(0, PathEnd);
   if (!Path.starts_with('/') || isAmbiguousPath(Path))
     return RefusalReason::MalformedRequest;
-  const RouteConfig *Route = Snapshot.Routes.match(Path);
+  const RouteConfig *Route = Snapshot.Index->Routes.match(Path);
   if (!Route)
     return RefusalReason::UnknownRoute;
 
--- a/lib/Entry/RoutingSnapshot.h
+++ b/lib/Entry/RoutingSnapshot.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Entry/Gates.h"
+#include "Entry/InFlightTable.h"
 #include "buckthornring/Common/Ids.h"
 #include "buckthornring/Config/CallerKeys.h"
 #include "buckthornring/Config/Configuration.h"
@@ -10,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace buckthornring {
@@ -21,7 +24,9 @@
   bool Available = true;   ///< Takes new work.
   bool Local = true;       ///< In the instance's own data centre.
   std::uint32_t Slots = 1; ///< Concurrent requests this instance may send.
-  std::uint32_t Connections = 1; ///< Connections this instance may open.
+  std::uint32_t Connections = 1;      ///< Connections per traffic thread.
+  std::optional<double> ReportedLoad; ///< Share of its slots in use, 0 to 1.
+  std::shared_ptr<TargetGate> Gate;
 };
 
 /// Owner of one slice, as an index into ServiceView::Targets.
@@ -37,21 +42,45 @@
   const ServiceConfig *Config = nullptr;
   std::vector<TargetView> Targets;
   std::vector<SliceOwner> Owners; ///< By slice; empty for undivided services.
+  std::shared_ptr<ServiceGate> Gate;
+  /// Null while nobody waits for running requests before a move.
+  std::shared_ptr<InFlightTable> InFlight;
+
+  /// Returns the owner of a slice that takes requests, or null.
+  auto owner(std::uint32_t Slice) const -> const SliceOwner * {
+    if (Slice >= Owners.size() || Owners[Slice].Target == SliceOwner::None)
+      return nullptr;
+    return &Owners[Slice];
+  }
 };
 
-/// What the traffic threads route by. Built by the control thread, immutable
-/// once published.
-struct RoutingSnapshot {
-  explicit RoutingSnapshot(std::shared_ptr<const Configuration> Accepted)
+/// A configuration with the tables made from it. Built once per generation,
+/// since snapshots follow each other several times a second.
+struct ConfigIndex {
+  explicit ConfigIndex(std::shared_ptr<const Configuration> Accepted)
       : Config(std::move(Accepted)), Routes(*Config), Keys(*Config) {}
 
   std::shared_ptr<const Configuration> Config;
   RouteTable Routes;
   CallerKeys Keys;
+};
+
+/// What the traffic threads route by. Built by the control thread, immutable
+/// once published.
+struct RoutingSnapshot {
+  std::shared_ptr<const ConfigIndex> Index;
   std::map<ServiceId, ServiceView> Services;
   std::uint64_t Version = 0; ///< Rises with each publication.
-  /// Keyed requests are refused: the configuration may be out of date.
-  bool Stale = false;
+  /// Workspaces whose requests are refused: their caller keys may have been
+  /// withdrawn without this instance knowing.
+  std::set<WorkspaceId> Stale;
+
+  auto config() const -> const Configuration & { return *Index->Config; }
+
+  auto service(const ServiceId &Service) const -> const ServiceView * {
+    const auto Place = Services.find(Service);
+    return Place == Services.end() ? nullptr : &Place->second;
+  }
 };
 
 } // namespace buckthornring
--- a/lib/Entry/SnapshotBuilder.cpp
+++ b/lib/Entry/SnapshotBuilder.cpp
@@ -13,29 +13,42 @@
          Place->second.State == ServingState::InService;
 }
 
-} // namespace
+auto inFlightOf(const SnapshotInputs &From, const ServiceId &Name)
+    -> std::shared_ptr<InFlightTable> {
+  const auto Place = From.InFlight.find(Name);
+  return Place == From.InFlight.end() ? nullptr : Place->second;
+}
 
-auto buildSnapshot(std::shared_ptr<const Configuration> Config,
-                   const DataCentreId &Own, const TargetConditions &Conditions,
-                   const SliceOwnerSource &Owners, std::uint64_t Version,
-                   bool Stale) -> std::shared_ptr<const RoutingSnapshot> {
-  auto Snapshot = std::make_shared<RoutingSnapshot>(std::move(Config));
-  Snapshot->Version = Version;
-  Snapshot->Stale = Stale;
-  for (const auto &[Name, Service] : Snapshot->Config->Services) {
-    ServiceView View{Name, &Service, {}, {}};
-    for (const auto &[Id, Target] : Service.Targets) {
-      const TargetCondition Condition = Conditions(Name, Id, Service);
-      const bool InService = Target.State == ServingState::InService &&
-                             isInService(*Snapshot->Config, Target.DataCentre);
-      View.Targets.push_back({Id, &Target, Condition.Available && InService,
-                              Target.DataCentre == Own, Condition.Slots,
-                              Condition.Connections});
-    }
-    if (Service.Kind == ServiceKind::Divided)
-      View.Owners = Owners.owners(View);
-    Snapshot->Services.emplace(Name, std::move(View));
+auto viewOf(const SnapshotInputs &From, const ServiceId &Name,
+            const ServiceConfig &Service) -> ServiceView {
+  ServiceView View{
+      Name, &Service, {}, {}, From.Gates.service(Name), inFlightOf(From, Name)};
+  for (const auto &[Id, Target] : Service.Targets) {
+    const TargetCondition Condition = From.Conditions(Name, Id, Service);
+    const bool InService = Target.State == ServingState::InService &&
+                           isInService(*From.Index->Config, Target.DataCentre);
+    View.Targets.push_back({Id, &Target, Condition.Available && InService,
+                            Target.DataCentre == From.Own, Condition.Slots,
+                            Condition.Connections, Condition.ReportedLoad,
+                            From.Gates.target(Name, Id)});
   }
+  if (Service.Kind == ServiceKind::Divided)
+    View.Owners = From.Owners.owners(View);
+  return View;
+}
+
+} // namespace
+
+auto buildSnapshot(const SnapshotInputs &From)
+    -> std::shared_ptr<const RoutingSnapshot> {
+  auto Snapshot = std::make_shared<RoutingSnapshot>();
+  Snapshot->Index = From.Index;
+  Snapshot->Version = From.Version;
+  for (const auto &[Name, Workspace] : Snapshot->config().Workspaces)
+    if (From.Stale(Workspace))
+      Snapshot->Stale.insert(Name);
+  for (const auto &[Name, Service] : Snapshot->config().Services)
+    Snapshot->Services.emplace(Name, viewOf(From, Name, Service));
   return Snapshot;
 }
 
--- a/lib/Entry/TrafficThread.cpp
+++ b/lib/Entry/TrafficThread.cpp
@@ -1,12 +1,14 @@
 #include "Entry/TrafficThread.h"
 
 #include "Entry/CallerConnection.h"
+#include "IO/SteadyTime.h"
 #include "buckthornring/IO/HttpClient.h"
 
 #include <boost/asio/post.hpp>
 
 #include <cstdio>
 #include <random>
+#include <utility>
 
 namespace buckthornring {
 
@@ -14,16 +16,30 @@
 
 namespace {
 
-constexpr auto TickInterval = std::chrono::seconds(1);
+/// Waiting requests are served at this interval even when a wake-up was
+/// missed; an idle thread needs only the slower one.
+constexpr auto BusyTick = std::chrono::milliseconds(5);
+constexpr auto IdleTick = std::chrono::milliseconds(20);
+constexpr Duration StatsInterval = std::chrono::milliseconds(100);
+constexpr Duration IdleInterval = std::chrono::seconds(1);
 constexpr auto CancelTime = std::chrono::seconds(1);
 
+auto holderName(const TrafficOptions &Settings, std::size_t Number)
+    -> std::string {
+  return Settings.InstanceName + "/" + std::to_string(Number);
+}
+
 } // namespace
 
-TrafficThread::TrafficThread(std::size_t Number, TrafficOptions Settings)
-    : Number(Number), Settings(std::move(Settings)),
+TrafficThread::TrafficThread(std::size_t Number, TrafficOptions Given,
+                             const TrafficShared &Shared)
+    : Number(Number), Settings(std::move(Given)), Shared(Shared),
       Work(asio::make_work_guard(Io)), Timer(Io),
-      Pool(Io.get_executor(), this->Settings.Pool),
-      Random((std::uint64_t{std::random_device()()} << 32U) ^ Number) {}
+      Pool(Io.get_executor(), Settings.Pool),
+      Random((std::uint64_t{std::random_device()()} << 32U) ^ Number),
+      Slots(Number, Stats, Random, Shared.Wake),
+      Rates({Number, holderName(Settings, Number)}, Shared.Shares),
+      Stripe(Shared.Totals.stripe(Number)) {}
 
 TrafficThread::~TrafficThread() { stop(); }
 
@@ -42,22 +58,30 @@
 auto TrafficThread::publish(std::shared_ptr<const RoutingSnapshot> Next)
     -> void {
   asio::post(Io, [this, Next = std::move(Next)]() mutable {
-    Snapshot = std::move(Next);
-    // A changed connection may end and leave the set.
-    const auto Open = Connections;
-    for (const auto &Connection : Open)
-      Connection->snapshotChanged();
+    takeSnapshot(std::move(Next));
   });
 }
 
+auto TrafficThread::takeSnapshot(std::shared_ptr<const RoutingSnapshot> Next)
+    -> void {
+  Snapshot = std::move(Next);
+  Stats.setSnapshot(*Snapshot);
+  Rates.setSnapshot(*Snapshot, steadyNow());
+  Slots.setSnapshot(Snapshot);
+  // A changed connection may end and leave the set.
+  const auto Open = Connections;
+  for (const auto &Connection : Open)
+    Connection->snapshotChanged();
+}
+
 auto TrafficThread::adopt(asio::ip::tcp::socket Socket) -> void {
   ++OpenConnections;
-  auto Shared = std::make_shared<asio::ip::tcp::socket>(std::move(Socket));
-  asio::post(Io, [this, Shared] {
+  auto Taken = std::make_shared<asio::ip::tcp::socket>(std::move(Socket));
+  asio::post(Io, [this, Taken] {
     auto Connection =
-        std::make_shared<CallerConnection>(*this, std::move(*Shared));
+        std::make_shared<CallerConnection>(*this, std::move(*Taken));
     Connections.insert(Connection);
-    Counters.add(EntryEvent::CallerConnected);
+    Events.add(EntryEvent::CallerConnected);
     Connection->start();
   });
 }
@@ -88,20 +112,55 @@
   std::exchange(Drained, nullptr)();
 }
 
+auto TrafficThread::followShares(std::uint64_t Term) -> void {
+  asio::post(Io, [this, Term] { Rates.follow(Term); });
+}
+
+auto TrafficThread::applyGrant(const std::string &Quantity,
+                               const ShareGrant &Grant) -> void {
+  asio::post(Io, [this, Quantity, Grant] {
+    Rates.apply(Quantity, Grant, steadyNow());
+  });
+}
+
+auto TrafficThread::wake(const ServiceId &Service) -> void {
+  asio::post(Io, [this, Service] { Slots.serve(Service); });
+}
+
 auto TrafficThread::tick() -> void {
-  Timer.expires_after(TickInterval);
+  const bool Busy = Rates.waiting() || Slots.waiting() > 0;
+  Timer.expires_after(Busy ? BusyTick : IdleTick);
   Timer.async_wait([this](const boost::system::error_code &Failure) {
     if (Failure)
       return;
-    Pool.closeIdle(monotonicNow());
+    const TimePoint Now = steadyNow();
+    Rates.tick(Now);
+    Slots.serveAll();
+    endSlices(Now);
+    tickStats(Now);
     tick();
   });
 }
 
+auto TrafficThread::tickStats(TimePoint Now) -> void {
+  if (Now >= StatsDue) {
+    StatsDue = Now + StatsInterval;
+    Events.setEjected(Stats.evaluate(Now));
+  }
+  if (Now >= IdleDue) {
+    IdleDue = Now + IdleInterval;
+    Pool.closeIdle(Now);
+  }
+}
+
 auto TrafficThread::retryBudget(const WorkspaceId &Workspace) -> RetryBudget & {
   return Budgets[Workspace];
 }
 
+auto TrafficThread::hedges(const ServiceId &Service) -> HedgePolicy & {
+  return Hedges[Service];
+}
+
 auto TrafficThread::nextRequestId() -> std::string {
   // The random part keeps identifiers apart after a restart of the instance.
   std::array<char, 48> Tail{};
@@ -111,19 +170,72 @@
   return Settings.InstanceName + Tail.data();
 }
 
-auto TrafficThread::inFlight(const TargetId &Target) const -> std::uint32_t {
-  const auto Place = InFlight.find(Target);
-  return Place == InFlight.end() ? 0 : Place->second;
+auto TrafficThread::attemptStarted(const AttemptJob &Job) -> std::uint64_t {
+  Events.add(EntryEvent::Attempt);
+  return Stats.started(Job.Service, Job.Place.Target, steadyNow());
+}
+
+auto TrafficThread::attemptEnded(const AttemptJob &Job, std::uint64_t Attempt,
+                                 TargetStats::End How,
+                                 std::optional<Duration> Latency) -> void {
+  Stats.ended(Attempt, How, Latency, steadyNow());
+  Slots.release(Job.Service, *Job.Place.Gate);
+}
+
+auto TrafficThread::mayStillSend(const AttemptJob &Job) const -> bool {
+  const auto Newest = Shared.Published.version() == Snapshot->Version
+                          ? Snapshot
+                          : Shared.Published.latest();
+  const ServiceView *Service = Newest->service(Job.Service);
+  const SliceOwner *Owner = Service ? Service->owner(*Job.Slice) : nullptr;
+  if (!Owner || Owner->Current != *Job.Place.Slice ||
+      Service->Targets[Owner->Target].Id != Job.Place.Target)
+    return false;
+  // A verified target checks its own lease; for others the routing lease is
+  // the only guard, also after this process was paused.
+  return !Service->InFlight ||
+         Service->Config->Verification == TargetVerification::Verified ||
+         steadyNow() < Shared.Published.leaseEnd();
 }
 
-auto TrafficThread::attemptStarted(const AttemptJob &Job) -> void {
-  ++InFlight[Job.Target];
-  Counters.add(EntryEvent::Attempt);
+auto TrafficThread::beginSlice(const AttemptJob &Job,
+                               std::shared_ptr<InFlightTable> &Counted)
+    -> bool {
+  if (!Job.Slice)
+    return true;
+  const ServiceView *Service = Snapshot->service(Job.Service);
+  if (!Service)
+    return false;
+  // Counted first, checked second; see InFlightTable.
+  if (Service->InFlight)
+    Service->InFlight->begin(*Job.Slice);
+  if (mayStillSend(Job)) {
+    Counted = Service->InFlight;
+    return true;
+  }
+  if (Service->InFlight)
+    Service->InFlight->end(*Job.Slice);
+  return false;
 }
 
-auto TrafficThread::attemptEnded(const AttemptJob &Job, TimePoint /*SentAt*/,
-                                 const AttemptOutcome & /*Outcome*/) -> void {
-  --InFlight[Job.Target];
+auto TrafficThread::endSlice(const AttemptJob &Job,
+                             const std::shared_ptr<InFlightTable> &Counted,
+                             bool MayStillRun) -> void {
+  if (!MayStillRun)
+    return Counted->end(*Job.Slice);
+  const ServiceView *Service = Snapshot->service(Job.Service);
+  const Duration Longest =
+      Service ? Service->Config->MaxDeadline : ServiceConfig().MaxDeadline;
+  SliceEnds.push_back({steadyNow() + Longest, Counted, *Job.Slice});
+}
+
+auto TrafficThread::endSlices(TimePoint Now) -> void {
+  std::erase_if(SliceEnds, [&](const SliceEnd &Each) {
+    if (Now < Each.At)
+      return false;
+    Each.Table->end(Each.Slice);
+    return true;
+  });
 }
 
 auto TrafficThread::cancelAtTarget(const std::string &Address,
@@ -135,7 +247,7 @@
       return;
     Client = std::move(Created).value();
   }
-  Counters.add(EntryEvent::CancelSent);
+  Events.add(EntryEvent::CancelSent);
   HttpRequest Request;
   Request.Method = "POST";
   Request.Target = "/control/cancel";
--- a/lib/IO/CallerStream.cpp
+++ b/lib/IO/CallerStream.cpp
@@ -85,6 +85,7 @@
   std::string Out;
   std::uint64_t Watch = 0;
   bool TimedOut = false;
+  bool WriteTimedOut = false;
 };
 
 CallerStream::CallerStream(asio::ip::tcp::socket Socket,
@@ -111,6 +112,8 @@
                 MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+auto CallerStream::writeTimedOut() const -> bool { return Io->WriteTimedOut; }
+
 auto CallerStream::bodyDone() const -> bool {
   return Io->Request && Io->Request->is_done();
 }
--- a/lib/IO/CallerStream.h
+++ b/lib/IO/CallerStream.h
@@ -69,6 +69,9 @@
   auto write(std::string Head, std::string_view Body, WriteHandler Done)
       -> void;
 
+  /// Whether a write has failed because the caller did not read in time.
+  auto writeTimedOut() const -> bool;
+
   /// Calls \p Gone once when the caller closes its connection. Data of a
   /// further request ends the watch without a call.
   auto watchClosed(std::function<void()> Gone) -> void;
--- a/lib/IO/UpstreamPool.cpp
+++ b/lib/IO/UpstreamPool.cpp
@@ -1,6 +1,7 @@
 #include "IO/UpstreamPool.h"
 
 #include "IO/Endpoint.h"
+#include "IO/SteadyTime.h"
 
 #include <boost/asio/post.hpp>
 
@@ -10,11 +11,6 @@
 
 namespace asio = boost::asio;
 
-auto monotonicNow() -> TimePoint {
-  return TimePoint(std::chrono::duration_cast<Duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
-}
-
 UpstreamPool::UpstreamPool(asio::any_io_executor Executor, Options Settings)
     : Executor(std::move(Executor)), Settings(Settings),
       Policy(Settings.Policy) {}
@@ -45,7 +41,7 @@
 
 auto UpstreamPool::takeIdle(Peer &To, bool Idempotent) -> ConnectionPtr {
   while (true) {
-    const auto Index = Policy.choose(To.IdleStates, Idempotent, monotonicNow());
+    const auto Index = Policy.choose(To.IdleStates, Idempotent, steadyNow());
     if (!Index)
       return nullptr;
     ConnectionPtr Connection = removeIdle(To, *Index);
@@ -111,7 +107,7 @@
   if (Success) {
     ++Count.Opened;
     To.Idle.push_back(Connection);
-    To.IdleStates.push_back({monotonicNow(), false});
+    To.IdleStates.push_back({steadyNow(), false});
     return serve(Address);
   }
   ++Count.OpenFailed;
@@ -138,7 +134,7 @@
     return discard(Address, Connection);
   Peer &To = Peers[Address];
   To.Idle.push_back(Connection);
-  To.IdleStates.push_back({monotonicNow(), false});
+  To.IdleStates.push_back({steadyNow(), false});
   serve(Address);
 }
 
--- a/lib/IO/UpstreamPool.h
+++ b/lib/IO/UpstreamPool.h
@@ -17,9 +17,6 @@
 
 namespace buckthornring {
 
-/// Returns the current time of the monotonic clock.
-auto monotonicNow() -> TimePoint;
-
 /// Connections of one traffic thread to all targets, by target address.
 ///
 /// Opens one connection at a time per target, since each costs the target
