--- a/lib/Limits/ShareLedger.cpp
+++ b/lib/Limits/ShareLedger.cpp
@@ -37,13 +37,12 @@
 } // namespace
 
 ShareLedger::ShareLedger(Options Settings, ShareAmount Total,
-                         std::uint64_t Term, TimePoint Now)
+                         std::uint64_t Term, TimePoint TermBegan)
     : Settings(Settings), Total(), Term(Term),
-      ThawAt(Settings.NeverLent ? Now
-                                : Now + withDrift(Settings.Lease) +
-                                      withDrift(Settings.UseTail)),
-      Rest(0, 0, 0, Now) {
-  setTotal(Total, Now);
+      ThawAt(TermBegan + withDrift(Settings.Lease) +
+             withDrift(Settings.UseTail)),
+      Rest(0, 0, 0, TermBegan) {
+  setTotal(Total, TermBegan);
 }
 
 auto ShareLedger::withDrift(Duration Span) const -> Duration {
@@ -264,7 +263,7 @@
         static_cast<double>(Rate) /
         static_cast<double>(std::max<MilliUnits>(Total.Rate, 1));
     const auto Units =
-        static_cast<MilliUnits>(Part * static_cast<double>(Total.Units) / 2);
+        static_cast<MilliUnits>(Part * static_cast<double>(Total.Units) * 3 / 4);
     // A capacity below one token never admits a request; the giver then serves
     // single tokens instead. Two, because a share of one is mostly lost to
     // refill that doesn't fit.
