Add the operator's command

Cause: operators check, apply and change the accepted configuration, and look up owners and refusals.

Ruled out: applying a folder without regard to the accepted state.

Conclusion: commands complete, not yet tested against a platform.

--- /dev/null
+++ b/cli/buckthornring/CommandLine.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "buckthornring/Common/Result.h"
+#include "buckthornring/Common/Time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace buckthornring::cli {
+
+/// Parsed command line.
+struct CommandLine {
+  std::string Command;
+  std::vector<std::string> Arguments;
+  std::string Platform; ///< Empty when not given.
+  std::vector<std::string> Admin;
+  Duration TimeLimit = std::chrono::seconds(2);
+  Duration Wait = Duration::zero();
+  std::optional<std::uint64_t> IfGeneration;
+  bool Json = false;
+  bool Help = false;
+  bool Version = false;
+  bool ConfirmLost = false;
+  bool Reinstate = false;
+};
+
+/// Fails with a message about the first wrong option.
+auto parseCommandLine(int Count, char **Arguments) -> Result<CommandLine>;
+
+/// Returns the text of --help.
+auto helpText() -> std::string;
+
+} // namespace buckthornring::cli
--- /dev/null
+++ b/cli/buckthornring/Commands.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "CommandLine.h"
+#include "CommandResult.h"
+#include "PlatformSession.h"
+
+namespace buckthornring::cli {
+
+/// Commands that contact no platform.
+auto checkCommand(const CommandLine &Line) -> CommandResult;
+auto whyCommand(const CommandLine &Line) -> CommandResult;
+
+/// Commands that use the platform.
+auto diffCommand(const CommandLine &Line, PlatformSession &Session)
+    -> CommandResult;
+auto applyCommand(const CommandLine &Line, PlatformSession &Session)
+    -> CommandResult;
+auto withdrawKeyCommand(const CommandLine &Line, PlatformSession &Session)
+    -> CommandResult;
+auto takeOutCommand(const CommandLine &Line, PlatformSession &Session)
+    -> CommandResult;
+auto bringBackCommand(const CommandLine &Line, PlatformSession &Session)
+    -> CommandResult;
+auto drainCommand(const CommandLine &Line, PlatformSession &Session)
+    -> CommandResult;
+auto statusCommand(const CommandLine &Line, PlatformSession &Session)
+    -> CommandResult;
+auto ownerCommand(const CommandLine &Line, PlatformSession &Session)
+    -> CommandResult;
+
+/// Returns the failure that a read of "config/current" stands for, or nothing
+/// when it found a record or that there is none.
+auto readFailure(const CurrentConfig &Current) -> std::optional<CommandResult>;
+
+} // namespace buckthornring::cli
--- /dev/null
+++ b/cli/buckthornring/Main.cpp
@@ -0,0 +1,76 @@
+#include "Commands.h"
+
+#include <array>
+#include <cstdio>
+
+using namespace buckthornring;
+using namespace buckthornring::cli;
+
+namespace {
+
+/// One command: how many arguments it takes and what runs it.
+struct CommandEntry {
+  const char *Name;
+  const char *Usage;
+  std::size_t MinArguments;
+  std::size_t MaxArguments;
+  CommandResult (*Local)(const CommandLine &);
+  CommandResult (*WithPlatform)(const CommandLine &, PlatformSession &);
+};
+
+constexpr std::array<CommandEntry, 10> Table = {{
+    {"check", "check PATH", 1, 1, checkCommand, nullptr},
+    {"apply", "apply PATH", 1, 1, nullptr, applyCommand},
+    {"diff", "diff PATH", 1, 1, nullptr, diffCommand},
+    {"status", "status", 0, 0, nullptr, statusCommand},
+    {"withdraw-key", "withdraw-key NAME", 1, 1, nullptr, withdrawKeyCommand},
+    {"take-out", "take-out DC|SERVICE/TARGET", 1, 1, nullptr, takeOutCommand},
+    {"bring-back", "bring-back DC|SERVICE/TARGET", 1, 1, nullptr,
+     bringBackCommand},
+    {"drain", "drain SERVICE/TARGET", 1, 1, nullptr, drainCommand},
+    {"owner", "owner SERVICE KEY", 2, 2, nullptr, ownerCommand},
+    {"why", "why [REASON]", 0, 1, whyCommand, nullptr},
+}};
+
+auto usage(const std::string &Message) -> CommandResult {
+  return CommandResult::failure(ExitCode::Usage, "usage",
+                                Message + " (see buckthornring --help)");
+}
+
+auto runCommand(const CommandLine &Line) -> CommandResult {
+  const CommandEntry *Entry = nullptr;
+  for (const auto &Each : Table)
+    if (Line.Command == Each.Name)
+      Entry = &Each;
+  if (Entry == nullptr)
+    return usage(Line.Command.empty() ? "a command is missing"
+                                      : "there is no command " + Line.Command);
+  if (Line.Arguments.size() < Entry->MinArguments ||
+      Line.Arguments.size() > Entry->MaxArguments)
+    return usage(std::string("expected: ") + Entry->Usage);
+  if (Entry->Local != nullptr)
+    return Entry->Local(Line);
+  if (Line.Platform.empty())
+    return usage("--platform ADDRESS is missing");
+  const auto Session = PlatformSession::create(Line.Platform, Line.TimeLimit);
+  if (!Session)
+    return usage("--platform: " + Session.error().message());
+  return Entry->WithPlatform(Line, **Session);
+}
+
+} // namespace
+
+auto main(int Count, char **Arguments) -> int {
+  const auto Line = parseCommandLine(Count, Arguments);
+  if (!Line)
+    return printResult("", usage(Line.error().message()), false);
+  if (Line->Help) {
+    std::fputs(helpText().c_str(), stdout);
+    return 0;
+  }
+  if (Line->Version) {
+    std::puts("buckthornring 0.1.0");
+    return 0;
+  }
+  return printResult(Line->Command, runCommand(*Line), Line->Json);
+}
--- /dev/null
+++ b/cli/buckthornring/PlatformSession.cpp
@@ -0,0 +1,149 @@
+#include "PlatformSession.h"
+
+#include "buckthornring/IO/HttpClient.h"
+
+#include <chrono>
+#include <thread>
+#include <utility>
+
+namespace buckthornring::cli {
+
+namespace {
+
+/// Pause between calls without answer. A platform that restarts refuses
+/// connections for some time.
+constexpr auto RepeatPause = std::chrono::milliseconds(200);
+constexpr int ReadAttempts = 3;
+
+/// Runs the context until the one call that was started has answered.
+template <class Answer, class Start>
+auto await(boost::asio::io_context &Context, Start Begin) -> Answer {
+  std::optional<Answer> Found;
+  Begin([&Found](Answer Value) { Found = std::move(Value); });
+  Context.restart();
+  while (!Found && Context.run_one() > 0)
+    continue;
+  return Found ? std::move(*Found) : Answer{};
+}
+
+} // namespace
+
+auto PlatformSession::create(const std::string &Address, Duration TimeLimit)
+    -> Result<std::unique_ptr<PlatformSession>> {
+  std::unique_ptr<PlatformSession> Out(new PlatformSession());
+  PlatformClientOptions Options;
+  Options.Address = Address;
+  Options.TimeLimit = TimeLimit;
+  auto Client = PlatformClient::create(Out->Context, Options);
+  if (!Client)
+    return Client.error();
+  Out->Client = std::move(*Client);
+  return Out;
+}
+
+auto PlatformSession::readOnce(const std::string &Name) -> PlatformRead {
+  return await<PlatformRead>(
+      Context, [&](auto Done) { Client->get(Name, std::move(Done)); });
+}
+
+auto PlatformSession::read(const std::string &Name) -> PlatformRead {
+  auto Out = readOnce(Name);
+  for (int I = 1; I < ReadAttempts && Out.Status == PlatformStatus::Unreachable;
+       ++I) {
+    std::this_thread::sleep_for(RepeatPause);
+    Out = readOnce(Name);
+  }
+  return Out;
+}
+
+auto PlatformSession::readCurrent() -> CurrentConfig {
+  const auto Read = read(std::string(ConfigRecord::ObjectName));
+  CurrentConfig Out;
+  Out.Status = Read.Status;
+  if (Read.Status != PlatformStatus::Done)
+    return Out;
+  Out.Version = Read.Version;
+  auto Record = ConfigRecord::parse(Read.Value);
+  if (Record) {
+    Out.Record = std::move(*Record);
+  } else {
+    Out.Status = PlatformStatus::Rejected;
+    Out.Fault = Record.error().message();
+  }
+  return Out;
+}
+
+auto PlatformSession::instances() -> PlatformInstances {
+  return await<PlatformInstances>(
+      Context, [&](auto Done) { Client->instances(std::move(Done)); });
+}
+
+auto PlatformSession::write(ConfigUpdate &Update) -> void {
+  const auto Answer = await<PlatformWrite>(Context, [&](auto Done) {
+    Client->put(std::string(ConfigRecord::ObjectName), Update.baseVersion(),
+                Update.record().text(), std::move(Done));
+  });
+  switch (Answer.Status) {
+  case PlatformStatus::Done:
+    return Update.onWritten();
+  case PlatformStatus::Conflict:
+  case PlatformStatus::Absent:
+    return Update.onConflict();
+  case PlatformStatus::TooLarge:
+  case PlatformStatus::Rejected:
+    return Update.onRejected(
+        "the platform refused the value as " +
+        std::string(PlatformStatusNames.name(Answer.Status)));
+  case PlatformStatus::Unreachable:
+    Update.onWriteUnsent();
+    break;
+  case PlatformStatus::Unknown:
+    Update.onWriteLost();
+  }
+  if (Update.step() != ConfigUpdateStep::Done)
+    std::this_thread::sleep_for(RepeatPause);
+}
+
+auto PlatformSession::readBack(ConfigUpdate &Update) -> void {
+  const auto Read = readOnce(std::string(ConfigRecord::ObjectName));
+  if (Read.Status == PlatformStatus::Absent)
+    return Update.onRead(nullptr, 0);
+  if (Read.Status == PlatformStatus::Done) {
+    const auto Record = ConfigRecord::parse(Read.Value);
+    if (Record)
+      return Update.onRead(&*Record, Read.Version);
+  }
+  Update.onReadLost();
+  if (Update.step() != ConfigUpdateStep::Done)
+    std::this_thread::sleep_for(RepeatPause);
+}
+
+auto PlatformSession::run(ConfigUpdate &Update) -> void {
+  while (Update.step() != ConfigUpdateStep::Done)
+    if (Update.step() == ConfigUpdateStep::Write)
+      write(Update);
+    else
+      readBack(Update);
+}
+
+auto fetchAdmin(const std::string &Address, const std::string &Target,
+                Duration TimeLimit) -> Result<std::string> {
+  boost::asio::io_context Context(1);
+  auto Client = HttpClient::create(Context, Address);
+  if (!Client)
+    return Client.error();
+  HttpRequest Request;
+  Request.Target = Target;
+  HttpCallOptions Options;
+  Options.TimeLimit = TimeLimit;
+  auto Outcome = await<HttpOutcome>(Context, [&](auto Done) {
+    (*Client)->request(Request, Options, std::move(Done));
+  });
+  if (!Outcome.done())
+    return Error(Outcome.Reason.empty() ? "no answer" : Outcome.Reason);
+  if (Outcome.Response.Status != 200)
+    return Error("status " + std::to_string(Outcome.Response.Status));
+  return std::move(Outcome.Response.Body);
+}
+
+} // namespace buckthornring::cli
--- a/include/buckthornring/Config/Configuration.h
+++ b/include/buckthornring/Config/Configuration.h
@@ -51,6 +51,8 @@
   std::string Address; ///< IP address and port, "127.0.0.1:8080".
   DataCentreId DataCentre;
   ServingState State = ServingState::InService;
+  /// The operator confirms that it runs no more. Only when taken out.
+  bool ConfirmedLost = false;
 };
 
 struct ServiceConfig {
@@ -86,6 +88,9 @@
   ServingState State = ServingState::InService;
   std::uint32_t Weight = 1; ///< Share of slices homed there.
   std::string Region;
+  /// The operator confirms that nothing runs there any more, so its slices may
+  /// move without release. Only when taken out.
+  bool ConfirmedLost = false;
 };
 
 /// One accepted, checked configuration. Immutable once built.
--- a/lib/Config/ConfigChecker.cpp
+++ b/lib/Config/ConfigChecker.cpp
@@ -72,9 +72,19 @@
   return Out;
 }
 
+/// Reads the state, and whether the loss of what was taken out is confirmed.
+template <class Config>
+auto readState(FieldReader &Fields, Config &Out) -> void {
+  Fields.choice("state", ServingStateNames, Out.State);
+  Fields.boolean("confirmed_lost", Out.ConfirmedLost);
+  if (Out.ConfirmedLost && Out.State == ServingState::InService)
+    Fields.report("confirmed_lost",
+                  "false, or true with the state \"taken-out\"");
+}
+
 auto readDataCentre(FieldReader &Fields) -> DataCentreConfig {
   DataCentreConfig Out;
-  Fields.choice("state", ServingStateNames, Out.State);
+  readState(Fields, Out);
   Fields.integer("weight", Out.Weight, 1, 1000);
   Fields.identifier("region", Out.Region, Presence::Optional);
   return Out;
@@ -151,7 +161,7 @@
     Target.DataCentre = DataCentreId(DataCentre);
     checkReference(Fields, "data_centre", "data_centres", Out.DataCentres,
                    Target.DataCentre);
-    Fields.choice("state", ServingStateNames, Target.State);
+    readState(Fields, Target);
     return Target;
   }
 
--- a/lib/Entry/OwnershipDriver.cpp
+++ b/lib/Entry/OwnershipDriver.cpp
@@ -174,11 +174,10 @@
   }
   // The leader is also an instance that routes. Its own messages take the same
   // path, later, so that the core is never entered again from inside itself.
-  boost::asio::post(Context,
-                    [this, Living = Alive, Message = Action.Message] {
-                      if (*Living)
-                        deliver(Settings.Self.Process, Message);
-                    });
+  boost::asio::post(Context, [this, Living = Alive, Message = Action.Message] {
+    if (*Living)
+      deliver(Settings.Self.Process, Message);
+  });
 }
 
 auto OwnershipDriver::perform(const SendLease &Action) -> void {
@@ -209,22 +208,21 @@
   Platform.get(Action.Name, [this, Living = Alive,
                              Name = Action.Name](PlatformRead Read) {
     if (*Living)
-      perform(
-          Core->objectRead(Name, readAnswer(std::move(Read)), steadyNow()));
+      perform(Core->objectRead(Name, readAnswer(std::move(Read)), steadyNow()));
   });
 }
 
 auto OwnershipDriver::perform(const WriteObject &Action) -> void {
-  Platform.put(Action.Name, Action.IfVersion.value_or(0), Action.Value,
-               [this, Living = Alive,
-                Name = Action.Name](const PlatformWrite &Write) {
-                 if (!*Living)
-                   return;
-                 WriteAnswer Answer;
-                 Answer.Outcome = writeOutcome(Write.Status);
-                 Answer.Version = Write.Version;
-                 perform(Core->objectWritten(Name, Answer, steadyNow()));
-               });
+  Platform.put(
+      Action.Name, Action.IfVersion.value_or(0), Action.Value,
+      [this, Living = Alive, Name = Action.Name](const PlatformWrite &Write) {
+        if (!*Living)
+          return;
+        WriteAnswer Answer;
+        Answer.Outcome = writeOutcome(Write.Status);
+        Answer.Version = Write.Version;
+        perform(Core->objectWritten(Name, Answer, steadyNow()));
+      });
 }
 
 auto OwnershipDriver::deliver(const InstanceId &From,
--- a/lib/Entry/PeerEnvelope.cpp
+++ b/lib/Entry/PeerEnvelope.cpp
@@ -17,9 +17,9 @@
 
 auto PeerEnvelope::encode() const -> std::string {
   if (Content == Kind::Introduction)
-    return toText(nlohmann::json::to_cbor(nlohmann::json::array(
-        {Sender.Process.str(), Sender.DataCentre.str(),
-         Sender.FailureDomain})));
+    return toText(nlohmann::json::to_cbor(
+        nlohmann::json::array({Sender.Process.str(), Sender.DataCentre.str(),
+                               Sender.FailureDomain})));
   return toText(nlohmann::json::to_cbor(nlohmann::json::array(
       {Sender.Process.str(), nlohmann::json::binary(Payload)})));
 }
--- a/lib/Entry/PeerLinks.h
+++ b/lib/Entry/PeerLinks.h
@@ -47,8 +47,7 @@
       -> Result<boost::asio::ip::tcp::endpoint>;
 
   /// Replaces the addresses to keep links to. The own address is skipped.
-  auto
-  setAddresses(const std::set<boost::asio::ip::tcp::endpoint> &Addresses)
+  auto setAddresses(const std::set<boost::asio::ip::tcp::endpoint> &Addresses)
       -> void;
 
   /// Sends a message to a process that has introduced itself. Returns false
