--- a/cli/buckthornring/CommandLine.cpp
+++ b/cli/buckthornring/CommandLine.cpp
@@ -3,6 +3,7 @@
 #include <cxxopts.hpp>
 
 #include <cstdlib>
+#include <sstream>
 
 namespace buckthornring::cli {
 
@@ -128,12 +129,16 @@
 auto helpText() -> std::string {
   auto Options = makeOptions();
   Options.set_width(80);
-  const auto Text = Options.help({""});
-  const auto First = Text.find("  -");
-  const auto Plain = Text.find("      --");
-  const auto Start = std::min(First, Plain);
-  return std::string(Commands) + "\nOptions:\n" +
-         (Start == std::string::npos ? Text : Text.substr(Start)) + ExitCodes;
+  std::istringstream Stream(Options.help({""}));
+  std::string Text = "\nOptions:\n";
+  // The library writes a usage line of its own, and spaces at the end of
+  // wrapped lines.
+  for (std::string Row; std::getline(Stream, Row);) {
+    Row.erase(Row.find_last_not_of(' ') + 1);
+    if (Row.starts_with("      "))
+      Text.append(Row).append("\n");
+  }
+  return Commands + Text + ExitCodes;
 }
 
 } // namespace buckthornring::cli
--- a/cli/buckthornring/FileCommands.cpp
+++ b/cli/buckthornring/FileCommands.cpp
@@ -67,13 +67,13 @@
                  {"services", Config.Services.size()},
                  {"targets", Targets},
                  {"routes", Config.Routes.size()}};
-  Out.Lines = {"valid: " + std::to_string(Config.DataCentres.size()) +
-                   " data centres, " +
-                   std::to_string(Config.Workspaces.size()) + " workspaces, " +
-                   std::to_string(Config.CallerKeys.size()) + " caller keys, " +
-                   std::to_string(Config.Services.size()) + " services, " +
-                   std::to_string(Targets) + " targets, " +
-                   std::to_string(Config.Routes.size()) + " routes",
+  Out.Lines = {"valid: data centres " +
+                   std::to_string(Config.DataCentres.size()) + ", workspaces " +
+                   std::to_string(Config.Workspaces.size()) + ", caller keys " +
+                   std::to_string(Config.CallerKeys.size()) + ", services " +
+                   std::to_string(Config.Services.size()) + ", targets " +
+                   std::to_string(Targets) + ", routes " +
+                   std::to_string(Config.Routes.size()),
                "digest " + Out.Details["digest"].get<std::string>()};
   return Out;
 }
--- a/cli/buckthornring/WhyCommand.cpp
+++ b/cli/buckthornring/WhyCommand.cpp
@@ -133,7 +133,7 @@
     if (Only ? static_cast<std::size_t>(*Only) == Index
              : !Counted || Sums.at(Index) > 0)
       addReason(Index, Sums.at(Index), Counted, Out);
-  if (Out.Lines.empty())
+  if (Out.Lines.empty() && Out.Code == ExitCode::Done)
     Out.Lines.emplace_back("no refusals");
   return Out;
 }
--- a/lib/Config/ConfigEdit.cpp
+++ b/lib/Config/ConfigEdit.cpp
@@ -134,8 +134,9 @@
   auto *Entry = find(Value, servingPath(Name));
   if (Entry == nullptr)
     return noSuchServing(Content, Name);
+  // In service is the default, so the entry returns to its usual form.
   if (isTakenOut(*Entry))
-    (*Entry)["state"] = "in-service";
+    Entry->erase("state");
   Entry->erase("confirmed_lost");
   return withValue(Content, std::move(Value));
 }
--- a/lib/Config/SettingsReader.cpp
+++ b/lib/Config/SettingsReader.cpp
@@ -63,7 +63,10 @@
   const auto Found = Message.rfind(Marker);
   if (Found == std::string::npos)
     return "JSON with comments";
-  return Message.substr(Found + Marker.size());
+  const auto Expected = Message.substr(Found + Marker.size());
+  // The parser leaves out that a comma may follow a complete value.
+  return Expected == "'}'" || Expected == "']'" ? "',' or " + Expected
+                                                : Expected;
 }
 
 /// Describes what the parser read last. Its token text starts at the end of the
--- a/lib/Entry/OwnershipDriver.cpp
+++ b/lib/Entry/OwnershipDriver.cpp
@@ -59,8 +59,8 @@
                                  PlatformClient &Platform, PeerLinks &Links,
                                  Options Settings)
     : Context(Context), Platform(Platform), Links(Links),
-      Settings(std::move(Settings)),
-      Lease(SafetySwitches()), TickTimer(Context) {
+      Settings(std::move(Settings)), Lease(SafetySwitches()),
+      TickTimer(Context) {
   const PeerIdentity &Self = this->Settings.Self;
   Core = std::make_unique<LeaderCore>(
       LeaderCore::Identity{Self.Process, Self.DataCentre, Self.FailureDomain},
--- a/tests/unit/SettingsReaderTest.cpp
+++ b/tests/unit/SettingsReaderTest.cpp
@@ -53,7 +53,7 @@
   EXPECT_EQ(errorText("{\"a\":\n  tru }"),
             "a.json:2: found tru, allowed: JSON with comments");
   EXPECT_EQ(errorText("{\"a\": 1\n"), "a.json:1: found the end of the file, "
-                                      "allowed: '}'");
+                                      "allowed: ',' or '}'");
   EXPECT_EQ(errorText(""), "a.json:1: found the end of the file, allowed: "
                            "'[', '{', or a literal");
 }
