Add property tests of ownership with random faults

Cause: the ownership rules need evidence under combined faults. Ruled out: nothing yet. Change: seeded schedules and switches that turn one mechanism off; fixes found by them: a grant queued from a map that was not resolved, a restart inferred from a process start known from an earlier term, a time bound of a replaced leader overwritten when it was chosen as deputy and lost, platform entries merged into a complete map, an unheld slice that kept its old epoch.

--- a/lib/Ownership/AssignmentStore.cpp
+++ b/lib/Ownership/AssignmentStore.cpp
@@ -25,6 +25,7 @@
     Each.Written = 0;
     Each.Writing = 0;
     Each.Read = Each.Read && !Load;
+    Each.Loading = Load;
   }
 }
 
@@ -99,8 +100,11 @@
     return;
   // An object written in a higher term proves a later leader.
   Context.Term.learnTerm(*WriterTerm);
-  if (*WriterTerm < Map.term())
+  // A leader with a complete map ignores what the platform has beyond it: those
+  // changes were never acted on.
+  if (Each.Loading && *WriterTerm < Map.term())
     Map = std::move(Stored);
+  Each.Loading = false;
 }
 
 auto AssignmentStore::objectWritten(std::uint32_t Index,
--- a/lib/Ownership/AssignmentStore.h
+++ b/lib/Ownership/AssignmentStore.h
@@ -49,7 +49,8 @@
     std::uint64_t Written = 0; ///< Map version at the platform.
     std::uint64_t Writing = 0; ///< Map version being written.
     bool Busy = false;
-    bool Read = false; ///< The object's version is known.
+    bool Read = false;    ///< The object's version is known.
+    bool Loading = false; ///< The next value read is merged into the map.
     TimePoint TriedAt;
   };
 
--- a/lib/Ownership/GrantQueue.cpp
+++ b/lib/Ownership/GrantQueue.cpp
@@ -1,4 +1,5 @@
 #include "Ownership/GrantQueue.h"
+#include "buckthornring/Common/Invariant.h"
 
 #include <algorithm>
 
@@ -31,6 +32,8 @@
   if (Place == Targets.end())
     return;
   for (auto &[Slice, First] : Place->second.Grants) {
+    invariant(Map.at(Slice).Owner == Message.Target && Map.at(Slice).Serving,
+              "a slice is granted only to its recorded owner");
     Message.Grant.push_back({Slice, Map.at(Slice).At});
     First = First == 0 ? Message.Sequence : First;
   }
--- a/lib/Ownership/LeaseTable.cpp
+++ b/lib/Ownership/LeaseTable.cpp
@@ -84,7 +84,10 @@
   Entry &Each = Place->second;
   if (Reply.Term < Term || Reply.Sequence > Each.LastSequence)
     return ReplyEffect::Ignored;
-  const bool First = Each.Start.empty();
+  // Before the first answer of a term another leader may have granted slices
+  // to any process start, so a change since then proves nothing.
+  const bool First =
+      Each.Start.empty() || (!Each.Acknowledged && Each.Start != Reply.Start);
   const bool Other = !First && Each.Start != Reply.Start;
   if (Other && !otherStart(Each, Reply))
     return ReplyEffect::Ignored;
--- a/lib/Ownership/ServiceLeader.cpp
+++ b/lib/Ownership/ServiceLeader.cpp
@@ -97,7 +97,8 @@
 
 auto ServiceLeader::grantAll(const TargetId &Target) -> void {
   for (std::uint32_t Slice = 0; Slice < Map.slices(); ++Slice)
-    if (Map.at(Slice).Owner == Target && !Moves.moving(Slice))
+    // A slice that does not serve is moving, or its holder is not known yet.
+    if (Map.at(Slice).Owner == Target && Map.at(Slice).Serving)
       Grants.grant(Target, Slice);
 }
 
@@ -199,9 +200,14 @@
     if (Map.at(Slice).Serving || Moves.moving(Slice) ||
         Map.at(Slice).Owner.empty())
       continue;
-    // Held by nobody: the recorded owner is preferred, under a new epoch.
+    // Held by nobody. The recorded owner may be an old one, so it is preferred
+    // but does not stay recorded; the epoch passes any that was granted.
     MoveTracker::Move Again;
     Again.To = Map.at(Slice).Owner;
+    Map.set(Slice, {TargetId(),
+                    Again.To,
+                    {Context.Term.record().Term, ++Context.Sequence},
+                    false});
     Again.RevokedVersion = Map.version();
     Moves.start(Slice, Again);
   }
--- a/lib/Ownership/TermKeeper.cpp
+++ b/lib/Ownership/TermKeeper.cpp
@@ -164,8 +164,12 @@
   const Duration Tail = stretched(Times.ConfirmLease + Times.RenewOnlyLimit);
   auto Before = std::move(Previous);
   if (Old.Leader == Self) {
-    if (!Old.Deputy.empty() && !DeputyResigned)
-      Before[Old.Deputy] = DeputyEchoed ? DeputyHeard + Tail : Now;
+    if (!Old.Deputy.empty() && !DeputyResigned) {
+      // The deputy may itself have led an earlier term.
+      auto &Bound = Before.try_emplace(Old.Deputy, Now).first->second;
+      if (Bound && DeputyEchoed)
+        Bound = std::max(*Bound, DeputyHeard + Tail);
+    }
   } else if (Old.Deputy == Self) {
     Before.clear();
     for (const InstanceId &Each : Old.Unsettled)
--- a/tests/ownership/OwnershipChecks.inc.h
+++ b/tests/ownership/OwnershipChecks.inc.h
@@ -5,6 +5,8 @@
 #include "ownership/OwnershipWorld.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 #include <utility>
 
 namespace buckthornring::test {
@@ -15,8 +17,9 @@
     for (std::size_t I = 0; I < Instances.size(); ++I) {
       const std::uint64_t Run = Instances[I].Run;
       deliver(Each.Id.str(), Instances[I].Host, [=, this, Id = Each.Id] {
-        toInstance(I, Run,
-                   [&](Instance &To) { To.Core->targetAlive(Id, local(To)); });
+        toInstance(I, Run, [=, this](Instance &To) {
+          To.Core->targetAlive(Id, local(To));
+        });
       });
     }
   Queue.after(100 * Millisecond, [=, this] { pollHealth(Index); });
@@ -51,7 +54,7 @@
       Queue.after(Span, [=, this] {
         Open->Open = false;
         toInstance(Index, Run,
-                   [&](Instance &To) { To.Routing->end(Service, Slice); });
+                   [=](Instance &To) { To.Routing->end(Service, Slice); });
       });
     }
   }
@@ -131,7 +134,11 @@
       if (Now.At < Known.first ||
           (Now.At == Known.first && Now.Owner != Known.second))
         fail("acknowledged assignment of slice " + std::to_string(Slice) +
-             " of " + Name + " was lost");
+             " of " + Name + " was lost: " + Known.second.str() + " " +
+             std::to_string(Known.first.Term) + "." +
+             std::to_string(Known.first.Sequence) + ", now " + Now.Owner.str() +
+             " " + std::to_string(Now.At.Term) + "." +
+             std::to_string(Now.At.Sequence) + " at " + Of.Id.str());
       Known = {Now.At, Now.Owner};
     }
   }
@@ -179,24 +186,52 @@
   return Count;
 }
 
+inline auto OwnershipWorld::describe(const Instance &Of) const -> std::string {
+  const TermKeeper &Term = Of.Core->term();
+  static constexpr std::array<const char *, 3> Roles = {"follower", "deputy",
+                                                        "leader"};
+  return Of.Id.str() + " " + Roles[static_cast<std::size_t>(Term.role())] +
+         " term " + std::to_string(Term.record().Term) + "/" +
+         std::to_string(Term.highestTerm()) + " leader " +
+         Term.record().Leader.str() + " deputy " + Term.record().Deputy.str() +
+         " move " + std::to_string(Term.mayMove(local(Of))) + " renew " +
+         std::to_string(Term.mayRenew(local(Of))) + " waiting v " +
+         std::to_string(Of.Core->waiting(ServiceId("v"))) + " u " +
+         std::to_string(Of.Core->waiting(ServiceId("u"))) +
+         (Term.silentAt() ? "" : " unbounded");
+}
+
 inline auto OwnershipWorld::describe() const -> std::string {
   std::string Text;
-  for (const Instance &Each : Instances) {
-    if (!Each.Up)
-      continue;
-    const TermKeeper &Term = Each.Core->term();
-    Text += Each.Id.str() + " role " +
-            std::to_string(static_cast<int>(Term.role())) + " term " +
-            std::to_string(Term.record().Term) + "/" +
-            std::to_string(Term.highestTerm()) + " leader " +
-            Term.record().Leader.str() + " deputy " +
-            Term.record().Deputy.str() + " move " +
-            std::to_string(Term.mayMove(local(Each))) + " waiting v " +
-            std::to_string(Each.Core->waiting(ServiceId("v"))) + " u " +
-            std::to_string(Each.Core->waiting(ServiceId("u"))) +
-            (Term.silentAt() ? "" : " unbounded") + "\n";
-  }
+  for (const Instance &Each : Instances)
+    if (Each.Up)
+      Text += describe(Each) + "\n";
   return Text;
 }
 
+inline auto OwnershipWorld::trace(const std::string &What) const -> void {
+  if (Set.Trace)
+    std::fprintf(stderr, "%8.3f %s\n",
+                 static_cast<double>(Queue.now()) / Second, What.c_str());
+}
+
+inline auto OwnershipWorld::traceLease(const Target &Of,
+                                       const LeaseMessage &Message,
+                                       const LeaseReply &Reply) const -> void {
+  if (!Set.Trace)
+    return;
+  std::string Text = Of.Id.str() + " < " + Message.Sender.str() + " term " +
+                     std::to_string(Message.Term) + " seq " +
+                     std::to_string(Message.Sequence) + " lease " +
+                     std::to_string(Message.LeaseUs / 1000) + " " +
+                     std::string(LeaseRefusalNames.name(Reply.Refusal));
+  for (const SliceEpoch &Each : Message.Grant)
+    Text += " +" + std::to_string(Each.Slice) + "@" +
+            std::to_string(Each.At.Term) + "." +
+            std::to_string(Each.At.Sequence);
+  for (const SliceEpoch &Each : Message.Release)
+    Text += " -" + std::to_string(Each.Slice);
+  trace(Text);
+}
+
 } // namespace buckthornring::test
--- a/tests/ownership/OwnershipWorld.h
+++ b/tests/ownership/OwnershipWorld.h
@@ -33,6 +33,7 @@
     /// Requests to the unverified service; zero turns them off.
     TrueTime RequestEvery = 15 * Millisecond;
     bool ClockDrift = true;
+    bool Trace = false; ///< Prints leases, terms and faults.
   };
 
   struct Instance {
@@ -45,6 +46,7 @@
     TrueTime PausedUntil = 0;
     std::vector<std::function<void()>> Inbox; ///< Arrived while paused.
     std::uint64_t Run = 0;
+    std::string Shown; ///< Last traced state.
   };
 
   struct Target {
@@ -98,6 +100,7 @@
   /// Unverified slices for which some instance would send now.
   auto routed() const -> std::uint32_t;
   auto describe() const -> std::string;
+  auto describe(const Instance &Of) const -> std::string;
 
   Network Net;
   PlatformFaults Faults;
@@ -146,6 +149,9 @@
   auto checkRouting() -> void;
   auto checkAcknowledged(Instance &Of) -> void;
   auto fail(const std::string &What) -> void;
+  auto trace(const std::string &What) const -> void;
+  auto traceLease(const Target &Of, const LeaseMessage &Message,
+                  const LeaseReply &Reply) const -> void;
 
   Options Set;
   FakePlatform Platform;
--- a/tests/ownership/OwnershipWorld.inc.h
+++ b/tests/ownership/OwnershipWorld.inc.h
@@ -65,6 +65,7 @@
 
 inline auto OwnershipWorld::stopTarget(std::size_t Index) -> void {
   Target &Each = Targets[Index];
+  trace("stop " + Each.Id.str());
   Each.Up = false;
   Each.Process.reset();
   Each.Inbox.clear();
@@ -97,6 +98,7 @@
 
 inline auto OwnershipWorld::killInstance(std::size_t Index) -> void {
   Instance &Each = Instances[Index];
+  trace("kill " + Each.Id.str());
   Each.Up = false;
   Each.Run = ++Runs;
   Each.Core.reset();
@@ -115,6 +117,7 @@
   Instance &Each = Instances[Index];
   if (!Each.Up || Queue.now() < Each.PausedUntil)
     return;
+  trace("pause " + Each.Id.str() + " " + std::to_string(Span / Millisecond));
   Each.PausedUntil = Queue.now() + Span;
   const std::uint64_t Run = Each.Run;
   Queue.after(Span, [=, this] {
@@ -131,6 +134,7 @@
   Target &Each = Targets[Index];
   if (!Each.Up || Queue.now() < Each.PausedUntil)
     return;
+  trace("pause " + Each.Id.str() + " " + std::to_string(Span / Millisecond));
   Each.PausedUntil = Queue.now() + Span;
   const std::uint64_t Run = Each.Run;
   Queue.after(Span, [=, this] {
@@ -147,6 +151,7 @@
     -> void {
   const auto Key = std::minmax(Left, Right);
   const std::pair<std::string, std::string> Pair(Key.first, Key.second);
+  trace("cut " + Left + " " + Right + " " + std::to_string(Span / Millisecond));
   ++Cuts[Pair];
   Queue.after(Span, [=, this] {
     auto Place = Cuts.find(Pair);
@@ -233,6 +238,11 @@
     Each.Core->setInstances(Others, local(Each));
     perform(Index, Each.Core->tick(local(Each)));
     checkAcknowledged(Each);
+    if (Set.Trace)
+      if (std::string Now = describe(Each); Now != Each.Shown) {
+        Each.Shown = Now;
+        trace(Now);
+      }
   }
   Queue.after(Set.Tick, [=, this] { tickInstance(Index, Run); });
 }
@@ -276,7 +286,7 @@
   const InstanceId From = Instances[Index].Id;
   auto Handle = [=, this, Message = Send.Message] {
     toInstance(*To, Run,
-               [&](Instance &Each) { receiveLink(Each, From, Message); });
+               [=, this](Instance &Each) { receiveLink(Each, From, Message); });
   };
   if (*To == Index) {
     Queue.after(1, Handle);
@@ -304,7 +314,7 @@
       continue;
     const std::string Host = Instances[Index].Host;
     deliver(Host, Targets[I].Id.str(), [=, this, Message = Send.Message] {
-      toTarget(I, [&](Target &Each) {
+      toTarget(I, [=, this](Target &Each) {
         const LeaseReply Reply =
             Each.Process->handle(Message, Each.Clock.at(Queue.now()));
         if (!Message.Release.empty())
@@ -313,9 +323,10 @@
                         if (Targets[I].Process)
                           Targets[I].Process->finishRunning();
                       });
+        traceLease(Each, Message, Reply);
         checkGrant(Each);
         deliver(Each.Id.str(), Host, [=, this, Id = Each.Id] {
-          toInstance(Index, Run, [&](Instance &Back) {
+          toInstance(Index, Run, [=, this](Instance &Back) {
             perform(Index, Back.Core->leaseReply(Id, Reply, local(Back)));
           });
         });
@@ -338,7 +349,7 @@
         Platform.read(Read.Name, Random.chance(Faults.Stale), Random);
   }
   Queue.after(Delay, [=, this, Name = Read.Name] {
-    toInstance(Index, Run, [&](Instance &Each) {
+    toInstance(Index, Run, [=, this](Instance &Each) {
       perform(Index, Each.Core->objectRead(Name, Answer, local(Each)));
     });
   });
@@ -366,7 +377,7 @@
     }
   }
   Queue.after(Delay, [=, this, Name = Write.Name] {
-    toInstance(Index, Run, [&](Instance &Each) {
+    toInstance(Index, Run, [=, this](Instance &Each) {
       perform(Index, Each.Core->objectWritten(Name, Answer, local(Each)));
     });
   });
--- /dev/null
+++ b/tests/property/OwnershipPropertyTest.cpp
@@ -0,0 +1,290 @@
+#include "ownership/OwnershipWorld.inc.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+
+using namespace buckthornring;
+using namespace buckthornring::test;
+
+namespace {
+
+// Shorter than in production, so that one schedule contains several takeovers.
+auto shortTimes() -> OwnershipTimes {
+  OwnershipTimes Times;
+  Times.RenewOnlyLimit = std::chrono::seconds(6);
+  Times.ThirdInstanceWait = std::chrono::seconds(2);
+  return Times;
+}
+
+/// Random faults on a world, one after another.
+class FaultSchedule {
+public:
+  FaultSchedule(OwnershipWorld &World, std::uint64_t Seed)
+      : World(World), Random(Seed * 77 + 5) {}
+
+  auto start(TrueTime Until) -> void {
+    End = Until;
+    next();
+  }
+
+private:
+  using Fault = void (FaultSchedule::*)();
+
+  auto next() -> void {
+    if (World.now() >= End)
+      return;
+    static constexpr std::array<Fault, 14> Faults = {
+        &FaultSchedule::pauseInstance, &FaultSchedule::pauseInstance,
+        &FaultSchedule::pauseTarget,   &FaultSchedule::restartInstance,
+        &FaultSchedule::restartTarget, &FaultSchedule::outage,
+        &FaultSchedule::cutPlatform,   &FaultSchedule::cutLink,
+        &FaultSchedule::cutTarget,     &FaultSchedule::cutTarget,
+        &FaultSchedule::badNetwork,    &FaultSchedule::badPlatform,
+        &FaultSchedule::split,         &FaultSchedule::resign};
+    (this->*Faults[Random.below(Faults.size())])();
+    World.Queue.after(span(50 * Millisecond, 1500 * Millisecond),
+                      [this] { next(); });
+  }
+
+  auto span(TrueTime Least, TrueTime Most) -> TrueTime {
+    return Least + static_cast<TrueTime>(
+                       Random.below(static_cast<std::uint64_t>(Most - Least)));
+  }
+  auto instance() -> std::size_t {
+    // The leader and its deputy matter most.
+    const auto Leader = World.leader();
+    if (Leader && Random.chance(0.4))
+      return *Leader;
+    return Random.below(World.Instances.size());
+  }
+  auto target() -> std::size_t { return Random.below(World.Targets.size()); }
+
+  auto pauseInstance() -> void {
+    World.pauseInstance(instance(), span(50 * Millisecond, 4 * Second));
+  }
+  auto pauseTarget() -> void {
+    World.pauseTarget(target(), span(50 * Millisecond, 4 * Second));
+  }
+  auto restartInstance() -> void {
+    const std::size_t Index = instance();
+    if (!World.Instances[Index].Up)
+      return;
+    World.killInstance(Index);
+    World.Queue.after(span(100 * Millisecond, 5 * Second),
+                      [this, Index] { World.startInstance(Index); });
+  }
+  auto restartTarget() -> void {
+    const std::size_t Index = target();
+    if (!World.Targets[Index].Up)
+      return;
+    World.stopTarget(Index);
+    World.Queue.after(span(10 * Millisecond, 3 * Second),
+                      [this, Index] { World.startTarget(Index); });
+  }
+  auto outage() -> void {
+    World.Faults.Outage = true;
+    World.Queue.after(span(300 * Millisecond, 10 * Second),
+                      [this] { World.Faults.Outage = false; });
+  }
+  auto cutPlatform() -> void {
+    World.cut(World.Instances[instance()].Host, "platform",
+              span(300 * Millisecond, 8 * Second));
+  }
+  auto cutLink() -> void {
+    const std::size_t Left = instance();
+    const std::size_t Right = Random.below(World.Instances.size());
+    if (Left != Right)
+      World.cut(World.Instances[Left].Host, World.Instances[Right].Host,
+                span(300 * Millisecond, 6 * Second));
+  }
+  auto cutTarget() -> void {
+    World.cut(World.Instances[instance()].Host,
+              World.Targets[target()].Id.str(),
+              span(300 * Millisecond, 6 * Second));
+  }
+  auto badNetwork() -> void {
+    World.Net.Loss = Random.unit() * 0.4;
+    World.Net.Repeat = Random.unit() * 0.2;
+    World.Net.Late = Random.unit() * 0.2;
+    World.Queue.after(span(500 * Millisecond, 4 * Second),
+                      [this] { World.Net = OwnershipWorld::Network(); });
+  }
+  auto badPlatform() -> void {
+    World.Faults.LostAnswer = Random.unit() * 0.5;
+    World.Faults.LateEffect = Random.unit() * 0.3;
+    World.Faults.Stale = Random.unit() * 0.4;
+    World.Queue.after(span(1 * Second, 6 * Second), [this] {
+      World.Faults.LostAnswer = 0;
+      World.Faults.LateEffect = 0;
+      World.Faults.Stale = 0;
+    });
+  }
+  /// Separates some instances and targets from all the others.
+  auto split() -> void {
+    const TrueTime Span = span(1 * Second, 8 * Second);
+    std::vector<std::string> Sides[2];
+    Sides[Random.below(2)].push_back("platform");
+    for (const auto &Each : World.Instances)
+      Sides[Random.below(2)].push_back(Each.Host);
+    for (const auto &Each : World.Targets)
+      Sides[Random.below(2)].push_back(Each.Id.str());
+    for (const std::string &Left : Sides[0])
+      for (const std::string &Right : Sides[1])
+        World.cut(Left, Right, Span);
+  }
+  auto resign() -> void {
+    const std::size_t Index = instance();
+    if (!World.Instances[Index].Up)
+      return;
+    World.resign(Index);
+    const std::uint64_t Run = World.Instances[Index].Run;
+    World.Queue.after(span(300 * Millisecond, 2 * Second), [this, Index, Run] {
+      if (World.Instances[Index].Run != Run)
+        return;
+      World.killInstance(Index);
+      World.startInstance(Index);
+    });
+  }
+
+  OwnershipWorld &World;
+  RandomSource Random;
+  TrueTime End = 0;
+};
+
+struct Outcome {
+  std::string Violation;
+  std::string Stuck;
+};
+
+auto replay(std::uint64_t Seed) -> std::string {
+  return "seed " + std::to_string(Seed) +
+         "; replay: BTR_SEED=" + std::to_string(Seed) +
+         " build/property_tests --gtest_filter='OwnershipPropertyTest.*'";
+}
+
+/// Prints the replay command when a broken invariant aborts the process.
+class AbortReport {
+public:
+  explicit AbortReport(std::uint64_t Seed) {
+    std::snprintf(Text.data(), Text.size(), "%s\n", replay(Seed).c_str());
+    Before = std::signal(SIGABRT, [](int) { std::fputs(Text.data(), stderr); });
+  }
+  ~AbortReport() { std::signal(SIGABRT, Before); }
+  AbortReport(const AbortReport &) = delete;
+  auto operator=(const AbortReport &) -> AbortReport & = delete;
+
+private:
+  static inline std::array<char, 160> Text;
+  void (*Before)(int) = nullptr;
+};
+
+/// Runs one schedule: faults, then calm, with the operator's confirmation for
+/// whatever is gone. Returns what went wrong.
+auto runSchedule(std::uint64_t Seed, SafetySwitches Switches, bool Calm)
+    -> Outcome {
+  const AbortReport Report(Seed);
+  OwnershipWorld::Options Options;
+  Options.Seed = Seed;
+  Options.Switches = Switches;
+  Options.Times = shortTimes();
+  Options.Trace = std::getenv("BTR_TRACE") != nullptr;
+  OwnershipWorld World(Options);
+  World.run(2 * Second);
+  FaultSchedule Faults(World, Seed);
+  Faults.start(World.now() + 20 * Second);
+  while (World.now() < 22 * Second && World.violation().empty())
+    World.run(500 * Millisecond);
+  if (!Calm || !World.violation().empty())
+    return {World.violation(), ""};
+  World.heal();
+  World.run(14 * Second);
+  World.heal();
+  // Instances of earlier terms that never answered are gone for good.
+  for (auto &Each : World.Instances) {
+    const auto Gone = Each.Core->term().previous();
+    for (const auto &[Instance, Bound] : Gone)
+      if (!Bound)
+        Each.Core->confirmInstanceLost(Instance, Each.Clock.at(World.now()));
+  }
+  World.run(12 * Second);
+  Outcome Result{World.violation(), ""};
+  if (World.served() != 8 || World.routed() != 4)
+    Result.Stuck = "served " + std::to_string(World.served()) +
+                   " of 8, routed " + std::to_string(World.routed()) +
+                   " of 4\n" + World.describe();
+  return Result;
+}
+
+// Guards against two targets that run requests for one slice, epochs that do
+// not rise, acknowledged assignments that are lost, and slices that stay
+// unserved after all faults have ended.
+TEST(OwnershipPropertyTest, RandomSchedulesKeepEverySliceExclusive) {
+  std::uint64_t First = 1;
+  std::uint64_t Count = 150;
+  if (std::getenv("BTR_LONG") != nullptr)
+    Count = 10000;
+  if (const char *Given = std::getenv("BTR_SEED")) {
+    First = std::strtoull(Given, nullptr, 10);
+    Count = 1;
+  }
+  if (const char *Given = std::getenv("BTR_FIRST"))
+    First = std::strtoull(Given, nullptr, 10);
+  if (const char *Given = std::getenv("BTR_COUNT"))
+    Count = std::strtoull(Given, nullptr, 10);
+  std::uint64_t Failures = 0;
+  for (std::uint64_t Seed = First; Seed < First + Count; ++Seed) {
+    const Outcome Result = runSchedule(Seed, SafetySwitches(), true);
+    EXPECT_EQ(Result.Violation, "") << replay(Seed);
+    EXPECT_EQ(Result.Stuck, "") << replay(Seed);
+    Failures += Result.Violation.empty() && Result.Stuck.empty() ? 0 : 1;
+    if (Failures >= 5)
+      break;
+  }
+}
+
+struct Mechanism {
+  const char *Name;
+  bool SafetySwitches::*Switch;
+  std::uint64_t Seeds;
+};
+
+class OwnershipSwitchTest : public testing::TestWithParam<Mechanism> {};
+
+// Guards against checks that do not notice when a mechanism is missing.
+TEST_P(OwnershipSwitchTest, TurningTheMechanismOffIsNoticed) {
+  SafetySwitches Switches;
+  Switches.*GetParam().Switch = false;
+  for (std::uint64_t Seed = 1; Seed <= GetParam().Seeds; ++Seed) {
+    const Outcome Result = runSchedule(Seed, Switches, false);
+    if (Result.Violation.empty())
+      continue;
+    RecordProperty("seed", std::to_string(Seed));
+    std::printf("%s off: seed %llu: %s\n", GetParam().Name,
+                static_cast<unsigned long long>(Seed),
+                Result.Violation.c_str());
+    return;
+  }
+  FAIL() << GetParam().Name << " off was not noticed in " << GetParam().Seeds
+         << " seeds";
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Mechanisms, OwnershipSwitchTest,
+    testing::Values(
+        Mechanism{"LeaseWait", &SafetySwitches::LeaseWait, 200},
+        Mechanism{"Fencing", &SafetySwitches::Fencing, 200},
+        Mechanism{"ReleaseBeforeGrant", &SafetySwitches::ReleaseBeforeGrant,
+                  200},
+        Mechanism{"DriftBound", &SafetySwitches::DriftBound, 200},
+        Mechanism{"CopyBeforeAct", &SafetySwitches::CopyBeforeAct, 200},
+        Mechanism{"RenewOnlyLimit", &SafetySwitches::RenewOnlyLimit, 200},
+        Mechanism{"RoutingLeaseWait", &SafetySwitches::RoutingLeaseWait, 200},
+        Mechanism{"EchoedClock", &SafetySwitches::EchoedClock, 200},
+        Mechanism{"FenceBeforeKeep", &SafetySwitches::FenceBeforeKeep, 200}),
+    [](const auto &Each) { return std::string(Each.param.Name); });
+
+} // namespace
