--- a/lib/Ownership/GrantQueue.cpp
+++ b/lib/Ownership/GrantQueue.cpp
@@ -43,6 +43,16 @@
   }
 }
 
+auto GrantQueue::skip(const TargetId &Target) -> void {
+  const auto Place = Targets.find(Target);
+  if (Place == Targets.end())
+    return;
+  for (auto &[Slice, First] : Place->second.Grants)
+    First = 0;
+  for (auto &[Slice, First] : Place->second.Releases)
+    First = 0;
+}
+
 auto GrantQueue::applied(const TargetId &Target, std::uint64_t Sequence)
     -> void {
   const auto Place = Targets.find(Target);
--- a/lib/Ownership/GrantQueue.h
+++ b/lib/Ownership/GrantQueue.h
@@ -24,6 +24,11 @@
   /// Adds the open changes to a message and notes its sequence.
   auto fill(LeaseMessage &Message, const SliceMap &Map) -> void;
 
+  /// Notes that a message is sent without the open changes. Its sequence will
+  /// be acknowledged although an earlier message with them may be lost, so they
+  /// count as not sent again.
+  auto skip(const TargetId &Target) -> void;
+
   /// Drops the changes that a message up to this sequence carried.
   auto applied(const TargetId &Target, std::uint64_t Sequence) -> void;
 
--- a/lib/Ownership/ServiceLeader.h
+++ b/lib/Ownership/ServiceLeader.h
@@ -91,6 +91,7 @@
 
   auto sendLeases(TimePoint Now, OwnershipActions &Actions) -> void;
   auto leaseMessage(const TargetId &Target, TimePoint Now) -> LeaseMessage;
+  auto mayChange(const LeaseMessage &Message, TimePoint Now) -> bool;
 
   OwnedService Service;
   OwnershipContext &Context;
--- a/lib/Ownership/ServiceMoves.cpp
+++ b/lib/Ownership/ServiceMoves.cpp
@@ -234,16 +234,25 @@
   Message.Report = State == Knowledge::Collecting && !Reported.contains(Target);
   const bool Known = State == Knowledge::Resolved || Reported.contains(Target);
   Leases.sent(Message, Known && Context.Term.mayRenew(Now));
+  if (mayChange(Message, Now))
+    Grants.fill(Message, Map);
+  else
+    Grants.skip(Target);
+  return Message;
+}
+
+/// Returns whether a message may carry grants and releases.
+auto ServiceLeader::mayChange(const LeaseMessage &Message, TimePoint Now)
+    -> bool {
   if (Message.LeaseUs == 0 || !Context.Term.mayMove(Now))
-    return Message;
+    return false;
   // A process start that appeared after the last proof may not know the term
   // of a leader that replaced this one.
   const auto Proved = Context.Term.provedAt();
-  if (!Proved || Leases.startSeen(Target) >= *Proved)
-    Context.Term.requestProof();
-  else
-    Grants.fill(Message, Map);
-  return Message;
+  if (Proved && Leases.startSeen(Message.Target) < *Proved)
+    return true;
+  Context.Term.requestProof();
+  return false;
 }
 
 auto ServiceLeader::sendLeases(TimePoint Now, OwnershipActions &Actions)
--- a/tests/ownership/OwnershipWorld.h
+++ b/tests/ownership/OwnershipWorld.h
@@ -94,10 +94,11 @@
   // Observations.
   auto violation() const -> const std::string & { return Violation; }
   auto leader() const -> std::optional<std::size_t>;
-  /// Slices of the verified service that a target would run now.
+  /// Bit mask of the slices of the verified service that a running target would
+  /// run now, for services of at most 32 slices.
   auto served() -> std::uint32_t;
   auto ownerOf(std::uint32_t Slice) -> std::optional<std::size_t>;
-  /// Unverified slices for which some instance would send now.
+  /// Bit mask of the unverified slices for which some instance would send now.
   auto routed() const -> std::uint32_t;
   auto describe() const -> std::string;
   auto describe(const Instance &Of) const -> std::string;
