--- a/lib/Ownership/GrantQueue.cpp
+++ b/lib/Ownership/GrantQueue.cpp
@@ -1,4 +1,5 @@
 #include "Ownership/GrantQueue.h"
+#include "buckthornring/Common/Invariant.h"
 
 #include <algorithm>
 
@@ -31,6 +32,8 @@
   if (Place == Targets.end())
     return;
   for (auto &[Slice, First] : Place->second.Grants) {
+    invariant(Map.at(Slice).Owner == Message.Target && Map.at(Slice).Serving,
+              "a slice is granted only to its recorded owner");
     Message.Grant.push_back({Slice, Map.at(Slice).At});
     First = First == 0 ? Message.Sequence : First;
   }
@@ -40,6 +43,16 @@
   }
 }
 
+auto GrantQueue::skip(const TargetId &Target) -> void {
+  const auto Place = Targets.find(Target);
+  if (Place == Targets.end())
+    return;
+  for (auto &[Slice, First] : Place->second.Grants)
+    First = 0;
+  for (auto &[Slice, First] : Place->second.Releases)
+    First = 0;
+}
+
 auto GrantQueue::applied(const TargetId &Target, std::uint64_t Sequence)
     -> void {
   const auto Place = Targets.find(Target);
