--- a/lib/Entry/TrafficThread.cpp
+++ b/lib/Entry/TrafficThread.cpp
@@ -43,6 +43,10 @@
 
 TrafficThread::~TrafficThread() { stop(); }
 
+auto TrafficThread::holder() const -> std::string {
+  return holderName(Settings, Number);
+}
+
 auto TrafficThread::start() -> void {
   tick();
   Thread = std::thread([this] { Io.run(); });
--- a/lib/Entry/TrafficThread.h
+++ b/lib/Entry/TrafficThread.h
@@ -74,6 +74,8 @@
   auto shutDown(std::function<void()> Done) -> void;
   /// Follows a giver of shares with a higher term.
   auto followShares(std::uint64_t Term) -> void;
+  /// Name under which this thread holds shares: "instance/number".
+  auto holder() const -> std::string;
   auto applyGrant(const std::string &Quantity, const ShareGrant &Grant) -> void;
   /// Serves requests that wait for a slot.
   auto wake(const ServiceId &Service) -> void;
