Add both sides of a target's cold-start allowance

Cause: the rule that a share counts for one start of a target existed only in the test world, so the daemon could not use it. Ruled out: start identifiers named by traffic threads. Only the leader's own polls, which follow each other, change the start; another identifier makes the next poll due at once. Change: AllowanceGiver and AllowanceTaker; the cold-start world drives them and its health polls. A first report with a long uptime marks the target as warm also when a shorter one came before it.

--- a/include/buckthornring/Routing/ColdStartRamp.h
+++ b/include/buckthornring/Routing/ColdStartRamp.h
@@ -31,9 +31,9 @@
   ColdStartRamp(Options Settings, TimePoint Now)
       : Settings(Settings), ColdSince(Now) {}
 
-  /// A health report. \p StartId changes with each start of the target.
-  /// \p Uptime lets a new leader recognise a warm target; without it the first
-  /// report starts a ramp.
+  /// A health report, in the order of the polls. \p StartId changes with each
+  /// start of the target. \p Uptime lets a new leader recognise a warm target;
+  /// without it the first report starts a ramp.
   auto reported(const std::string &StartId, std::optional<Duration> Uptime,
                 TimePoint Now) -> void;
 
@@ -51,6 +51,9 @@
   /// health report.
   auto allowance(TimePoint Now) const -> std::uint32_t;
 
+  /// The start identifier that the allowance is for; empty before a report.
+  auto startId() const -> const std::string & { return LastStartId; }
+
   auto cold(TimePoint Now) const -> bool {
     return allowance(Now) < Settings.Slots;
   }
@@ -60,8 +63,7 @@
 
   Options Settings;
   std::string LastStartId;
-  std::string
-      EarlierStartId; ///< Late reports of the earlier start are ignored.
+  bool FirstStart = true;             ///< No other start identifier was seen.
   std::optional<TimePoint> ColdSince; ///< Nothing once warm.
   TimePoint LastAnswer = TimePoint::min();
   double Average = 0; ///< Microseconds.
--- a/lib/Routing/ColdStartRamp.cpp
+++ b/lib/Routing/ColdStartRamp.cpp
@@ -2,7 +2,6 @@
 #include "buckthornring/Common/Invariant.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace buckthornring {
 
@@ -26,20 +25,16 @@
 auto ColdStartRamp::reported(const std::string &StartId,
                              std::optional<Duration> Uptime, TimePoint Now)
     -> void {
-  if (!EarlierStartId.empty() && StartId == EarlierStartId)
-    return;
-  const bool First = LastStartId.empty();
-  const bool Same = StartId == LastStartId;
-  if (!Same)
-    EarlierStartId = std::exchange(LastStartId, StartId);
+  if (StartId != LastStartId) {
+    FirstStart = LastStartId.empty();
+    LastStartId = StartId;
+    restart(Now);
+  }
   LastAnswer = Now;
   Suspect = false;
-  if (Same)
-    return;
-  restart(Now);
-  // A known target with a new identifier ramps up from the report, because its
-  // uptime was spent without load.
-  if (First && Uptime && *Uptime >= Settings.Ramp)
+  // A target that was known before ramps up from the report of its new start,
+  // because its uptime was spent without load.
+  if (FirstStart && Uptime && *Uptime >= Settings.Ramp)
     ColdSince.reset();
 }
 
--- a/tests/property/ColdStartPropertyTest.cpp
+++ b/tests/property/ColdStartPropertyTest.cpp
@@ -39,6 +39,10 @@
   expectSomeFailure(100, schedule(ColdPolicy::NoWait));
 }
 
+TEST(ColdStartPropertyTest, DetectsStartsThatAreReportedOutOfOrder) {
+  expectSomeFailure(100, schedule(ColdPolicy::TrustThreads));
+}
+
 TEST(ColdStartPropertyTest, DetectsLocalRamps) {
   expectSomeFailure(100, schedule(ColdPolicy::LocalRamp));
 }
--- a/tests/support/ColdWorld.h
+++ b/tests/support/ColdWorld.h
@@ -2,13 +2,12 @@
 
 #include "EventQueue.h"
 #include "buckthornring/Common/Random.h"
-#include "buckthornring/Limits/ShareHolder.h"
-#include "buckthornring/Limits/ShareLedger.h"
+#include "buckthornring/Limits/AllowanceGiver.h"
+#include "buckthornring/Limits/AllowanceTaker.h"
 #include "buckthornring/Routing/ColdStartRamp.h"
 
 #include <algorithm>
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -23,6 +22,7 @@
   StaticDivision, ///< Baseline: each holder may always use its part, at
                   ///< least 1.
   KeepShare,      ///< Deliberate fault: a share outlives the target's restart.
+  TrustThreads,   ///< Deliberate fault: late messages name the target's start.
   NoWait,         ///< Deliberate fault: a new leader lends at once.
 };
 
@@ -33,7 +33,7 @@
       : Policy(Policy), Random(Seed), Queue(TimePoint(Duration(0))) {
     const auto Count = 3 + Random.below(9);
     for (std::uint64_t I = 0; I < Count; ++I) {
-      Holder New;
+      Holder New{AllowanceTaker("h" + std::to_string(I), 1)};
       New.Clock = randomClock();
       Holders.push_back(std::move(New));
     }
@@ -58,22 +58,24 @@
   static constexpr Duration Ramp = std::chrono::seconds(10);
   static constexpr Duration MaxUse = std::chrono::milliseconds(300);
 
+  struct Use {
+    TimePoint End;
+    AllowanceTaker::Unit Unit = 0;
+  };
   struct Holder {
-    SkewedClock Clock;
+    AllowanceTaker Share;
+    SkewedClock Clock{};
     std::uint64_t Connected = 0; ///< Start that its connection leads to.
-    std::uint64_t ShareOf = 0;   ///< Start that its share is for.
-    std::unique_ptr<ShareHolder> Share;
-    std::optional<ColdStartRamp> Local;
-    std::uint64_t Session = 1;
-    std::vector<TimePoint> Uses;
+    std::optional<ColdStartRamp> Local{};
+    std::vector<Use> Uses{};
   };
   struct Leader {
     SkewedClock Clock;
     std::uint64_t Term = 0;
     bool Lost = false;
-    TimePoint Began;
-    std::unique_ptr<ColdStartRamp> Ramp;
-    std::map<std::uint64_t, std::unique_ptr<ShareLedger>> Ledgers;
+    std::uint64_t Polls = 0;
+    std::uint64_t LastPoll = 0;
+    std::unique_ptr<AllowanceGiver> Giver;
   };
 
   auto randomClock() -> SkewedClock {
@@ -87,12 +89,40 @@
     Current.Clock = randomClock();
     ++Current.Term;
     Current.Lost = false;
-    Current.Began = Current.Clock.read(Queue.now());
+    Current.Polls = Current.LastPoll = 0;
+    TimePoint Began = Current.Clock.read(Queue.now());
     if (Policy == ColdPolicy::NoWait)
-      Current.Began -= std::chrono::seconds(10);
-    Current.Ramp = std::make_unique<ColdStartRamp>(
-        ColdStartRamp::Options(), Current.Clock.read(Queue.now()));
-    Current.Ledgers.clear();
+      Began -= std::chrono::seconds(10);
+    AllowanceGiver::Options Settings;
+    Settings.WarmUnits = Slots;
+    Settings.UseTail = MaxUse;
+    Current.Giver =
+        std::make_unique<AllowanceGiver>(Settings, Current.Term, Began);
+    for (Holder &Each : Holders)
+      Each.Share.follow(Current.Term);
+    poll(Current.Term);
+  }
+
+  auto poll(std::uint64_t Term) -> void {
+    if (Current.Term != Term || Current.Lost)
+      return;
+    pollOnce();
+    Queue.after(std::chrono::milliseconds(200), [this, Term] { poll(Term); });
+  }
+
+  /// Asks for the target's health. A late answer to an earlier poll is not
+  /// read, because its connection was closed.
+  auto pollOnce() -> void {
+    const std::uint64_t Number = ++Current.Polls;
+    const std::uint64_t About = Start;
+    const Duration Uptime = Queue.now() - StartedAt;
+    Queue.after(delay(), [this, Term = Current.Term, Number, About, Uptime] {
+      if (Current.Term != Term || Number < Current.LastPoll)
+        return;
+      Current.LastPoll = Number;
+      Current.Giver->ramp().reported(std::to_string(About), Uptime,
+                                     Current.Clock.read(Queue.now()));
+    });
   }
 
   auto scheduleTakeover() -> void {
@@ -100,9 +130,6 @@
       Current.Lost = true;
       Queue.after(std::chrono::milliseconds(Random.below(1000)), [this] {
         startLeader();
-        for (Holder &Each : Holders)
-          if (Each.Share)
-            Each.Share->follow(Current.Term);
         scheduleTakeover();
       });
     });
@@ -127,14 +154,12 @@
     Queue.after(Duration(static_cast<std::int64_t>(4000 + Random.below(8000))),
                 [this, Index] { step(Index); });
     Holder &Of = Holders[Index];
-    std::erase_if(Of.Uses, [&](TimePoint End) {
-      if (End > Queue.now())
+    std::erase_if(Of.Uses, [&](const Use &Each) {
+      if (Each.End > Queue.now())
         return false;
-      if (Of.Share)
-        Of.Share->release();
-      const TimePoint Own = Of.Clock.read(Queue.now());
+      Of.Share.release(Each.Unit);
       if (Of.Local)
-        Of.Local->answered(MaxUse / 2, Own);
+        Of.Local->answered(MaxUse / 2, Of.Clock.read(Queue.now()));
       return true;
     });
     if (Of.Connected == 0) {
@@ -146,10 +171,11 @@
     for (std::uint64_t I = 0; I < Wanted; ++I)
       if (!trySend(Of))
         ++Waiting;
-    if (!Of.Share || Of.Connected == 0)
+    ShareHolder *Share = Of.Share.share();
+    if (Share == nullptr || Of.Connected == 0)
       return;
-    Of.Share->setWaiting(Waiting);
-    if (Of.Share->reportDue(Of.Clock.read(Queue.now())))
+    Share->setWaiting(Waiting);
+    if (Share->reportDue(Of.Clock.read(Queue.now())))
       report(Index);
   }
 
@@ -165,41 +191,40 @@
     }
     if (Policy == ColdPolicy::StaticDivision)
       return;
-    if (Of.Share && (Of.ShareOf == Start || Policy == ColdPolicy::KeepShare))
-      return;
-    Of.ShareOf = Start;
-    Of.Session += 1000;
-    Of.Share = std::make_unique<ShareHolder>(
-        "h" + std::to_string(&Of - Holders.data()), ShareKind::Units,
-        Of.Session, Own);
-    Of.Share->follow(Current.Term);
-    Of.Uses.clear();
+    const bool Keep =
+        Policy == ColdPolicy::KeepShare && !Of.Share.startId().empty();
+    Of.Share.connected(Keep ? Of.Share.startId() : std::to_string(Start), Own);
   }
 
-  auto mayUse(Holder &Of) -> bool {
+  auto acquire(Holder &Of) -> std::optional<AllowanceTaker::Unit> {
     const TimePoint Own = Of.Clock.read(Queue.now());
+    std::size_t Limit = 0;
     if (Policy == ColdPolicy::LocalRamp)
-      return Of.Uses.size() < Of.Local->allowance(Own);
-    if (Policy == ColdPolicy::StaticDivision)
-      return Of.Uses.size() < std::max<std::size_t>(Slots / Holders.size(), 1);
-    return Of.Share->tryAcquire(Own);
+      Limit = Of.Local->allowance(Own);
+    else if (Policy == ColdPolicy::StaticDivision)
+      Limit = std::max<std::size_t>(Slots / Holders.size(), 1);
+    else
+      return Of.Share.tryAcquire(Own);
+    return Of.Uses.size() < Limit ? std::optional<AllowanceTaker::Unit>(0)
+                                  : std::nullopt;
   }
 
   auto trySend(Holder &Of) -> bool {
-    if (Of.Connected == 0 || !mayUse(Of))
+    const auto Unit = Of.Connected == 0 ? std::nullopt : acquire(Of);
+    if (!Unit)
       return false;
-    const TimePoint End =
-        Queue.now() + Duration(static_cast<std::int64_t>(
-                          1000 + Random.below(MaxUse.count() - 1000)));
     if (Of.Connected != Start) {
       // The connection broke with the restart; the target got nothing.
       Of.Connected = 0;
-      if (Of.Share)
-        Of.Share->release();
+      Of.Share.release(*Unit);
+      Of.Share.connectionLost();
       return false;
     }
+    const TimePoint End =
+        Queue.now() + Duration(static_cast<std::int64_t>(
+                          1000 + Random.below(MaxUse.count() - 1000)));
     ++Sent;
-    Of.Uses.push_back(End);
+    Of.Uses.push_back({End, *Unit});
     std::erase_if(Running,
                   [&](TimePoint Until) { return Until <= Queue.now(); });
     Running.push_back(End);
@@ -220,43 +245,29 @@
 
   auto report(std::size_t Index) -> void {
     Holder &Of = Holders[Index];
-    const auto Request = Of.Share->makeRequest(Of.Clock.read(Queue.now()));
+    const auto Request =
+        Of.Share.share()->makeRequest(Of.Clock.read(Queue.now()));
     if (Random.chance(0.05))
       return;
-    Queue.after(delay(), [this, Index, Request, About = Of.ShareOf] {
+    Queue.after(delay(), [this, Index, Request, About = Of.Share.startId()] {
       if (Current.Lost)
         return;
-      const auto Grant = handle(Request, About);
+      if (Policy == ColdPolicy::TrustThreads)
+        Current.Giver->ramp().reported(About, std::nullopt,
+                                       Current.Clock.read(Queue.now()));
+      const auto Grant = Current.Giver->handle(About, Request,
+                                               Current.Clock.read(Queue.now()));
+      if (Current.Giver->takePollWanted())
+        pollOnce();
       if (!Grant || Random.chance(0.05))
         return;
       Queue.after(delay(), [this, Index, Grant = *Grant] {
         Holder &To = Holders[Index];
-        To.Share->apply(Grant, To.Clock.read(Queue.now()));
+        To.Share.share()->apply(Grant, To.Clock.read(Queue.now()));
       });
     });
   }
 
-  auto handle(const ShareRequest &Request, std::uint64_t About)
-      -> std::optional<ShareGrant> {
-    const TimePoint Own = Current.Clock.read(Queue.now());
-    const auto Uptime = Queue.now() - StartedAt;
-    Current.Ramp->reported(
-        std::to_string(About),
-        About == Start ? std::optional<Duration>(Uptime) : std::nullopt, Own);
-    auto &Ledger = Current.Ledgers[About];
-    if (!Ledger) {
-      ShareLedger::Options Settings;
-      Settings.Kind = ShareKind::Units;
-      Settings.UseTail = MaxUse;
-      Ledger = std::make_unique<ShareLedger>(Settings, ShareAmount{},
-                                             Current.Term, Current.Began);
-    }
-    Ledger->setTotal(
-        {0, static_cast<MilliUnits>(Current.Ramp->allowance(Own)) * OneUnit},
-        Own);
-    return Ledger->handle(Request, Own);
-  }
-
   ColdPolicy Policy;
   RandomSource Random;
   EventQueue Queue;
--- a/tests/unit/LimitsTest.cpp
+++ b/tests/unit/LimitsTest.cpp
@@ -1,4 +1,6 @@
 #include "buckthornring/Limits/AdmissionGate.h"
+#include "buckthornring/Limits/AllowanceGiver.h"
+#include "buckthornring/Limits/AllowanceTaker.h"
 #include "buckthornring/Limits/FairQueue.h"
 #include "buckthornring/Limits/ShareHolder.h"
 #include "buckthornring/Limits/ShareLedger.h"
@@ -154,6 +156,41 @@
   EXPECT_EQ(Alone.advance(Now + 200ms).Refused.size(), 1U);
 }
 
+// Guards against a request on a restarted target by a share of its earlier
+// start, and against a thread that stays without a share after it.
+TEST(AllowanceTest, AShareCountsForOneStartOfTheTarget) {
+  AllowanceGiver Giver({}, 1, Start - 60s);
+  AllowanceTaker Taker("a/0", 1);
+  Taker.follow(1);
+  const auto Exchange = [&](TimePoint Now) {
+    Taker.share()->setWaiting(4);
+    const auto Request = Taker.share()->makeRequest(Now);
+    const auto Grant = Giver.handle(Taker.startId(), Request, Now);
+    return Grant && Taker.share()->apply(*Grant, Now);
+  };
+  Giver.ramp().reported("one", 60s, Start);
+  Taker.connected("one", Start);
+  EXPECT_TRUE(Exchange(Start));
+  for (int I = 0; I < 4; ++I)
+    EXPECT_TRUE(Taker.tryAcquire(Start).has_value());
+  EXPECT_FALSE(Taker.tryAcquire(Start).has_value());
+  Taker.connectionLost();
+  Taker.release(1);
+  EXPECT_FALSE(Taker.tryAcquire(Start).has_value());
+  Taker.connected("two", Start + 10ms);
+  EXPECT_FALSE(Exchange(Start + 10ms));
+  EXPECT_TRUE(Giver.takePollWanted());
+  Giver.ramp().reported("two", 10ms, Start + 20ms);
+  EXPECT_TRUE(Exchange(Start + 20ms));
+  const auto Unit = Taker.tryAcquire(Start + 20ms);
+  EXPECT_TRUE(Unit.has_value());
+  EXPECT_FALSE(Taker.tryAcquire(Start + 20ms).has_value());
+  Taker.release(1);
+  EXPECT_FALSE(Taker.tryAcquire(Start + 20ms).has_value());
+  Taker.release(*Unit);
+  EXPECT_TRUE(Taker.tryAcquire(Start + 20ms).has_value());
+}
+
 // Guards against a workspace that takes slots beyond its weight.
 TEST(FairQueueTest, SlotsFollowWeights) {
   FairQueue Queue;
