Take rate shares from the leader and admit through AdmissionGate

Cause: the instance gave itself the whole rate of each workspace, which is wrong as soon as there are two instances. Ruled out: keeping the local giver as a fallback; it would exceed the rate while the leader lends shares to others. Change: traffic threads send their requests through ShareChannel to the control plane's ShareExchange and follow its term; RateGate holds one AdmissionGate per workspace instead of its own queue; LocalShareGiver is gone.

--- a/lib/Entry/EntryInstance.cpp
+++ b/lib/Entry/EntryInstance.cpp
@@ -1,10 +1,8 @@
 #include "Entry/EntryInstance.h"
 
 #include "Entry/EntryMetrics.h"
-#include "Entry/LocalShareGiver.h"
 #include "Entry/SnapshotBuilder.h"
 #include "IO/Endpoint.h"
-#include "IO/SteadyTime.h"
 #include "buckthornring/Observe/PrometheusText.h"
 
 #include <boost/asio/post.hpp>
@@ -22,7 +20,6 @@
 
 namespace {
 
-constexpr auto TickInterval = std::chrono::milliseconds(100);
 /// Time in which the deputy and the platform learn that this instance leaves.
 constexpr auto LeaveTime = std::chrono::milliseconds(200);
 
@@ -64,43 +61,34 @@
 } // namespace
 
 /// Takes share requests of the traffic threads to the control thread.
-class EntryInstance::LocalShares final : public ShareChannel {
+class EntryInstance::ShareRequests final : public ShareChannel {
 public:
-  explicit LocalShares(EntryInstance &Owner)
-      : Owner(Owner),
-        Giver([&Owner](std::size_t Thread, const std::string &Quantity,
-                       const ShareGrant &Grant) {
-          Owner.Threads[Thread]->applyGrant(Quantity, Grant);
-        }) {}
-
-  auto send(std::size_t Thread, const std::string &Quantity,
-            const ShareRequest &Request) -> void override {
-    asio::post(Owner.Io, [this, Thread, Quantity, Request] {
-      Giver.handle(Thread, Quantity, Request, steadyNow());
+  explicit ShareRequests(EntryInstance &Owner) : Owner(Owner) {}
+
+  auto send(const std::string &Quantity, const ShareRequest &Request)
+      -> void override {
+    asio::post(Owner.Io, [this, Quantity, Request] {
+      Owner.Control->shares().submit(Quantity, Request);
     });
   }
-  auto giver() -> LocalShareGiver & { return Giver; }
 
 private:
   EntryInstance &Owner;
-  LocalShareGiver Giver;
 };
 
 EntryInstance::EntryInstance(DaemonSettings Given)
     : Settings(std::move(Given)), CallerListener(Io),
-      Signals(Io, SIGTERM, SIGINT), LeaveTimer(Io), TickTimer(Io),
+      Signals(Io, SIGTERM, SIGINT), LeaveTimer(Io),
       Totals(std::make_unique<Counters>(Settings.TrafficThreads)),
-      Shares(std::make_unique<LocalShares>(*this)) {
+      Shares(std::make_unique<ShareRequests>(*this)) {
   const TrafficShared Shared = {
       *Totals, Published, Shares.get(),
       [this](std::size_t Thread, const ServiceId &Service) {
         Threads[Thread]->wake(Service);
       }};
-  for (std::size_t Number = 0; Number < Settings.TrafficThreads; ++Number) {
+  for (std::size_t Number = 0; Number < Settings.TrafficThreads; ++Number)
     Threads.push_back(std::make_unique<TrafficThread>(
         Number, trafficOptions(Settings), Shared));
-    Threads.back()->followShares(LocalShareGiver::Term);
-  }
 }
 
 EntryInstance::~EntryInstance() {
@@ -132,8 +120,16 @@
   Platform = std::move(Client).value();
   ControlPlane::Handlers Handlers;
   Handlers.OnChanged = [this] { publish(); };
-  Handlers.OnGrant = [](const std::string &, const ShareGrant &) {};
-  Handlers.OnGiverChanged = [](std::uint64_t) {};
+  Handlers.OnGrant = [this](const std::string &Quantity,
+                            const ShareGrant &Grant) {
+    for (const auto &Thread : Threads)
+      if (Thread->holderName() == Grant.Holder)
+        Thread->applyGrant(Quantity, Grant);
+  };
+  Handlers.OnGiverChanged = [this](std::uint64_t Term) {
+    for (const auto &Thread : Threads)
+      Thread->followShares(Term);
+  };
   auto Created =
       ControlPlane::create(Io, *Platform, Settings, std::move(Handlers));
   if (!Created)
@@ -177,7 +173,6 @@
       beginShutdown();
   });
   accept();
-  tick();
   Io.run();
 }
 
@@ -223,16 +218,6 @@
   CallerListener.close(Failure);
 }
 
-auto EntryInstance::tick() -> void {
-  TickTimer.expires_after(TickInterval);
-  TickTimer.async_wait([this](const error_code &Failure) {
-    if (Failure)
-      return;
-    Shares->giver().expire(steadyNow());
-    tick();
-  });
-}
-
 auto EntryInstance::conditionOf(const ServiceConfig &Service) const
     -> TargetCondition {
   const auto ThreadCount = static_cast<std::uint32_t>(Threads.size());
@@ -246,10 +231,8 @@
 auto EntryInstance::publish() -> void {
   if (!Control || !Control->config())
     return;
-  if (!Index || Index->Config != Control->config()) {
+  if (!Index || Index->Config != Control->config())
     Index = std::make_shared<const ConfigIndex>(Control->config());
-    Shares->giver().setConfiguration(*Index->Config, steadyNow());
-  }
   const SnapshotInputs Inputs{
       Index,
       Settings.DataCentre,
--- a/lib/Entry/EntryInstance.h
+++ b/lib/Entry/EntryInstance.h
@@ -39,7 +39,7 @@
   auto run() -> void;
 
 private:
-  class LocalShares;
+  class ShareRequests;
 
   explicit EntryInstance(DaemonSettings Settings);
 
@@ -50,7 +50,6 @@
       -> void;
   auto drainAcceptQueue() -> void;
 
-  auto tick() -> void;
   auto conditionOf(const ServiceConfig &Service) const -> TargetCondition;
   auto publish() -> void;
 
@@ -66,14 +65,13 @@
   boost::asio::ip::tcp::acceptor CallerListener;
   boost::asio::signal_set Signals;
   boost::asio::steady_timer LeaveTimer;
-  boost::asio::steady_timer TickTimer;
   std::unique_ptr<HttpServer> Admin;
   std::unique_ptr<PlatformClient> Platform;
   std::unique_ptr<ControlPlane> Control;
   GateTable Gates;
   Publication Published;
   std::unique_ptr<Counters> Totals;
-  std::unique_ptr<LocalShares> Shares;
+  std::unique_ptr<ShareRequests> Shares;
   std::shared_ptr<const ConfigIndex> Index;
   std::vector<std::unique_ptr<TrafficThread>> Threads;
   std::shared_ptr<const RoutingSnapshot> Current;
--- a/lib/Entry/RateGate.cpp
+++ b/lib/Entry/RateGate.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <utility>
-#include <vector>
 
 namespace buckthornring {
 
@@ -10,131 +9,108 @@
   return "rate/" + Workspace.str();
 }
 
-RateGate::RateGate(Options Settings, ShareChannel *Channel)
-    : Settings(std::move(Settings)), Channel(Channel) {}
+RateGate::RateGate(std::string HolderName, ShareChannel *Channel)
+    : HolderName(std::move(HolderName)), Channel(Channel) {}
 
 auto RateGate::setSnapshot(const RoutingSnapshot &Snapshot, TimePoint Now)
     -> void {
   if (!Channel)
     return;
   const auto &Configured = Snapshot.config().Workspaces;
-  for (const auto &[Name, Config] : Configured) {
-    const auto Place = Lanes.find(Name);
-    if (Place != Lanes.end()) {
-      Place->second.Limit = Config.QueueLimit;
-      continue;
-    }
-    // The start time rises over restarts of the instance.
-    const auto Session =
-        static_cast<std::uint64_t>(Now.time_since_epoch().count());
-    ShareHolder Share(Settings.HolderName, ShareKind::Rate, Session, Now);
-    if (Term != 0)
-      Share.follow(Term);
-    Lanes.emplace(Name, Lane{std::move(Share), Config.QueueLimit, {}});
-  }
-  std::vector<Handler> Dropped;
-  for (auto Place = Lanes.begin(); Place != Lanes.end();) {
-    if (Configured.contains(Place->first)) {
-      ++Place;
-      continue;
-    }
-    for (Waiter &Each : Place->second.Waiting)
-      Dropped.push_back(std::move(Each.Done));
-    Place = Lanes.erase(Place);
-  }
-  for (const Handler &Done : Dropped)
-    Done(false);
+  for (const auto &[Name, Config] : Configured)
+    if (!Gates.contains(Name))
+      addGate(Name, Config, Now);
+  // A removed workspace's waiting requests end with their deadlines.
+  std::erase_if(Gates, [&Configured](const auto &Entry) {
+    return !Configured.contains(Entry.first);
+  });
+}
+
+auto RateGate::addGate(const WorkspaceId &Workspace,
+                       const WorkspaceConfig &Config, TimePoint Now) -> void {
+  // The start time rises over restarts of the instance.
+  const auto Session =
+      static_cast<std::uint64_t>(Now.time_since_epoch().count());
+  ShareHolder Share(HolderName, ShareKind::Rate, Session, Now);
+  if (Term != 0)
+    Share.follow(Term);
+  AdmissionGate::Options Options;
+  Options.QueueLimit = Config.QueueLimit;
+  Gates.emplace(Workspace, AdmissionGate(Options, std::move(Share)));
 }
 
 auto RateGate::follow(std::uint64_t NewTerm) -> void {
   if (NewTerm <= Term)
     return;
   Term = NewTerm;
-  for (auto &[Name, Each] : Lanes)
-    Each.Share.follow(Term);
+  for (auto &[Name, Gate] : Gates)
+    Gate.share().follow(Term);
 }
 
 auto RateGate::apply(const std::string &Quantity, const ShareGrant &Grant,
                      TimePoint Now) -> void {
-  for (auto &[Name, Each] : Lanes)
-    if (rateQuantity(Name) == Quantity && Each.Share.apply(Grant, Now))
-      return serve(Each, Now);
+  for (auto &[Name, Gate] : Gates)
+    if (rateQuantity(Name) == Quantity && Gate.share().apply(Grant, Now))
+      return serve(Gate, Now);
 }
 
-auto RateGate::tryAdmit(const WorkspaceId &Workspace, TimePoint Now) -> bool {
-  const auto Place = Lanes.find(Workspace);
-  if (Place == Lanes.end())
-    return !Channel || Workspace.empty();
-  Lane &Of = Place->second;
-  Of.Share.demandSeen();
-  return Of.Waiting.empty() && Of.Share.tryTake(Now);
+auto RateGate::offer(const WorkspaceId &Workspace, Ticket Number,
+                     TimePoint Deadline, TimePoint Now, Handler Done)
+    -> Answer {
+  const auto Place = Gates.find(Workspace);
+  // Open routes have no workspace and so no rate.
+  if (Place == Gates.end())
+    return !Channel || Workspace.empty() ? Answer::Admit : Answer::Refuse;
+  const Answer Decision = Place->second.offer(Number, Deadline, Now);
+  if (Decision == Answer::Wait) {
+    Handlers.emplace(Number, std::move(Done));
+    report(Workspace, Place->second, Now);
+  }
+  return Decision;
 }
 
-auto RateGate::wait(const WorkspaceId &Workspace, TimePoint Now, Handler Done)
-    -> Ticket {
-  const auto Place = Lanes.find(Workspace);
-  if (Place == Lanes.end())
-    return 0;
-  Lane &Of = Place->second;
-  if (Of.Waiting.size() >= Of.Limit)
-    return 0;
-  Of.Waiting.push_back(
-      {++LastTicket, Now + Settings.LongestWait, std::move(Done)});
-  const Ticket Number = LastTicket;
-  report(Workspace, Of, Now);
-  return Number;
+auto RateGate::cancel(const WorkspaceId &Workspace, Ticket Number) -> void {
+  Handlers.erase(Number);
+  if (const auto Place = Gates.find(Workspace); Place != Gates.end())
+    Place->second.remove(Number);
 }
 
-auto RateGate::cancel(const WorkspaceId &Workspace, Ticket Number) -> void {
-  const auto Place = Lanes.find(Workspace);
-  if (Place == Lanes.end())
+auto RateGate::finish(Ticket Number, bool Admitted) -> void {
+  const auto Place = Handlers.find(Number);
+  if (Place == Handlers.end())
     return;
-  std::erase_if(Place->second.Waiting,
-                [Number](const Waiter &Each) { return Each.Number == Number; });
+  const Handler Done = std::move(Place->second);
+  Handlers.erase(Place);
+  Done(Admitted);
 }
 
-auto RateGate::serve(Lane &Of, TimePoint Now) -> void {
-  // Handlers run last: they may come back here.
-  std::vector<std::pair<Handler, bool>> Ready;
-  while (!Of.Waiting.empty()) {
-    Waiter &First = Of.Waiting.front();
-    const bool Admitted = Of.Share.tryTake(Now);
-    if (!Admitted && Now < First.Until)
-      break;
-    Ready.emplace_back(std::move(First.Done), Admitted);
-    Of.Waiting.pop_front();
-  }
-  for (const auto &[Done, Admitted] : Ready)
-    Done(Admitted);
+auto RateGate::serve(AdmissionGate &Gate, TimePoint Now) -> void {
+  const auto Progress = Gate.advance(Now);
+  for (const Ticket Number : Progress.Refused)
+    finish(Number, false);
+  for (const Ticket Number : Progress.Admitted)
+    finish(Number, true);
 }
 
-auto RateGate::report(const WorkspaceId &Workspace, Lane &Of, TimePoint Now)
-    -> void {
-  Of.Share.setWaiting(static_cast<std::uint32_t>(Of.Waiting.size()));
-  if (Of.Share.reportDue(Now))
-    Channel->send(Settings.Thread, rateQuantity(Workspace),
-                  Of.Share.makeRequest(Now));
+auto RateGate::report(const WorkspaceId &Workspace, AdmissionGate &Gate,
+                      TimePoint Now) -> void {
+  if (Gate.share().reportDue(Now))
+    Channel->send(rateQuantity(Workspace), Gate.share().makeRequest(Now));
 }
 
 auto RateGate::tick(TimePoint Now) -> void {
-  for (auto &[Name, Each] : Lanes) {
-    serve(Each, Now);
-    report(Name, Each, Now);
+  for (auto &[Name, Gate] : Gates) {
+    serve(Gate, Now);
+    report(Name, Gate, Now);
   }
 }
 
-auto RateGate::waiting() const -> bool {
-  return std::any_of(Lanes.begin(), Lanes.end(), [](const auto &Entry) {
-    return !Entry.second.Waiting.empty();
-  });
-}
-
 auto RateGate::retryAfter(const WorkspaceId &Workspace, TimePoint Now)
     -> std::int64_t {
-  const auto Place = Lanes.find(Workspace);
-  if (Place == Lanes.end())
+  const auto Place = Gates.find(Workspace);
+  if (Place == Gates.end())
     return 1;
-  const auto Wait = Place->second.Share.timeUntilToken(Now);
+  const auto Wait = Place->second.share().timeUntilToken(Now);
   if (!Wait)
     return 1;
   return std::max<std::int64_t>(
--- a/lib/Entry/RateGate.h
+++ b/lib/Entry/RateGate.h
@@ -4,13 +4,13 @@
 #include "Entry/ShareChannel.h"
 #include "buckthornring/Common/Ids.h"
 #include "buckthornring/Common/Time.h"
-#include "buckthornring/Limits/ShareHolder.h"
+#include "buckthornring/Limits/AdmissionGate.h"
 
 #include <cstdint>
 #include <functional>
-#include <list>
 #include <map>
 #include <string>
+#include <unordered_map>
 
 namespace buckthornring {
 
@@ -18,21 +18,14 @@
 /// workspaces' rates.
 class RateGate {
 public:
-  using Ticket = std::uint64_t;
-  /// Receives whether the request is admitted.
+  using Ticket = AdmissionGate::Ticket;
+  using Answer = AdmissionGate::Answer;
+  /// Receives whether a request that had to wait is admitted.
   using Handler = std::function<void(bool)>;
 
-  struct Options {
-    std::size_t Thread = 0;
-    std::string HolderName; ///< "instance/thread".
-    /// How long a request may wait for a token. Shares follow demand within
-    /// two reports (100 ms each), so a request that still waits after this is
-    /// above the workspace's rate and not only above the thread's share.
-    Duration LongestWait = std::chrono::milliseconds(250);
-  };
-
-  /// \p Channel may be null: then nothing is limited.
-  RateGate(Options Settings, ShareChannel *Channel);
+  /// \p HolderName is "instance/thread". \p Channel may be null: then nothing
+  /// is limited.
+  RateGate(std::string HolderName, ShareChannel *Channel);
 
   /// Keeps a share for each configured workspace.
   auto setSnapshot(const RoutingSnapshot &Snapshot, TimePoint Now) -> void;
@@ -41,39 +34,33 @@
   auto apply(const std::string &Quantity, const ShareGrant &Grant,
              TimePoint Now) -> void;
 
-  /// Admits a request at once. Returns false when it has to wait().
-  auto tryAdmit(const WorkspaceId &Workspace, TimePoint Now) -> bool;
-  /// Queues a request. Returns zero when too many wait already.
-  auto wait(const WorkspaceId &Workspace, TimePoint Now, Handler Done)
-      -> Ticket;
+  auto newTicket() -> Ticket { return ++LastTicket; }
+  /// Decides on a request. \p Done runs later when the answer is Wait.
+  auto offer(const WorkspaceId &Workspace, Ticket Number, TimePoint Deadline,
+             TimePoint Now, Handler Done) -> Answer;
+  /// Withdraws a waiting request; its handler does not run.
   auto cancel(const WorkspaceId &Workspace, Ticket Number) -> void;
 
   /// Serves waiting requests and reports to the giver. Call every 5 ms while
   /// waiting() and every 20 ms otherwise.
   auto tick(TimePoint Now) -> void;
-  auto waiting() const -> bool;
+  auto waiting() const -> bool { return !Handlers.empty(); }
 
   /// Seconds until a refused request may be sent again, at least one.
   auto retryAfter(const WorkspaceId &Workspace, TimePoint Now) -> std::int64_t;
 
 private:
-  struct Waiter {
-    Ticket Number;
-    TimePoint Until;
-    Handler Done;
-  };
-  struct Lane {
-    ShareHolder Share;
-    std::size_t Limit;
-    std::list<Waiter> Waiting;
-  };
-
-  auto serve(Lane &Of, TimePoint Now) -> void;
-  auto report(const WorkspaceId &Workspace, Lane &Of, TimePoint Now) -> void;
+  auto serve(AdmissionGate &Gate, TimePoint Now) -> void;
+  auto report(const WorkspaceId &Workspace, AdmissionGate &Gate, TimePoint Now)
+      -> void;
+  auto finish(Ticket Number, bool Admitted) -> void;
+  auto addGate(const WorkspaceId &Workspace, const WorkspaceConfig &Config,
+               TimePoint Now) -> void;
 
-  Options Settings;
+  std::string HolderName;
   ShareChannel *Channel;
-  std::map<WorkspaceId, Lane> Lanes;
+  std::map<WorkspaceId, AdmissionGate> Gates;
+  std::unordered_map<Ticket, Handler> Handlers;
   std::uint64_t Term = 0;
   Ticket LastTicket = 0;
 };
--- a/lib/Entry/RequestExchange.cpp
+++ b/lib/Entry/RequestExchange.cpp
@@ -59,20 +59,26 @@
   Thread.retryBudget(Plan.Workspace).requestSeen(steadyNow());
   Thread.hedges(Plan.Service).requestSeen(steadyNow());
   armDeadline();
-  if (Thread.rates().tryAdmit(Plan.Workspace, steadyNow()))
-    return admit();
-  Thread.events().add(EntryEvent::RateWait);
-  RateTicket = Thread.rates().wait(
-      Plan.Workspace, steadyNow(), [Self = shared_from_this()](bool Admitted) {
+  askForRate();
+}
+
+auto RequestExchange::askForRate() -> void {
+  RateGate &Rates = Thread.rates();
+  RateTicket = Rates.newTicket();
+  const auto Answer = Rates.offer(
+      Plan.Workspace, RateTicket, DeadlineAt, steadyNow(),
+      [Self = shared_from_this()](bool Admitted) {
         Self->RateTicket = 0;
-        if (Self->Settled)
-          return;
         if (!Admitted)
           return Self->refuse(RefusalReason::OverRate, RunStatus::NotRun);
         Self->admit();
       });
-  if (RateTicket == 0)
-    refuse(RefusalReason::OverRate, RunStatus::NotRun);
+  if (Answer == RateGate::Answer::Wait)
+    return Thread.events().add(EntryEvent::RateWait);
+  RateTicket = 0;
+  if (Answer == RateGate::Answer::Refuse)
+    return refuse(RefusalReason::OverRate, RunStatus::NotRun);
+  admit();
 }
 
 auto RequestExchange::admit() -> void {
--- a/lib/Entry/RequestExchange.h
+++ b/lib/Entry/RequestExchange.h
@@ -53,6 +53,7 @@
   auto bodyFailed(ReadOutcome Outcome) -> void;
 
   // Attempts.
+  auto askForRate() -> void;
   auto admit() -> void;
   auto startAttempt() -> void;
   auto wish() const -> DispatchWish;
--- a/lib/Entry/ShareChannel.h
+++ b/lib/Entry/ShareChannel.h
@@ -2,7 +2,6 @@
 
 #include "buckthornring/Limits/ShareMessages.h"
 
-#include <cstddef>
 #include <string>
 
 namespace buckthornring {
@@ -15,8 +14,8 @@
   virtual ~ShareChannel() = default;
 
   /// \p Quantity names the fleet-wide quantity, "rate/WORKSPACE".
-  virtual auto send(std::size_t Thread, const std::string &Quantity,
-                    const ShareRequest &Request) -> void = 0;
+  virtual auto send(const std::string &Quantity, const ShareRequest &Request)
+      -> void = 0;
 };
 
 } // namespace buckthornring
--- a/lib/Entry/TrafficThread.cpp
+++ b/lib/Entry/TrafficThread.cpp
@@ -24,11 +24,6 @@
 constexpr Duration IdleInterval = std::chrono::seconds(1);
 constexpr auto CancelTime = std::chrono::seconds(1);
 
-auto holderName(const TrafficOptions &Settings, std::size_t Number)
-    -> std::string {
-  return Settings.InstanceName + "/" + std::to_string(Number);
-}
-
 } // namespace
 
 TrafficThread::TrafficThread(std::size_t Number, TrafficOptions Given,
@@ -38,11 +33,15 @@
       Pool(Io.get_executor(), Settings.Pool),
       Random((std::uint64_t{std::random_device()()} << 32U) ^ Number),
       Slots(Number, Stats, Random, Shared.Wake),
-      Rates({Number, holderName(Settings, Number)}, Shared.Shares),
-      Stripe(Shared.Totals.stripe(Number)) {}
+      Rates(holderName(), Shared.Shares), Stripe(Shared.Totals.stripe(Number)) {
+}
 
 TrafficThread::~TrafficThread() { stop(); }
 
+auto TrafficThread::holderName() const -> std::string {
+  return Settings.InstanceName + "/" + std::to_string(Number);
+}
+
 auto TrafficThread::start() -> void {
   tick();
   Thread = std::thread([this] { Io.run(); });
--- a/lib/Entry/TrafficThread.h
+++ b/lib/Entry/TrafficThread.h
@@ -63,6 +63,8 @@
   auto operator=(const TrafficThread &) -> TrafficThread & = delete;
 
   // Functions for other threads.
+  /// Name under which the thread asks for shares.
+  auto holderName() const -> std::string;
   auto start() -> void;
   /// Stops the thread and waits for its end. Open requests are cut off.
   auto stop() -> void;
--- a/lib/Limits/ShareLedger.cpp
+++ b/lib/Limits/ShareLedger.cpp
@@ -262,8 +262,8 @@
     const double Part =
         static_cast<double>(Rate) /
         static_cast<double>(std::max<MilliUnits>(Total.Rate, 1));
-    const auto Units =
-        static_cast<MilliUnits>(Part * static_cast<double>(Total.Units) * 3 / 4);
+    const auto Units = static_cast<MilliUnits>(
+        Part * static_cast<double>(Total.Units) * 3 / 4);
     // A capacity below one token never admits a request; the giver then serves
     // single tokens instead. Two, because a share of one is mostly lost to
     // refill that doesn't fit.
