--- a/lib/Entry/EntryInstance.h
+++ b/lib/Entry/EntryInstance.h
@@ -39,7 +39,7 @@
   auto run() -> void;
 
 private:
-  class ControlShares;
+  class ShareRequests;
 
   explicit EntryInstance(DaemonSettings Settings);
 
@@ -51,7 +51,6 @@
   auto drainAcceptQueue() -> void;
 
   auto conditionOf(const ServiceConfig &Service) const -> TargetCondition;
-  auto applyGrant(const std::string &Quantity, const ShareGrant &Grant) -> void;
   auto publish() -> void;
 
   auto answerAdmin(const HttpRequest &Request) -> HttpResponse;
@@ -72,7 +71,7 @@
   GateTable Gates;
   Publication Published;
   std::unique_ptr<Counters> Totals;
-  std::unique_ptr<ControlShares> Shares;
+  std::unique_ptr<ShareRequests> Shares;
   std::shared_ptr<const ConfigIndex> Index;
   std::vector<std::unique_ptr<TrafficThread>> Threads;
   std::shared_ptr<const RoutingSnapshot> Current;
