Relay requests between data centres

Cause: a request for a key homed in another data centre was refused as no-owner, and a service without local targets as no-target. Ruled out: sending to targets of other data centres (130 connections each, and unverified targets could not be revoked); relaying as link messages (answers above 1 MB and streaming bodies would need a second at-most-once path). Change: introductions carry the caller address; a relay is an attempt at a peer with the same phase rules. The caller key goes along and is checked again there; the workspace's rate is counted once, where the request runs.

--- a/lib/Entry/ControlPlane.cpp
+++ b/lib/Entry/ControlPlane.cpp
@@ -38,9 +38,10 @@
   return InstanceId(Instance.str() + "#" + std::to_string(Source()));
 }
 
-auto identity(const DaemonSettings &Settings) -> PeerIdentity {
+auto identity(const DaemonSettings &Settings, const std::string &CallerAddress)
+    -> PeerIdentity {
   return {processName(Settings.Instance), Settings.DataCentre,
-          Settings.FailureDomain};
+          Settings.FailureDomain, CallerAddress};
 }
 
 } // namespace
@@ -78,8 +79,9 @@
   LinkHandlers.OnPeersChanged = [this] {
     if (Ownership)
       Ownership->updatePeers();
+    Callbacks.OnChanged();
   };
-  const PeerIdentity Self = identity(Settings);
+  const PeerIdentity Self = identity(Settings, Callbacks.CallerAddress);
   Links = PeerLinks::create(Context, Self, std::move(LinkHandlers));
   const auto Listening = Links->listen(*Address);
   if (!Listening)
--- a/lib/Entry/ControlPlane.h
+++ b/lib/Entry/ControlPlane.h
@@ -23,6 +23,8 @@
 class ControlPlane {
 public:
   struct Handlers {
+    /// Where this instance accepts callers, told to the peers.
+    std::string CallerAddress;
     /// The routing snapshot has to be built anew.
     std::function<void()> OnChanged;
     /// A grant for a holder of this instance.
@@ -50,6 +52,7 @@
   }
   auto owners() const -> const SliceOwnerSource & { return *Owners; }
   auto shares() const -> ShareExchange & { return *Shares; }
+  auto peers() const -> std::vector<PeerIdentity> { return Links->peers(); }
   auto ownership() const -> OwnershipDriver & { return *Ownership; }
 
   /// True when keyed requests of the workspace have to be refused.
--- a/lib/Entry/Dispatcher.cpp
+++ b/lib/Entry/Dispatcher.cpp
@@ -9,10 +9,16 @@
 
 auto placeAt(const TargetView &Target, std::optional<Epoch> Slice)
     -> DispatchPlace {
-  return {Target.Id, Target.Config->Address, Target.Connections, Slice,
-          Target.Gate};
+  return {Target.Id,          Target.Config->Address,
+          Target.Connections, Slice,
+          Target.Gate,        false};
 }
 
+/// Requests of one instance at one relay. The instance behind it has its own
+/// queues and limits; this bounds what a silent one can hold.
+constexpr std::uint32_t RelayRequestLimit = 256;
+constexpr std::size_t RelayConnectionLimit = 64;
+
 auto contains(const std::vector<TargetId> &List, const TargetId &Id) -> bool {
   return std::find(List.begin(), List.end(), Id) != List.end();
 }
@@ -61,6 +67,8 @@
   const ServiceView *Service = view(Wish.Service);
   if (!Service)
     return DispatchFailure::NoTarget;
+  if (const auto Home = relayHome(*Service, Wish))
+    return takeRelay(*Home);
   if (const auto Lane = laneOf(Wish)) {
     const auto Queue = Lanes.find(*Lane);
     if (Queue != Lanes.end() && Queue->second.size() > 0)
@@ -69,6 +77,53 @@
   return take(*Service, Wish);
 }
 
+auto Dispatcher::relays(const DispatchWish &Wish) const -> bool {
+  const ServiceView *Service = view(Wish.Service);
+  return Service && relayHome(*Service, Wish).has_value();
+}
+
+auto Dispatcher::relayHome(const ServiceView &Service,
+                           const DispatchWish &Wish) const
+    -> std::optional<DataCentreId> {
+  if (Wish.Relayed)
+    return std::nullopt;
+  if (Wish.Slice) {
+    // A slice that is leaving is still served here until it has been released.
+    if (Service.owner(*Wish.Slice))
+      return std::nullopt;
+    const DataCentreId &Home =
+        Snapshot->Index->Homes.at(Service.Id).home(*Wish.Slice);
+    if (Home.empty() || Home == Snapshot->Own)
+      return std::nullopt;
+    return Home;
+  }
+  std::optional<DataCentreId> Other;
+  for (const TargetView &Target : Service.Targets) {
+    if (Target.Available && Target.Local)
+      return std::nullopt;
+    if (Target.Available &&
+        Snapshot->Relays.contains(Target.Config->DataCentre))
+      Other = Target.Config->DataCentre;
+  }
+  return Other;
+}
+
+auto Dispatcher::takeRelay(const DataCentreId &Home)
+    -> std::variant<DispatchPlace, DispatchFailure> {
+  const auto Found = Snapshot->Relays.find(Home);
+  if (Found == Snapshot->Relays.end())
+    return DispatchFailure::Unreachable;
+  const auto &Peers = Found->second;
+  const std::size_t First = Random.below(Peers.size());
+  for (std::size_t Step = 0; Step < Peers.size(); ++Step) {
+    const RelayPeer &Peer = Peers[(First + Step) % Peers.size()];
+    if (Peer.Gate->tryEnter(RelayRequestLimit))
+      return DispatchPlace{Peer.Id,      Peer.Address, RelayConnectionLimit,
+                           std::nullopt, Peer.Gate,    true};
+  }
+  return DispatchFailure::AllTried;
+}
+
 auto Dispatcher::take(const ServiceView &Service, const DispatchWish &Wish)
     -> std::variant<DispatchPlace, DispatchFailure> {
   return Wish.Slice ? takeOwner(Service, *Wish.Slice)
--- a/lib/Entry/Dispatcher.h
+++ b/lib/Entry/Dispatcher.h
@@ -25,6 +25,7 @@
   WorkspaceId Workspace;
   std::optional<std::uint32_t> Slice; ///< For divided services.
   std::vector<TargetId> Avoided;      ///< Tried before, undivided services.
+  bool Relayed = false;               ///< Must be run in this data centre.
 };
 
 /// A target with one slot taken for the request.
@@ -34,13 +35,15 @@
   std::size_t ConnectionLimit = 1;
   std::optional<Epoch> Slice;
   std::shared_ptr<TargetGate> Gate;
+  bool Relay = false; ///< An instance of another data centre, not a target.
 };
 
 enum class DispatchFailure {
-  Busy,     ///< No free slot; wait().
-  NoOwner,  ///< The slice has no owner that takes requests.
-  NoTarget, ///< No target takes new work.
-  AllTried, ///< Only avoided targets take new work.
+  Busy,        ///< No free slot; wait().
+  NoOwner,     ///< The slice has no owner that takes requests.
+  NoTarget,    ///< No target takes new work.
+  AllTried,    ///< Only avoided targets take new work.
+  Unreachable, ///< Homed in a data centre without a reachable instance.
 };
 
 /// Hands out slots of targets to the requests of one traffic thread, by fair
@@ -58,6 +61,10 @@
 
   auto setSnapshot(std::shared_ptr<const RoutingSnapshot> Next) -> void;
 
+  /// Whether the request has to run in another data centre: its slice is homed
+  /// there, or no local target of an undivided service takes new work.
+  auto relays(const DispatchWish &Wish) const -> bool;
+
   /// Takes a slot at once. Busy while other requests wait for the same slots.
   auto tryPlace(const DispatchWish &Wish)
       -> std::variant<DispatchPlace, DispatchFailure>;
@@ -107,6 +114,10 @@
   auto takeChosen(const ServiceView &Service,
                   const std::vector<TargetId> &Avoided)
       -> std::variant<DispatchPlace, DispatchFailure>;
+  auto relayHome(const ServiceView &Service, const DispatchWish &Wish) const
+      -> std::optional<DataCentreId>;
+  auto takeRelay(const DataCentreId &Home)
+      -> std::variant<DispatchPlace, DispatchFailure>;
   auto limitOf(const ServiceView &Service, const TargetView &Target) const
       -> std::uint32_t;
   auto serveLane(const LaneKey &Lane) -> void;
--- a/lib/Entry/EntryInstance.cpp
+++ b/lib/Entry/EntryInstance.cpp
@@ -119,6 +119,7 @@
     return Client.error();
   Platform = std::move(Client).value();
   ControlPlane::Handlers Handlers;
+  Handlers.CallerAddress = addressOf(CallerListener);
   Handlers.OnChanged = [this] { publish(); };
   Handlers.OnGrant = [this](const std::string &Quantity,
                             const ShareGrant &Grant) {
@@ -244,7 +245,8 @@
       [this](const WorkspaceConfig &Workspace) {
         return Control->stale(Workspace.StalenessLimit);
       },
-      ++Version};
+      ++Version,
+      Control->peers()};
   Published.setLeaseEnd(Control->ownership().routing().validUntil());
   Current = buildSnapshot(Inputs);
   Published.publish(Current);
--- a/lib/Entry/PeerEnvelope.cpp
+++ b/lib/Entry/PeerEnvelope.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr std::size_t MessageFields = 2;
-constexpr std::size_t IntroductionFields = 3;
+constexpr std::size_t IntroductionFields = 4;
 
 auto toText(const std::vector<std::uint8_t> &Bytes) -> std::string {
   return {Bytes.begin(), Bytes.end()};
@@ -19,7 +19,7 @@
   if (Content == Kind::Introduction)
     return toText(nlohmann::json::to_cbor(
         nlohmann::json::array({Sender.Process.str(), Sender.DataCentre.str(),
-                               Sender.FailureDomain})));
+                               Sender.FailureDomain, Sender.CallerAddress})));
   return toText(nlohmann::json::to_cbor(nlohmann::json::array(
       {Sender.Process.str(), nlohmann::json::binary(Payload)})));
 }
@@ -38,11 +38,12 @@
     return Decoded;
   }
   if (Array.size() != IntroductionFields || !Array[1].is_string() ||
-      !Array[2].is_string())
+      !Array[2].is_string() || !Array[3].is_string())
     return Error("link envelope has wrong fields");
   Decoded.Content = Kind::Introduction;
   Decoded.Sender.DataCentre = DataCentreId(Array[1].get<std::string>());
   Decoded.Sender.FailureDomain = Array[2].get<std::string>();
+  Decoded.Sender.CallerAddress = Array[3].get<std::string>();
   return Decoded;
 }
 
--- a/lib/Entry/PeerEnvelope.h
+++ b/lib/Entry/PeerEnvelope.h
@@ -16,13 +16,14 @@
   InstanceId Process;
   DataCentreId DataCentre;
   std::string FailureDomain;
+  std::string CallerAddress; ///< IP address and port for callers.
 
   friend auto operator==(const PeerIdentity &, const PeerIdentity &)
       -> bool = default;
 };
 
 /// Outer form of every message on a link. CBOR: [process, payload], or
-/// [process, data centre, failure domain] for an introduction.
+/// [process, data centre, failure domain, caller address] for an introduction.
 struct PeerEnvelope {
   enum class Kind { Introduction, Message };
 
--- a/lib/Entry/RequestExchange.cpp
+++ b/lib/Entry/RequestExchange.cpp
@@ -27,6 +27,10 @@
 /// are retried until their slice has moved.
 constexpr std::uint32_t RetryLimit = 3;
 
+auto isRefusalField(std::string_view Name) -> bool {
+  return sameHeaderName(Name, "Btr-Refusal") || sameHeaderName(Name, "Btr-Run");
+}
+
 auto remainingMilliseconds(TimePoint Until) -> std::int64_t {
   return std::max<std::int64_t>(
       1,
@@ -59,6 +63,9 @@
   Thread.retryBudget(Plan.Workspace).requestSeen(steadyNow());
   Thread.hedges(Plan.Service).requestSeen(steadyNow());
   armDeadline();
+  // A relayed request is counted where it runs.
+  if (Thread.dispatcher().relays(wish()))
+    return admit();
   askForRate();
 }
 
@@ -71,6 +78,7 @@
         Self->RateTicket = 0;
         if (!Admitted)
           return Self->refuse(RefusalReason::OverRate, RunStatus::NotRun);
+        Self->Charged = true;
         Self->admit();
       });
   if (Answer == RateGate::Answer::Wait)
@@ -78,6 +86,7 @@
   RateTicket = 0;
   if (Answer == RateGate::Answer::Refuse)
     return refuse(RefusalReason::OverRate, RunStatus::NotRun);
+  Charged = true;
   admit();
 }
 
@@ -143,7 +152,8 @@
 }
 
 auto RequestExchange::wish() const -> DispatchWish {
-  DispatchWish Wish{Plan.Service, Plan.Workspace, std::nullopt, Tried};
+  DispatchWish Wish{Plan.Service, Plan.Workspace, std::nullopt, Tried,
+                    Plan.Relayed};
   if (Plan.Divided)
     Wish.Slice = Plan.Slice;
   return Wish;
@@ -154,6 +164,9 @@
     return;
   if (Stream->bodyDone())
     watchCaller();
+  // A slice that has moved here since the request arrived.
+  if (!Charged && !Thread.dispatcher().relays(wish()))
+    return askForRate();
   const auto Placed = Thread.dispatcher().tryPlace(wish());
   WaitingForOwner = false;
   if (const auto *Place = std::get_if<DispatchPlace>(&Placed))
@@ -170,6 +183,8 @@
     return retryLater(LongestRetryDelay);
   case DispatchFailure::NoTarget:
     return refuse(RefusalReason::NoTarget, runStatus());
+  case DispatchFailure::Unreachable:
+    return refuse(RefusalReason::DataCentreUnreachable, runStatus());
   case DispatchFailure::AllTried:
     // Every target failed once; they are tried again after a pause.
     Tried.clear();
@@ -234,10 +249,10 @@
   Job.BodyContinues = !Stream->bodyDone();
   Job.HeadOnly = Head.Method == "HEAD";
   Job.Idempotent = Plan.Idempotent;
-  if (Plan.Divided)
+  if (Place.Slice) {
     Job.Slice = Plan.Slice;
-  if (Place.Slice)
     LastOwner = {Place.Target, *Place.Slice};
+  }
   Job.Head = headFor(Place);
   Job.Body = Prefix;
   if (!SentFraming.Length) {
@@ -246,6 +261,7 @@
     Job.Body = {};
   }
   Tried.push_back(Place.Target);
+  ++Attempts;
   Runners.push_back(std::make_shared<AttemptRunner>(Thread, shared_from_this(),
                                                     *Record, std::move(Job)));
   Runners.back()->start();
@@ -287,8 +303,11 @@
   Out.append(" HTTP/1.1\r\n");
   const std::string Connection(Head.Fields.find("Connection").value_or(""));
   for (const auto &Field : Head.Fields)
-    if (!isWithheldFromTarget(Field, Connection))
+    if (Place.Relay ? !isWithheldFromRelay(Field, Connection)
+                    : !isWithheldFromTarget(Field, Connection))
       appendField(Out, Field.first, Field.second);
+  if (Place.Relay)
+    appendField(Out, "Btr-Relayed", "1");
   appendField(Out, "Btr-Request-Id", RequestId);
   if (!Plan.Workspace.empty())
     appendField(Out, "Btr-Workspace", Plan.Workspace.str());
@@ -378,14 +397,20 @@
   refuse(Outcome.Refusal, Outcome.Run);
 }
 
-auto RequestExchange::answerHeadText(const AnswerHead &Answer) -> std::string {
+auto RequestExchange::answerHeadText(const AnswerHead &Answer, bool FromRelay)
+    -> std::string {
   std::string Out = "HTTP/1.1 " + std::to_string(Answer.Status) + " ";
   Out.append(Answer.Reason).append("\r\n");
   const std::string Connection(Answer.Fields.find("Connection").value_or(""));
   for (const auto &[Name, Value] : Answer.Fields) {
-    // Only the router says what a refusal means.
-    if (sameHeaderName(Name, "Btr-Refusal") || sameHeaderName(Name, "Btr-Run"))
+    // Only a router says what a refusal means.
+    if (!FromRelay && isRefusalField(Name))
+      continue;
+    // The other instance knows nothing of earlier attempts.
+    if (sameHeaderName(Name, "Btr-Run") && Attempts > 1) {
+      appendField(Out, Name, RunStatusNames.name(RunStatus::Unknown));
       continue;
+    }
     const bool AnnouncedLength =
         Answer.Bodiless && sameHeaderName(Name, "Content-Length");
     if (AnnouncedLength || !isHopByHop(Name, Connection))
@@ -406,7 +431,7 @@
     if (Other != Chosen)
       Other->superseded();
   ChunkedAnswer = !Runner.answer().Bodiless && !Runner.answer().Framing.Length;
-  std::string Text = answerHeadText(Runner.answer());
+  std::string Text = answerHeadText(Runner.answer(), Runner.job().Place.Relay);
   AnswerBegun = true;
   HedgeTimer.cancel();
   Thread.counters().add(statusClass(Runner.answer().Status));
--- a/lib/Entry/RequestExchange.h
+++ b/lib/Entry/RequestExchange.h
@@ -80,7 +80,7 @@
   auto drop(AttemptRunner &, const AttemptOutcome &) -> void {}
 
   // The answer.
-  auto answerHeadText(const AnswerHead &Head) -> std::string;
+  auto answerHeadText(const AnswerHead &Head, bool FromRelay) -> std::string;
   auto pumpAnswer(std::shared_ptr<AttemptRunner> Runner) -> void;
   auto writePart(std::shared_ptr<AttemptRunner> Runner, std::string Text,
                  std::string_view Part, bool Last) -> void;
@@ -118,6 +118,9 @@
   TimePoint DeadlineAt;
   Duration NextDelay;
   std::uint32_t Retries = 0;
+  std::uint32_t Attempts = 0;
+  /// The request counts against the workspace's rate here, not at a relay.
+  bool Charged = false;
   bool ChunkedAnswer = false;
   bool AnswerBegun = false;     ///< Some byte of an answer was written.
   bool WaitingForOwner = false; ///< The slice has no owner at the moment.
--- a/lib/Entry/RequestPlanner.cpp
+++ b/lib/Entry/RequestPlanner.cpp
@@ -176,7 +176,12 @@
   return sameHeaderName(Field.first, "X-Caller-Key") ||
          (sameHeaderName(Field.first, "Authorization") &&
           isBearer(Field.second)) ||
-         startsWithIgnoringCase(Field.first, "btr-") ||
+         isWithheldFromRelay(Field, Connection);
+}
+
+auto isWithheldFromRelay(const HttpHeaders::Field &Field,
+                         std::string_view Connection) -> bool {
+  return startsWithIgnoringCase(Field.first, "btr-") ||
          isHopByHop(Field.first, Connection);
 }
 
@@ -200,6 +205,8 @@
     return RefusalReason::UnknownRoute;
   const ServiceConfig &Config = *Service->second.Config;
   Plan.Service = Route->Service;
+  // A caller that sets the field itself only gives up being relayed.
+  Plan.Relayed = Head.Fields.contains("Btr-Relayed");
   Plan.Idempotent = Route->Idempotent.value_or(isIdempotentMethod(Head.Method));
   const auto Deadline = deadlineOf(Config, Head.Fields);
   if (!Deadline)
--- a/lib/Entry/RequestPlanner.h
+++ b/lib/Entry/RequestPlanner.h
@@ -20,6 +20,7 @@
   std::uint32_t Slice = 0;         ///< Only meaningful when Divided.
   bool Divided = false;
   bool Idempotent = false;
+  bool Relayed = false; ///< Came from an instance of another data centre.
   Duration Deadline = Duration::zero();
 };
 
@@ -28,6 +29,11 @@
 auto planRequest(const RoutingSnapshot &Snapshot, const RequestHead &Head)
     -> std::variant<RequestPlan, RefusalReason>;
 
+/// Whether a field must not be passed on to an instance that relays the
+/// request: fields of one connection, and Btr- fields.
+auto isWithheldFromRelay(const HttpHeaders::Field &Field,
+                         std::string_view Connection) -> bool;
+
 /// Whether a field must not reach a target: caller keys, fields of one
 /// connection, and Btr- fields, which only the router sets.
 auto isWithheldFromTarget(const HttpHeaders::Field &Field,
--- a/lib/Entry/RoutingSnapshot.h
+++ b/lib/Entry/RoutingSnapshot.h
@@ -6,6 +6,7 @@
 #include "buckthornring/Config/CallerKeys.h"
 #include "buckthornring/Config/Configuration.h"
 #include "buckthornring/Ownership/Epoch.h"
+#include "buckthornring/Ownership/HomeMap.h"
 #include "buckthornring/Routing/RouteTable.h"
 
 #include <cstdint>
@@ -54,15 +55,27 @@
   }
 };
 
+/// Another data centre's instance to which requests can be relayed.
+struct RelayPeer {
+  TargetId Id; ///< Process name of the instance, for gates and statistics.
+  std::string Address; ///< Where it accepts callers.
+  std::shared_ptr<TargetGate> Gate;
+};
+
 /// A configuration with the tables made from it. Built once per generation,
 /// since snapshots follow each other several times a second.
 struct ConfigIndex {
   explicit ConfigIndex(std::shared_ptr<const Configuration> Accepted)
-      : Config(std::move(Accepted)), Routes(*Config), Keys(*Config) {}
+      : Config(std::move(Accepted)), Routes(*Config), Keys(*Config) {
+    for (const auto &[Id, Service] : Config->Services)
+      if (Service.Kind == ServiceKind::Divided)
+        Homes.emplace(Id, HomeMap::wanted(*Config, Id));
+  }
 
   std::shared_ptr<const Configuration> Config;
   RouteTable Routes;
   CallerKeys Keys;
+  std::map<ServiceId, HomeMap> Homes; ///< Of divided services.
 };
 
 /// What the traffic threads route by. Built by the control thread, immutable
@@ -74,6 +87,9 @@
   /// Workspaces whose requests are refused: their caller keys may have been
   /// withdrawn without this instance knowing.
   std::set<WorkspaceId> Stale;
+  DataCentreId Own;
+  /// Reachable instances of the other data centres.
+  std::map<DataCentreId, std::vector<RelayPeer>> Relays;
 
   auto config() const -> const Configuration & { return *Index->Config; }
 
--- a/lib/Entry/SnapshotBuilder.cpp
+++ b/lib/Entry/SnapshotBuilder.cpp
@@ -44,6 +44,14 @@
   auto Snapshot = std::make_shared<RoutingSnapshot>();
   Snapshot->Index = From.Index;
   Snapshot->Version = From.Version;
+  Snapshot->Own = From.Own;
+  for (const PeerIdentity &Peer : From.Peers) {
+    if (Peer.DataCentre == From.Own || Peer.CallerAddress.empty())
+      continue;
+    const TargetId Id(Peer.Process.str());
+    Snapshot->Relays[Peer.DataCentre].push_back(
+        {Id, Peer.CallerAddress, From.Gates.target(ServiceId(), Id)});
+  }
   for (const auto &[Name, Workspace] : Snapshot->config().Workspaces)
     if (From.Stale(Workspace))
       Snapshot->Stale.insert(Name);
--- a/lib/Entry/SnapshotBuilder.h
+++ b/lib/Entry/SnapshotBuilder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Entry/PeerEnvelope.h"
 #include "Entry/RoutingSnapshot.h"
 #include "Entry/SliceOwnerSource.h"
 
@@ -31,6 +32,8 @@
   /// Whether requests of the workspace are refused as stale.
   std::function<bool(const WorkspaceConfig &)> Stale;
   std::uint64_t Version = 0;
+  /// Identified peers; those of other data centres become relays.
+  std::vector<PeerIdentity> Peers;
 };
 
 /// Builds what the traffic threads route by.
