--- a/lib/Entry/RequestExchange.cpp
+++ b/lib/Entry/RequestExchange.cpp
@@ -285,7 +285,7 @@
   Out.reserve(1024);
   Out.append(Head.Method).append(" ").append(Head.Target);
   Out.append(" HTTP/1.1\r\n");
-  const std::string Connection(Head.Fields.find("Connection").value_or(""));
+  const std::string Connection = connectionOptions(Head.Fields);
   for (const auto &Field : Head.Fields)
     if (!isWithheldFromTarget(Field, Connection))
       appendField(Out, Field.first, Field.second);
@@ -381,7 +381,7 @@
 auto RequestExchange::answerHeadText(const AnswerHead &Answer) -> std::string {
   std::string Out = "HTTP/1.1 " + std::to_string(Answer.Status) + " ";
   Out.append(Answer.Reason).append("\r\n");
-  const std::string Connection(Answer.Fields.find("Connection").value_or(""));
+  const std::string Connection = connectionOptions(Answer.Fields);
   for (const auto &[Name, Value] : Answer.Fields) {
     // Only the router says what a refusal means.
     if (sameHeaderName(Name, "Btr-Refusal") || sameHeaderName(Name, "Btr-Run"))
--- a/lib/IO/MessageHead.cpp
+++ b/lib/IO/MessageHead.cpp
@@ -41,6 +41,14 @@
 
 } // namespace
 
+auto connectionOptions(const HttpHeaders &Fields) -> std::string {
+  std::string Options;
+  for (const auto &[Name, Value] : Fields)
+    if (sameHeaderName(Name, "Connection"))
+      Options.append(Value).append(",");
+  return Options;
+}
+
 auto isHopByHop(std::string_view Name, std::string_view Connection) -> bool {
   for (std::string_view HopByHop : HopByHopNames)
     if (sameHeaderName(Name, HopByHop))
--- a/lib/IO/MessageHead.h
+++ b/lib/IO/MessageHead.h
@@ -33,9 +33,12 @@
   bool Bodiless = false;
 };
 
+/// Returns the options of all Connection fields as one list.
+auto connectionOptions(const HttpHeaders &Fields) -> std::string;
+
 /// Whether \p Name belongs to one connection (RFC 9110, section 7.6.1) or
 /// describes the framing, which each connection sets for itself. \p Connection
-/// is the value of the message's Connection field.
+/// is the message's connectionOptions().
 auto isHopByHop(std::string_view Name, std::string_view Connection) -> bool;
 
 /// Appends "Name: Value" and the line end.
