--- a/standins/target/Main.cpp
+++ b/standins/target/Main.cpp
@@ -26,6 +26,8 @@
       cxxopts::value<unsigned>()->default_value("2000"));
   Add("cold-ms", "Time from a start to full capacity",
       cxxopts::value<unsigned>()->default_value("0"));
+  Add("run-log", "File to which each run is appended",
+      cxxopts::value<std::string>()->default_value(""));
   Add("max-seconds", "End after this time",
       cxxopts::value<unsigned>()->default_value("600"));
   return Options;
@@ -43,6 +45,7 @@
       std::chrono::microseconds(Parsed["service-us"].as<unsigned>());
   Options.Work.ColdTime =
       std::chrono::milliseconds(Parsed["cold-ms"].as<unsigned>());
+  Options.RunLogPath = Parsed["run-log"].as<std::string>();
   return Options;
 }
 
--- a/standins/target/RunLog.cpp
+++ b/standins/target/RunLog.cpp
@@ -1,12 +1,53 @@
 #include "RunLog.h"
 
+#include <fcntl.h>
+#include <unistd.h>
+
 namespace buckthornring::standin {
 
+namespace {
+
+auto toJson(const Run &Entry) -> nlohmann::json {
+  return {{"request_id", Entry.RequestId},
+          {"workspace", Entry.Workspace},
+          {"slice", Entry.Slice},
+          {"epoch", Entry.Epoch},
+          {"method", Entry.Method},
+          {"path", Entry.Path},
+          {"caller_key", Entry.SawCallerKey},
+          {"started_us", Entry.StartedUs},
+          {"ended_us", Entry.EndedUs},
+          {"cancelled", Entry.Cancelled}};
+}
+
+} // namespace
+
+RunLog::RunLog(const std::string &Path) {
+  if (!Path.empty())
+    File =
+        ::open(Path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+}
+
+RunLog::~RunLog() {
+  if (File >= 0)
+    ::close(File);
+}
+
+// One write per line: the line is complete or absent when the process is
+// killed.
+auto RunLog::append(const Run &Entry) const -> void {
+  if (File < 0)
+    return;
+  const auto Line = toJson(Entry).dump() + '\n';
+  static_cast<void>(::write(File, Line.data(), Line.size()) > 0);
+}
+
 auto RunLog::begin(Run Entry) -> std::size_t {
   if (!Entry.RequestId.empty() && ++Counts[Entry.RequestId] > 1)
     ++Twice;
   if (Entry.SawCallerKey)
     ++KeysSeen;
+  append(Entry);
   Runs.push_back(std::move(Entry));
   return Runs.size() - 1;
 }
@@ -25,16 +66,7 @@
 auto RunLog::json() const -> nlohmann::json {
   auto List = nlohmann::json::array();
   for (const auto &Entry : Runs)
-    List.push_back({{"request_id", Entry.RequestId},
-                    {"workspace", Entry.Workspace},
-                    {"slice", Entry.Slice},
-                    {"epoch", Entry.Epoch},
-                    {"method", Entry.Method},
-                    {"path", Entry.Path},
-                    {"caller_key", Entry.SawCallerKey},
-                    {"started_us", Entry.StartedUs},
-                    {"ended_us", Entry.EndedUs},
-                    {"cancelled", Entry.Cancelled}});
+    List.push_back(toJson(Entry));
   return {{"runs", List}, {"twice", Twice}, {"caller_keys_seen", KeysSeen}};
 }
 
--- a/standins/target/RunLog.h
+++ b/standins/target/RunLog.h
@@ -27,12 +27,24 @@
 /// All runs since the start, in order.
 class RunLog {
 public:
+  RunLog() = default;
+  /// Also appends each run to a file when it begins, one JSON object per line,
+  /// so that the record outlives a process that is killed. An empty path means
+  /// no file.
+  explicit RunLog(const std::string &Path);
+  ~RunLog();
+  RunLog(const RunLog &) = delete;
+  auto operator=(const RunLog &) -> RunLog & = delete;
+
   auto begin(Run Entry) -> std::size_t;
   auto end(std::size_t Index, std::int64_t NowUs, bool Cancelled) -> void;
   auto countOf(const std::string &RequestId) const -> std::size_t;
   auto json() const -> nlohmann::json;
 
 private:
+  auto append(const Run &Entry) const -> void;
+
+  int File = -1;
   std::vector<Run> Runs;
   std::unordered_map<std::string, std::size_t> Counts;
   std::uint64_t Twice = 0;
--- a/standins/target/TargetServer.cpp
+++ b/standins/target/TargetServer.cpp
@@ -57,7 +57,7 @@
                            TargetOptions Options)
     : Context(Context), Options(std::move(Options)), Start(newStart()),
       Grants(std::make_unique<GrantHolder>(Start)),
-      Slots(Context, this->Options.Work) {}
+      Log(this->Options.RunLogPath), Slots(Context, this->Options.Work) {}
 
 auto TargetServer::admitConnection(std::size_t Open)
     -> std::optional<Duration> {
--- a/standins/target/TargetServer.h
+++ b/standins/target/TargetServer.h
@@ -18,6 +18,7 @@
   std::size_t Connections = 120;
   Duration ConnectionCost = std::chrono::milliseconds(1);
   WorkerOptions Work;
+  std::string RunLogPath; ///< Empty: the record is kept in memory only.
 };
 
 /// The target's HTTP API; see docs/design/target-protocol.md.
