--- a/lib/Entry/EntryInstance.cpp
+++ b/lib/Entry/EntryInstance.cpp
@@ -3,10 +3,12 @@
 #include "Entry/EntryMetrics.h"
 #include "Entry/SnapshotBuilder.h"
 #include "IO/Endpoint.h"
+#include "buckthornring/Observe/PrometheusText.h"
 
 #include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 
@@ -58,12 +60,35 @@
 
 } // namespace
 
+/// Takes share requests of the traffic threads to the control thread.
+class EntryInstance::ShareRequests final : public ShareChannel {
+public:
+  explicit ShareRequests(EntryInstance &Owner) : Owner(Owner) {}
+
+  auto send(const std::string &Quantity, const ShareRequest &Request)
+      -> void override {
+    asio::post(Owner.Io, [this, Quantity, Request] {
+      Owner.Control->shares().submit(Quantity, Request);
+    });
+  }
+
+private:
+  EntryInstance &Owner;
+};
+
 EntryInstance::EntryInstance(DaemonSettings Given)
     : Settings(std::move(Given)), CallerListener(Io),
-      Signals(Io, SIGTERM, SIGINT), LeaveTimer(Io) {
-  for (std::size_t Index = 0; Index < Settings.TrafficThreads; ++Index)
-    Threads.push_back(
-        std::make_unique<TrafficThread>(Index, trafficOptions(Settings)));
+      Signals(Io, SIGTERM, SIGINT), LeaveTimer(Io),
+      Totals(std::make_unique<Counters>(Settings.TrafficThreads)),
+      Shares(std::make_unique<ShareRequests>(*this)) {
+  const TrafficShared Shared = {
+      *Totals, Published, Shares.get(),
+      [this](std::size_t Thread, const ServiceId &Service) {
+        Threads[Thread]->wake(Service);
+      }};
+  for (std::size_t Number = 0; Number < Settings.TrafficThreads; ++Number)
+    Threads.push_back(std::make_unique<TrafficThread>(
+        Number, trafficOptions(Settings), Shared));
 }
 
 EntryInstance::~EntryInstance() {
@@ -95,8 +120,16 @@
   Platform = std::move(Client).value();
   ControlPlane::Handlers Handlers;
   Handlers.OnChanged = [this] { publish(); };
-  Handlers.OnGrant = [](const std::string &, const ShareGrant &) {};
-  Handlers.OnGiverChanged = [](std::uint64_t) {};
+  Handlers.OnGrant = [this](const std::string &Quantity,
+                            const ShareGrant &Grant) {
+    for (const auto &Thread : Threads)
+      if (Thread->holderName() == Grant.Holder)
+        Thread->applyGrant(Quantity, Grant);
+  };
+  Handlers.OnGiverChanged = [this](std::uint64_t Term) {
+    for (const auto &Thread : Threads)
+      Thread->followShares(Term);
+  };
   auto Created =
       ControlPlane::create(Io, *Platform, Settings, std::move(Handlers));
   if (!Created)
@@ -185,17 +218,36 @@
   CallerListener.close(Failure);
 }
 
+auto EntryInstance::conditionOf(const ServiceConfig &Service) const
+    -> TargetCondition {
+  const auto ThreadCount = static_cast<std::uint32_t>(Threads.size());
+  TargetCondition Condition;
+  Condition.Slots = Service.SlotsPerTarget;
+  Condition.Connections =
+      std::max(1U, Service.ConnectionsPerTarget / ThreadCount);
+  return Condition;
+}
+
 auto EntryInstance::publish() -> void {
   if (!Control || !Control->config())
     return;
-  const TargetConditions Conditions = [](const ServiceId &, const TargetId &,
-                                         const ServiceConfig &Service) {
-    return TargetCondition{true, Service.SlotsPerTarget,
-                           Service.ConnectionsPerTarget};
-  };
-  Current = buildSnapshot(Control->config(), Settings.DataCentre, Conditions,
-                          Control->owners(), ++Version,
-                          Control->stale(WorkspaceConfig().StalenessLimit));
+  if (!Index || Index->Config != Control->config())
+    Index = std::make_shared<const ConfigIndex>(Control->config());
+  const SnapshotInputs Inputs{
+      Index,
+      Settings.DataCentre,
+      [this](const ServiceId &, const TargetId &,
+             const ServiceConfig &Service) { return conditionOf(Service); },
+      Control->owners(),
+      Gates,
+      Control->ownership().inFlight(),
+      [this](const WorkspaceConfig &Workspace) {
+        return Control->stale(Workspace.StalenessLimit);
+      },
+      ++Version};
+  Published.setLeaseEnd(Control->ownership().routing().validUntil());
+  Current = buildSnapshot(Inputs);
+  Published.publish(Current);
   for (const auto &Thread : Threads)
     Thread->publish(Current);
 }
@@ -207,8 +259,9 @@
     Response.Status = 404;
     return Response;
   }
-  Response.Headers.set("Content-Type", Metrics ? "text/plain; version=0.0.4"
-                                               : "application/json");
+  Response.Headers.set("Content-Type",
+                       Metrics ? std::string(PrometheusText::ContentType)
+                               : "application/json");
   Response.Body = Metrics ? metricsText() : statusText();
   return Response;
 }
@@ -230,7 +283,7 @@
 }
 
 auto EntryInstance::metricsText() const -> std::string {
-  return entryMetrics(Threads, RejectedCallers);
+  return entryMetrics(Threads, *Totals, RejectedCallers);
 }
 
 auto EntryInstance::beginShutdown() -> void {
--- a/lib/Entry/RequestPlanner.cpp
+++ b/lib/Entry/RequestPlanner.cpp
@@ -153,14 +153,17 @@
 /// Finds the workspace of the caller key and stores both in \p Plan.
 auto identifyCaller(const RoutingSnapshot &Snapshot, const RequestHead &Head,
                     RequestPlan &Plan) -> std::optional<RefusalReason> {
-  if (Snapshot.Stale)
-    return RefusalReason::StaleConfiguration;
   const KeyDigest Digest = CallerKeys::digest(callerKey(Head.Fields));
-  const CallerKeys::Entry *Entry = Snapshot.Keys.find(Digest);
+  const CallerKeys::Entry *Entry = Snapshot.Index->Keys.find(Digest);
+  // A key that is not known may be newer than a stale configuration, so the
+  // refusal must not say that the key is wrong.
   if (!Entry)
-    return RefusalReason::UnknownCallerKey;
+    return Snapshot.Stale.empty() ? RefusalReason::UnknownCallerKey
+                                  : RefusalReason::StaleConfiguration;
   if (Entry->Withdrawn)
     return RefusalReason::WithdrawnCallerKey;
+  if (Snapshot.Stale.contains(Entry->Workspace))
+    return RefusalReason::StaleConfiguration;
   Plan.Workspace = Entry->Workspace;
   Plan.Caller = Digest;
   return std::nullopt;
@@ -184,7 +187,7 @@
   const std::string_view Path = Target.substr(0, PathEnd);
   if (!Path.starts_with('/') || isAmbiguousPath(Path))
     return RefusalReason::MalformedRequest;
-  const RouteConfig *Route = Snapshot.Routes.match(Path);
+  const RouteConfig *Route = Snapshot.Index->Routes.match(Path);
   if (!Route)
     return RefusalReason::UnknownRoute;
 
--- a/tests/ownership/OwnershipWorld.h
+++ b/tests/ownership/OwnershipWorld.h
@@ -33,6 +33,9 @@
     /// Requests to the unverified service; zero turns them off.
     TrueTime RequestEvery = 15 * Millisecond;
     bool ClockDrift = true;
+    /// All instances fast and all targets slow, instead of random rates.
+    bool SlowTargets = false;
+    bool Trace = false; ///< Prints leases, terms and faults.
   };
 
   struct Instance {
@@ -45,6 +48,7 @@
     TrueTime PausedUntil = 0;
     std::vector<std::function<void()>> Inbox; ///< Arrived while paused.
     std::uint64_t Run = 0;
+    std::string Shown; ///< Last traced state.
   };
 
   struct Target {
@@ -92,12 +96,14 @@
   // Observations.
   auto violation() const -> const std::string & { return Violation; }
   auto leader() const -> std::optional<std::size_t>;
-  /// Slices of the verified service that a target would run now.
+  /// Bit mask of the slices of the verified service that a running target would
+  /// run now, for services of at most 32 slices.
   auto served() -> std::uint32_t;
   auto ownerOf(std::uint32_t Slice) -> std::optional<std::size_t>;
-  /// Unverified slices for which some instance would send now.
+  /// Bit mask of the unverified slices for which some instance would send now.
   auto routed() const -> std::uint32_t;
   auto describe() const -> std::string;
+  auto describe(const Instance &Of) const -> std::string;
 
   Network Net;
   PlatformFaults Faults;
@@ -116,7 +122,7 @@
   };
 
   auto services() const -> std::vector<OwnedService>;
-  auto newClock() -> ProcessClock;
+  auto newClock(bool OfTarget) -> ProcessClock;
   auto local(const Instance &Of) const -> TimePoint {
     return Of.Clock.at(Queue.now());
   }
@@ -146,6 +152,9 @@
   auto checkRouting() -> void;
   auto checkAcknowledged(Instance &Of) -> void;
   auto fail(const std::string &What) -> void;
+  auto trace(const std::string &What) const -> void;
+  auto traceLease(const Target &Of, const LeaseMessage &Message,
+                  const LeaseReply &Reply) const -> void;
 
   Options Set;
   FakePlatform Platform;
