Check that restarted targets and repeated takeovers stay exclusive

Cause: a restarted target forgets the term that it acknowledged, a deputy may have renewed leases that a returning leader does not know of, and a pair that a third instance replaced has no time bound for the leaders after it. Ruled out: relying on the acknowledgement of all targets alone.

--- a/include/buckthornring/Ownership/OwnershipTimes.h
+++ b/include/buckthornring/Ownership/OwnershipTimes.h
@@ -41,6 +41,9 @@
   bool RoutingLeaseWait = true;   ///< Wait for instances' routing leases.
   bool EchoedClock = true;        ///< Count leases from the echoed reading.
   bool FenceBeforeKeep = true;    ///< Third instance fences before it renews.
+  bool ProofAfterRestart = true;  ///< Prove the term before new starts grant.
+  bool LapseWait = true;          ///< Wait for leases that the deputy renewed.
+  bool KeepUnsettled = true;      ///< Remember replaced pairs over terms.
 };
 
 } // namespace buckthornring
--- a/lib/Ownership/ServiceMoves.cpp
+++ b/lib/Ownership/ServiceMoves.cpp
@@ -251,6 +251,8 @@
   // A process start that appeared after the last proof may not know the term
   // of a leader that replaced this one.
   const auto Proved = Context.Term.provedAt();
+  if (!Context.Switches.ProofAfterRestart)
+    return true;
   if (Proved && Leases.startSeen(Message.Target) < *Proved)
     return true;
   Context.Term.requestProof();
--- a/lib/Ownership/TermKeeper.cpp
+++ b/lib/Ownership/TermKeeper.cpp
@@ -111,7 +111,8 @@
 }
 
 auto TermKeeper::noteLapse(TimePoint Now) -> void {
-  if (DeputyEchoed && Now >= ConfirmedFrom + Times.ConfirmLease)
+  if (Switches.LapseWait && DeputyEchoed &&
+      Now >= ConfirmedFrom + Times.ConfirmLease)
     LapsedAt = Now;
 }
 
@@ -173,7 +174,8 @@
   } else if (Old.Deputy == Self) {
     Before.clear();
     for (const InstanceId &Each : Old.Unsettled)
-      Before[Each] = std::nullopt;
+      if (Switches.KeepUnsettled)
+        Before[Each] = std::nullopt;
     const bool Stopped = LeaderResigned && LeaderQuiet;
     Before[Old.Leader] = Stopped ? Now : ConfirmedAt + Tail;
   } else {
--- a/tests/property/OwnershipScenarioTest.cpp
+++ b/tests/property/OwnershipScenarioTest.cpp
@@ -145,4 +145,46 @@
   EXPECT_EQ(World->violation(), "");
 }
 
+/// A partitioned pair meets a target that acknowledged a later leader and then
+/// restarted, so that it no longer knows the later term.
+auto restartBehindThePartition(SafetySwitches Switches) -> std::string {
+  OwnershipWorld::Options Options;
+  Options.Switches = Switches;
+  Options.UnverifiedTargets = 0;
+  OwnershipWorld World(Options);
+  World.run(5 * Second);
+  const std::size_t Leader = *World.leader();
+  const std::size_t Deputy = deputyOf(World);
+  for (const std::size_t Old : {Leader, Deputy}) {
+    World.cut(World.Instances[Old].Host, "platform", 60 * Second);
+    for (std::size_t I = 0; I < World.Instances.size(); ++I)
+      if (I != Leader && I != Deputy)
+        World.cut(World.Instances[Old].Host, World.Instances[I].Host,
+                  60 * Second);
+    for (std::size_t I = 0; I < World.Targets.size(); ++I)
+      World.cut(World.Instances[Old].Host, World.Targets[I].Id.str(),
+                I == 1 ? 12 * Second : 60 * Second);
+  }
+  World.run(12 * Second);
+  EXPECT_EQ(World.served(), 0xffU) << World.describe();
+  for (std::size_t I = 0; I < World.Instances.size(); ++I)
+    if (I != Leader && I != Deputy)
+      World.cut(World.Instances[I].Host, World.Targets[1].Id.str(),
+                60 * Second);
+  World.stopTarget(1);
+  World.startTarget(1);
+  World.run(10 * Second);
+  EXPECT_EQ(World.served(), 0xffU) << World.describe();
+  return World.violation();
+}
+
+// Guards against a replaced leader that grants to a target whose restart made
+// it forget the later term.
+TEST(OwnershipScenarioTest, ARestartedTargetIsGrantedOnlyByAProvedLeader) {
+  EXPECT_EQ(restartBehindThePartition(SafetySwitches()), "");
+  SafetySwitches Unproved;
+  Unproved.ProofAfterRestart = false;
+  EXPECT_NE(restartBehindThePartition(Unproved), "");
+}
+
 } // namespace
