--- a/lib/Entry/RequestExchange.cpp
+++ b/lib/Entry/RequestExchange.cpp
@@ -301,7 +301,7 @@
   Out.reserve(1024);
   Out.append(Head.Method).append(" ").append(Head.Target);
   Out.append(" HTTP/1.1\r\n");
-  const std::string Connection(Head.Fields.find("Connection").value_or(""));
+  const std::string Connection = connectionOptions(Head.Fields);
   for (const auto &Field : Head.Fields)
     if (Place.Relay ? !isWithheldFromRelay(Field, Connection)
                     : !isWithheldFromTarget(Field, Connection))
@@ -401,7 +401,7 @@
     -> std::string {
   std::string Out = "HTTP/1.1 " + std::to_string(Answer.Status) + " ";
   Out.append(Answer.Reason).append("\r\n");
-  const std::string Connection(Answer.Fields.find("Connection").value_or(""));
+  const std::string Connection = connectionOptions(Answer.Fields);
   for (const auto &[Name, Value] : Answer.Fields) {
     // Only a router says what a refusal means.
     if (!FromRelay && isRefusalField(Name))
