--- a/cli/buckthornring/CommandLine.cpp
+++ b/cli/buckthornring/CommandLine.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Leaves room for further changes: a generation only ever rises.
+constexpr std::uint64_t MaxMinGeneration = 1'000'000'000'000;
+
 constexpr const char *Commands = R"(Operator's command of buckthornring.
 
 Usage: buckthornring [OPTION...] COMMAND [ARGUMENT...]
@@ -66,9 +69,13 @@
       "if-generation",
       "Change the configuration only when generation N is the accepted one",
       cxxopts::value<std::uint64_t>(),
-      "N")("confirm-lost",
-           "take-out, drain: confirm that nothing runs there any more, so that "
-           "slices move without release")(
+      "N")("min-generation",
+           "apply: make the new generation at least N, also when nothing else "
+           "changes (after the platform was restored from a backup)",
+           cxxopts::value<std::uint64_t>(), "N")(
+      "confirm-lost",
+      "take-out, drain: confirm that nothing runs there any more, so that "
+      "slices move without release")(
       "reinstate", "apply: also undo withdraw-key, take-out and drain")(
       "wait-ms", "status: wait until the generation is in force everywhere",
       cxxopts::value<std::uint32_t>(),
@@ -100,6 +107,8 @@
     Out.Admin = Parsed["admin"].as<std::vector<std::string>>();
   if (Parsed.count("if-generation") != 0)
     Out.IfGeneration = Parsed["if-generation"].as<std::uint64_t>();
+  if (Parsed.count("min-generation") != 0)
+    Out.MinGeneration = Parsed["min-generation"].as<std::uint64_t>();
   if (Parsed.count("wait-ms") != 0)
     Out.Wait = milliseconds(Parsed["wait-ms"].as<std::uint32_t>());
   if (Parsed.count("time-limit-ms") != 0)
@@ -115,6 +124,10 @@
     CommandLine Out;
     readWords(Parsed, Out);
     readValues(Parsed, Out);
+    if (Out.MinGeneration > MaxMinGeneration)
+      return Error("--min-generation: found " +
+                   std::to_string(Out.MinGeneration) + ", allowed: at most " +
+                   std::to_string(MaxMinGeneration));
     Out.Json = Parsed.count("json") != 0;
     Out.Help = Parsed.count("help") != 0;
     Out.Version = Parsed.count("version") != 0;
--- a/cli/buckthornring/CommandLine.h
+++ b/cli/buckthornring/CommandLine.h
@@ -19,6 +19,7 @@
   Duration TimeLimit = std::chrono::seconds(2);
   Duration Wait = Duration::zero();
   std::optional<std::uint64_t> IfGeneration;
+  std::uint64_t MinGeneration = 0;
   bool Json = false;
   bool Help = false;
   bool Version = false;
--- a/cli/buckthornring/UpdateCommands.cpp
+++ b/cli/buckthornring/UpdateCommands.cpp
@@ -79,15 +79,17 @@
 
 /// Checks the content and writes it as the successor of the current record.
 auto write(const CurrentConfig &Current, const SettingsDocument &Content,
-           PlatformSession &Session) -> CommandResult {
+           PlatformSession &Session, std::uint64_t MinGeneration = 0)
+    -> CommandResult {
   const auto *Previous = Current.Record ? &*Current.Record : nullptr;
-  if (Previous != nullptr &&
+  if (Previous != nullptr && Previous->generation() >= MinGeneration &&
       ConfigRecord::digestOf(Content) == Previous->digest())
     return inForce("unchanged", *Previous);
   const auto Found = ConfigChecker::check(Content, 1);
   if (!Found)
     return CommandResult::invalid(Found.Errors);
-  auto Record = ConfigRecord::next(Previous, Content, newUpdateId());
+  auto Record =
+      ConfigRecord::next(Previous, Content, newUpdateId(), MinGeneration);
   if (!Record)
     return CommandResult::failure(ExitCode::Invalid, "invalid",
                                   Record.error().message());
@@ -149,7 +151,7 @@
       return Out;
     }
   }
-  return write(Current, *Document.Value, Session);
+  return write(Current, *Document.Value, Session, Line.MinGeneration);
 }
 
 auto withdrawKeyCommand(const CommandLine &Line, PlatformSession &Session)
--- a/include/buckthornring/Config/ConfigRecord.h
+++ b/include/buckthornring/Config/ConfigRecord.h
@@ -5,7 +5,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,10 +31,12 @@
   };
 
   /// Makes the record that follows \p Previous (null: the first record), with
-  /// the next generation. \p UpdateId distinguishes this update from any other
-  /// one of the same generation. Fails when the record exceeds MaxBytes.
+  /// the next generation, at least \p MinGeneration. \p UpdateId distinguishes
+  /// this update from any other one of the same generation. Fails when the
+  /// record exceeds MaxBytes.
   static auto next(const ConfigRecord *Previous, SettingsDocument Content,
-                   std::string UpdateId) -> Result<ConfigRecord>;
+                   std::string UpdateId, std::uint64_t MinGeneration = 0)
+      -> Result<ConfigRecord>;
 
   /// Reads the text of a record. Fails when it is malformed or when the digest
   /// does not belong to the content.
@@ -48,9 +49,12 @@
   auto content() const -> const SettingsDocument & { return Content; }
   auto text() const -> std::string;
 
-  /// Returns the identifier of the update that made the generation, or nothing
-  /// when it lies in the future or the history does not reach back to it.
-  auto updateOf(std::uint64_t Generation) const -> std::optional<std::string>;
+  /// Generation that this record followed, 0 for the first record.
+  auto baseGeneration() const -> std::uint64_t;
+  /// Whether the history names the update.
+  auto hasUpdate(std::string_view UpdateId) const -> bool;
+  /// Whether the history names every update that followed the generation.
+  auto reachesBackTo(std::uint64_t Generation) const -> bool;
 
   /// Returns the digest of a content.
   static auto digestOf(const SettingsDocument &Content) -> std::string;
--- a/lib/Config/ConfigRecord.cpp
+++ b/lib/Config/ConfigRecord.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace buckthornring {
@@ -40,9 +42,11 @@
 }
 
 auto ConfigRecord::next(const ConfigRecord *Previous, SettingsDocument Content,
-                        std::string UpdateId) -> Result<ConfigRecord> {
+                        std::string UpdateId, std::uint64_t MinGeneration)
+    -> Result<ConfigRecord> {
   ConfigRecord Out(std::move(Content));
-  Out.Generation = Previous == nullptr ? 1 : Previous->Generation + 1;
+  const auto Following = Previous == nullptr ? 1 : Previous->Generation + 1;
+  Out.Generation = std::max(Following, MinGeneration);
   Out.Digest = digestOf(Out.Content);
   if (Previous != nullptr)
     Out.History = Previous->History;
@@ -94,12 +98,18 @@
       .dump();
 }
 
-auto ConfigRecord::updateOf(std::uint64_t Wanted) const
-    -> std::optional<std::string> {
-  for (const auto &Each : History)
-    if (Each.Generation == Wanted)
-      return Each.Id;
-  return std::nullopt;
+auto ConfigRecord::baseGeneration() const -> std::uint64_t {
+  return History.size() < 2 ? 0 : History[History.size() - 2].Generation;
+}
+
+auto ConfigRecord::hasUpdate(std::string_view UpdateId) const -> bool {
+  return std::any_of(History.begin(), History.end(),
+                     [&](const Update &Each) { return Each.Id == UpdateId; });
+}
+
+auto ConfigRecord::reachesBackTo(std::uint64_t Wanted) const -> bool {
+  // Below the limit, nothing has been dropped yet.
+  return History.size() < HistoryLimit || History.front().Generation <= Wanted;
 }
 
 } // namespace buckthornring
--- a/lib/Config/ConfigUpdate.cpp
+++ b/lib/Config/ConfigUpdate.cpp
@@ -79,13 +79,13 @@
   }
   Seen = std::max(Seen, Found->generation());
   Winner = Found->generation();
-  const auto Maker = Found->updateOf(Record.generation());
-  if (Maker && *Maker == Record.updateId())
+  if (Found->hasUpdate(Record.updateId()))
     return finish(ConfigUpdateOutcome::Applied);
-  // Without an entry for its generation, a lost write cannot be told from one
+  // When the history does not reach back, a lost write cannot be told from one
   // that was overwritten long ago.
-  finish(Maker || !MayHaveWritten ? ConfigUpdateOutcome::Refused
-                                  : ConfigUpdateOutcome::Unknown);
+  const bool Certain =
+      !MayHaveWritten || Found->reachesBackTo(Record.baseGeneration());
+  finish(Certain ? ConfigUpdateOutcome::Refused : ConfigUpdateOutcome::Unknown);
 }
 
 } // namespace buckthornring
--- a/tests/unit/ConfigUpdateTest.cpp
+++ b/tests/unit/ConfigUpdateTest.cpp
@@ -94,6 +94,22 @@
   EXPECT_EQ(Update.outcome(), ConfigUpdateOutcome::Unchanged);
 }
 
+// Guards against a lost race being reported as unknown when the two updates
+// made different generations.
+TEST_F(ConfigUpdateTest, LoserOfAnotherGenerationNamesTheWinner) {
+  const auto Raised =
+      ConfigRecord::next(&Base, content(), "raised", 50).value();
+  ConfigUpdate First(Raised, 10);
+  First.onWriteLost();
+  First.onRead(&Other, 11);
+  EXPECT_EQ(First.outcome(), ConfigUpdateOutcome::Refused);
+  EXPECT_EQ(First.winner(), 2U);
+  Update.onWriteLost();
+  Update.onRead(&Raised, 11);
+  EXPECT_EQ(Update.outcome(), ConfigUpdateOutcome::Refused);
+  EXPECT_EQ(Update.winner(), 50U);
+}
+
 // Guards against guessing when the history no longer reaches back.
 TEST_F(ConfigUpdateTest, ForgottenGenerationIsUnknown) {
   Update.onWriteLost();
