Build the request path test with relay peers

Ruled out: a default; the warning finds other places that forget the peers. Change: the fixture passes no peers. Conclusion: no change in behaviour.

--- a/tests/support/RequestPath.cpp
+++ b/tests/support/RequestPath.cpp
@@ -118,7 +118,8 @@
       Gates,
       InFlight,
       [](const WorkspaceConfig &) { return false; },
-      ++Version};
+      ++Version,
+      {}};
   const auto Snapshot = buildSnapshot(Inputs);
   Published.publish(Snapshot);
   Traffic->publish(Snapshot);
