Follow the lease rules on lapses and late grants in the target test server

Cause: the test server was written after an earlier state of the lease message. It did not count lapses, so a leader never granted dropped slices again, and it applied a grant that was older than an announcement already answered. Ruled out: a leader that asks for a full report in each renewal; that grows with the slices. Change: Lapses and the order of all messages of a term in GrantHolder, with a test each.

--- a/standins/target/GrantHolder.cpp
+++ b/standins/target/GrantHolder.cpp
@@ -21,6 +21,7 @@
     if (Message.Term > HighestTerm) {
       HighestTerm = Message.Term;
       Applied = 0;
+      Floor = 0;
     }
     Reply.Refusal = applyLease(Message, NowUs);
   }
@@ -29,6 +30,7 @@
   Reply.Applied = Applied;
   Reply.Start = Start;
   Reply.ClockUs = NowUs;
+  Reply.Lapses = Lapses;
   Reply.Reported = Message.Report;
   if (Message.Report)
     for (const auto &[Slice, At] : Slices)
@@ -39,23 +41,24 @@
 auto GrantHolder::applyLease(const LeaseMessage &Message, std::int64_t NowUs)
     -> LeaseRefusal {
   if (Message.Start != Start)
-    return LeaseRefusal::OtherStart;
+    return Message.Start.empty() ? LeaseRefusal::None
+                                 : LeaseRefusal::OtherStart;
+  const bool Newer = Message.Sequence > Floor;
+  Floor = std::max(Floor, Message.Sequence);
   if (Message.LeaseUs == 0)
     return LeaseRefusal::None;
   const auto EndUs = Message.ClockUs + Message.LeaseUs;
-  const bool InPast = EndUs <= NowUs;
+  if (EndUs <= NowUs)
+    return LeaseRefusal::Expired;
   LeaseEndUs = std::max(LeaseEndUs, EndUs);
-  if (Message.Sequence > Applied &&
-      (!Message.Grant.empty() || !Message.Release.empty())) {
-    for (const auto &Entry : Message.Release)
-      Slices.erase(Entry.Slice);
-    if (!InPast)
-      for (const auto &Entry : Message.Grant)
-        Slices[Entry.Slice] = Entry.At;
-    if (!InPast || Message.Grant.empty())
-      Applied = Message.Sequence;
-  }
-  return InPast ? LeaseRefusal::Expired : LeaseRefusal::None;
+  if (!Newer)
+    return LeaseRefusal::None;
+  for (const auto &Entry : Message.Grant)
+    Slices[Entry.Slice] = Entry.At;
+  for (const auto &Entry : Message.Release)
+    Slices.erase(Entry.Slice);
+  Applied = Message.Sequence;
+  return LeaseRefusal::None;
 }
 
 auto GrantHolder::held(std::uint32_t Slice, std::int64_t SteadyUs)
@@ -74,8 +77,10 @@
 
 // Slices dropped here stay dropped: a later renewal extends the lease only.
 auto GrantHolder::expire(std::int64_t NowUs) -> void {
-  if (NowUs >= LeaseEndUs)
-    Slices.clear();
+  if (Slices.empty() || NowUs < LeaseEndUs)
+    return;
+  Slices.clear();
+  ++Lapses;
 }
 
 } // namespace buckthornring::standin
--- a/standins/target/GrantHolder.h
+++ b/standins/target/GrantHolder.h
@@ -33,6 +33,8 @@
   std::string Start;
   std::uint64_t HighestTerm = 0;
   std::uint64_t Applied = 0;
+  std::uint64_t Floor = 0; ///< Highest sequence seen in this term.
+  std::uint64_t Lapses = 0;
   std::int64_t LeaseEndUs = 0;
   std::map<std::uint32_t, Epoch> Slices;
 };
--- a/tests/process/TargetTest.cpp
+++ b/tests/process/TargetTest.cpp
@@ -106,7 +106,28 @@
   Renewal.Start = Granted.Start;
   Renewal.ClockUs = Granted.ClockUs;
   Renewal.LeaseUs = 60'000'000;
-  send(Renewal);
+  EXPECT_EQ(send(Renewal).Lapses, Granted.Lapses + 1);
+  EXPECT_EQ(refusal("1.1"), "no-lease");
+}
+
+// Guards against a late grant that takes effect after the leader learned of a
+// lapse from the answer to a later message.
+TEST_F(TargetTest, GrantOlderThanAnAnnouncementIsNotApplied) {
+  start({"--verified"});
+  LeaseMessage Late;
+  Late.Term = 1;
+  const auto Known = send(Late);
+  Late.Sequence = 1;
+  Late.Start = Known.Start;
+  Late.ClockUs = Known.ClockUs;
+  Late.LeaseUs = 10'000'000;
+  Late.Grant = {{7, {1, 1}}};
+  LeaseMessage Announcement;
+  Announcement.Term = 1;
+  Announcement.Sequence = 2;
+  Announcement.Start = Known.Start;
+  send(Announcement);
+  EXPECT_EQ(send(Late).Applied, 0U);
   EXPECT_EQ(refusal("1.1"), "no-lease");
 }
 
