--- a/bench/measure/Main.cpp
+++ b/bench/measure/Main.cpp
@@ -15,7 +15,10 @@
   auto(*Run)() -> Measurements;
 };
 
-constexpr std::array<Registered, 7> Registry = {{
+constexpr std::array<Registered, 10> Registry = {{
+    {"ownership-balance", measureOwnershipBalance},
+    {"ownership-recovery", measureOwnershipRecovery},
+    {"ownership-violations", measureOwnershipViolations},
     {"tail", measureTail},
     {"dc", measureDataCentre},
     {"fairness", measureFairness},
--- a/bench/measure/Measurement.h
+++ b/bench/measure/Measurement.h
@@ -26,6 +26,11 @@
 
 using Measurements = std::vector<Measurement>;
 
+// Measures of exclusive ownership.
+auto measureOwnershipBalance() -> Measurements;
+auto measureOwnershipRecovery() -> Measurements;
+auto measureOwnershipViolations() -> Measurements;
+
 // Measures of the request path.
 auto measureTail() -> Measurements;
 auto measureDataCentre() -> Measurements;
