Measure the return of a slow target and the overshoot of baselines

Cause: nothing showed whether a target that was slow gets its share back, and rate.overshoot had no baseline in its run. Change: bench_measure recovery (share of requests 10 to 15 s after a slow phase of 5 s, relative to an equal share, at light load) and rate.overshoot for each rate policy under overload.

--- a/bench/measure/LoadMeasures.cpp
+++ b/bench/measure/LoadMeasures.cpp
@@ -45,6 +45,31 @@
   return All;
 }
 
+/// Use of a target that was slow for 5 s, 10 to 15 s after it has recovered.
+auto measureRecovery() -> Measurements {
+  Measurements All;
+  for (const auto &Policy : Policies)
+    for (const double Factor : {2.5, 10.0})
+      for (const std::uint64_t Seed : Seeds) {
+        TrafficWorld::Options Settings;
+        Settings.Rules = Policy;
+        Settings.SlowTarget = 3;
+        Settings.SlowFactor = Factor;
+        Settings.SlowUntil = TimePoint(std::chrono::seconds(10));
+        // Light load: a target is not chosen merely because others are busy.
+        Settings.RequestsPerSecond = 1500;
+        const auto Run = TrafficWorld(Settings, Seed).run();
+        const double Part = static_cast<double>(Run.LastOnSlow) /
+                            static_cast<double>(Run.LastOnAll);
+        All.push_back({Factor > 5 ? "load.recovered_share_10x"
+                                  : "load.recovered_share_2.5x",
+                       Policy.Name, Seed,
+                       Part * static_cast<double>(Settings.TargetsEach),
+                       "ratio", 0.5, Bound::AtLeast});
+      }
+  return All;
+}
+
 auto measureDataCentre() -> Measurements {
   Measurements All;
   for (const auto &Policy : Policies)
--- a/bench/measure/Main.cpp
+++ b/bench/measure/Main.cpp
@@ -15,12 +15,14 @@
   auto(*Run)() -> Measurements;
 };
 
-constexpr std::array<Registered, 7> Registry = {{
+constexpr std::array<Registered, 9> Registry = {{
     {"tail", measureTail},
+    {"recovery", measureRecovery},
     {"dc", measureDataCentre},
     {"fairness", measureFairness},
     {"refusals", measureRefusals},
     {"rate", measureRateOvershoot},
+    {"rate", measureRateOvershootOfPolicies},
     {"cold", measureColdOverload},
     {"runs", measureRuns},
 }};
--- a/bench/measure/Measurement.h
+++ b/bench/measure/Measurement.h
@@ -28,10 +28,12 @@
 
 // Measures of the request path.
 auto measureTail() -> Measurements;
+auto measureRecovery() -> Measurements;
 auto measureDataCentre() -> Measurements;
 auto measureFairness() -> Measurements;
 auto measureRefusals() -> Measurements;
 auto measureRateOvershoot() -> Measurements;
+auto measureRateOvershootOfPolicies() -> Measurements;
 auto measureColdOverload() -> Measurements;
 auto measureRuns() -> Measurements;
 
--- a/bench/measure/RateMeasures.cpp
+++ b/bench/measure/RateMeasures.cpp
@@ -118,6 +118,25 @@
   return All;
 }
 
+/// One workspace sends 10 times its rate, half of the traffic is at one
+/// instance, and the leader is lost.
+auto measureRateOvershootOfPolicies() -> Measurements {
+  Measurements All;
+  for (const NamedService &Policy : ServicePolicies)
+    for (const std::uint64_t Seed : Seeds) {
+      RateWorld::Options Settings = fairnessOptions(Policy);
+      Settings.FirstInstancePart = 0.5;
+      Settings.LoseLeader = true;
+      Settings.Workspaces[0].Offered = 10 * Settings.Workspaces[0].Rate;
+      double Worst = 0;
+      for (const auto &Each : RateWorld(Settings, Seed).run())
+        Worst = std::max(Worst, Each.Overshoot);
+      All.push_back({"rate.overshoot", std::string(Policy.Name) + "/overload",
+                     Seed, Worst, "requests", 0, Bound::AtMost});
+    }
+  return All;
+}
+
 auto measureFairness() -> Measurements {
   Measurements All;
   for (const NamedService &Policy : ServicePolicies)
--- a/bench/measure/TrafficWorld.cpp
+++ b/bench/measure/TrafficWorld.cpp
@@ -204,13 +204,18 @@
       Queue.now() > *Settings.TakenOutAt &&
       Queue.now() < Settings.BroughtBackAt)
     Result.StopTime = Queue.now() - *Settings.TakenOutAt;
+  if (Queue.now() >= Settings.End - std::chrono::seconds(5)) {
+    ++Result.LastOnAll;
+    Result.LastOnSlow += Settings.SlowTarget == Of->Target ? 1 : 0;
+  }
   Targets[Of->Target].Waiting.push_back(Of);
   work(Of->Target);
 }
 
 auto TrafficWorld::serviceTime(std::size_t T) -> Duration {
   double Micros = BaseMicros - std::log(1 - Random.unit()) * ExtraMicros;
-  if (Settings.SlowTarget == T && Queue.now() >= Settings.SlowFrom)
+  if (Settings.SlowTarget == T && Queue.now() >= Settings.SlowFrom &&
+      Queue.now() < Settings.SlowUntil)
     Micros *= Settings.SlowFactor;
   const Target &Of = Targets[T];
   const Duration Up = Of.ColdSince == TimePoint::min()
--- a/bench/measure/TrafficWorld.h
+++ b/bench/measure/TrafficWorld.h
@@ -38,6 +38,7 @@
     std::optional<std::size_t> SlowTarget;
     double SlowFactor = 10;
     TimePoint SlowFrom{std::chrono::seconds(5)};
+    TimePoint SlowUntil = TimePoint::max();
     /// Data centre 0 is taken out and brought back at these times.
     std::optional<TimePoint> TakenOutAt;
     TimePoint BroughtBackAt = TimePoint::max();
@@ -53,6 +54,9 @@
     Duration P99{};
     /// Time from the take-out command to the last start of new work there.
     Duration StopTime{};
+    /// Attempts on the slow target and on all targets in the last 5 s.
+    std::uint64_t LastOnSlow = 0;
+    std::uint64_t LastOnAll = 0;
   };
 
   TrafficWorld(Options Settings, std::uint64_t Seed);
