Let the latency average fade while a target is not observed

Cause: two choices never returned to a target that had been slow, because its average only changes with requests to it. A constant share of probing requests was not tried. Change: for the choice, the average halves with every 2 s without observation. average() without a time stays for reports.

--- a/bench/measure/TrafficWorld.cpp
+++ b/bench/measure/TrafficWorld.cpp
@@ -171,7 +171,8 @@
   std::vector<TargetCandidate> Seen;
   Seen.reserve(Usable.size());
   for (const std::size_t T : Usable)
-    Seen.push_back({At.Views[T].InFlight, At.Views[T].Latency.average(),
+    Seen.push_back({At.Views[T].InFlight,
+                    At.Views[T].Latency.average(Queue.now()),
                     Targets[T].Reported});
   const auto Choice = At.Chooser->choose(Seen, Random);
   if (!Choice) {
--- a/include/buckthornring/Routing/LatencyTracker.h
+++ b/include/buckthornring/Routing/LatencyTracker.h
@@ -30,6 +30,10 @@
   /// Returns the moving average; nothing before the first observation.
   auto average() const -> std::optional<Duration>;
 
+  /// Returns the average for the choice of a target: it halves with every 2 s
+  /// without an observation, so that a target that was slow is tried again.
+  auto average(TimePoint Now) const -> std::optional<Duration>;
+
   /// Returns the 95th percentile of the last 256 finished requests; nothing
   /// before the 20th.
   auto typicalHigh() const -> std::optional<Duration>;
--- a/lib/Routing/LatencyTracker.cpp
+++ b/lib/Routing/LatencyTracker.cpp
@@ -13,6 +13,10 @@
 // Sorting the window on each observation would cost more than it tells.
 constexpr std::uint64_t HighInterval = 16;
 
+// A target that was 10 times slower is tried after about 7 s. Each trial costs
+// one slow request per thread.
+constexpr Duration IdleHalfLife = std::chrono::seconds(2);
+
 // Lowest weight of an observation: several in one microsecond still count.
 constexpr double MinimumWeight = 0.05;
 
@@ -50,6 +54,15 @@
   return Duration(static_cast<std::int64_t>(Average));
 }
 
+auto LatencyTracker::average(TimePoint Now) const -> std::optional<Duration> {
+  if (Last == TimePoint::min())
+    return std::nullopt;
+  const double Idle = static_cast<double>((Now - Last).count()) /
+                      static_cast<double>(IdleHalfLife.count());
+  return Duration(
+      static_cast<std::int64_t>(Average * std::exp2(-std::max(Idle, 0.0))));
+}
+
 auto LatencyTracker::updateHigh() -> void {
   auto Sorted = Window;
   const auto Count = static_cast<std::ptrdiff_t>(
--- a/tests/unit/RoutingTest.cpp
+++ b/tests/unit/RoutingTest.cpp
@@ -80,6 +80,15 @@
   EXPECT_EQ(Tracker.typicalHigh(), 5ms);
 }
 
+// Guards against a target that is never tried again after a slow phase.
+TEST(LatencyTrackerTest, IdleAverageFadesForTheChoice) {
+  LatencyTracker Tracker;
+  Tracker.observe(80ms, Start);
+  EXPECT_EQ(Tracker.average(Start), 80ms);
+  EXPECT_EQ(Tracker.average(Start + 4s), 20ms);
+  EXPECT_EQ(Tracker.average(), 80ms);
+}
+
 // Guards against the loss of most of a service's capacity to ejection.
 TEST(EjectorTest, AtMostAThirdIsEjected) {
   Ejector Guard;
@@ -120,7 +129,7 @@
     Ramp.reported("second", Age, Start + Age);
     const auto Allowed = Ramp.allowance(Start + Age);
     // Not before the target's own ramp, also with a fast clock here.
-    const auto Due = 1 + 3 * Age.count() * 1000 / (10'000 * 1010);
+    const auto Due = 1 + 3 * Age.count() * 1000 / 10'100'000;
     EXPECT_EQ(Allowed, std::min<long>(Due, 4)) << Age.count();
   }
 }
