--- a/bench/measure/Main.cpp
+++ b/bench/measure/Main.cpp
@@ -15,17 +15,20 @@
   auto(*Run)() -> Measurements;
 };
 
-constexpr std::array<Registered, 10> Registry = {{
+constexpr std::array<Registered, 13> Registry = {{
     {"ownership-balance", measureOwnershipBalance},
     {"ownership-recovery", measureOwnershipRecovery},
     {"ownership-violations", measureOwnershipViolations},
     {"tail", measureTail},
+    {"recovery", measureRecovery},
     {"dc", measureDataCentre},
     {"fairness", measureFairness},
     {"refusals", measureRefusals},
     {"rate", measureRateOvershoot},
+    {"rate", measureRateOvershootOfPolicies},
     {"cold", measureColdOverload},
     {"runs", measureRuns},
+    {"capacity", measureCapacity},
 }};
 
 auto print(const Measurement &Each) -> void {
