--- a/lib/Ownership/ServiceLeader.h
+++ b/lib/Ownership/ServiceLeader.h
@@ -77,6 +77,8 @@
   auto startMove(std::uint32_t Slice, const TargetId &To, bool OwnerLost)
       -> void;
   auto startMoves(TimePoint Now) -> void;
+  auto hasUnowned(TimePoint Now) const -> bool;
+  auto balanceCheckDue(TimePoint Now) -> bool;
   auto planMoves(TimePoint Now) -> void;
   auto cancelReturned(TimePoint Now) -> void;
   auto progressMoves(TimePoint Now) -> void;
@@ -109,6 +111,7 @@
   bool CopyResolved = false;
   TimePoint TermSince;
   TimePoint BalancedAt;
+  TimePoint BalanceCheckedAt;
   TimePoint SuccessorsAt;
   std::map<TargetId, TimePoint> SentAt;
   std::map<TargetId, TimePoint> HeardAt; ///< Unverified targets.
--- a/lib/Ownership/ServiceMoves.cpp
+++ b/lib/Ownership/ServiceMoves.cpp
@@ -13,6 +13,8 @@
 constexpr Duration BalanceEvery = std::chrono::seconds(60);
 constexpr Duration UrgentEvery = std::chrono::seconds(5);
 constexpr double UrgentImbalance = 1.5;
+// Computing the imbalance takes time in proportion to the slices.
+constexpr Duration BalanceCheckEvery = std::chrono::seconds(1);
 constexpr Duration SuccessorsEvery = std::chrono::seconds(1);
 
 auto indexOf(const std::vector<TargetId> &Targets, const TargetId &Target)
@@ -57,30 +59,51 @@
 
 /// Starts the moves that are not a matter of balance.
 auto ServiceLeader::startMoves(TimePoint Now) -> void {
+  // The owners are few, the slices many: each owner is judged once.
+  std::set<TargetId> Lost;
+  for (const TargetId &Target : Targets)
+    if (lost(Target, Now))
+      Lost.insert(Target);
   for (std::uint32_t Slice = 0; Slice < Map.slices(); ++Slice) {
     const TargetId &Owner = Map.at(Slice).Owner;
-    if (Moves.moving(Slice) || Owner.empty())
-      continue;
-    if (!home(Slice))
-      startMove(Slice, TargetId(), false);
-    else if (lost(Owner, Now))
-      startMove(Slice, TargetId(), true);
+    const bool Leaves = !home(Slice);
+    const bool OwnerLost = !Lost.empty() && Lost.contains(Owner);
+    if ((Leaves || OwnerLost) && !Owner.empty() && !Moves.moving(Slice))
+      startMove(Slice, TargetId(), !Leaves);
+  }
+}
+
+/// Returns whether a slice needs an owner, or has one that is to be drained.
+auto ServiceLeader::hasUnowned(TimePoint Now) const -> bool {
+  std::set<TargetId> Draining;
+  for (const TargetId &Target : Targets)
+    if (!usable(Target, Now) && alive(Target, Now))
+      Draining.insert(Target);
+  for (std::uint32_t Slice = 0; Slice < Map.slices(); ++Slice) {
+    const TargetId &Owner = Map.at(Slice).Owner;
+    const bool Needs =
+        Owner.empty() || (!Draining.empty() && Draining.contains(Owner));
+    if (Needs && home(Slice) && !Moves.moving(Slice))
+      return true;
   }
+  return false;
+}
+
+auto ServiceLeader::balanceCheckDue(TimePoint Now) -> bool {
+  if (!Moves.moves().empty() || Now < BalancedAt + UrgentEvery ||
+      Now < BalanceCheckedAt + BalanceCheckEvery)
+    return false;
+  BalanceCheckedAt = Now;
+  return true;
 }
 
 auto ServiceLeader::planMoves(TimePoint Now) -> void {
-  AssignmentPlanner::Input Input = plannerInput(Now);
-  bool Unowned = false;
-  for (std::uint32_t Slice = 0; Slice < Map.slices(); ++Slice)
-    if (home(Slice) && !Moves.moving(Slice)) {
-      const std::size_t Owner = Input.Owner[Slice];
-      Unowned = Unowned || Owner == AssignmentPlanner::None ||
-                (!Input.Available[Owner] && alive(Targets[Owner], Now));
-    }
-  const double Imbalance = AssignmentPlanner::imbalance(Input);
-  const bool Urgent = Imbalance > UrgentImbalance;
-  if (!Unowned && (!Moves.moves().empty() ||
-                   Now < BalancedAt + (Urgent ? UrgentEvery : BalanceEvery)))
+  const bool Unowned = hasUnowned(Now);
+  if (!Unowned && !balanceCheckDue(Now))
+    return;
+  const AssignmentPlanner::Input Input = plannerInput(Now);
+  const bool Urgent = AssignmentPlanner::imbalance(Input) > UrgentImbalance;
+  if (!Unowned && Now < BalancedAt + (Urgent ? UrgentEvery : BalanceEvery))
     return;
   if (!Unowned)
     BalancedAt = Now;
