--- a/include/buckthornring/Ownership/Epoch.h
+++ b/include/buckthornring/Ownership/Epoch.h
@@ -12,8 +12,13 @@
   std::uint64_t Sequence = 0;
 
   friend auto operator==(const Epoch &, const Epoch &) -> bool = default;
-  friend auto operator<=>(const Epoch &, const Epoch &)
-      -> std::strong_ordering = default;
+
+  // Written out, since the linter reports a defaulted comparison (clang 14).
+  friend auto operator<=>(const Epoch &Left, const Epoch &Right)
+      -> std::strong_ordering {
+    const auto ByTerm = Left.Term <=> Right.Term;
+    return std::is_neq(ByTerm) ? ByTerm : Left.Sequence <=> Right.Sequence;
+  }
 };
 
 } // namespace buckthornring
--- a/lib/Ownership/SliceMap.cpp
+++ b/lib/Ownership/SliceMap.cpp
@@ -126,7 +126,8 @@
 }
 
 auto SliceMap::segmentChangedAt(std::uint32_t Segment) const -> std::uint64_t {
-  const auto First = ChangedAt.begin() + Segment * SegmentSlices;
+  const auto First =
+      ChangedAt.begin() + static_cast<std::ptrdiff_t>(Segment) * SegmentSlices;
   const std::uint32_t Count =
       std::min(SegmentSlices, slices() - Segment * SegmentSlices);
   return *std::max_element(First, First + Count);
--- a/tests/ownership/OwnershipWorld.h
+++ b/tests/ownership/OwnershipWorld.h
@@ -76,7 +76,7 @@
     double Stale = 0;
   };
 
-  explicit OwnershipWorld(Options Options);
+  explicit OwnershipWorld(const Options &Given);
 
   auto run(TrueTime Span) -> void { Queue.runUntil(Queue.now() + Span); }
   auto now() const -> TrueTime { return Queue.now(); }
@@ -128,10 +128,10 @@
   }
   auto blocked(const std::string &Left, const std::string &Right) const -> bool;
   auto deliver(const std::string &From, const std::string &To,
-               std::function<void()> Run) -> void;
+               const std::function<void()> &Run) -> void;
   auto toInstance(std::size_t Index, std::uint64_t Run,
-                  std::function<void(Instance &)> Handle) -> void;
-  auto toTarget(std::size_t Index, std::function<void(Target &)> Handle)
+                  const std::function<void(Instance &)> &Handle) -> void;
+  auto toTarget(std::size_t Index, const std::function<void(Target &)> &Handle)
       -> void;
   auto indexOf(const InstanceId &Id) const -> std::optional<std::size_t>;
   auto tickInstance(std::size_t Index, std::uint64_t Run) -> void;
--- a/tests/ownership/OwnershipWorld.inc.h
+++ b/tests/ownership/OwnershipWorld.inc.h
@@ -8,8 +8,8 @@
 
 namespace buckthornring::test {
 
-inline OwnershipWorld::OwnershipWorld(Options Given)
-    : Random(Given.Seed), Set(std::move(Given)) {
+inline OwnershipWorld::OwnershipWorld(const Options &Given)
+    : Random(Given.Seed), Set(Given) {
   for (std::size_t I = 0; I < Set.VerifiedTargets + Set.UnverifiedTargets;
        ++I) {
     Target Each;
@@ -179,7 +179,7 @@
 /// Carries a message: it may be lost, repeated or late, and overtakes others.
 inline auto OwnershipWorld::deliver(const std::string &From,
                                     const std::string &To,
-                                    std::function<void()> Run) -> void {
+                                    const std::function<void()> &Run) -> void {
   int Copies = Random.chance(Net.Loss) ? 0 : 1;
   if (Random.chance(Net.Repeat))
     ++Copies;
@@ -193,8 +193,9 @@
   }
 }
 
-inline auto OwnershipWorld::toInstance(std::size_t Index, std::uint64_t Run,
-                                       std::function<void(Instance &)> Handle)
+inline auto
+OwnershipWorld::toInstance(std::size_t Index, std::uint64_t Run,
+                           const std::function<void(Instance &)> &Handle)
     -> void {
   Instance &Each = Instances[Index];
   if (!Each.Up || Each.Run != Run)
@@ -206,9 +207,9 @@
   Handle(Each);
 }
 
-inline auto OwnershipWorld::toTarget(std::size_t Index,
-                                     std::function<void(Target &)> Handle)
-    -> void {
+inline auto
+OwnershipWorld::toTarget(std::size_t Index,
+                         const std::function<void(Target &)> &Handle) -> void {
   Target &Each = Targets[Index];
   if (!Each.Up)
     return;
