Merge a stored assignment only on the first answered read

Ruled out: a lost move; the slices were in no move at all. Change: the first answered read ends the merge.

--- a/lib/Ownership/AssignmentStore.cpp
+++ b/lib/Ownership/AssignmentStore.cpp
@@ -1,6 +1,7 @@
 #include "Ownership/AssignmentStore.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace buckthornring {
 
@@ -91,6 +92,9 @@
   if (!Answer.Answered)
     return;
   Each.Read = true;
+  // Only the first answer is merged, also when it is a stale "absent": later
+  // ones would bring back owners after the map was resolved.
+  const bool Merge = std::exchange(Each.Loading, false);
   if (!Answer.Found || Answer.Found->Version < Each.ObjectVersion)
     return;
   Each.ObjectVersion = Answer.Found->Version;
@@ -102,9 +106,8 @@
   Context.Term.learnTerm(*WriterTerm);
   // A leader with a complete map ignores what the platform has beyond it: those
   // changes were never acted on.
-  if (Each.Loading && *WriterTerm < Map.term())
+  if (Merge && *WriterTerm < Map.term())
     Map = std::move(Stored);
-  Each.Loading = false;
 }
 
 auto AssignmentStore::objectWritten(std::uint32_t Index,
