--- a/lib/Config/CallerKeys.cpp
+++ b/lib/Config/CallerKeys.cpp
@@ -6,9 +6,22 @@
 
 #include <charconv>
 #include <cstring>
+#include <memory>
 
 namespace buckthornring {
 
+namespace {
+
+/// Looked up once: with EVP_sha256() OpenSSL 3 looks the algorithm up again,
+/// under a lock, in each call.
+auto sha256() -> const EVP_MD * {
+  static const std::unique_ptr<EVP_MD, decltype(&EVP_MD_free)> Fetched(
+      EVP_MD_fetch(nullptr, "SHA256", nullptr), EVP_MD_free);
+  return Fetched.get();
+}
+
+} // namespace
+
 auto CallerKeys::DigestHash::operator()(const KeyDigest &Digest) const
     -> std::size_t {
   std::size_t Hash = 0;
@@ -34,7 +47,7 @@
 auto CallerKeys::digest(std::string_view Key) -> KeyDigest {
   KeyDigest Out{};
   const int Done = EVP_Digest(Key.data(), Key.size(), Out.data(), nullptr,
-                              EVP_sha256(), nullptr);
+                              sha256(), nullptr);
   invariant(Done == 1, "SHA-256 is available");
   return Out;
 }
