Record the command's answers to a silent and to a refusing platform

Cause: exit codes 5 and 6 after a write had no recorded session.

Change: two scripted platforms in the session test, one that answers only the first read and one that refuses every write with 413.

Conclusion: a write without any further answer ends as unknown (5), a refused value as rejected (6).

--- a/tests/golden/CommandSessionTest.cpp
+++ b/tests/golden/CommandSessionTest.cpp
@@ -11,9 +11,11 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
+#include <functional>
 #include <iterator>
 #include <sstream>
 #include <thread>
+#include <utility>
 
 #include <sys/wait.h>
 
@@ -33,22 +35,18 @@
   return Text;
 }
 
-/// Admin endpoint with fixed answers.
-class AdminEndpoint {
+/// HTTP server with a handler of its own.
+class Endpoint {
 public:
-  AdminEndpoint(std::string Status, std::string Metrics)
-      : Status(std::move(Status)), Metrics(std::move(Metrics)) {
-    Server =
-        HttpServer::start(
-            Context, {},
-            [this](const HttpRequest &Request, const HttpResponder &Responder) {
-              Responder.respond({200, {}, body(Request.path())});
-            })
-            .value();
+  using Handler =
+      std::function<void(const HttpRequest &, const HttpResponder &)>;
+
+  explicit Endpoint(Handler Answer) {
+    Server = HttpServer::start(Context, {}, std::move(Answer)).value();
     Thread = std::thread([this] { Context.run(); });
   }
 
-  ~AdminEndpoint() {
+  ~Endpoint() {
     Context.stop();
     Thread.join();
   }
@@ -58,12 +56,6 @@
   }
 
 private:
-  auto body(std::string_view Path) const -> std::string {
-    return Path == "/status" ? Status : Metrics;
-  }
-
-  std::string Status;
-  std::string Metrics;
   boost::asio::io_context Context{1};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> Work{
       Context.get_executor()};
@@ -71,6 +63,34 @@
   std::thread Thread;
 };
 
+/// Admin endpoint with fixed answers.
+auto adminAnswers(std::string Status, std::string Metrics)
+    -> Endpoint::Handler {
+  return [Status = std::move(Status), Metrics = std::move(Metrics)](
+             const HttpRequest &Request, const HttpResponder &Responder) {
+    Responder.respond(
+        {200, {}, Request.path() == "/status" ? Status : Metrics});
+  };
+}
+
+/// Platform that answers the first call, "absent", and no other one.
+auto silentAfterFirst() -> Endpoint::Handler {
+  // Shared, since the server copies its handler.
+  return [First = std::make_shared<bool>(true)](
+             const HttpRequest &, const HttpResponder &Responder) {
+    if (std::exchange(*First, false))
+      return Responder.respond({404, {}, ""});
+    Responder.abort();
+  };
+}
+
+/// Platform without an object that refuses every write as too large.
+auto fullPlatform() -> Endpoint::Handler {
+  return [](const HttpRequest &Request, const HttpResponder &Responder) {
+    Responder.respond({Request.Method == "GET" ? 404U : 413U, {}, ""});
+  };
+}
+
 /// Replays the lines of a session: "$ ARGUMENTS" runs the command, "! ..."
 /// prepares the platform. Addresses have names in the file, since the kernel
 /// chooses the ports.
@@ -80,6 +100,8 @@
     Names = {{"PLATFORM", Platform.waitForLine("listening ")},
              {"ADMIN1", First.address()},
              {"ADMIN2", Second.address()},
+             {"SILENT", Silent.address()},
+             {"FULL", Full.address()},
              {"CLOSED", "127.0.0.1:1"}};
   }
 
@@ -139,14 +161,17 @@
   }
 
   ChildProcess Platform{"standin_platform", {"--max-seconds", "60"}};
-  AdminEndpoint First{R"({"instance":"i1","generation":1})",
-                      "# HELP x\nbuckthornring_refusals_total{reason=\"over-"
-                      "rate\"} 3\nbuckthornring_refusals_total{reason=\"no-"
-                      "owner\"} 0\n"};
-  AdminEndpoint Second{R"({"instance":"i2","generation":0})",
-                       "buckthornring_refusals_total{workspace=\"a\",reason="
-                       "\"over-rate\"} 4\nbuckthornring_refusals_total{reason="
-                       "\"queue-full\"} 1\nother{reason=\"no-owner\"} 9\n"};
+  Endpoint First{adminAnswers(
+      R"({"instance":"i1","generation":1})",
+      "# HELP x\nbuckthornring_refusals_total{reason=\"over-rate\"} 3\n"
+      "buckthornring_refusals_total{reason=\"no-owner\"} 0\n")};
+  Endpoint Second{adminAnswers(
+      R"({"instance":"i2","generation":0})",
+      "buckthornring_refusals_total{workspace=\"a\",reason=\"over-rate\"} 4\n"
+      "buckthornring_refusals_total{reason=\"queue-full\"} 1\n"
+      "other{reason=\"no-owner\"} 9\n")};
+  Endpoint Silent{silentAfterFirst()};
+  Endpoint Full{fullPlatform()};
   Caller Client;
   std::vector<std::pair<std::string, std::string>> Names;
 };
@@ -174,7 +199,7 @@
 
 INSTANTIATE_TEST_SUITE_P(All, CommandSessionTest,
                          testing::Values("files", "usage", "changes", "races",
-                                         "lookups"),
+                                         "faults", "lookups"),
                          [](const auto &Info) {
                            return std::string(Info.param);
                          });
