Scan a ledger's holders once per lease instead of per report

Cause: each report looked at every holder for an ended lease, so the cost grew with the square of the number of holders. Ruled out: the computation of targets; it runs at most every 20 ms. Change: the ledger remembers the earliest time at which a share can be taken back.

--- a/include/buckthornring/Limits/ShareLedger.h
+++ b/include/buckthornring/Limits/ShareLedger.h
@@ -105,6 +105,9 @@
   TimePoint ThawAt;
   bool Thawed = false; ///< The wait was over at the last event.
   TimePoint Authority = TimePoint::max();
+  /// No share is to be taken back before this, so expire() scans all holders
+  /// about once per lease.
+  TimePoint NextReclaim = TimePoint::max();
   TimePoint TargetsAt = TimePoint::min();
   bool TargetsStale = true;
   std::map<std::string, Session> Sessions;
--- a/lib/Limits/ShareLedger.cpp
+++ b/lib/Limits/ShareLedger.cpp
@@ -103,8 +103,15 @@
 }
 
 auto ShareLedger::expire(TimePoint Now) -> void {
+  if (Now < NextReclaim) {
+    if (!Thawed)
+      reshapeRest(Now);
+    return;
+  }
+  NextReclaim = TimePoint::max();
   for (auto It = Sessions.begin(); It != Sessions.end();) {
     if (Now < It->second.ReclaimAt) {
+      NextReclaim = std::min(NextReclaim, It->second.ReclaimAt);
       ++It;
       continue;
     }
@@ -115,8 +122,10 @@
     It = Sessions.erase(It);
   }
   std::erase_if(Remnants, [&](const Remnant &Old) {
-    if (Now < Old.ReclaimAt)
+    if (Now < Old.ReclaimAt) {
+      NextReclaim = std::min(NextReclaim, Old.ReclaimAt);
       return false;
+    }
     Lent.Units -= Old.Share.Units;
     return true;
   });
@@ -155,6 +164,7 @@
   Of.WantedUnits = Request.WantedUnits;
   Of.ReclaimAt = std::max(Of.ReclaimAt, Now + withDrift(Settings.Lease) +
                                             withDrift(Settings.UseTail));
+  NextReclaim = std::min(NextReclaim, Of.ReclaimAt);
   if (Of.Version > 0) {
     std::erase_if(Of.Unconfirmed, [&](const Pending &Grant) {
       return Grant.Version <= Request.AppliedVersion;
