--- a/lib/Entry/EntryInstance.cpp
+++ b/lib/Entry/EntryInstance.cpp
@@ -3,7 +3,6 @@
 #include "Entry/EntryMetrics.h"
 #include "Entry/SnapshotBuilder.h"
 #include "IO/Endpoint.h"
-#include "IO/SteadyTime.h"
 #include "buckthornring/Observe/PrometheusText.h"
 
 #include <boost/asio/post.hpp>
@@ -62,12 +61,12 @@
 } // namespace
 
 /// Takes share requests of the traffic threads to the control thread.
-class EntryInstance::ControlShares final : public ShareChannel {
+class EntryInstance::ShareRequests final : public ShareChannel {
 public:
-  explicit ControlShares(EntryInstance &Owner) : Owner(Owner) {}
+  explicit ShareRequests(EntryInstance &Owner) : Owner(Owner) {}
 
-  auto send(std::size_t /*Thread*/, const std::string &Quantity,
-            const ShareRequest &Request) -> void override {
+  auto send(const std::string &Quantity, const ShareRequest &Request)
+      -> void override {
     asio::post(Owner.Io, [this, Quantity, Request] {
       Owner.Control->shares().submit(Quantity, Request);
     });
@@ -81,16 +80,15 @@
     : Settings(std::move(Given)), CallerListener(Io),
       Signals(Io, SIGTERM, SIGINT), LeaveTimer(Io),
       Totals(std::make_unique<Counters>(Settings.TrafficThreads)),
-      Shares(std::make_unique<ControlShares>(*this)) {
+      Shares(std::make_unique<ShareRequests>(*this)) {
   const TrafficShared Shared = {
       *Totals, Published, Shares.get(),
       [this](std::size_t Thread, const ServiceId &Service) {
         Threads[Thread]->wake(Service);
       }};
-  for (std::size_t Number = 0; Number < Settings.TrafficThreads; ++Number) {
+  for (std::size_t Number = 0; Number < Settings.TrafficThreads; ++Number)
     Threads.push_back(std::make_unique<TrafficThread>(
         Number, trafficOptions(Settings), Shared));
-  }
 }
 
 EntryInstance::~EntryInstance() {
@@ -121,10 +119,13 @@
     return Client.error();
   Platform = std::move(Client).value();
   ControlPlane::Handlers Handlers;
+  Handlers.CallerAddress = addressOf(CallerListener);
   Handlers.OnChanged = [this] { publish(); };
   Handlers.OnGrant = [this](const std::string &Quantity,
                             const ShareGrant &Grant) {
-    applyGrant(Quantity, Grant);
+    for (const auto &Thread : Threads)
+      if (Thread->holderName() == Grant.Holder)
+        Thread->applyGrant(Quantity, Grant);
   };
   Handlers.OnGiverChanged = [this](std::uint64_t Term) {
     for (const auto &Thread : Threads)
@@ -228,13 +229,6 @@
   return Condition;
 }
 
-auto EntryInstance::applyGrant(const std::string &Quantity,
-                               const ShareGrant &Grant) -> void {
-  for (const auto &Thread : Threads)
-    if (Thread->holder() == Grant.Holder)
-      Thread->applyGrant(Quantity, Grant);
-}
-
 auto EntryInstance::publish() -> void {
   if (!Control || !Control->config())
     return;
@@ -251,7 +245,8 @@
       [this](const WorkspaceConfig &Workspace) {
         return Control->stale(Workspace.StalenessLimit);
       },
-      ++Version};
+      ++Version,
+      Control->peers()};
   Published.setLeaseEnd(Control->ownership().routing().validUntil());
   Current = buildSnapshot(Inputs);
   Published.publish(Current);
--- a/lib/Entry/TrafficThread.h
+++ b/lib/Entry/TrafficThread.h
@@ -63,6 +63,8 @@
   auto operator=(const TrafficThread &) -> TrafficThread & = delete;
 
   // Functions for other threads.
+  /// Name under which the thread asks for shares.
+  auto holderName() const -> std::string;
   auto start() -> void;
   /// Stops the thread and waits for its end. Open requests are cut off.
   auto stop() -> void;
@@ -74,8 +76,6 @@
   auto shutDown(std::function<void()> Done) -> void;
   /// Follows a giver of shares with a higher term.
   auto followShares(std::uint64_t Term) -> void;
-  /// Name under which this thread holds shares: "instance/number".
-  auto holder() const -> std::string;
   auto applyGrant(const std::string &Quantity, const ShareGrant &Grant) -> void;
   /// Serves requests that wait for a slot.
   auto wake(const ServiceId &Service) -> void;
--- a/lib/Ownership/ServiceMoves.cpp
+++ b/lib/Ownership/ServiceMoves.cpp
@@ -95,7 +95,9 @@
       continue;
     if (!Owner.empty() && Moves.moves().size() >= Batch)
       continue;
-    if (!Owner.empty() && lost(Owner, Now))
+    // A silent owner is either lost, which startMoves() handles, or was not
+    // heard yet in this term.
+    if (!Owner.empty() && !alive(Owner, Now))
       continue;
     startMove(Planned.Slice, Targets[Planned.To], false);
   }
@@ -249,6 +251,8 @@
   // A process start that appeared after the last proof may not know the term
   // of a leader that replaced this one.
   const auto Proved = Context.Term.provedAt();
+  if (!Context.Switches.ProofAfterRestart)
+    return true;
   if (Proved && Leases.startSeen(Message.Target) < *Proved)
     return true;
   Context.Term.requestProof();
