Write rate parts right after the read that they are based on

Cause: a data centre wrote its rate part up to 1 s after reading the object. A data centre whose demand kept changing wrote every 500 ms, so the other one met a newer version each time and its callers waited until their deadline (504). Ruled out: peers not found (all found after 1.1 s); slow targets. Change: ShareExchange writes as soon as the read has been answered. DataCentreTest.EachDataCentreGetsItsRateSoonAfterTheStart guards it.

--- a/lib/Entry/ShareExchange.cpp
+++ b/lib/Entry/ShareExchange.cpp
@@ -201,6 +201,11 @@
       PartsKnown = true;
       PartsSeen = true;
     }
+    // A write that waited for the next interval would meet a newer version
+    // whenever another data centre writes as often.
+    if (PartsKnown)
+      if (const auto Next = Parts.beginWrite())
+        writeParts(*Next);
   });
 }
 
--- a/tests/process/DataCentreTest.cpp
+++ b/tests/process/DataCentreTest.cpp
@@ -1,7 +1,11 @@
 #include "Fleet.h"
+#include "Traffic.h"
 
 #include <gtest/gtest.h>
 
+#include <atomic>
+#include <thread>
+
 using namespace buckthornring;
 using namespace buckthornring::test;
 
@@ -30,4 +34,31 @@
   Running.expectOwnershipKept();
 }
 
+// Guards against a data centre that starts without a part of a workspace's rate
+// because another one changes the parts as often as it reads them.
+TEST(DataCentreTest, EachDataCentreGetsItsRateSoonAfterTheStart) {
+  FleetOptions Options;
+  Options.DataCentres = {"a", "b"};
+  Options.InstancesPerDataCentre = 2;
+  Options.Services = {"orders"};
+  Fleet Running(Options);
+  const auto First = Running.Instances[0].CallerAddress;
+  std::atomic<int> Level = 0;
+  // Demand that keeps changing makes the first data centre write its part
+  // often.
+  Traffic Load(4, [&](std::size_t Number) {
+    if (++Level % 100 < 50)
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    HttpRequest Request{"GET",
+                        "/orders/" + std::to_string(Number),
+                        {{"X-Caller-Key", "key-one"}},
+                        {}};
+    return std::pair(First, Request);
+  });
+  const auto Started = std::chrono::steady_clock::now();
+  EXPECT_TRUE(Running.waitUntilServing());
+  EXPECT_LE(std::chrono::steady_clock::now() - Started,
+            std::chrono::seconds(4));
+}
+
 } // namespace
