Give the ownership core its own instance at the start

Cause: the core learns the instances of its data centre when the set of peers changes. An instance without peers was never told, sent no heartbeat to itself and so routed no owned key, although its targets held their slices. Ruled out: a special case for one instance in the core; setInstances() already adds the own process. Change: ControlPlane passes the (empty) set of peers once at the start.

--- a/lib/Entry/ControlPlane.cpp
+++ b/lib/Entry/ControlPlane.cpp
@@ -103,6 +103,9 @@
   ShareOptions.OnGiverChanged = Callbacks.OnGiverChanged;
   Shares = ShareExchange::create(Platform, *Links, std::move(ShareOptions));
 
+  // An instance without peers gets no call from the links, but it leads and
+  // needs its own heartbeats.
+  Ownership->updatePeers();
   refreshPeers();
   scheduleTick();
   return true;
