Follow a moved slice with idempotent requests and add the log

Cause: an idempotent request that was sent to a frozen owner waited for its whole deadline, although the slice had a new owner after about 1 s. Ruled out: ending the old attempt first; its answer may be under way, and the run record lets only one of the two answer the caller. Change: RequestExchange starts a second attempt when the owner changes; the retry budget pays for it.

--- a/lib/Entry/EntryInstance.cpp
+++ b/lib/Entry/EntryInstance.cpp
@@ -166,6 +166,7 @@
 }
 
 auto EntryInstance::run() -> void {
+  Journal.info(listeningLine());
   for (const auto &Thread : Threads)
     Thread->start();
   Signals.async_wait([this](const error_code &Failure, int) {
@@ -231,8 +232,11 @@
 auto EntryInstance::publish() -> void {
   if (!Control || !Control->config())
     return;
-  if (!Index || Index->Config != Control->config())
+  if (!Index || Index->Config != Control->config()) {
     Index = std::make_shared<const ConfigIndex>(Control->config());
+    Journal.info("generation " + std::to_string(Index->Config->Generation) +
+                 " in force");
+  }
   const SnapshotInputs Inputs{
       Index,
       Settings.DataCentre,
@@ -289,6 +293,7 @@
 auto EntryInstance::beginShutdown() -> void {
   if (std::exchange(ShuttingDown, true))
     return;
+  Journal.info("shutdown began, running requests finish");
   drainAcceptQueue();
   Draining = Threads.size();
   for (const auto &Thread : Threads)
@@ -302,7 +307,10 @@
   // takes over at once instead of after the end of a confirmation.
   Control->leave();
   LeaveTimer.expires_after(LeaveTime);
-  LeaveTimer.async_wait([this](const error_code &) { Io.stop(); });
+  LeaveTimer.async_wait([this](const error_code &) {
+    Journal.info("shutdown complete");
+    Io.stop();
+  });
 }
 
 } // namespace buckthornring
--- a/lib/Entry/EntryInstance.h
+++ b/lib/Entry/EntryInstance.h
@@ -5,6 +5,7 @@
 #include "Entry/Publication.h"
 #include "Entry/SnapshotBuilder.h"
 #include "Entry/TrafficThread.h"
+#include "IO/Log.h"
 #include "buckthornring/Common/Result.h"
 #include "buckthornring/Config/DaemonSettings.h"
 #include "buckthornring/IO/HttpServer.h"
@@ -61,6 +62,7 @@
   auto threadDrained() -> void;
 
   DaemonSettings Settings;
+  Log Journal{"daemon"};
   boost::asio::io_context Io{1};
   boost::asio::ip::tcp::acceptor CallerListener;
   boost::asio::signal_set Signals;
--- a/lib/Entry/RequestExchange.cpp
+++ b/lib/Entry/RequestExchange.cpp
@@ -505,10 +505,23 @@
     if (!Entry || Entry->Withdrawn)
       return stop(RefusalReason::WithdrawnCallerKey);
   }
-  const bool Waits = SlotTicket != 0 || RetryPending;
-  if (!Plan.Divided || !Waits || !ownerChanged())
+  if (!Plan.Divided || !ownerChanged())
     return;
-  stopWaiting();
+  if (SlotTicket != 0 || RetryPending) {
+    stopWaiting();
+    return startAttempt();
+  }
+  leaveOldOwner();
+}
+
+auto RequestExchange::leaveOldOwner() -> void {
+  const bool Repeatable = Plan.Idempotent && Record->replayable() &&
+                          !Record->settled() && Runners.size() == 1;
+  if (!Repeatable || !Thread.retryBudget(Plan.Workspace).tryTake(steadyNow()))
+    return;
+  Thread.counters().add(RetryReason::ConnectionLost);
+  // The old attempt goes on: it may have been answered before the move. The
+  // first answer ends the other one.
   startAttempt();
 }
 
--- a/lib/Entry/RequestExchange.h
+++ b/lib/Entry/RequestExchange.h
@@ -64,6 +64,9 @@
   auto retryLater(Duration Delay) -> void;
   auto nextDelay() -> Duration;
   auto ownerChanged() const -> bool;
+  /// Sends an idempotent request also to the slice's new owner: an owner that
+  /// lost its lease is usually frozen and answers late or never.
+  auto leaveOldOwner() -> void;
   auto armHedge() -> void;
   auto hedge() -> void;
   auto stopWaiting() -> void;
--- a/lib/Entry/TrafficThread.cpp
+++ b/lib/Entry/TrafficThread.cpp
@@ -144,7 +144,11 @@
 auto TrafficThread::tickStats(TimePoint Now) -> void {
   if (Now >= StatsDue) {
     StatsDue = Now + StatsInterval;
-    Events.setEjected(Stats.evaluate(Now));
+    const std::size_t Ejected = Stats.evaluate(Now);
+    if (Ejected != Events.ejected())
+      Journal.warning("thread " + std::to_string(Number) + " has " +
+                      std::to_string(Ejected) + " ejected targets");
+    Events.setEjected(Ejected);
   }
   if (Now >= IdleDue) {
     IdleDue = Now + IdleInterval;
--- a/lib/Entry/TrafficThread.h
+++ b/lib/Entry/TrafficThread.h
@@ -8,6 +8,7 @@
 #include "Entry/RoutingSnapshot.h"
 #include "Entry/TargetStats.h"
 #include "IO/CallerStream.h"
+#include "IO/Log.h"
 #include "IO/UpstreamPool.h"
 #include "buckthornring/Attempt/HedgePolicy.h"
 #include "buckthornring/Attempt/RetryBudget.h"
@@ -137,6 +138,7 @@
 
   std::size_t Number;
   TrafficOptions Settings;
+  Log Journal{"traffic"};
   TrafficShared Shared;
   boost::asio::io_context Io{1};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> Work;
--- a/tests/unit/RequestPathTest.cpp
+++ b/tests/unit/RequestPathTest.cpp
@@ -264,6 +264,36 @@
   EXPECT_TRUE(eventually([&] { return Table->counts().empty(); }));
 }
 
+// Guards against an idempotent request that waits for a frozen owner although
+// its slice has moved.
+TEST(RequestPathTest, IdempotentRequestFollowsItsSlice) {
+  std::atomic<bool> Ending = false;
+  ScriptedTarget Frozen(
+      [&Ending](ScriptedTarget::Tcp::socket &, const std::string &) {
+        while (!Ending)
+          std::this_thread::sleep_for(1ms);
+        return false;
+      });
+  ScriptedTarget Working(ScriptedTarget::answering(Ok));
+  RequestPath Path;
+  Path.addTarget("stock", "s1", Frozen);
+  Path.publish();
+  const std::string Head = std::string(" /stock/k1 HTTP/1.1\r\nHost: h\r\n") +
+                           RequestPath::Key + "Btr-Deadline-Ms: 1000\r\n";
+  RawCaller Reader = Path.connect();
+  Reader.send("GET" + Head + "\r\n");
+  RawCaller Writer = Path.connect();
+  Writer.send("POST" + Head + "Content-Length: 1\r\n\r\nb");
+  EXPECT_TRUE(eventually([&] { return Frozen.requests().size() == 2; }));
+  Path.config().Services[ServiceId("stock")].Targets.clear();
+  Path.addTarget("stock", "s2", Working);
+  Path.publish({3, 8});
+  EXPECT_TRUE(Reader.readUntil("ok").has("200 OK"));
+  EXPECT_TRUE(Writer.readUntil("\r\n\r\n").has("Btr-Run: unknown"));
+  EXPECT_EQ(Working.requests().size(), 1U);
+  Ending = true;
+}
+
 // Guards against an answer from an owner whose lease has ended: it comes under
 // another epoch than was sent.
 TEST(RequestPathTest, AnswerOfAnotherEpochIsNotForwarded) {
