Let holders learn the giver's term from the giver

Cause: an instance that learned of its leader after the leader had replaced the deputy followed the record's term, which is above that of the leader's ledgers; holders never follow a lower term, so it got no share until the next leader. Seen as FailureTest.RequestsAreServedDuringAPlatformOutage with half of all requests refused as over-rate. Ruled out: load on the machine (the state lasted 20 s with all roles settled). Change: followers take the term from the giver's first answer only.

--- a/lib/Entry/ShareExchange.cpp
+++ b/lib/Entry/ShareExchange.cpp
@@ -65,7 +65,6 @@
   const bool Led = leads();
   const bool Continues =
       Led && Next.Authority && Next.Process == Current.Process;
-  const bool Changed = Next.Process != Current.Process;
   Current = Next;
   if (Continues) {
     for (auto &[Id, Ledger] : Ledgers)
@@ -83,10 +82,11 @@
     Settings.OnGiverChanged(GiverTerm);
     return;
   }
+  // Holders learn the giver's term from its first answer: the term of the
+  // record can be higher, since a giver that replaced its deputy keeps its
+  // ledgers, and holders never follow a lower term.
   Ledgers.clear();
   Demand.clear();
-  if (Changed && !Current.Process.empty())
-    Settings.OnGiverChanged(Current.Term);
 }
 
 auto ShareExchange::submit(const std::string &Quantity,
