Act on confirmed losses and refuse TLS settings that are not served

A daemon with tls in its settings served plain text. Ruled out: taking slices of a taken-out data centre without confirmation; a partition looks the same from outside. Change: HomeKeeper takes slices homed in a confirmed lost data centre, RateParts counts its parts as given up, OwnershipDriver passes lost targets to the core. The daemon refuses to start with tls settings. Conclusion: a confirmed loss is healed; TLS stays open work.

--- a/include/buckthornring/Limits/RateParts.h
+++ b/include/buckthornring/Limits/RateParts.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -43,6 +44,9 @@
   struct Totals {
     std::map<DataCentreId, std::uint32_t> Weights;
     std::map<WorkspaceId, ShareAmount> Workspaces;
+    /// Data centres of which the operator confirms that nothing runs there any
+    /// more; their parts count as given up.
+    std::set<DataCentreId> Lost;
   };
 
   explicit RateParts(DataCentreId Self) : Self(std::move(Self)) {}
--- a/include/buckthornring/Ownership/HomeKeeper.h
+++ b/include/buckthornring/Ownership/HomeKeeper.h
@@ -7,6 +7,8 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
+#include <utility>
 #include <vector>
 
 namespace buckthornring {
@@ -32,6 +34,13 @@
   /// Takes the homes that the accepted configuration asks for.
   auto setWanted(HomeMap Map) -> void;
 
+  /// Data centres of which the operator confirms that nothing runs there any
+  /// more. Their slices are taken without release.
+  auto setLost(std::set<DataCentreId> Confirmed) -> void {
+    Lost = std::move(Confirmed);
+    NextCall = TimePoint();
+  }
+
   /// Reads or writes the object when due. \p Term is the term that this
   /// instance leads, or nothing. \p ReleasedAway tells that no target of this
   /// data centre holds a slice outside homes().
@@ -51,6 +60,7 @@
 
 private:
   auto leaving(std::uint32_t Slice) const -> bool;
+  auto abandoned(std::uint32_t Slice) const -> bool;
   auto wantsWrite(bool ReleasedAway) const -> bool;
   auto write(bool ReleasedAway, OwnershipActions &Actions) -> void;
 
@@ -58,6 +68,7 @@
   DataCentreId Self;
   Times Intervals;
   HomeMap Wanted;
+  std::set<DataCentreId> Lost;
   std::optional<HomeMap> Recorded;
   std::optional<std::uint64_t> Version; ///< Empty: the object is absent.
   bool Read = false; ///< Recorded and Version were read in this term.
--- a/lib/Entry/EntryInstance.cpp
+++ b/lib/Entry/EntryInstance.cpp
@@ -98,6 +98,10 @@
 
 auto EntryInstance::create(DaemonSettings Settings)
     -> Result<std::unique_ptr<EntryInstance>> {
+  // Serving plain text where the settings ask for TLS would expose caller keys.
+  if (Settings.CallerTls || Settings.LinkTls)
+    return Error("tls is not supported by the listeners yet; remove it from "
+                 "the settings or terminate TLS in front of this instance");
   std::unique_ptr<EntryInstance> Instance(
       new EntryInstance(std::move(Settings)));
   const auto Bound = Instance->bind();
--- a/lib/Entry/OwnershipDriver.cpp
+++ b/lib/Entry/OwnershipDriver.cpp
@@ -17,6 +17,14 @@
 constexpr Duration LeaseConnectionMaxIdle = std::chrono::seconds(1);
 constexpr Duration ProbeInterval = std::chrono::milliseconds(150);
 
+auto lostDataCentres(const Configuration &Config) -> std::set<DataCentreId> {
+  std::set<DataCentreId> Lost;
+  for (const auto &[Id, DataCentre] : Config.DataCentres)
+    if (DataCentre.ConfirmedLost)
+      Lost.insert(Id);
+  return Lost;
+}
+
 auto writeOutcome(PlatformStatus Status) -> WriteAnswer::Kind {
   switch (Status) {
   case PlatformStatus::Done:
@@ -86,10 +94,15 @@
                                        false})
             .first;
     Entry->second.Keeper.setWanted(HomeMap::wanted(*Config, Id));
+    Entry->second.Keeper.setLost(lostDataCentres(*Config));
   }
   connectTargets();
   Core->setServices(ownedServices(), steadyNow());
   Core->setGeneration(Config->Generation);
+  for (const auto &[Id, Service] : Config->Services)
+    for (const auto &[Target, Settled] : Service.Targets)
+      if (Settled.ConfirmedLost)
+        Core->confirmTargetLost(Target, steadyNow());
 }
 
 auto OwnershipDriver::updatePeers() -> void {
--- a/lib/Entry/ShareExchange.cpp
+++ b/lib/Entry/ShareExchange.cpp
@@ -46,9 +46,12 @@
 
 auto ShareExchange::setConfiguration(const Configuration &Accepted) -> void {
   RateParts::Totals Totals;
-  for (const auto &[Id, DataCentre] : Accepted.DataCentres)
+  for (const auto &[Id, DataCentre] : Accepted.DataCentres) {
     if (DataCentre.State == ServingState::InService)
       Totals.Weights[Id] = DataCentre.Weight;
+    if (DataCentre.ConfirmedLost)
+      Totals.Lost.insert(Id);
+  }
   for (const auto &[Id, Workspace] : Accepted.Workspaces)
     Totals.Workspaces[Id] = {milli(Workspace.RatePerSecond),
                              milli(Workspace.Burst)};
--- a/lib/Limits/RateParts.cpp
+++ b/lib/Limits/RateParts.cpp
@@ -179,7 +179,7 @@
   ShareAmount Others;
   if (Recorded && Recorded->count(Workspace) != 0)
     for (const auto &[DataCentre, Each] : Recorded->at(Workspace))
-      if (DataCentre != Self)
+      if (DataCentre != Self && !Configured.Lost.contains(DataCentre))
         Others = sum(Others, Each.Part);
   return Others;
 }
--- a/lib/Ownership/HomeKeeper.cpp
+++ b/lib/Ownership/HomeKeeper.cpp
@@ -87,13 +87,16 @@
          !Wanted.home(Slice).empty();
 }
 
+/// Whether the slice is recorded for a lost data centre and wanted here.
+auto HomeKeeper::abandoned(std::uint32_t Slice) const -> bool {
+  return Wanted.home(Slice) == Self && Lost.contains(Recorded->home(Slice));
+}
+
 auto HomeKeeper::wantsWrite(bool ReleasedAway) const -> bool {
   if (!Recorded || !Confirmed)
     return true;
-  if (!ReleasedAway)
-    return false;
   for (std::uint32_t Slice = 0; Slice < Wanted.slices(); ++Slice)
-    if (leaving(Slice))
+    if ((ReleasedAway && leaving(Slice)) || abandoned(Slice))
       return true;
   return false;
 }
@@ -102,11 +105,9 @@
   HomeMap Next = Recorded ? *Recorded : Wanted;
   // Slices are given away only in a term that is already recorded: before, an
   // older leader of this data centre may still grant them.
-  for (std::uint32_t Slice = 0;
-       Confirmed && ReleasedAway && Slice < Next.slices(); ++Slice) {
-    if (leaving(Slice))
+  for (std::uint32_t Slice = 0; Confirmed && Slice < Next.slices(); ++Slice)
+    if ((ReleasedAway && leaving(Slice)) || abandoned(Slice))
       Next.setHome(Slice, Wanted.home(Slice));
-  }
   Next.setWriterTerm(Self, *LeadingTerm);
   Writing = Next;
   Actions.emplace_back(
--- a/tests/unit/HomeKeeperTest.cpp
+++ b/tests/unit/HomeKeeperTest.cpp
@@ -160,6 +160,31 @@
   EXPECT_LE(Reads, 6);
 }
 
+// Guards against slices of a lost data centre that stay without an owner after
+// the operator confirmed the loss, and against taking them before that.
+TEST(HomeKeeperTest, SlicesOfALostDataCentreMoveAfterConfirmation) {
+  Store Objects;
+  TimePoint Now;
+  Site A("a");
+  Site B("b");
+  A.Term = 1;
+  B.Term = 1;
+  const auto Both =
+      HomeMap::wanted(configuration(ServingState::InService), Content);
+  A.Keeper.setWanted(Both);
+  B.Keeper.setWanted(Both);
+  run(A, Objects, Now, 10);
+  run(B, Objects, Now, 10);
+
+  A.Keeper.setWanted(
+      HomeMap::wanted(configuration(ServingState::TakenOut), Content));
+  run(A, Objects, Now, 20);
+  EXPECT_LT(std::count(A.Held.begin(), A.Held.end(), true), 64);
+  A.Keeper.setLost({DataCentreId("b")});
+  run(A, Objects, Now, 20);
+  EXPECT_EQ(std::count(A.Held.begin(), A.Held.end(), true), 64);
+}
+
 // Guards against a late write of a former leader that gives away a slice which
 // the new leader of the same data centre already grants again.
 TEST(HomeKeeperTest, WriteOfAFormerLeaderFailsAfterTheNewOneConfirmed) {
