--- a/include/buckthornring/Limits/ShareHolder.h
+++ b/include/buckthornring/Limits/ShareHolder.h
@@ -24,8 +24,8 @@
   /// from now on.
   auto follow(std::uint64_t NewTerm) -> void;
 
-  /// True every 100 ms, and earlier (at most every 5 ms) when requests wait or
-  /// a part of the share was given back.
+  /// True every 100 ms while there is demand, and earlier (at most every 5 ms)
+  /// when requests wait or a part of the share was given back.
   auto reportDue(TimePoint Now) const -> bool;
 
   /// Returns the message to the giver and starts its lease clock.
--- a/lib/Entry/ConfigFeed.cpp
+++ b/lib/Entry/ConfigFeed.cpp
@@ -14,14 +14,16 @@
 // A watch that ends each second confirms that the configuration is current
 // well inside the staleness limit of 5 s.
 constexpr Duration WatchWait = std::chrono::seconds(1);
-constexpr Duration TickInterval = std::chrono::milliseconds(200);
-// Offers without content confirm the generation in force to the peers.
-constexpr std::uint64_t TicksPerConfirmation = 2;
-// Silence of the watchers after which an instance watches by itself.
-constexpr Duration PeerConfirmationLifetime = std::chrono::milliseconds(1500);
+constexpr Duration TickInterval = std::chrono::milliseconds(500);
+// Age of a confirmation by a watcher after which an instance watches by
+// itself. A confirmation is up to 1 s (watch) and two ticks old on arrival; the
+// staleness limit is 5 s.
+constexpr Duration PeerConfirmationLifetime = std::chrono::seconds(4);
 // A platform that has not answered for this long counts as unreachable. It
 // covers the wait of one watch.
 constexpr Duration PlatformAnswerLifetime = std::chrono::seconds(3);
+// Four reports; a lost one must not look like a lost data centre.
+constexpr Duration ReportLifetime = std::chrono::seconds(2);
 constexpr Duration PeerClockLifetime = std::chrono::seconds(10);
 
 } // namespace
@@ -40,7 +42,8 @@
                        PlatformClient &Platform, PeerLinks &Links,
                        Options Settings)
     : Platform(Platform), Links(Links), Settings(std::move(Settings)),
-      Guard(this->Settings.Self.DataCentre), TickTimer(Context) {}
+      Guard(this->Settings.Self.DataCentre, ReportLifetime),
+      TickTimer(Context) {}
 
 ConfigFeed::~ConfigFeed() { *Alive = false; }
 
@@ -72,7 +75,8 @@
         if (Cancelled || !*Living)
           return;
         reportReachability();
-        if (IsWatcher && ++Ticks % TicksPerConfirmation == 0)
+        // Without content, to confirm the generation in force.
+        if (IsWatcher)
           offerToAll(false);
         if (needsWatch())
           watch();
--- a/lib/Entry/ConfigFeed.h
+++ b/lib/Entry/ConfigFeed.h
@@ -85,7 +85,6 @@
   TimePoint LastAnswer = TimePoint::min(); ///< Of the platform.
   TimePoint ConfirmedByPeer = TimePoint::min();
   boost::asio::steady_timer TickTimer;
-  std::uint64_t Ticks = 0;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
--- a/lib/Entry/PeerLinks.cpp
+++ b/lib/Entry/PeerLinks.cpp
@@ -12,8 +12,7 @@
 
 using Endpoint = boost::asio::ip::tcp::endpoint;
 
-// Introductions repeat so that a peer process that was replaced at the same
-// address is recognised within one interval.
+// Interval in which new connections are looked for.
 constexpr Duration IntroductionInterval = std::chrono::milliseconds(250);
 // A process that has not introduced itself for this long was replaced.
 constexpr Duration KnownProcessLifetime = std::chrono::seconds(60);
@@ -137,6 +136,13 @@
 auto PeerLinks::introduce(const Endpoint &Address, Peer &To) -> void {
   if (!To.Link->connected())
     return setIdentity(To, std::nullopt);
+  // A replaced process is reached on a new connection.
+  const bool SameConnection =
+      To.Identity && To.Connection == To.Link->connectionCount();
+  const TimePoint Now = steadyNow();
+  if (SameConnection && Now - To.IntroducedAt < KnownProcessLifetime / 4)
+    return;
+  To.IntroducedAt = Now;
   PeerEnvelope Own;
   Own.Content = PeerEnvelope::Kind::Introduction;
   Own.Sender = Self;
@@ -155,6 +161,7 @@
     return;
   if (!Answer)
     return setIdentity(Found->second, std::nullopt);
+  Found->second.Connection = Found->second.Link->connectionCount();
   auto Envelope = PeerEnvelope::decode(*Answer);
   if (Envelope && Envelope->Content == PeerEnvelope::Kind::Introduction)
     setIdentity(Found->second, std::move(Envelope->Sender));
--- a/lib/Entry/PeerLinks.h
+++ b/lib/Entry/PeerLinks.h
@@ -64,6 +64,8 @@
   struct Peer {
     std::unique_ptr<LinkClient> Link;
     std::optional<PeerIdentity> Identity;
+    std::uint64_t Connection = 0; ///< On which it introduced itself.
+    TimePoint IntroducedAt;
   };
 
   PeerLinks(boost::asio::io_context &Context, PeerIdentity Self,
--- a/lib/Limits/ShareHolder.cpp
+++ b/lib/Limits/ShareHolder.cpp
@@ -12,6 +12,8 @@
 
 // Several round trips inside a data centre; waiting requests that arrive
 // together share one report.
+// Demand in requests per second below which a share is not renewed.
+constexpr double IdleDemand = 0.5;
 constexpr Duration UrgentInterval = std::chrono::milliseconds(5);
 
 constexpr Duration DemandInterval = std::chrono::milliseconds(50);
@@ -64,6 +66,12 @@
 auto ShareHolder::reportDue(TimePoint Now) const -> bool {
   if (ReportedAt == TimePoint::min())
     return true;
+  // Most workspaces send nothing through most instances. Their shares lapse
+  // and are asked for again with the next request, which waits one round trip.
+  const bool Idle = Arrivals == 0 && Waiting == 0 && InUse == 0 && !Urgent &&
+                    DemandPerSecond < IdleDemand;
+  if (Idle)
+    return false;
   const Duration Since = Now - ReportedAt;
   const bool Hurry = Urgent || Waiting > 0;
   return Since >= (Hurry ? UrgentInterval : ReportInterval);
