Honour a target's confirmed loss from the configuration

Ruled out: a one-time call at the leader, which the next leader forgets. Change: OwnedService::ConfirmedLost, filled by the daemon; a target that has acknowledged the current term is not affected by it. Conclusion: a confirmation for an instance still has no command.

--- a/include/buckthornring/Ownership/LeaderCore.h
+++ b/include/buckthornring/Ownership/LeaderCore.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace buckthornring {
@@ -25,6 +26,10 @@
   Duration MaxDeadline = std::chrono::seconds(30);
   /// Targets of this data centre.
   std::map<TargetId, ServingState> Targets;
+  /// Targets that the operator confirmed to run no more (--confirm-lost). Each
+  /// must be taken out as well, so that it gets no slices when it returns. Has
+  /// no effect on a target that has acknowledged the current term.
+  std::set<TargetId> ConfirmedLost;
   /// Slices homed in this data centre; empty means all.
   std::vector<bool> Home;
   /// False until this leader has proved that Home is current (HomeKeeper).
--- a/include/buckthornring/Ownership/LeaseTable.h
+++ b/include/buckthornring/Ownership/LeaseTable.h
@@ -49,9 +49,6 @@
   auto leaseEnd(const TargetId &Target) const -> TimePoint;
 
   auto acknowledged(const TargetId &Target) const -> bool;
-  /// True when every target added has acknowledged the term.
-  auto allAcknowledged() const -> bool;
-
   /// False after three renewal intervals without a reply.
   auto alive(const TargetId &Target, TimePoint Now) const -> bool;
 
--- a/lib/Entry/OwnershipDriver.cpp
+++ b/lib/Entry/OwnershipDriver.cpp
@@ -275,8 +275,11 @@
     Entry.Verification = Service.Verification;
     Entry.MaxDeadline = Service.MaxDeadline;
     for (const auto &[Target, Settled] : Service.Targets)
-      if (Settled.DataCentre == Settings.Self.DataCentre)
+      if (Settled.DataCentre == Settings.Self.DataCentre) {
         Entry.Targets[Target] = Settled.State;
+        if (Settled.ConfirmedLost)
+          Entry.ConfirmedLost.insert(Target);
+      }
     const HomeState &Home = Homes.at(Id);
     Entry.Home = Home.Keeper.homes();
     Entry.HomeConfirmed = Home.Keeper.confirmed();
--- a/lib/Ownership/LeaseTable.cpp
+++ b/lib/Ownership/LeaseTable.cpp
@@ -134,11 +134,6 @@
   return entry(Target).Acknowledged;
 }
 
-auto LeaseTable::allAcknowledged() const -> bool {
-  return std::all_of(Entries.begin(), Entries.end(),
-                     [](const auto &Each) { return Each.second.Acknowledged; });
-}
-
 auto LeaseTable::alive(const TargetId &Target, TimePoint Now) const -> bool {
   const Entry &Each = entry(Target);
   return Each.LastReply && Now < *Each.LastReply + 3 * Times.RenewEvery;
--- a/lib/Ownership/ServiceLeader.cpp
+++ b/lib/Ownership/ServiceLeader.cpp
@@ -59,6 +59,8 @@
     -> std::optional<TimePoint> {
   if (!Context.Switches.LeaseWait)
     return TimePoint();
+  if (Service.ConfirmedLost.contains(Target) && !Leases.acknowledged(Target))
+    return TimePoint();
   TimePoint Clear = Leases.leaseEnd(Target);
   const Duration Lease = Context.stretched(Context.Times.TargetLease);
   if (Context.Term.lapsedAt())
@@ -146,7 +148,11 @@
   const auto Silent = verified() ? Context.Term.silentAt() : routingClearAt();
   if (Silent && Now >= *Silent)
     return true;
-  return verified() && Leases.allAcknowledged();
+  return verified() &&
+         std::all_of(Targets.begin(), Targets.end(), [&](const auto &Target) {
+           return Leases.acknowledged(Target) ||
+                  Service.ConfirmedLost.contains(Target);
+         });
 }
 
 auto ServiceLeader::accounted(TimePoint Now) const -> bool {
--- a/tests/ownership/OwnershipWorld.h
+++ b/tests/ownership/OwnershipWorld.h
@@ -91,6 +91,9 @@
   auto cut(const std::string &Left, const std::string &Right, TrueTime Span)
       -> void;
   auto resign(std::size_t Index) -> void;
+  /// The operator takes a target out and confirms in the configuration that it
+  /// runs no more.
+  auto confirmLost(std::size_t Index) -> void;
   auto heal() -> void;
 
   // Observations.
@@ -160,6 +163,7 @@
   FakePlatform Platform;
   std::map<std::pair<std::string, std::string>, int> Cuts;
   std::vector<std::shared_ptr<Request>> Requests;
+  std::set<TargetId> ConfirmedLost;
   std::uint64_t Runs = 0;
   std::string Violation;
   /// Highest epoch under which each slice was held, and the holder.
--- a/tests/property/OwnershipScenarioTest.cpp
+++ b/tests/property/OwnershipScenarioTest.cpp
@@ -145,6 +145,32 @@
   EXPECT_EQ(World->violation(), "");
 }
 
+// Guards against a confirmation in the configuration that has no effect, and
+// against one that a later leader forgets.
+TEST(OwnershipScenarioTest, AConfirmedLossInTheConfigurationLastsOverLeaders) {
+  auto World = startedWorld();
+  World->stopTarget(0);
+  const std::size_t Leader = *World->leader();
+  const std::size_t Deputy = deputyOf(*World);
+  World->killInstance(Leader);
+  World->killInstance(Deputy);
+  World->run(20 * Second);
+  EXPECT_NE(World->served(), 0xffU);
+  World->confirmLost(0);
+  World->run(3 * Second);
+  EXPECT_EQ(World->served(), 0xffU) << World->describe();
+  World->startInstance(Leader);
+  World->startInstance(Deputy);
+  World->run(5 * Second);
+  World->killInstance(*World->leader());
+  World->run(5 * Second);
+  EXPECT_EQ(World->served(), 0xffU) << World->describe();
+  World->startTarget(0);
+  World->run(5 * Second);
+  EXPECT_EQ(World->served(), 0xffU) << World->describe();
+  EXPECT_EQ(World->violation(), "");
+}
+
 /// A partitioned pair meets a target that acknowledged a later leader and then
 /// restarted, so that it no longer knows the later term.
 auto restartBehindThePartition(SafetySwitches Switches) -> std::string {
