Refuse negative numbers in lease messages

Cause: a reply with a negative term was read as a very high one, which would have deposed the leader. Ruled out: limiting the term, which has no natural bound. Conclusion: wrong replies are ignored as malformed.

--- a/lib/Ownership/LeaseMessage.cpp
+++ b/lib/Ownership/LeaseMessage.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <stdexcept>
+
 namespace buckthornring {
 
 namespace {
@@ -15,12 +17,19 @@
   return Rows;
 }
 
+/// The library converts negative numbers silently; as a term such a number
+/// would depose the leader.
+auto count(const Json &Value) -> std::uint64_t {
+  if (!Value.is_number_unsigned())
+    throw std::invalid_argument("expected a number of at least zero");
+  return Value.get<std::uint64_t>();
+}
+
 auto parseRows(const Json &Rows) -> std::vector<SliceEpoch> {
   std::vector<SliceEpoch> List;
   for (const Json &Row : Rows)
     List.push_back(
-        {Row.at(0).get<std::uint32_t>(),
-         {Row.at(1).get<std::uint64_t>(), Row.at(2).get<std::uint64_t>()}});
+        {Row.at(0).get<std::uint32_t>(), {count(Row.at(1)), count(Row.at(2))}});
   return List;
 }
 
@@ -44,8 +53,8 @@
     Message.Target = TargetId(Value.at("target").get<std::string>());
     Message.Service = ServiceId(Value.at("service").get<std::string>());
     Message.Sender = InstanceId(Value.at("sender").get<std::string>());
-    Message.Term = Value.at("term").get<std::uint64_t>();
-    Message.Sequence = Value.at("sequence").get<std::uint64_t>();
+    Message.Term = count(Value.at("term"));
+    Message.Sequence = count(Value.at("sequence"));
     Message.Start = Value.at("start").get<std::string>();
     Message.ClockUs = Value.at("clock_us").get<std::int64_t>();
     Message.LeaseUs = Value.at("lease_us").get<std::int64_t>();
@@ -80,16 +89,16 @@
     if (!Refusal)
       return Error("malformed lease reply: unknown refusal");
     LeaseReply Reply;
-    Reply.Term = Value.at("term").get<std::uint64_t>();
-    Reply.Sequence = Value.at("sequence").get<std::uint64_t>();
-    Reply.Applied = Value.at("applied").get<std::uint64_t>();
+    Reply.Term = count(Value.at("term"));
+    Reply.Sequence = count(Value.at("sequence"));
+    Reply.Applied = count(Value.at("applied"));
     Reply.Start = Value.at("start").get<std::string>();
     Reply.ClockUs = Value.at("clock_us").get<std::int64_t>();
     Reply.Refusal = *Refusal;
     Reply.Reported = Value.at("reported").get<bool>();
     Reply.Held = parseRows(Value.at("held"));
     Reply.Running = Value.at("running").get<std::vector<std::uint32_t>>();
-    Reply.Lapses = Value.at("lapses").get<std::uint64_t>();
+    Reply.Lapses = count(Value.at("lapses"));
     return Reply;
   } catch (const std::exception &Failure) {
     return Error(std::string("malformed lease reply: ") + Failure.what());
--- a/tests/unit/SliceMapTest.cpp
+++ b/tests/unit/SliceMapTest.cpp
@@ -112,6 +112,9 @@
   ASSERT_TRUE(Answer);
   EXPECT_EQ(leaseReplyText(*Answer), leaseReplyText(Reply));
   EXPECT_FALSE(parseLeaseReply("{}"));
+  std::string Negative = leaseReplyText(Reply);
+  Negative.replace(Negative.find("\"term\":3"), 8, "\"term\":-3");
+  EXPECT_FALSE(parseLeaseReply(Negative)) << "it would depose the leader";
   EXPECT_FALSE(parseLeaseMessage("[1]"));
   const TermRecord Record{4, InstanceId("a"), InstanceId(), {InstanceId("b")}};
   EXPECT_EQ(*parseTermRecord(termRecordText(Record)), Record);
