Keep a confirmed loss in the services instead of calling it once

Cause: main called confirmTargetLost at each configuration. The next leader forgot it, and a target that still answered was taken for gone, which could give its slices two owners. Ruled out: keeping both ways. Change: the daemon only fills OwnedService::ConfirmedLost; confirmTargetLost does nothing while the target answers. Conclusion: one way, safe against a mistaken confirmation while in contact.

--- a/include/buckthornring/Ownership/LeaderCore.h
+++ b/include/buckthornring/Ownership/LeaderCore.h
@@ -94,7 +94,9 @@
                      TimePoint Now) -> OwnershipActions;
 
   /// The operator confirms that a target, or an instance that led or was
-  /// deputy, runs no more (--confirm-lost).
+  /// deputy, runs no more (--confirm-lost). For a target this lasts for the
+  /// current term only, and does nothing while it answers; a confirmation that
+  /// is to last goes into OwnedService::ConfirmedLost.
   auto confirmTargetLost(const TargetId &Target, TimePoint Now) -> void;
   auto confirmInstanceLost(const InstanceId &Instance, TimePoint Now) -> void;
 
--- a/lib/Entry/OwnershipDriver.cpp
+++ b/lib/Entry/OwnershipDriver.cpp
@@ -99,10 +99,6 @@
   connectTargets();
   Core->setServices(ownedServices(), steadyNow());
   Core->setGeneration(Config->Generation);
-  for (const auto &[Id, Service] : Config->Services)
-    for (const auto &[Target, Settled] : Service.Targets)
-      if (Settled.ConfirmedLost)
-        Core->confirmTargetLost(Target, steadyNow());
 }
 
 auto OwnershipDriver::updatePeers() -> void {
--- a/lib/Ownership/ServiceLeader.cpp
+++ b/lib/Ownership/ServiceLeader.cpp
@@ -291,7 +291,8 @@
 
 auto ServiceLeader::confirmTargetLost(const TargetId &Target, TimePoint Now)
     -> void {
-  if (!verified() || !known(Target))
+  // A target that answers is not lost.
+  if (!verified() || !known(Target) || Leases.alive(Target, Now))
     return;
   Leases.confirmLost(Target, Now);
   Grants.forget(Target);
