--- a/include/buckthornring/IO/HttpClient.h
+++ b/include/buckthornring/IO/HttpClient.h
@@ -33,7 +33,7 @@
 /// Result of one exchange.
 struct HttpOutcome {
   HttpPhase Phase = HttpPhase::Connecting; ///< Done exactly on success.
-  HttpResponse Response;                   ///< Complete, valid when Done.
+  HttpResponse Response{0, {}, {}};        ///< Status 0 unless Done.
   std::string Reason;                      ///< Why it failed, empty when Done.
   bool TimedOut = false;
   bool ReusedConnection = false;
--- a/tests/process/Fleet.cpp
+++ b/tests/process/Fleet.cpp
@@ -40,8 +40,8 @@
           {"withdrawn", Withdrawn}};
 }
 
-auto workspace() -> Json {
-  return {{"rate_per_second", 100000}, {"burst", 100000}};
+auto workspace(double Rate, double Burst) -> Json {
+  return {{"rate_per_second", Rate}, {"burst", Burst}};
 }
 
 } // namespace
@@ -51,7 +51,9 @@
       Platform("standin_platform", {"--max-seconds", ProcessLimitSeconds}) {
   PlatformAddress = Platform.waitForLine("listening ");
   startTargets();
-  Config["workspaces"] = {{"w1", workspace()}, {"w2", workspace()}};
+  Config["workspaces"] = {
+      {"w1", workspace(100000, 100000)},
+      {"w2", workspace(Options.SecondRate, Options.SecondBurst)}};
   Config["caller_keys"] = {{"one", callerKey("key-one", "w1", false)},
                            {"two", callerKey("key-two", "w2", false)},
                            {"old", callerKey("key-old", "w1", true)}};
--- a/tests/process/Fleet.h
+++ b/tests/process/Fleet.h
@@ -16,6 +16,8 @@
   /// unverified), "orders" (undivided).
   std::vector<std::string> Services = {"content", "orders"};
   std::vector<std::string> TargetArguments; ///< Added for every target.
+  double SecondRate = 100000; ///< Requests per second of workspace w2.
+  double SecondBurst = 100000;
 };
 
 /// One run that a target recorded.
--- a/tests/process/HttpTest.cpp
+++ b/tests/process/HttpTest.cpp
@@ -92,6 +92,7 @@
   const auto Timed = call(get("/late"), Short);
   EXPECT_TRUE(Timed.TimedOut);
   EXPECT_EQ(Timed.Phase, HttpPhase::Written);
+  EXPECT_EQ(Timed.Response.Status, 0U);
   ASSERT_EQ(Late.size(), 1U);
   Late.front().respond({200, {}, "late"});
   const auto Next = call(get("/next"));
