--- a/bench/measure/Measurement.h
+++ b/bench/measure/Measurement.h
@@ -33,11 +33,16 @@
 
 // Measures of the request path.
 auto measureTail() -> Measurements;
+auto measureRecovery() -> Measurements;
 auto measureDataCentre() -> Measurements;
 auto measureFairness() -> Measurements;
 auto measureRefusals() -> Measurements;
 auto measureRateOvershoot() -> Measurements;
+auto measureRateOvershootOfPolicies() -> Measurements;
 auto measureColdOverload() -> Measurements;
 auto measureRuns() -> Measurements;
 
+// Slopes for docs/CAPACITY.md.
+auto measureCapacity() -> Measurements;
+
 } // namespace buckthornring::measure
