Keep logs out of the demo's output and let a seed be given

Cause: the daemon's log lines hid the demo's own output, and the random process test could not be replayed with another seed. Ruled out: dropping the logs (the last lines are shown when the demo fails). Change: tools/demo.py, BTR_SEED in OwnershipTest.

--- a/tests/process/OwnershipTest.cpp
+++ b/tests/process/OwnershipTest.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <csignal>
+#include <cstdlib>
 
 using namespace buckthornring;
 using namespace buckthornring::test;
@@ -133,8 +134,10 @@
 
 // Guards against promises that hold for one failure at a time only.
 TEST_F(OwnershipTest, RandomPausesAndFaultsBreakNoPromise) {
-  constexpr std::uint64_t Seed = 20260;
-  SCOPED_TRACE("seed " + std::to_string(Seed));
+  const char *Given = std::getenv("BTR_SEED");
+  const std::uint64_t Seed = Given == nullptr ? 20260 : std::stoull(Given);
+  SCOPED_TRACE("replay: BTR_SEED=" + std::to_string(Seed) +
+               " build/process_tests --gtest_filter=OwnershipTest.Random*");
   start();
   Traffic Load(6, traffic("content", "POST"));
   RandomSource Random(Seed);
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -66,13 +66,15 @@
 
 
 class Processes:
-    """The programs started here, each ended by its process id."""
+    """The programs started here, each ended by its process id. Their logs go to one file."""
 
-    def __init__(self):
+    def __init__(self, folder):
         self.running = []
+        self.log = open(os.path.join(folder, "log"), "a+", encoding="utf-8")
 
     def start(self, program, *arguments):
-        process = subprocess.Popen([os.path.join(BUILD, program), *arguments], stdout=subprocess.PIPE, text=True)
+        process = subprocess.Popen([os.path.join(BUILD, program), *arguments], stdout=subprocess.PIPE, stderr=self.log,
+                                   text=True)
         self.running.append(process)
         return process
 
@@ -84,6 +86,10 @@
             raise Failure(f"{process.args[0]} did not start")
         return line.removeprefix("listening ")
 
+    def show_log(self, lines=20):
+        self.log.seek(0)
+        print("last lines of the log:", *self.log.read().splitlines()[-lines:], sep="\n  ", flush=True)
+
     def end_all(self):
         for process in self.running:
             if process.poll() is None:
@@ -94,6 +100,7 @@
             except subprocess.TimeoutExpired:
                 os.kill(process.pid, signal.SIGKILL)
                 process.wait()
+        self.log.close()
 
 
 def send(address, method, path, key=None, headers=None, limit_s=5.0):
@@ -164,7 +171,7 @@
         self.example = EXAMPLES[name]
         self.folder = os.path.join(folder, "configuration")
         self.scratch = folder
-        self.processes = Processes()
+        self.processes = Processes(folder)
         self.targets = {}  # name: (process, address)
         self.instances = {}  # name: (process, caller address, admin address)
         self.content = {}
@@ -364,6 +371,7 @@
             return 0
         except (Failure, subprocess.TimeoutExpired) as failure:
             say(f"failed: {failure}")
+            demo.processes.show_log()
             return 1
         finally:
             signal.alarm(0)
