Ask targets for health and load, and end waits once an answer is chosen

Cause: the request path knew neither drains nor restarts of targets. A request whose slice had moved could wait for a slot at the new owner while the old one answered; the wait then started an attempt of a settled request, which breaks an invariant. RequestExchange gives up its waits when it forwards an answer.

--- a/lib/Entry/EntryInstance.cpp
+++ b/lib/Entry/EntryInstance.cpp
@@ -79,6 +79,7 @@
 EntryInstance::EntryInstance(DaemonSettings Given)
     : Settings(std::move(Given)), CallerListener(Io),
       Signals(Io, SIGTERM, SIGINT), LeaveTimer(Io),
+      Monitor(Io, Settings.DataCentre, [this] { publish(); }),
       Totals(std::make_unique<Counters>(Settings.TrafficThreads)),
       Shares(std::make_unique<ShareRequests>(*this)) {
   const TrafficShared Shared = {
@@ -220,13 +221,15 @@
   CallerListener.close(Failure);
 }
 
-auto EntryInstance::conditionOf(const ServiceConfig &Service) const
+auto EntryInstance::conditionOf(const ServiceId &Name, const TargetId &Target,
+                                const ServiceConfig &Service) const
     -> TargetCondition {
   const auto ThreadCount = static_cast<std::uint32_t>(Threads.size());
   TargetCondition Condition;
   Condition.Slots = Service.SlotsPerTarget;
   Condition.Connections =
       std::max(1U, Service.ConnectionsPerTarget / ThreadCount);
+  Monitor.apply(Name, Target, Condition);
   return Condition;
 }
 
@@ -235,22 +238,25 @@
     return;
   if (!Index || Index->Config != Control->config()) {
     Index = std::make_shared<const ConfigIndex>(Control->config());
+    Monitor.setConfiguration(*Index->Config);
     Journal.info("generation " + std::to_string(Index->Config->Generation) +
                  " in force");
   }
-  const SnapshotInputs Inputs{
-      Index,
-      Settings.DataCentre,
-      [this](const ServiceId &, const TargetId &,
-             const ServiceConfig &Service) { return conditionOf(Service); },
-      Control->owners(),
-      Gates,
-      Control->ownership().inFlight(),
-      [this](const WorkspaceConfig &Workspace) {
-        return Control->stale(Workspace.StalenessLimit);
-      },
-      ++Version,
-      Control->peers()};
+  const SnapshotInputs Inputs{Index,
+                              Settings.DataCentre,
+                              [this](const ServiceId &Name,
+                                     const TargetId &Target,
+                                     const ServiceConfig &Service) {
+                                return conditionOf(Name, Target, Service);
+                              },
+                              Control->owners(),
+                              Gates,
+                              Control->ownership().inFlight(),
+                              [this](const WorkspaceConfig &Workspace) {
+                                return Control->stale(Workspace.StalenessLimit);
+                              },
+                              ++Version,
+                              Control->peers()};
   Published.setLeaseEnd(Control->ownership().routing().validUntil());
   Current = buildSnapshot(Inputs);
   Published.publish(Current);
--- a/lib/Entry/EntryInstance.h
+++ b/lib/Entry/EntryInstance.h
@@ -4,6 +4,7 @@
 #include "Entry/Gates.h"
 #include "Entry/Publication.h"
 #include "Entry/SnapshotBuilder.h"
+#include "Entry/TargetMonitor.h"
 #include "Entry/TrafficThread.h"
 #include "IO/Log.h"
 #include "buckthornring/Common/Result.h"
@@ -51,7 +52,8 @@
       -> void;
   auto drainAcceptQueue() -> void;
 
-  auto conditionOf(const ServiceConfig &Service) const -> TargetCondition;
+  auto conditionOf(const ServiceId &Name, const TargetId &Target,
+                   const ServiceConfig &Service) const -> TargetCondition;
   auto publish() -> void;
 
   auto answerAdmin(const HttpRequest &Request) -> HttpResponse;
@@ -71,6 +73,7 @@
   std::unique_ptr<PlatformClient> Platform;
   std::unique_ptr<ControlPlane> Control;
   GateTable Gates;
+  TargetMonitor Monitor;
   Publication Published;
   std::unique_ptr<Counters> Totals;
   std::unique_ptr<ShareRequests> Shares;
--- a/lib/Entry/RequestExchange.cpp
+++ b/lib/Entry/RequestExchange.cpp
@@ -433,7 +433,8 @@
   ChunkedAnswer = !Runner.answer().Bodiless && !Runner.answer().Framing.Length;
   std::string Text = answerHeadText(Runner.answer(), Runner.job().Place.Relay);
   AnswerBegun = true;
-  HedgeTimer.cancel();
+  // A second attempt may wait for a slot or for its retry.
+  stopWaiting();
   Thread.counters().add(statusClass(Runner.answer().Status));
   Stream->stopWatching();
   if (Runner.answerDone())
