Compile the ownership fakes once and join repeated test steps

Cause: the definitions of the test world stood in two headers that each program included; the scenario tests repeated the loss of a pair three times. Ruled out: inline definitions in the class; the world has 600 lines. Change: tests/ownership/*.cpp form a library; killPair and expectAllServed.

--- a/daemons/buckthornringd/Main.cpp
+++ b/daemons/buckthornringd/Main.cpp
@@ -3,6 +3,7 @@
 #include <cxxopts.hpp>
 
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <optional>
 #include <sstream>
@@ -24,8 +25,13 @@
   try {
     cxxopts::Options Options("buckthornringd", "Router for owned keys");
     Options.add_options()("settings", "Settings file (JSON with comments)",
-                          cxxopts::value<std::string>());
+                          cxxopts::value<std::string>())("help",
+                                                         "Print this text");
     const auto Parsed = Options.parse(Count, Arguments);
+    if (Parsed.count("help") != 0) {
+      std::printf("%s\n", Options.help().c_str());
+      std::exit(EXIT_SUCCESS);
+    }
     if (!Parsed.count("settings"))
       return Error(Options.help());
     return Parsed["settings"].as<std::string>();
--- a/tests/ownership/FaultSchedule.h
+++ b/tests/ownership/FaultSchedule.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ownership/OwnershipWorld.inc.h"
+#include "ownership/OwnershipWorld.h"
 
 #include <array>
 
--- a/tests/ownership/OwnershipChecks.inc.h
+++ b/tests/ownership/OwnershipChecks.cpp
@@ -1,5 +1,3 @@
-#pragma once
-
 // Second part of the definitions of OwnershipWorld: requests to the unverified
 // service, checks and observations.
 #include "ownership/OwnershipWorld.h"
@@ -11,7 +9,7 @@
 
 namespace buckthornring::test {
 
-inline auto OwnershipWorld::pollHealth(std::size_t Index) -> void {
+auto OwnershipWorld::pollHealth(std::size_t Index) -> void {
   const Target &Each = Targets[Index];
   if (Each.Up && Queue.now() >= Each.PausedUntil)
     for (std::size_t I = 0; I < Instances.size(); ++I) {
@@ -27,7 +25,7 @@
 
 /// Sends one request if the routing lease allows it. It stays in flight for at
 /// most the maximum deadline on the instance's clock.
-inline auto OwnershipWorld::sendRequests(std::size_t Index, std::uint64_t Run)
+auto OwnershipWorld::sendRequests(std::size_t Index, std::uint64_t Run)
     -> void {
   Instance &Each = Instances[Index];
   if (Each.Run != Run || !Each.Up)
@@ -62,13 +60,13 @@
   Queue.after(Set.RequestEvery, [=, this] { sendRequests(Index, Run); });
 }
 
-inline auto OwnershipWorld::fail(const std::string &What) -> void {
+auto OwnershipWorld::fail(const std::string &What) -> void {
   if (Violation.empty())
     Violation = "t=" + std::to_string(Queue.now() / Millisecond) + "ms " + What;
 }
 
 /// A lease message was applied: nobody else may run the target's slices.
-inline auto OwnershipWorld::checkGrant(const Target &Of) -> void {
+auto OwnershipWorld::checkGrant(const Target &Of) -> void {
   const auto Index = static_cast<std::size_t>(&Of - Targets.data());
   const auto Held = Targets[Index].Process->held(Of.Clock.at(Queue.now()));
   for (const auto &[Slice, At] : Held) {
@@ -90,8 +88,7 @@
 }
 
 /// A request to an unverified target starts: none is in flight elsewhere.
-inline auto OwnershipWorld::checkSend(std::uint32_t Slice, std::size_t To)
-    -> void {
+auto OwnershipWorld::checkSend(std::uint32_t Slice, std::size_t To) -> void {
   for (const auto &Each : Requests)
     if (Each->Open && Each->Slice == Slice && Each->Target != To)
       fail("unverified slice " + std::to_string(Slice) + " is sent to " +
@@ -100,7 +97,7 @@
 }
 
 /// No two running instances may send the same unverified slice to two targets.
-inline auto OwnershipWorld::checkRouting() -> void {
+auto OwnershipWorld::checkRouting() -> void {
   const ServiceId Service("u");
   std::map<std::uint32_t, TargetId> Owners;
   for (const Instance &Each : Instances) {
@@ -119,7 +116,7 @@
 }
 
 /// An acknowledged assignment is never replaced by an older one.
-inline auto OwnershipWorld::checkAcknowledged(Instance &Of) -> void {
+auto OwnershipWorld::checkAcknowledged(Instance &Of) -> void {
   for (const char *Name : {"v", "u"}) {
     const ServiceId Service(Name);
     const SliceMap *Map = Of.Core->map(Service);
@@ -147,7 +144,7 @@
   }
 }
 
-inline auto OwnershipWorld::leader() const -> std::optional<std::size_t> {
+auto OwnershipWorld::leader() const -> std::optional<std::size_t> {
   std::optional<std::size_t> Best;
   for (std::size_t I = 0; I < Instances.size(); ++I) {
     if (!Instances[I].Up ||
@@ -160,7 +157,7 @@
   return Best;
 }
 
-inline auto OwnershipWorld::ownerOf(std::uint32_t Slice)
+auto OwnershipWorld::ownerOf(std::uint32_t Slice)
     -> std::optional<std::size_t> {
   for (std::size_t I = 0; I < Targets.size(); ++I)
     if (Targets[I].Verified && Targets[I].Process &&
@@ -170,7 +167,7 @@
   return std::nullopt;
 }
 
-inline auto OwnershipWorld::served() -> std::uint32_t {
+auto OwnershipWorld::served() -> std::uint32_t {
   std::uint32_t Mask = 0;
   for (std::uint32_t Slice = 0; Slice < Set.VerifiedSlices; ++Slice)
     if (ownerOf(Slice))
@@ -178,7 +175,7 @@
   return Mask;
 }
 
-inline auto OwnershipWorld::routed() const -> std::uint32_t {
+auto OwnershipWorld::routed() const -> std::uint32_t {
   std::uint32_t Mask = 0;
   for (std::uint32_t Slice = 0; Slice < Set.UnverifiedSlices; ++Slice)
     if (std::any_of(Instances.begin(), Instances.end(), [&](const auto &Each) {
@@ -189,7 +186,7 @@
   return Mask;
 }
 
-inline auto OwnershipWorld::describe(const Instance &Of) const -> std::string {
+auto OwnershipWorld::describe(const Instance &Of) const -> std::string {
   const TermKeeper &Term = Of.Core->term();
   static constexpr std::array<const char *, 3> Roles = {"follower", "deputy",
                                                         "leader"};
@@ -204,7 +201,7 @@
          (Term.silentAt() ? "" : " unbounded");
 }
 
-inline auto OwnershipWorld::describe() const -> std::string {
+auto OwnershipWorld::describe() const -> std::string {
   std::string Text;
   for (const Instance &Each : Instances)
     if (Each.Up)
@@ -212,15 +209,14 @@
   return Text;
 }
 
-inline auto OwnershipWorld::trace(const std::string &What) const -> void {
+auto OwnershipWorld::trace(const std::string &What) const -> void {
   if (Set.Trace)
     std::fprintf(stderr, "%8.3f %s\n",
                  static_cast<double>(Queue.now()) / Second, What.c_str());
 }
 
-inline auto OwnershipWorld::traceLease(const Target &Of,
-                                       const LeaseMessage &Message,
-                                       const LeaseReply &Reply) const -> void {
+auto OwnershipWorld::traceLease(const Target &Of, const LeaseMessage &Message,
+                                const LeaseReply &Reply) const -> void {
   if (!Set.Trace)
     return;
   std::string Text = Of.Id.str() + " < " + Message.Sender.str() + " term " +
--- a/tests/ownership/OwnershipWorld.inc.h
+++ b/tests/ownership/OwnershipWorld.cpp
@@ -1,6 +1,3 @@
-#pragma once
-
-// Definitions of OwnershipWorld, included once by each program that uses it.
 #include "ownership/OwnershipWorld.h"
 
 #include <algorithm>
@@ -8,7 +5,7 @@
 
 namespace buckthornring::test {
 
-inline OwnershipWorld::OwnershipWorld(const Options &Given)
+OwnershipWorld::OwnershipWorld(const Options &Given)
     : Random(Given.Seed), Set(Given) {
   for (std::size_t I = 0; I < Set.VerifiedTargets + Set.UnverifiedTargets;
        ++I) {
@@ -27,7 +24,7 @@
     pollHealth(I);
 }
 
-inline auto OwnershipWorld::services() const -> std::vector<OwnedService> {
+auto OwnershipWorld::services() const -> std::vector<OwnedService> {
   OwnedService Verified;
   Verified.Id = ServiceId("v");
   Verified.Slices = Set.VerifiedSlices;
@@ -46,7 +43,7 @@
   return {Verified, Unverified};
 }
 
-inline auto OwnershipWorld::newClock(bool OfTarget) -> ProcessClock {
+auto OwnershipWorld::newClock(bool OfTarget) -> ProcessClock {
   ProcessClock Clock;
   Clock.Offset = static_cast<std::int64_t>(100 * Second + Random.below(Second));
   // Slightly less than half the bound each way keeps every ratio within it.
@@ -57,7 +54,7 @@
   return Clock;
 }
 
-inline auto OwnershipWorld::startTarget(std::size_t Index) -> void {
+auto OwnershipWorld::startTarget(std::size_t Index) -> void {
   Target &Each = Targets[Index];
   Each.Clock = newClock(true);
   Each.Up = true;
@@ -67,7 +64,7 @@
   Each.Process.emplace("start" + std::to_string(Runs), Set.Switches);
 }
 
-inline auto OwnershipWorld::stopTarget(std::size_t Index) -> void {
+auto OwnershipWorld::stopTarget(std::size_t Index) -> void {
   Target &Each = Targets[Index];
   trace("stop " + Each.Id.str());
   Each.Up = false;
@@ -79,7 +76,7 @@
       Open->Open = false;
 }
 
-inline auto OwnershipWorld::startInstance(std::size_t Index) -> void {
+auto OwnershipWorld::startInstance(std::size_t Index) -> void {
   Instance &Each = Instances[Index];
   Each.Run = ++Runs;
   Each.Id = InstanceId(Each.Host + "#" + std::to_string(Runs));
@@ -100,7 +97,7 @@
     Queue.after(Set.RequestEvery, [=, this] { sendRequests(Index, Run); });
 }
 
-inline auto OwnershipWorld::killInstance(std::size_t Index) -> void {
+auto OwnershipWorld::killInstance(std::size_t Index) -> void {
   Instance &Each = Instances[Index];
   trace("kill " + Each.Id.str());
   Each.Up = false;
@@ -110,21 +107,20 @@
   Each.Inbox.clear();
 }
 
-inline auto OwnershipWorld::resign(std::size_t Index) -> void {
+auto OwnershipWorld::resign(std::size_t Index) -> void {
   Instance &Each = Instances[Index];
   if (Each.Up && Queue.now() >= Each.PausedUntil)
     perform(Index, Each.Core->resign(local(Each)));
 }
 
-inline auto OwnershipWorld::confirmLost(std::size_t Index) -> void {
+auto OwnershipWorld::confirmLost(std::size_t Index) -> void {
   ConfirmedLost.insert(Targets[Index].Id);
   for (Instance &Each : Instances)
     if (Each.Up)
       Each.Core->setServices(services(), local(Each));
 }
 
-inline auto OwnershipWorld::pauseInstance(std::size_t Index, TrueTime Span)
-    -> void {
+auto OwnershipWorld::pauseInstance(std::size_t Index, TrueTime Span) -> void {
   Instance &Each = Instances[Index];
   if (!Each.Up || Queue.now() < Each.PausedUntil)
     return;
@@ -140,8 +136,7 @@
   });
 }
 
-inline auto OwnershipWorld::pauseTarget(std::size_t Index, TrueTime Span)
-    -> void {
+auto OwnershipWorld::pauseTarget(std::size_t Index, TrueTime Span) -> void {
   Target &Each = Targets[Index];
   if (!Each.Up || Queue.now() < Each.PausedUntil)
     return;
@@ -157,9 +152,8 @@
   });
 }
 
-inline auto OwnershipWorld::cut(const std::string &Left,
-                                const std::string &Right, TrueTime Span)
-    -> void {
+auto OwnershipWorld::cut(const std::string &Left, const std::string &Right,
+                         TrueTime Span) -> void {
   const auto Key = std::minmax(Left, Right);
   const std::pair<std::string, std::string> Pair(Key.first, Key.second);
   trace("cut " + Left + " " + Right + " " + std::to_string(Span / Millisecond));
@@ -171,24 +165,23 @@
   });
 }
 
-inline auto OwnershipWorld::blocked(const std::string &Left,
-                                    const std::string &Right) const -> bool {
+auto OwnershipWorld::blocked(const std::string &Left,
+                             const std::string &Right) const -> bool {
   if (Cuts.empty())
     return false;
   const auto Key = std::minmax(Left, Right);
   return Cuts.contains({Key.first, Key.second});
 }
 
-inline auto OwnershipWorld::heal() -> void {
+auto OwnershipWorld::heal() -> void {
   Net = Network();
   Faults = PlatformFaults();
   Cuts.clear();
 }
 
 /// Carries a message: it may be lost, repeated or late, and overtakes others.
-inline auto OwnershipWorld::deliver(const std::string &From,
-                                    const std::string &To,
-                                    const std::function<void()> &Run) -> void {
+auto OwnershipWorld::deliver(const std::string &From, const std::string &To,
+                             const std::function<void()> &Run) -> void {
   int Copies = Random.chance(Net.Loss) ? 0 : 1;
   if (Random.chance(Net.Repeat))
     ++Copies;
@@ -202,9 +195,8 @@
   }
 }
 
-inline auto
-OwnershipWorld::toInstance(std::size_t Index, std::uint64_t Run,
-                           const std::function<void(Instance &)> &Handle)
+auto OwnershipWorld::toInstance(std::size_t Index, std::uint64_t Run,
+                                const std::function<void(Instance &)> &Handle)
     -> void {
   Instance &Each = Instances[Index];
   if (!Each.Up || Each.Run != Run)
@@ -216,9 +208,9 @@
   Handle(Each);
 }
 
-inline auto
-OwnershipWorld::toTarget(std::size_t Index,
-                         const std::function<void(Target &)> &Handle) -> void {
+auto OwnershipWorld::toTarget(std::size_t Index,
+                              const std::function<void(Target &)> &Handle)
+    -> void {
   Target &Each = Targets[Index];
   if (!Each.Up)
     return;
@@ -229,7 +221,7 @@
   Handle(Each);
 }
 
-inline auto OwnershipWorld::indexOf(const InstanceId &Id) const
+auto OwnershipWorld::indexOf(const InstanceId &Id) const
     -> std::optional<std::size_t> {
   for (std::size_t I = 0; I < Instances.size(); ++I)
     if (Instances[I].Id == Id && Instances[I].Up)
@@ -237,7 +229,7 @@
   return std::nullopt;
 }
 
-inline auto OwnershipWorld::tickInstance(std::size_t Index, std::uint64_t Run)
+auto OwnershipWorld::tickInstance(std::size_t Index, std::uint64_t Run)
     -> void {
   Instance &Each = Instances[Index];
   if (Each.Run != Run || !Each.Up)
@@ -261,7 +253,7 @@
 
 /// Sends actions. An instance that is paused in between sends the rest when it
 /// resumes, without checking anything again.
-inline auto OwnershipWorld::perform(std::size_t Index, OwnershipActions Actions)
+auto OwnershipWorld::perform(std::size_t Index, OwnershipActions Actions)
     -> void {
   const std::uint64_t Run = Instances[Index].Run;
   for (OwnershipAction &Action : Actions) {
@@ -275,8 +267,8 @@
   }
 }
 
-inline auto OwnershipWorld::performNow(std::size_t Index, std::uint64_t Run,
-                                       OwnershipAction Action) -> void {
+auto OwnershipWorld::performNow(std::size_t Index, std::uint64_t Run,
+                                OwnershipAction Action) -> void {
   if (Instances[Index].Run != Run)
     return;
   if (const auto *Link = std::get_if<SendLink>(&Action))
@@ -289,8 +281,7 @@
     writeObject(Index, *Write);
 }
 
-inline auto OwnershipWorld::sendLink(std::size_t Index, const SendLink &Send)
-    -> void {
+auto OwnershipWorld::sendLink(std::size_t Index, const SendLink &Send) -> void {
   const auto To = indexOf(Send.To);
   if (!To)
     return;
@@ -307,8 +298,8 @@
   deliver(Instances[Index].Host, Instances[*To].Host, Handle);
 }
 
-inline auto OwnershipWorld::receiveLink(Instance &To, const InstanceId &From,
-                                        const LinkMessage &Message) -> void {
+auto OwnershipWorld::receiveLink(Instance &To, const InstanceId &From,
+                                 const LinkMessage &Message) -> void {
   const auto Index = static_cast<std::size_t>(&To - Instances.data());
   if (const auto *Beat = std::get_if<RoutingHeartbeat>(&Message)) {
     const RoutingAck Ack = To.Routing->receive(*Beat, local(To));
@@ -318,7 +309,7 @@
   perform(Index, To.Core->receive(From, Message, local(To)));
 }
 
-inline auto OwnershipWorld::sendLease(std::size_t Index, const SendLease &Send)
+auto OwnershipWorld::sendLease(std::size_t Index, const SendLease &Send)
     -> void {
   const std::uint64_t Run = Instances[Index].Run;
   for (std::size_t I = 0; I < Targets.size(); ++I) {
@@ -347,8 +338,8 @@
   }
 }
 
-inline auto OwnershipWorld::readObject(std::size_t Index,
-                                       const ReadObject &Read) -> void {
+auto OwnershipWorld::readObject(std::size_t Index, const ReadObject &Read)
+    -> void {
   const std::uint64_t Run = Instances[Index].Run;
   ReadAnswer Answer;
   TrueTime Delay =
@@ -367,8 +358,8 @@
   });
 }
 
-inline auto OwnershipWorld::writeObject(std::size_t Index,
-                                        const WriteObject &Write) -> void {
+auto OwnershipWorld::writeObject(std::size_t Index, const WriteObject &Write)
+    -> void {
   const std::uint64_t Run = Instances[Index].Run;
   WriteAnswer Answer;
   TrueTime Delay =
@@ -396,5 +387,3 @@
 }
 
 } // namespace buckthornring::test
-
-#include "ownership/OwnershipChecks.inc.h"
--- a/tests/property/OwnershipScenarioTest.cpp
+++ b/tests/property/OwnershipScenarioTest.cpp
@@ -1,4 +1,4 @@
-#include "ownership/OwnershipWorld.inc.h"
+#include "ownership/OwnershipWorld.h"
 
 #include <gtest/gtest.h>
 
@@ -30,6 +30,21 @@
   return World.Instances.size();
 }
 
+/// Kills leader and deputy; returns their numbers.
+auto killPair(OwnershipWorld &World) -> std::pair<std::size_t, std::size_t> {
+  const std::size_t Leader = *World.leader();
+  const std::size_t Deputy = deputyOf(World);
+  World.killInstance(Leader);
+  World.killInstance(Deputy);
+  return {Leader, Deputy};
+}
+
+/// Expects that all eight verified slices are served, by one owner each.
+auto expectAllServed(OwnershipWorld &World) -> void {
+  EXPECT_EQ(World.served(), 0xffU) << World.describe();
+  EXPECT_EQ(World.violation(), "");
+}
+
 // Guards against a start-up that never hands out the slices.
 TEST(OwnershipScenarioTest, AllSlicesAreServedSoonAfterTheStart) {
   auto World = startedWorld();
@@ -50,8 +65,7 @@
   EXPECT_EQ(World->served(), 0xffU) << World->describe();
   World->stopTarget(1);
   World->run(2 * Second);
-  EXPECT_EQ(World->served(), 0xffU) << World->describe();
-  EXPECT_EQ(World->violation(), "");
+  expectAllServed(*World);
 }
 
 // Guards against an acknowledged assignment that a takeover loses or changes.
@@ -77,20 +91,15 @@
   EXPECT_LT(deputyOf(*World), World->Instances.size());
   World->stopTarget(0);
   World->run(3 * Second);
-  EXPECT_EQ(World->served(), 0xffU) << World->describe();
-  EXPECT_EQ(World->violation(), "");
+  expectAllServed(*World);
 }
 
 // Guards against both pair members being lost without a third taking over.
 TEST(OwnershipScenarioTest, AThirdInstanceTakesOverFromTheWholePair) {
   auto World = startedWorld();
-  const std::size_t Leader = *World->leader();
-  const std::size_t Deputy = deputyOf(*World);
-  World->killInstance(Leader);
-  World->killInstance(Deputy);
+  killPair(*World);
   World->run(10 * Second);
-  EXPECT_EQ(World->served(), 0xffU) << World->describe();
-  EXPECT_EQ(World->violation(), "");
+  expectAllServed(*World);
 }
 
 // Guards against a third instance that grants what a silent target may hold,
@@ -98,10 +107,7 @@
 TEST(OwnershipScenarioTest, PairAndTargetLostWaitForTheOperator) {
   auto World = startedWorld();
   World->stopTarget(0);
-  const std::size_t Leader = *World->leader();
-  const std::size_t Deputy = deputyOf(*World);
-  World->killInstance(Leader);
-  World->killInstance(Deputy);
+  killPair(*World);
   World->run(60 * Second);
   EXPECT_NE(World->served(), 0xffU);
   ASSERT_TRUE(World->leader().has_value());
@@ -109,8 +115,7 @@
   Third.Core->confirmTargetLost(World->Targets[0].Id,
                                 Third.Clock.at(World->now()));
   World->run(3 * Second);
-  EXPECT_EQ(World->served(), 0xffU) << World->describe();
-  EXPECT_EQ(World->violation(), "");
+  expectAllServed(*World);
 }
 
 // Guards against a graceful shutdown that costs the wait for a lost leader.
@@ -141,8 +146,7 @@
   EXPECT_EQ(World->served(), 0U);
   World->Faults.Outage = false;
   World->run(10 * Second);
-  EXPECT_EQ(World->served(), 0xffU) << World->describe();
-  EXPECT_EQ(World->violation(), "");
+  expectAllServed(*World);
 }
 
 // Guards against a confirmation in the configuration that has no effect, and
@@ -150,10 +154,7 @@
 TEST(OwnershipScenarioTest, AConfirmedLossInTheConfigurationLastsOverLeaders) {
   auto World = startedWorld();
   World->stopTarget(0);
-  const std::size_t Leader = *World->leader();
-  const std::size_t Deputy = deputyOf(*World);
-  World->killInstance(Leader);
-  World->killInstance(Deputy);
+  const auto [Leader, Deputy] = killPair(*World);
   World->run(20 * Second);
   EXPECT_NE(World->served(), 0xffU);
   World->confirmLost(0);
@@ -167,8 +168,7 @@
   EXPECT_EQ(World->served(), 0xffU) << World->describe();
   World->startTarget(0);
   World->run(5 * Second);
-  EXPECT_EQ(World->served(), 0xffU) << World->describe();
-  EXPECT_EQ(World->violation(), "");
+  expectAllServed(*World);
 }
 
 /// A partitioned pair meets a target that acknowledged a later leader and then
