--- a/tests/unit/RequestPathTest.cpp
+++ b/tests/unit/RequestPathTest.cpp
@@ -294,6 +294,58 @@
   Ending = true;
 }
 
+// Guards against a second attempt that starts after the first one has answered:
+// it waited for a slot of the new owner.
+TEST(RequestPathTest, AnswerEndsTheWaitForTheNewOwner) {
+  std::atomic<bool> FirstAnswers = false;
+  std::atomic<bool> FirstEnds = false;
+  std::atomic<bool> SecondAnswers = false;
+  ScriptedTarget First([&](ScriptedTarget::Tcp::socket &To,
+                           const std::string &) {
+    while (!FirstAnswers)
+      std::this_thread::sleep_for(1ms);
+    ScriptedTarget::send(To,
+                         "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\npart");
+    while (!FirstEnds)
+      std::this_thread::sleep_for(1ms);
+    return ScriptedTarget::send(To, "rest");
+  });
+  ScriptedTarget Second(
+      [&](ScriptedTarget::Tcp::socket &To, const std::string &) {
+        while (!SecondAnswers)
+          std::this_thread::sleep_for(1ms);
+        return ScriptedTarget::send(To, Ok);
+      });
+  RequestPath Path;
+  ServiceConfig &Stock = Path.config().Services[ServiceId("stock")];
+  Stock.SlotsPerTarget = 1;
+  const std::string Head =
+      std::string(" /stock/k1 HTTP/1.1\r\nHost: h\r\n") + RequestPath::Key;
+  Path.addTarget("stock", "s2", Second);
+  Path.publish({3, 7});
+  RawCaller Occupant = Path.connect();
+  Occupant.send("POST" + Head + "Content-Length: 1\r\n\r\nb");
+  EXPECT_TRUE(eventually([&] { return Second.requests().size() == 1; }));
+  Path.addTarget("stock", "s1", First);
+  Path.publish({3, 8});
+  RawCaller Reader = Path.connect();
+  Reader.send("GET" + Head + "\r\n");
+  EXPECT_TRUE(eventually([&] { return First.requests().size() == 1; }));
+  Stock.Targets.erase(TargetId("s1"));
+  Path.publish({3, 9});
+  EXPECT_TRUE(eventually(
+      [&] { return Path.thread().events().value(EntryEvent::SlotWait) == 1; }));
+  FirstAnswers = true;
+  EXPECT_TRUE(Reader.readUntil("part").has("200 OK"));
+  SecondAnswers = true;
+  EXPECT_TRUE(Occupant.readUntil("ok").has("200 OK"));
+  FirstEnds = true;
+  EXPECT_TRUE(Reader.readUntil("rest").has("rest"));
+  const auto After = Path.exchange("GET", "/stock/k1", RequestPath::Key);
+  EXPECT_TRUE(After.has("200 OK")) << After.Bytes;
+  EXPECT_EQ(Second.requests().size(), 2U);
+}
+
 // Guards against an answer from an owner whose lease has ended: it comes under
 // another epoch than was sent.
 TEST(RequestPathTest, AnswerOfAnotherEpochIsNotForwarded) {
