--- a/lib/Entry/OwnershipDriver.cpp
+++ b/lib/Entry/OwnershipDriver.cpp
@@ -17,6 +17,14 @@
 constexpr Duration LeaseConnectionMaxIdle = std::chrono::seconds(1);
 constexpr Duration ProbeInterval = std::chrono::milliseconds(150);
 
+auto lostDataCentres(const Configuration &Config) -> std::set<DataCentreId> {
+  std::set<DataCentreId> Lost;
+  for (const auto &[Id, DataCentre] : Config.DataCentres)
+    if (DataCentre.ConfirmedLost)
+      Lost.insert(Id);
+  return Lost;
+}
+
 auto writeOutcome(PlatformStatus Status) -> WriteAnswer::Kind {
   switch (Status) {
   case PlatformStatus::Done:
@@ -86,6 +94,7 @@
                                        false})
             .first;
     Entry->second.Keeper.setWanted(HomeMap::wanted(*Config, Id));
+    Entry->second.Keeper.setLost(lostDataCentres(*Config));
   }
   connectTargets();
   Core->setServices(ownedServices(), steadyNow());
@@ -275,8 +284,11 @@
     Entry.Verification = Service.Verification;
     Entry.MaxDeadline = Service.MaxDeadline;
     for (const auto &[Target, Settled] : Service.Targets)
-      if (Settled.DataCentre == Settings.Self.DataCentre)
+      if (Settled.DataCentre == Settings.Self.DataCentre) {
         Entry.Targets[Target] = Settled.State;
+        if (Settled.ConfirmedLost)
+          Entry.ConfirmedLost.insert(Target);
+      }
     const HomeState &Home = Homes.at(Id);
     Entry.Home = Home.Keeper.homes();
     Entry.HomeConfirmed = Home.Keeper.confirmed();
--- a/lib/Entry/ShareExchange.cpp
+++ b/lib/Entry/ShareExchange.cpp
@@ -46,9 +46,12 @@
 
 auto ShareExchange::setConfiguration(const Configuration &Accepted) -> void {
   RateParts::Totals Totals;
-  for (const auto &[Id, DataCentre] : Accepted.DataCentres)
+  for (const auto &[Id, DataCentre] : Accepted.DataCentres) {
     if (DataCentre.State == ServingState::InService)
       Totals.Weights[Id] = DataCentre.Weight;
+    if (DataCentre.ConfirmedLost)
+      Totals.Lost.insert(Id);
+  }
   for (const auto &[Id, Workspace] : Accepted.Workspaces)
     Totals.Workspaces[Id] = {milli(Workspace.RatePerSecond),
                              milli(Workspace.Burst)};
@@ -65,7 +68,6 @@
   const bool Led = leads();
   const bool Continues =
       Led && Next.Authority && Next.Process == Current.Process;
-  const bool Changed = Next.Process != Current.Process;
   Current = Next;
   if (Continues) {
     for (auto &[Id, Ledger] : Ledgers)
@@ -83,10 +85,11 @@
     Settings.OnGiverChanged(GiverTerm);
     return;
   }
+  // Holders learn the giver's term from its first answer: the term of the
+  // record can be higher, since a giver that replaced its deputy keeps its
+  // ledgers, and holders never follow a lower term.
   Ledgers.clear();
   Demand.clear();
-  if (Changed && !Current.Process.empty())
-    Settings.OnGiverChanged(Current.Term);
 }
 
 auto ShareExchange::submit(const std::string &Quantity,
@@ -201,6 +204,11 @@
       PartsKnown = true;
       PartsSeen = true;
     }
+    // A write that waited for the next interval would meet a newer version
+    // whenever another data centre writes as often.
+    if (PartsKnown)
+      if (const auto Next = Parts.beginWrite())
+        writeParts(*Next);
   });
 }
 
--- a/tests/ownership/OwnershipWorld.h
+++ b/tests/ownership/OwnershipWorld.h
@@ -76,7 +76,7 @@
     double Stale = 0;
   };
 
-  explicit OwnershipWorld(Options Options);
+  explicit OwnershipWorld(const Options &Given);
 
   auto run(TrueTime Span) -> void { Queue.runUntil(Queue.now() + Span); }
   auto now() const -> TrueTime { return Queue.now(); }
@@ -91,6 +91,9 @@
   auto cut(const std::string &Left, const std::string &Right, TrueTime Span)
       -> void;
   auto resign(std::size_t Index) -> void;
+  /// The operator takes a target out and confirms in the configuration that it
+  /// runs no more.
+  auto confirmLost(std::size_t Index) -> void;
   auto heal() -> void;
 
   // Observations.
@@ -128,10 +131,10 @@
   }
   auto blocked(const std::string &Left, const std::string &Right) const -> bool;
   auto deliver(const std::string &From, const std::string &To,
-               std::function<void()> Run) -> void;
+               const std::function<void()> &Run) -> void;
   auto toInstance(std::size_t Index, std::uint64_t Run,
-                  std::function<void(Instance &)> Handle) -> void;
-  auto toTarget(std::size_t Index, std::function<void(Target &)> Handle)
+                  const std::function<void(Instance &)> &Handle) -> void;
+  auto toTarget(std::size_t Index, const std::function<void(Target &)> &Handle)
       -> void;
   auto indexOf(const InstanceId &Id) const -> std::optional<std::size_t>;
   auto tickInstance(std::size_t Index, std::uint64_t Run) -> void;
@@ -160,6 +163,7 @@
   FakePlatform Platform;
   std::map<std::pair<std::string, std::string>, int> Cuts;
   std::vector<std::shared_ptr<Request>> Requests;
+  std::set<TargetId> ConfirmedLost;
   std::uint64_t Runs = 0;
   std::string Violation;
   /// Highest epoch under which each slice was held, and the holder.
--- a/tests/ownership/OwnershipWorld.inc.h
+++ b/tests/ownership/OwnershipWorld.inc.h
@@ -8,8 +8,8 @@
 
 namespace buckthornring::test {
 
-inline OwnershipWorld::OwnershipWorld(Options Given)
-    : Random(Given.Seed), Set(std::move(Given)) {
+inline OwnershipWorld::OwnershipWorld(const Options &Given)
+    : Random(Given.Seed), Set(Given) {
   for (std::size_t I = 0; I < Set.VerifiedTargets + Set.UnverifiedTargets;
        ++I) {
     Target Each;
@@ -38,7 +38,9 @@
   Unverified.MaxDeadline = Set.MaxDeadline;
   for (const Target &Each : Targets)
     (Each.Verified ? Verified : Unverified).Targets[Each.Id] =
-        ServingState::InService;
+        ConfirmedLost.contains(Each.Id) ? ServingState::TakenOut
+                                        : ServingState::InService;
+  Verified.ConfirmedLost = ConfirmedLost;
   if (Set.UnverifiedTargets == 0)
     return {Verified};
   return {Verified, Unverified};
@@ -114,6 +116,13 @@
     perform(Index, Each.Core->resign(local(Each)));
 }
 
+inline auto OwnershipWorld::confirmLost(std::size_t Index) -> void {
+  ConfirmedLost.insert(Targets[Index].Id);
+  for (Instance &Each : Instances)
+    if (Each.Up)
+      Each.Core->setServices(services(), local(Each));
+}
+
 inline auto OwnershipWorld::pauseInstance(std::size_t Index, TrueTime Span)
     -> void {
   Instance &Each = Instances[Index];
@@ -179,7 +188,7 @@
 /// Carries a message: it may be lost, repeated or late, and overtakes others.
 inline auto OwnershipWorld::deliver(const std::string &From,
                                     const std::string &To,
-                                    std::function<void()> Run) -> void {
+                                    const std::function<void()> &Run) -> void {
   int Copies = Random.chance(Net.Loss) ? 0 : 1;
   if (Random.chance(Net.Repeat))
     ++Copies;
@@ -193,8 +202,9 @@
   }
 }
 
-inline auto OwnershipWorld::toInstance(std::size_t Index, std::uint64_t Run,
-                                       std::function<void(Instance &)> Handle)
+inline auto
+OwnershipWorld::toInstance(std::size_t Index, std::uint64_t Run,
+                           const std::function<void(Instance &)> &Handle)
     -> void {
   Instance &Each = Instances[Index];
   if (!Each.Up || Each.Run != Run)
@@ -206,9 +216,9 @@
   Handle(Each);
 }
 
-inline auto OwnershipWorld::toTarget(std::size_t Index,
-                                     std::function<void(Target &)> Handle)
-    -> void {
+inline auto
+OwnershipWorld::toTarget(std::size_t Index,
+                         const std::function<void(Target &)> &Handle) -> void {
   Target &Each = Targets[Index];
   if (!Each.Up)
     return;
