Keep shares for ten seconds without a request

Ruled out: renewing idle shares again (the cause of 10 KB/s an instance). Change: a share lapses after 10 s without a request.

--- a/include/buckthornring/Limits/ShareHolder.h
+++ b/include/buckthornring/Limits/ShareHolder.h
@@ -84,6 +84,7 @@
   std::uint64_t Arrivals = 0;
   double DemandPerSecond = 0;
   TimePoint MeasuredAt;
+  TimePoint DemandAt; ///< Last measurement with a request.
   TimePoint ReportedAt = TimePoint::min();
 };
 
--- a/lib/Limits/ShareHolder.cpp
+++ b/lib/Limits/ShareHolder.cpp
@@ -12,8 +12,9 @@
 
 // Several round trips inside a data centre; waiting requests that arrive
 // together share one report.
-// Demand in requests per second below which a share is not renewed.
-constexpr double IdleDemand = 0.5;
+// Time without a request after which a share is not renewed. Shorter times make
+// workspaces with a request every few seconds wait for each one.
+constexpr Duration IdleAfter = std::chrono::seconds(10);
 constexpr Duration UrgentInterval = std::chrono::milliseconds(5);
 
 constexpr Duration DemandInterval = std::chrono::milliseconds(50);
@@ -31,7 +32,7 @@
 ShareHolder::ShareHolder(std::string Name, ShareKind Kind,
                          std::uint64_t FirstSession, TimePoint Now)
     : Name(std::move(Name)), Kind(Kind), Session(FirstSession),
-      Bucket(0, 0, 0, Now), MeasuredAt(Now) {}
+      Bucket(0, 0, 0, Now), MeasuredAt(Now), DemandAt(Now) {}
 
 auto ShareHolder::follow(std::uint64_t NewTerm) -> void {
   if (NewTerm <= Term)
@@ -69,7 +70,7 @@
   // Most workspaces send nothing through most instances. Their shares lapse
   // and are asked for again with the next request, which waits one round trip.
   const bool Idle = Arrivals == 0 && Waiting == 0 && InUse == 0 && !Urgent &&
-                    DemandPerSecond < IdleDemand;
+                    Now - DemandAt >= IdleAfter;
   if (Idle)
     return false;
   const Duration Since = Now - ReportedAt;
@@ -81,6 +82,8 @@
   const Duration Span = Now - MeasuredAt;
   if (Span < DemandInterval)
     return;
+  if (Arrivals > 0)
+    DemandAt = Now;
   const double Seconds = std::chrono::duration<double>(Span).count();
   const double Measured = static_cast<double>(Arrivals) / Seconds;
   DemandPerSecond += DemandWeight * (Measured - DemandPerSecond);
