--- a/bench/measure/CapacityMeasures.cpp
+++ b/bench/measure/CapacityMeasures.cpp
@@ -125,6 +125,7 @@
   }
   // One million slices as sixteen services.
   std::vector<SliceMap> Million;
+  Million.reserve(16);
   const double Before = heapBytes();
   for (int I = 0; I < 16; ++I)
     Million.push_back(filledMap(65536, 1024));
