--- a/lib/Entry/ConfigFeed.cpp
+++ b/lib/Entry/ConfigFeed.cpp
@@ -135,8 +135,10 @@
     return false;
   Text = Offered;
   std::vector<DataCentreId> DataCentres;
-  for (const auto &[Id, Unused] : Accepted->DataCentres)
-    DataCentres.push_back(Id);
+  // A data centre that is confirmed lost will never report again.
+  for (const auto &[Id, DataCentre] : Accepted->DataCentres)
+    if (!DataCentre.ConfirmedLost)
+      DataCentres.push_back(Id);
   Guard.setDataCentres(std::move(DataCentres));
   Settings.OnAccepted();
   return true;
