--- a/lib/Ownership/LeaderCore.cpp
+++ b/lib/Ownership/LeaderCore.cpp
@@ -8,7 +8,7 @@
 
 class LeaderCore::State {
 public:
-  State(Identity Self, OwnershipTimes Times, SafetySwitches Switches,
+  State(const Identity &Self, OwnershipTimes Times, SafetySwitches Switches,
         TimePoint Now)
       : Context{Self, Times, Switches,
                 TermKeeper(Self.Self, Self.FailureDomain, Self.DataCentre,
