--- a/tests/unit/ShareExchangeTest.cpp
+++ b/tests/unit/ShareExchangeTest.cpp
@@ -44,7 +44,7 @@
     const PeerIdentity Self{InstanceId(Name), DataCentreId("a"), Name, ""};
     Links = PeerLinks::create(
         Context, Self,
-        {[this](const PeerIdentity &From, LinkMessage Message) {
+        {[this](const PeerIdentity &From, const LinkMessage &Message) {
            Shares->receive(From.Process, Message);
          },
          {}});
