--- a/include/buckthornring/Ownership/LeaderCore.h
+++ b/include/buckthornring/Ownership/LeaderCore.h
@@ -53,8 +53,8 @@
     std::string FailureDomain;
   };
 
-  LeaderCore(Identity Self, OwnershipTimes Times, SafetySwitches Switches,
-             TimePoint Now);
+  LeaderCore(const Identity &Self, OwnershipTimes Times,
+             SafetySwitches Switches, TimePoint Now);
   ~LeaderCore();
   LeaderCore(const LeaderCore &) = delete;
   auto operator=(const LeaderCore &) -> LeaderCore & = delete;
--- a/lib/Ownership/LeaderCore.cpp
+++ b/lib/Ownership/LeaderCore.cpp
@@ -159,9 +159,9 @@
   return {nullptr, 0};
 }
 
-LeaderCore::LeaderCore(Identity Self, OwnershipTimes Times,
+LeaderCore::LeaderCore(const Identity &Self, OwnershipTimes Times,
                        SafetySwitches Switches, TimePoint Now)
-    : Core(std::make_unique<State>(std::move(Self), Times, Switches, Now)) {}
+    : Core(std::make_unique<State>(Self, Times, Switches, Now)) {}
 
 LeaderCore::~LeaderCore() = default;
 
