Keep a rate part in a data centre that is taken out

Cause: a data centre that is taken out lost its part of every rate at once, while its slices still ran there, so a request within the rate was refused as over-rate. Ruled out: load on the machine (it was quiet); retrying the request elsewhere, which would count it twice. Change: taken-out data centres stay in the division with weight zero and keep a part for the demand that they still see; lost ones are left out. Conclusion: taking out a data centre refuses nothing within the rate.

--- a/include/buckthornring/Limits/RateParts.h
+++ b/include/buckthornring/Limits/RateParts.h
@@ -39,8 +39,8 @@
 /// the order of messages. A data centre that is cut off keeps its part.
 class RateParts {
 public:
-  /// Names of all data centres in service and the totals of all workspaces,
-  /// from the accepted configuration.
+  /// Weights of all data centres, zero for those taken out, and the totals of
+  /// all workspaces, from the accepted configuration.
   struct Totals {
     std::map<DataCentreId, std::uint32_t> Weights;
     std::map<WorkspaceId, ShareAmount> Workspaces;
--- a/lib/Entry/ShareExchange.cpp
+++ b/lib/Entry/ShareExchange.cpp
@@ -47,10 +47,12 @@
 auto ShareExchange::setConfiguration(const Configuration &Accepted) -> void {
   RateParts::Totals Totals;
   for (const auto &[Id, DataCentre] : Accepted.DataCentres) {
-    if (DataCentre.State == ServingState::InService)
-      Totals.Weights[Id] = DataCentre.Weight;
-    if (DataCentre.ConfirmedLost)
+    if (DataCentre.ConfirmedLost) {
       Totals.Lost.insert(Id);
+      continue;
+    }
+    const bool InService = DataCentre.State == ServingState::InService;
+    Totals.Weights[Id] = InService ? DataCentre.Weight : 0;
   }
   for (const auto &[Id, Workspace] : Accepted.Workspaces)
     Totals.Workspaces[Id] = {milli(Workspace.RatePerSecond),
--- a/lib/Limits/RateParts.cpp
+++ b/lib/Limits/RateParts.cpp
@@ -156,12 +156,15 @@
 auto RateParts::fairPart(const WorkspaceId &Workspace,
                          const ShareAmount &Total) const -> ShareAmount {
   const auto Own = Configured.Weights.find(Self);
-  if (Own == Configured.Weights.end() || Own->second == 0)
+  if (Own == Configured.Weights.end())
     return {};
   std::int64_t Weights = 0;
   for (const auto &[DataCentre, Weight] : Configured.Weights)
     Weights += Weight;
-  std::int64_t OwnPerMille = std::int64_t{1000} * Own->second / Weights;
+  // A data centre that is taken out has weight zero. It keeps a part for the
+  // requests that still run there until its slices have moved.
+  std::int64_t OwnPerMille =
+      Weights == 0 ? 0 : std::int64_t{1000} * Own->second / Weights;
 
   MilliUnits AllDemand = 0;
   const auto Seen = Demand.find(Workspace);
--- a/tests/property/RatePartsPropertyTest.cpp
+++ b/tests/property/RatePartsPropertyTest.cpp
@@ -93,7 +93,7 @@
     RateParts::Totals Totals;
     for (const char *Name : {"a", "b", "c"})
       Totals.Weights[DataCentreId(Name)] =
-          1 + static_cast<std::uint32_t>(Random.below(3));
+          static_cast<std::uint32_t>(Random.below(3));
     Totals.Workspaces[Workspace] = Total;
     At.Parts.setTotals(std::move(Totals));
   }
@@ -146,6 +146,24 @@
   }
 }
 
+// Guards against refusals in a data centre that was just taken out, while its
+// slices still run there.
+TEST(RatePartsPropertyTest, ATakenOutDataCentreKeepsAPartForItsDemand) {
+  RateParts Parts(DataCentreId("b"));
+  RateParts::Totals Totals;
+  Totals.Weights = {{DataCentreId("a"), 1}, {DataCentreId("b"), 1}};
+  Totals.Workspaces[Workspace] = Total;
+  Parts.setTotals(Totals);
+  Parts.setDemand(Workspace, 300'000);
+  Parts.setRecorded(std::nullopt, 0);
+  ASSERT_TRUE(Parts.beginWrite().has_value());
+  Parts.written(1);
+  ASSERT_GE(Parts.allowed(Workspace).Rate, 300'000);
+  Totals.Weights[DataCentreId("b")] = 0;
+  Parts.setTotals(Totals);
+  EXPECT_GE(Parts.allowed(Workspace).Rate, 300'000);
+}
+
 // Guards against a rate that stays unused: with steady demand at one data
 // centre nearly all of it has to arrive there.
 TEST(RatePartsPropertyTest, PartsFollowDemand) {
