--- a/tests/golden/CommandRaceTest.cpp
+++ b/tests/golden/CommandRaceTest.cpp
@@ -99,7 +99,7 @@
   Tally Found;
   race(Found);
   Client.post(Address, "/faults", R"({"delay_ms":0,"lose_answers":0})");
-  const auto Record = Client.getJson(Address, "/v1/objects/config/current");
+  const auto Record = Client.fetchJson(Address, "/v1/objects/config/current");
   std::set<std::string> Withdrawn;
   for (const auto &[Name, Key] : Record["content"]["caller_keys"].items())
     if (Key.value("withdrawn", false))
--- a/tests/golden/CommandSessionTest.cpp
+++ b/tests/golden/CommandSessionTest.cpp
@@ -137,7 +137,7 @@
     std::string Value;
     Words >> Verb;
     if (Verb == "writes")
-      return "writes " + Client.getJson(Address, "/stats")["writes"].dump() +
+      return "writes " + Client.fetchJson(Address, "/stats")["writes"].dump() +
              "\n";
     if (Verb != "faults")
       Words >> Name;
--- a/tests/process/Caller.cpp
+++ b/tests/process/Caller.cpp
@@ -39,7 +39,7 @@
   return Json::parse(Outcome.Response.Body, nullptr, false);
 }
 
-auto Caller::getJson(const std::string &Address, const std::string &Target)
+auto Caller::fetchJson(const std::string &Address, const std::string &Target)
     -> Json {
   const auto Outcome = get(Address, Target);
   return Json::parse(Outcome.Response.Body, nullptr, false);
--- a/tests/process/Caller.h
+++ b/tests/process/Caller.h
@@ -23,7 +23,7 @@
   /// Posts JSON and returns the JSON answer, null when there is none.
   auto postJson(const std::string &Address, const std::string &Target,
                 const Json &Body) -> Json;
-  auto getJson(const std::string &Address, const std::string &Target) -> Json;
+  auto fetchJson(const std::string &Address, const std::string &Target) -> Json;
   /// Closes kept-alive connections.
   auto reset() -> void { Clients.clear(); }
 
--- a/tests/process/Fleet.cpp
+++ b/tests/process/Fleet.cpp
@@ -154,7 +154,7 @@
 
 auto Fleet::hasSettled(std::string &Missing) -> bool {
   for (const auto &Each : Instances) {
-    const auto Status = Control.getJson(Each.AdminAddress, "/status");
+    const auto Status = Control.fetchJson(Each.AdminAddress, "/status");
     if (Status.is_object() && Status.contains("peers") &&
         Status["peers"].size() + 1 == Instances.size() &&
         (Options.InstancesPerDataCentre < 2 ||
@@ -237,7 +237,7 @@
 
 auto Fleet::generationInForce(std::size_t Instance) -> std::uint64_t {
   const auto Status =
-      Control.getJson(Instances.at(Instance).AdminAddress, "/status");
+      Control.fetchJson(Instances.at(Instance).AdminAddress, "/status");
   return Status.is_object() ? Status.value("generation", std::uint64_t{0}) : 0;
 }
 
--- a/tests/process/OwnershipTest.cpp
+++ b/tests/process/OwnershipTest.cpp
@@ -41,7 +41,7 @@
 
   auto leader() -> std::size_t {
     const auto Status =
-        Control.getJson(Running->Instances[0].AdminAddress, "/status");
+        Control.fetchJson(Running->Instances[0].AdminAddress, "/status");
     const auto Name = Status.value("leader", "");
     for (std::size_t Index = 0; Index < Running->Instances.size(); ++Index)
       if (Name.starts_with(Running->Instances[Index].Name + '#'))
@@ -103,7 +103,7 @@
   const auto Other = (Paused + 1) % Running->Instances.size();
   const auto NextLeader = [&] {
     const auto Status =
-        Control.getJson(Running->Instances[Other].AdminAddress, "/status");
+        Control.fetchJson(Running->Instances[Other].AdminAddress, "/status");
     return Status.is_object() &&
            !Status.value("leader", "")
                 .starts_with(Running->Instances[Paused].Name + '#');
--- a/tests/process/PlatformTest.cpp
+++ b/tests/process/PlatformTest.cpp
@@ -186,7 +186,7 @@
   put("config/x", 0, "1");
   get("config/x");
   watch(0, 10ms);
-  const auto Stats = Control.getJson(Address, "/stats");
+  const auto Stats = Control.fetchJson(Address, "/stats");
   EXPECT_EQ(Stats["reads"], 1);
   EXPECT_EQ(Stats["writes"], 1);
   EXPECT_EQ(Stats["watches"], 1);
--- a/tests/process/TargetTest.cpp
+++ b/tests/process/TargetTest.cpp
@@ -77,7 +77,7 @@
   const auto Outcome = request("1.1");
   EXPECT_EQ(Outcome.Response.Status, 200U);
   EXPECT_EQ(Outcome.Response.Headers.find("Btr-Epoch"), "1.1");
-  const auto Runs = Control.getJson(Address, "/runs");
+  const auto Runs = Control.fetchJson(Address, "/runs");
   ASSERT_EQ(Runs["runs"].size(), 1U);
   EXPECT_EQ(Runs["runs"][0]["workspace"], "w1");
 }
@@ -148,7 +148,7 @@
       Refusal = Outcome.Response.Headers.find("Btr-Refusal").value_or("none");
     });
   ASSERT_TRUE(waitUntil([&] {
-    return Control.getJson(Address, "/control/load").value("queued", 0) == 1;
+    return Control.fetchJson(Address, "/control/load").value("queued", 0) == 1;
   }));
   Target->signal(SIGSTOP);
   std::this_thread::sleep_for(600ms); // Longer than the lease.
@@ -172,7 +172,8 @@
              {"X-Test-Service-Ms", "200"}});
   });
   ASSERT_TRUE(waitUntil([&] {
-    return Control.getJson(Address, "/control/load").value("in_flight", 0) == 1;
+    return Control.fetchJson(Address, "/control/load").value("in_flight", 0) ==
+           1;
   }));
   LeaseMessage Release;
   Release.Term = 1;
@@ -205,9 +206,9 @@
   for (auto &Thread : Threads)
     Thread.join();
   EXPECT_GE(Shed, 1);
-  EXPECT_GE(Control.getJson(Address, "/runs")["cold_overloads"], 1);
+  EXPECT_GE(Control.fetchJson(Address, "/runs")["cold_overloads"], 1);
   ASSERT_TRUE(waitUntil([&] {
-    return !Control.getJson(Address, "/control/health").value("cold", true);
+    return !Control.fetchJson(Address, "/control/health").value("cold", true);
   }));
 }
 
@@ -222,13 +223,14 @@
     EXPECT_FALSE(Outcome.done());
   });
   ASSERT_TRUE(waitUntil([&] {
-    return Control.getJson(Address, "/control/load").value("in_flight", 0) == 1;
+    return Control.fetchJson(Address, "/control/load").value("in_flight", 0) ==
+           1;
   }));
   EXPECT_EQ(Control.postJson(Address, "/control/cancel",
                              {{"request_id", "slow"}})["cancelled"],
             "running");
   Slow.join();
-  EXPECT_EQ(Control.getJson(Address, "/runs")["runs"][0]["cancelled"], true);
+  EXPECT_EQ(Control.fetchJson(Address, "/runs")["runs"][0]["cancelled"], true);
 }
 
 // Guards against the connection limit being ignored.
@@ -250,10 +252,10 @@
     EXPECT_EQ(Control.post(Address, "/faults", Faults.dump()).Response.Status,
               200U);
   };
-  const auto Before = Control.getJson(Address, "/control/health")["start"];
+  const auto Before = Control.fetchJson(Address, "/control/health")["start"];
   Set({{"wrong_load", 99}, {"wrong_state", "draining"}});
-  EXPECT_EQ(Control.getJson(Address, "/control/load")["in_flight"], 99);
-  EXPECT_EQ(Control.getJson(Address, "/control/health")["state"], "draining");
+  EXPECT_EQ(Control.fetchJson(Address, "/control/load")["in_flight"], 99);
+  EXPECT_EQ(Control.fetchJson(Address, "/control/health")["state"], "draining");
   Set({{"freeze_ms", 300}});
   ASSERT_TRUE(waitUntil([&] {
     Caller Own;
@@ -262,7 +264,7 @@
   EXPECT_TRUE(Control.get(Address, "/").done());
   Set({{"cold_restart", true}});
   ASSERT_TRUE(waitUntil([&] {
-    const auto Health = Control.getJson(Address, "/control/health");
+    const auto Health = Control.fetchJson(Address, "/control/health");
     return Health.is_object() && Health["start"] != Before;
   }));
   const auto Cut = Control.get(Address, "/", {{"X-Test-Cut-Bytes", "5"}});
