--- a/daemons/buckthornringd/Main.cpp
+++ b/daemons/buckthornringd/Main.cpp
@@ -1,4 +1,6 @@
 #include "Entry/EntryInstance.h"
+#include "Platform.h"
+#include "buckthornring/Config/SettingsReader.h"
 
 #include <cxxopts.hpp>
 
@@ -40,11 +42,11 @@
   }
 }
 
-auto loadSettings(const std::string &Path) -> Result<DaemonSettings> {
+auto readDocument(const std::string &Path) -> Result<SettingsDocument> {
   const auto Text = readFile(Path);
   if (!Text)
     return Error("cannot read " + Path);
-  return DaemonSettings::read(*Text, Path).result();
+  return SettingsReader::read(*Text, Path).result();
 }
 
 auto fail(const Error &Reason) -> int {
@@ -52,13 +54,28 @@
   return 2;
 }
 
-} // namespace
+/// Runs on the users' platform.
+auto runGateway(const SettingsDocument &Document, const std::string &Path)
+    -> int {
+  auto Settings = GatewaySettings::check(Document).result();
+  if (!Settings)
+    return fail(Settings.error());
+  auto Instance = platform::createGateway(std::move(Settings).value());
+  if (!Instance)
+    return fail(Instance.error());
+  Instance.value()->setReload([Path]() -> Result<GatewaySettings> {
+    const auto Changed = readDocument(Path);
+    if (!Changed)
+      return Changed.error();
+    return GatewaySettings::check(*Changed).result();
+  });
+  Instance.value()->run();
+  return 0;
+}
 
-auto main(int Count, char **Arguments) -> int {
-  const auto Path = settingsPath(Count, Arguments);
-  if (!Path)
-    return fail(Path.error());
-  auto Settings = loadSettings(*Path);
+/// Runs beside the project's own platform and targets.
+auto runEntry(const SettingsDocument &Document) -> int {
+  auto Settings = DaemonSettings::check(Document).result();
   if (!Settings)
     return fail(Settings.error());
   auto Instance = EntryInstance::create(std::move(Settings).value());
@@ -69,3 +86,16 @@
   Instance.value()->run();
   return 0;
 }
+
+} // namespace
+
+auto main(int Count, char **Arguments) -> int {
+  const auto Path = settingsPath(Count, Arguments);
+  if (!Path)
+    return fail(Path.error());
+  const auto Document = readDocument(*Path);
+  if (!Document)
+    return fail(Document.error());
+  return GatewaySettings::describes(*Document) ? runGateway(*Document, *Path)
+                                               : runEntry(*Document);
+}
--- a/include/buckthornring/Config/Configuration.h
+++ b/include/buckthornring/Config/Configuration.h
@@ -39,6 +39,8 @@
   std::uint32_t Weight = 1; ///< Share of slots relative to other workspaces.
   std::uint32_t QueueLimit = 64; ///< Waiting requests per service and instance.
   Duration StalenessLimit = std::chrono::seconds(5);
+  /// Replaces the route's priority when set; 0 is the most urgent.
+  std::optional<std::uint32_t> Priority;
 };
 
 struct CallerKeyConfig {
@@ -64,6 +66,13 @@
   Duration DefaultDeadline = std::chrono::seconds(5);
   Duration MaxDeadline = std::chrono::seconds(30);
   Duration ColdStartRamp = std::chrono::seconds(10);
+  /// Requests per second that a cold target bears from all instances together.
+  double ColdRequestsPerSecond = 0;
+  /// Path of the targets' health check.
+  std::string HealthPath;
+  /// Above zero, the keys of a divided service are the numbers below it and are
+  /// assigned in ranges; at zero, keys are texts that are hashed to slices.
+  std::uint32_t NumberedKeys = 0;
   std::map<TargetId, TargetConfig> Targets;
 };
 
@@ -73,9 +82,24 @@
 inline constexpr EnumNames<KeySource, 3> KeySourceNames({"path-segment",
                                                          "header", "query"});
 
+/// One of several services that share the requests of a route.
+struct RoutePart {
+  ServiceId Service;
+  std::uint32_t Weight = 1; ///< Share relative to the other parts.
+};
+
 struct RouteConfig {
+  std::string Host;       ///< Without port. Empty: any host.
   std::string PathPrefix; ///< The longest matching prefix wins.
   ServiceId Service;
+  /// When not empty, the requests are split over these services.
+  std::vector<RoutePart> Split;
+  std::uint32_t MaxAttempts = 2; ///< Targets that may run one request.
+  /// Time after which the caller gets a final answer, if limited.
+  std::optional<Duration> Timeout;
+  /// Time within which an answer is useful in full.
+  Duration TargetLatency = std::chrono::seconds(1);
+  std::uint32_t Priority = 0; ///< 0 is the most urgent.
   bool Open = false; ///< Needs no caller key.
   KeySource Source = KeySource::PathSegment;
   std::string KeyName;          ///< Header or query parameter name.
@@ -93,6 +117,14 @@
   bool ConfirmedLost = false;
 };
 
+/// What an accepted configuration allows callers to send.
+struct RequestLimits {
+  std::uint32_t HeadBytes = 16'384;
+  std::uint32_t BodyBytes = 67'108'864;
+  Duration HeadTimeout = std::chrono::seconds(3); ///< First to last head byte.
+  Duration IdleTimeout = std::chrono::seconds(15); ///< Between two requests.
+};
+
 /// One accepted, checked configuration. Immutable once built.
 struct Configuration {
   std::uint64_t Generation = 0; ///< Rises by one with each accepted change.
@@ -101,6 +133,7 @@
   std::map<ServiceId, ServiceConfig> Services;
   std::map<std::string, RouteConfig> Routes; ///< By name.
   std::map<DataCentreId, DataCentreConfig> DataCentres;
+  RequestLimits Limits;
 };
 
 } // namespace buckthornring
--- a/include/buckthornring/IO/HttpClient.h
+++ b/include/buckthornring/IO/HttpClient.h
@@ -51,6 +51,8 @@
 /// Limits of one exchange.
 struct HttpCallOptions {
   Duration TimeLimit = std::chrono::seconds(5); ///< Connecting included.
+  /// Part of the time limit for opening a connection.
+  Duration ConnectLimit = std::chrono::seconds(5);
   bool FreshConnection = false; ///< Never use a kept-alive connection.
   /// A kept-alive connection that was idle for longer is not used.
   Duration MaxIdleAge = std::chrono::seconds(30);
--- a/include/buckthornring/Routing/RouteTable.h
+++ b/include/buckthornring/Routing/RouteTable.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace buckthornring {
@@ -22,7 +23,10 @@
 
   /// Returns the route whose prefix is the longest that \p Path starts with at
   /// a segment boundary ("/a" matches "/a" and "/a/b", not "/ab"), or null.
-  auto match(std::string_view Path) const -> const RouteConfig *;
+  ///
+  /// Routes of \p Host go before routes of any host.
+  auto match(std::string_view Path, std::string_view Host = {}) const
+      -> const RouteConfig *;
 
   /// Returns the request's key on \p Route, or nothing when it is missing,
   /// empty or has a malformed percent escape (RFC 3986, 2.1).
@@ -34,7 +38,10 @@
       -> std::optional<std::string>;
 
 private:
-  std::vector<const RouteConfig *> LongestFirst;
+  using RouteList = std::vector<const RouteConfig *>;
+
+  /// Routes by host, "" for any host; the longest prefix comes first.
+  std::unordered_map<std::string, RouteList> ByHost;
 };
 
 } // namespace buckthornring
--- /dev/null
+++ b/lib/Fleet/FleetMessage.cpp
@@ -0,0 +1,155 @@
+#include "Fleet/FleetMessage.h"
+
+#include <nlohmann/json.hpp>
+
+namespace buckthornring {
+
+using Json = nlohmann::json;
+
+namespace {
+
+// Messages cross data centres several times a second, so names are short.
+
+auto encodeLeader(const LeaderInfo &Leader) -> Json {
+  return Json::array({Leader.Instance.str(), Leader.Process, Leader.Address,
+                      Leader.Term});
+}
+
+auto decodeLeader(const Json &Value) -> LeaderInfo {
+  return {InstanceId(Value.at(0).get<std::string>()),
+          Value.at(1).get<std::string>(), Value.at(2).get<std::string>(),
+          Value.at(3).get<std::uint64_t>()};
+}
+
+auto encodeSeen(const SeenChanges &Seen) -> Json {
+  return Json::array({Seen.Configuration, Seen.Targets, Seen.Evacuations});
+}
+
+auto decodeSeen(const Json &Value) -> SeenChanges {
+  return {Value.at(0).get<std::uint64_t>(), Value.at(1).get<std::uint64_t>(),
+          Value.at(2).get<std::uint64_t>()};
+}
+
+template <class Id, class Value>
+auto encodeMap(const std::map<Id, Value> &Entries) -> Json {
+  Json Out = Json::object();
+  for (const auto &[Name, Each] : Entries)
+    Out[Name.str()] = Each;
+  return Out;
+}
+
+template <class Id, class Value>
+auto decodeMap(const Json &From) -> std::map<Id, Value> {
+  std::map<Id, Value> Out;
+  for (const auto &[Name, Each] : From.items())
+    Out[Id(Name)] = Each.template get<Value>();
+  return Out;
+}
+
+/// Four digits are enough for a part; a float takes half the bytes.
+auto shortParts(const std::map<WorkspaceId, double> &Parts)
+    -> std::map<WorkspaceId, std::uint32_t> {
+  std::map<WorkspaceId, std::uint32_t> Out;
+  for (const auto &[Id, Part] : Parts)
+    Out[Id] = static_cast<std::uint32_t>(Part * 10'000);
+  return Out;
+}
+
+auto encode(const FleetReport &Report) -> Json {
+  return {{"t", 1},
+          {"i", Report.Instance.str()},
+          {"p", Report.Process},
+          {"d", Report.DataCentre.str()},
+          {"l", encodeLeader(Report.Leader)},
+          {"s", Report.StoreReachable},
+          {"x", Report.Leaving},
+          {"c", encodeSeen(Report.Seen)},
+          {"m", Report.SpanMs},
+          {"w", encodeMap(Report.Demand)},
+          {"k", encodeMap(Report.Keys)}};
+}
+
+auto encode(const FleetReply &Reply) -> Json {
+  return {{"t", 2},
+          {"l", encodeLeader(Reply.Leader)},
+          {"s", Reply.StoreReachable},
+          {"c", encodeSeen(Reply.Seen)},
+          {"f", Reply.SeenFrom},
+          {"n", Reply.Instances},
+          {"z", Reply.InDataCentre},
+          {"w", encodeMap(shortParts(Reply.RateParts))},
+          {"o", static_cast<std::uint32_t>(Reply.OtherParts * 10'000)}};
+}
+
+auto encode(const GrantNotice &Notice) -> Json {
+  return {{"t", 3}, {"r", Notice.Term}, {"g", encodeMap(Notice.Fences)}};
+}
+
+auto decodeReport(const Json &Value) -> FleetReport {
+  FleetReport Report;
+  Report.Instance = InstanceId(Value.at("i").get<std::string>());
+  Report.Process = Value.at("p").get<std::string>();
+  Report.DataCentre = DataCentreId(Value.at("d").get<std::string>());
+  Report.Leader = decodeLeader(Value.at("l"));
+  Report.StoreReachable = Value.at("s").get<bool>();
+  Report.Leaving = Value.at("x").get<bool>();
+  Report.Seen = decodeSeen(Value.at("c"));
+  Report.SpanMs = Value.at("m").get<std::uint32_t>();
+  Report.Demand = decodeMap<WorkspaceId, std::uint32_t>(Value.at("w"));
+  Report.Keys =
+      decodeMap<ServiceId, std::vector<std::uint32_t>>(Value.at("k"));
+  return Report;
+}
+
+auto decodeReply(const Json &Value) -> FleetReply {
+  FleetReply Reply;
+  Reply.Leader = decodeLeader(Value.at("l"));
+  Reply.StoreReachable = Value.at("s").get<bool>();
+  Reply.Seen = decodeSeen(Value.at("c"));
+  Reply.SeenFrom = Value.at("f").get<std::string>();
+  Reply.Instances = Value.at("n").get<std::uint32_t>();
+  Reply.InDataCentre = Value.at("z").get<std::uint32_t>();
+  for (const auto &[Id, Part] :
+       decodeMap<WorkspaceId, std::uint32_t>(Value.at("w")))
+    Reply.RateParts[Id] = Part / 10'000.0;
+  Reply.OtherParts = Value.at("o").get<std::uint32_t>() / 10'000.0;
+  return Reply;
+}
+
+auto decodeNotice(const Json &Value) -> GrantNotice {
+  GrantNotice Notice;
+  Notice.Term = Value.at("r").get<std::uint64_t>();
+  Notice.Fences =
+      decodeMap<ServiceId, std::vector<std::uint64_t>>(Value.at("g"));
+  return Notice;
+}
+
+} // namespace
+
+auto encodeFleetMessage(const FleetMessage &Message) -> std::string {
+  const Json Value =
+      std::visit([](const auto &Each) { return encode(Each); }, Message);
+  std::string Bytes;
+  Json::to_cbor(Value, Bytes);
+  return Bytes;
+}
+
+auto decodeFleetMessage(std::string_view Bytes) -> Result<FleetMessage> {
+  try {
+    const Json Value = Json::from_cbor(Bytes.begin(), Bytes.end());
+    switch (Value.at("t").get<int>()) {
+    case 1:
+      return FleetMessage(decodeReport(Value));
+    case 2:
+      return FleetMessage(decodeReply(Value));
+    case 3:
+      return FleetMessage(decodeNotice(Value));
+    default:
+      return Error("unknown message type");
+    }
+  } catch (const Json::exception &Failure) {
+    return Error(Failure.what());
+  }
+}
+
+} // namespace buckthornring
--- /dev/null
+++ b/lib/Fleet/FleetMessage.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "buckthornring/Common/Ids.h"
+#include "buckthornring/Common/Result.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace buckthornring {
+
+/// Newest change of each kind of object that an instance has seen, as store
+/// revisions.
+struct SeenChanges {
+  std::uint64_t Configuration = 0;
+  std::uint64_t Targets = 0;
+  std::uint64_t Evacuations = 0;
+
+  friend auto operator==(const SeenChanges &, const SeenChanges &)
+      -> bool = default;
+};
+
+/// The instance that leads, by the object in the store.
+struct LeaderInfo {
+  InstanceId Instance;
+  std::string Process; ///< Names one start of the instance.
+  std::string Address; ///< IP address and port for messages.
+  std::uint64_t Term = 0; ///< Store revision of the object; 0: none.
+};
+
+/// What an instance tells the leader several times a second.
+struct FleetReport {
+  InstanceId Instance;
+  std::string Process;
+  DataCentreId DataCentre;
+  LeaderInfo Leader; ///< As the sender knows it.
+  bool StoreReachable = false;
+  bool Leaving = false;
+  SeenChanges Seen;
+  std::uint32_t SpanMs = 0; ///< Time that the counts cover.
+  std::map<WorkspaceId, std::uint32_t> Demand;
+  std::map<ServiceId, std::vector<std::uint32_t>> Keys;
+};
+
+/// The leader's answer to a report.
+struct FleetReply {
+  LeaderInfo Leader;
+  bool StoreReachable = false;
+  SeenChanges Seen;     ///< Newest that any instance has reported.
+  std::string SeenFrom; ///< Address of an instance that has seen it.
+  std::uint32_t Instances = 1;
+  std::uint32_t InDataCentre = 1; ///< Of the receiver.
+  std::map<WorkspaceId, double> RateParts;
+  double OtherParts = 0;
+};
+
+/// New owners that have received their grants, by fencing token.
+struct GrantNotice {
+  std::uint64_t Term = 0;
+  std::map<ServiceId, std::vector<std::uint64_t>> Fences;
+};
+
+using FleetMessage = std::variant<FleetReport, FleetReply, GrantNotice>;
+
+/// Encodes a message as CBOR.
+auto encodeFleetMessage(const FleetMessage &Message) -> std::string;
+
+/// Fails when the bytes are no message.
+auto decodeFleetMessage(std::string_view Bytes) -> Result<FleetMessage>;
+
+} // namespace buckthornring
--- /dev/null
+++ b/lib/Fleet/KeyRanges.cpp
@@ -0,0 +1,77 @@
+#include "Fleet/KeyRanges.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace buckthornring {
+
+using Json = nlohmann::json;
+
+auto RangeRecord::find(std::uint32_t Key) const -> const KeyRange * {
+  const auto Found =
+      std::lower_bound(Ranges.begin(), Ranges.end(), Key,
+                       [](const KeyRange &Range, std::uint32_t Wanted) {
+                         return Range.To < Wanted;
+                       });
+  return Found == Ranges.end() || Found->From > Key ? nullptr : &*Found;
+}
+
+auto RangeRecord::json() const -> Json {
+  Json List = Json::array();
+  for (const KeyRange &Range : Ranges) {
+    Json Entry = {{"from", Range.From},
+                  {"to", Range.To},
+                  {"owner", Range.Owner.str()},
+                  {"owner_started_at", Range.OwnerStartedAt},
+                  {"fence", Range.Fence}};
+    if (!Range.Donor.empty()) {
+      Entry["donor"] = Range.Donor.str();
+      Entry["donor_started_at"] = Range.DonorStartedAt;
+      Entry["donor_fence"] = Range.DonorFence;
+    }
+    List.push_back(std::move(Entry));
+  }
+  return {{"next_fence", NextFence}, {"ranges", std::move(List)}};
+}
+
+auto RangeRecord::parse(const Json &Value, std::uint32_t Keys)
+    -> Result<RangeRecord> {
+  RangeRecord Record;
+  try {
+    Record.NextFence = Value.at("next_fence").get<std::uint64_t>();
+    for (const Json &Entry : Value.at("ranges")) {
+      KeyRange Range;
+      Range.From = Entry.at("from").get<std::uint32_t>();
+      Range.To = Entry.at("to").get<std::uint32_t>();
+      Range.Owner = TargetId(Entry.at("owner").get<std::string>());
+      Range.OwnerStartedAt = Entry.at("owner_started_at").get<std::int64_t>();
+      Range.Fence = Entry.at("fence").get<std::uint64_t>();
+      if (Entry.contains("donor")) {
+        Range.Donor = TargetId(Entry.at("donor").get<std::string>());
+        Range.DonorStartedAt =
+            Entry.at("donor_started_at").get<std::int64_t>();
+        Range.DonorFence = Entry.at("donor_fence").get<std::uint64_t>();
+      }
+      Record.Ranges.push_back(std::move(Range));
+    }
+  } catch (const Json::exception &Failure) {
+    return Error(std::string("not a range record: ") + Failure.what());
+  }
+  if (!Record.valid(Keys))
+    return Error("ranges do not cover all keys once");
+  return Record;
+}
+
+auto RangeRecord::valid(std::uint32_t Keys) const -> bool {
+  std::uint64_t Next = 0;
+  for (const KeyRange &Range : Ranges) {
+    if (Range.From != Next || Range.To < Range.From ||
+        Range.Fence >= NextFence || Range.DonorFence >= NextFence)
+      return false;
+    Next = std::uint64_t{Range.To} + 1;
+  }
+  return Next == Keys;
+}
+
+} // namespace buckthornring
--- /dev/null
+++ b/lib/Fleet/KeyRanges.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "buckthornring/Common/Ids.h"
+#include "buckthornring/Common/Result.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+#include <vector>
+
+namespace buckthornring {
+
+/// Keys From to To, both inclusive, and the life of the target that owns them.
+struct KeyRange {
+  std::uint32_t From = 0;
+  std::uint32_t To = 0;
+  TargetId Owner;                  ///< Empty: nobody yet.
+  std::int64_t OwnerStartedAt = 0; ///< TargetRecord::StartedAtMs of the owner.
+  std::uint64_t Fence = 0;         ///< Fencing token of the owner's grant.
+  /// Previous owner that may still hold the keys. Empty: none can.
+  TargetId Donor;
+  std::int64_t DonorStartedAt = 0;
+  std::uint64_t DonorFence = 0;
+
+  auto width() const -> std::uint32_t { return To - From + 1; }
+  friend auto operator==(const KeyRange &, const KeyRange &) -> bool = default;
+};
+
+/// The recorded assignment of one service's keys. Ranges are sorted and cover
+/// all keys without overlap.
+struct RangeRecord {
+  /// Above every fencing token that was ever recorded.
+  std::uint64_t NextFence = 1;
+  std::vector<KeyRange> Ranges;
+
+  /// Returns the range of \p Key, or null when there is none.
+  auto find(std::uint32_t Key) const -> const KeyRange *;
+
+  auto json() const -> nlohmann::json;
+  /// Fails with the reason when the value is no record that covers \p Keys
+  /// keys.
+  static auto parse(const nlohmann::json &Value, std::uint32_t Keys)
+      -> Result<RangeRecord>;
+
+  /// Whether the ranges are sorted, cover all \p Keys keys once, and every
+  /// fencing token is below NextFence.
+  auto valid(std::uint32_t Keys) const -> bool;
+};
+
+} // namespace buckthornring
--- /dev/null
+++ b/lib/Fleet/RangeKeeper.cpp
@@ -0,0 +1,307 @@
+#include "Fleet/RangeKeeper.h"
+
+#include "buckthornring/Common/Invariant.h"
+
+#include <algorithm>
+
+namespace buckthornring {
+
+namespace {
+
+/// Time without an answer to any order after which a target's keys are planned
+/// elsewhere. Covers two repeated calls.
+constexpr Duration SilenceLimit = std::chrono::milliseconds(1200);
+
+/// Time after the last failed order after which a silent target is tried again.
+constexpr Duration SilenceMemory = std::chrono::seconds(4);
+
+/// Gives all ranges new fencing tokens and joins neighbours of one owner.
+auto renumbered(const RangeRecord &Old) -> RangeRecord {
+  RangeRecord Next;
+  Next.NextFence = Old.NextFence;
+  for (const KeyRange &Range : Old.Ranges) {
+    KeyRange *Last = Next.Ranges.empty() ? nullptr : &Next.Ranges.back();
+    if (Last && Last->Owner == Range.Owner &&
+        Last->OwnerStartedAt == Range.OwnerStartedAt && Last->Donor.empty() &&
+        Range.Donor.empty()) {
+      Last->To = Range.To;
+      continue;
+    }
+    Next.Ranges.push_back(Range);
+    Next.Ranges.back().Fence = Next.NextFence++;
+  }
+  return Next;
+}
+
+} // namespace
+
+auto RangeKeeper::takeOver(RangeRecord Recorded, std::uint64_t AtRevision,
+                           TimePoint Now) -> void {
+  Revision = AtRevision;
+  TakenOverAt = Now;
+  Silent.clear();
+  if (Recorded.Ranges.empty()) {
+    KeyRange All;
+    All.To = Keys - 1;
+    Recorded.Ranges = {All};
+  }
+  Current = std::move(Recorded);
+  // An earlier leader may renew what is recorded until its authority ends. It
+  // has stopped renewing at a donor before it recorded the move.
+  State Unknown;
+  Unknown.HoldEnd = Now + Times.Authority + Times.longestHold();
+  Unknown.StrayEnd = Unknown.HoldEnd;
+  Unknown.DonorHoldEnd = Now + Times.longestHold();
+  Unknown.DonorStrayEnd = Unknown.DonorHoldEnd;
+  Unknown.Sent = true;
+  States.assign(Current.Ranges.size(), Unknown);
+  for (std::size_t Index = 0; Index < States.size(); ++Index)
+    if (Current.Ranges[Index].Owner.empty())
+      States[Index] = State();
+  Proposed.reset();
+  TakingOver = AtRevision != 0;
+  if (TakingOver)
+    Proposed = renumbered(Current);
+}
+
+auto RangeKeeper::stateOf(const RangeRecord &Record,
+                          const KeyRange &Range) const -> State {
+  for (std::size_t Index = 0; Index < Record.Ranges.size(); ++Index) {
+    const KeyRange &Old = Record.Ranges[Index];
+    if (Range.From < Old.From || Range.To > Old.To)
+      continue;
+    State Known = States[Index];
+    if (Range.Fence == Old.Fence)
+      return Known;
+    if (Range.Owner == Old.Owner &&
+        Range.OwnerStartedAt == Old.OwnerStartedAt) {
+      Known.NextAt = TimePoint::min();
+      return Known;
+    }
+    State Moved;
+    // An owner that was never told keeps the donor before it in place.
+    const bool SameDonor =
+        Range.Donor == Old.Donor && Range.DonorFence == Old.DonorFence;
+    Moved.DonorHoldEnd = SameDonor ? Known.DonorHoldEnd : Known.HoldEnd;
+    Moved.DonorInFlight = SameDonor ? Known.DonorInFlight : Known.InFlight;
+    Moved.DonorStrayEnd = SameDonor ? Known.DonorStrayEnd : Known.StrayEnd;
+    Moved.Released = SameDonor && Known.Released;
+    Moved.Handover = SameDonor ? Known.Handover : "";
+    return Moved;
+  }
+  // Joined neighbours: the latest of their times holds for all.
+  State Joined;
+  for (std::size_t Index = 0; Index < Record.Ranges.size(); ++Index) {
+    const KeyRange &Old = Record.Ranges[Index];
+    if (Old.To < Range.From || Old.From > Range.To)
+      continue;
+    Joined.HoldEnd = std::max(Joined.HoldEnd, States[Index].HoldEnd);
+    Joined.StrayEnd = std::max(Joined.StrayEnd, States[Index].StrayEnd);
+    Joined.Sent = Joined.Sent || States[Index].Sent;
+    Joined.InFlight = Joined.InFlight || States[Index].InFlight;
+  }
+  return Joined;
+}
+
+auto RangeKeeper::writeDone(std::uint64_t NewRevision, TimePoint /*Now*/)
+    -> void {
+  invariant(Proposed.has_value(), "a record was being written");
+  std::vector<State> Next;
+  for (const KeyRange &Range : Proposed->Ranges)
+    Next.push_back(stateOf(Current, Range));
+  Current = std::move(*Proposed);
+  States = std::move(Next);
+  Proposed.reset();
+  Revision = NewRevision;
+  TakingOver = false;
+}
+
+auto RangeKeeper::writeRefused() -> void { Proposed.reset(); }
+
+auto RangeKeeper::donorGone(const KeyRange &Range, const State &Known,
+                            TimePoint Now) const -> bool {
+  if (Range.Donor.empty())
+    return true;
+  // A new life of the donor holds nothing of the old one's.
+  const auto Life = Seen.Lives.find(Range.Donor);
+  if (Life != Seen.Lives.end() && Life->second != Range.DonorStartedAt)
+    return true;
+  if (Known.DonorInFlight)
+    return false;
+  if (Now > Known.DonorHoldEnd)
+    return true;
+  return Known.Released && Now > Known.DonorStrayEnd;
+}
+
+auto RangeKeeper::plan(View Given, const KeyLoad &Load, TimePoint Now) -> void {
+  Seen = std::move(Given);
+  if (Proposed)
+    return;
+  std::erase_if(Seen.Targets, [&](const PlanTarget &Target) {
+    return unresponsive(Target.Id, Now);
+  });
+  const auto Movable = [&](const KeyRange &Range) {
+    for (std::size_t Index = 0; Index < Current.Ranges.size(); ++Index)
+      if (Current.Ranges[Index] == Range)
+        return donorGone(Range, States[Index], Now);
+    return false;
+  };
+  const bool Settled = std::all_of(
+      Current.Ranges.begin(), Current.Ranges.end(),
+      [&](const KeyRange &Range) {
+        const State &Known = States[&Range - Current.Ranges.data()];
+        return donorGone(Range, Known, Now) && Known.Sent;
+      });
+  auto Next = RangePlanner::plan(
+      {Current, Seen.Targets, Load, Keys, Movable, Settled});
+  if (Next)
+    Proposed = std::move(Next);
+}
+
+auto RangeKeeper::proposedAway(const KeyRange &Range) const -> bool {
+  if (!Proposed)
+    return false;
+  // The record may already be in force without an answer, so nothing is
+  // renewed that it takes away.
+  for (const KeyRange &Next : Proposed->Ranges)
+    if (Next.From <= Range.To && Next.To >= Range.From &&
+        (Next.Owner != Range.Owner || Next.From > Range.From ||
+         Next.To < Range.To || Next.Fence != Range.Fence))
+      return true;
+  return false;
+}
+
+auto RangeKeeper::nextRelease(const TargetId &Target, TimePoint ConfirmedAt,
+                              TimePoint Now) -> std::optional<RangeCall> {
+  if (TakingOver || Now - ConfirmedAt > Times.Authority)
+    return std::nullopt;
+  for (std::size_t Index = 0; Index < Current.Ranges.size(); ++Index) {
+    const KeyRange &Range = Current.Ranges[Index];
+    State &Known = States[Index];
+    if (Range.Donor != Target || Known.Released || Known.Releasing ||
+        Known.DonorInFlight || Known.Sent || Now < Known.ReleaseAt ||
+        Now > Known.DonorHoldEnd)
+      continue;
+    Known.Releasing = true;
+    RangeCall Call;
+    Call.What = RangeCall::Kind::Release;
+    Call.Target = Target;
+    Call.StartedAt = Range.DonorStartedAt;
+    Call.From = Range.From;
+    Call.To = Range.To;
+    Call.Fence = Range.DonorFence;
+    return Call;
+  }
+  return std::nullopt;
+}
+
+auto RangeKeeper::nextGrant(const TargetId &Target, TimePoint ConfirmedAt,
+                            TimePoint Now) -> std::optional<RangeCall> {
+  if (TakingOver || Now - ConfirmedAt > Times.Authority)
+    return std::nullopt;
+  const auto Life = Seen.Lives.find(Target);
+  for (std::size_t Index = 0; Index < Current.Ranges.size(); ++Index) {
+    const KeyRange &Range = Current.Ranges[Index];
+    State &Known = States[Index];
+    if (Range.Owner != Target || Now < Known.NextAt ||
+        !donorGone(Range, Known, Now) || proposedAway(Range))
+      continue;
+    // Another life of the target needs a recorded assignment of its own.
+    if (Life != Seen.Lives.end() && Life->second != Range.OwnerStartedAt)
+      continue;
+    if (Seen.Leaving.contains(Target) && !Known.Sent)
+      continue;
+    Known.Sent = true;
+    Known.InFlight = true;
+    RangeCall Call;
+    Call.Target = Target;
+    Call.StartedAt = Range.OwnerStartedAt;
+    Call.From = Range.From;
+    Call.To = Range.To;
+    Call.Fence = Range.Fence;
+    Call.Hold = Times.Hold;
+    Call.Handover = Known.Handover;
+    return Call;
+  }
+  return std::nullopt;
+}
+
+auto RangeKeeper::granted(const RangeCall &Call, RangeAnswer Answer,
+                          TimePoint Now) -> void {
+  // The ranges may have been split or moved while the call was under way.
+  for (std::size_t Index = 0; Index < Current.Ranges.size(); ++Index) {
+    const KeyRange &Range = Current.Ranges[Index];
+    State &Known = States[Index];
+    if (Range.To < Call.From || Range.From > Call.To)
+      continue;
+    const bool Owns = Range.Owner == Call.Target && Range.Fence == Call.Fence;
+    const bool Gave =
+        Range.Donor == Call.Target && Range.DonorFence == Call.Fence;
+    if (!Owns && !Gave)
+      continue;
+    (Owns ? Known.InFlight : Known.DonorInFlight) = false;
+    TimePoint &End = Owns ? Known.HoldEnd : Known.DonorHoldEnd;
+    TimePoint &Stray = Owns ? Known.StrayEnd : Known.DonorStrayEnd;
+    const TimePoint Latest = Now + Times.longestHold();
+    if (Answer == RangeAnswer::Accepted || Answer == RangeAnswer::Unanswered)
+      End = std::max(End, Latest);
+    if (Answer == RangeAnswer::Unanswered)
+      Stray = Latest;
+    if (Owns && Answer == RangeAnswer::Accepted &&
+        !std::exchange(Known.Accepted, true))
+      Granted.push_back(Range.Fence);
+    if (Owns)
+      Known.NextAt = Now + (Answer == RangeAnswer::Accepted ? Times.RenewEvery
+                                                            : Times.RepeatAfter);
+  }
+}
+
+auto RangeKeeper::released(const RangeCall &Call, RangeAnswer Answer,
+                           const std::string &Handover, TimePoint Now) -> void {
+  for (std::size_t Index = 0; Index < Current.Ranges.size(); ++Index) {
+    const KeyRange &Range = Current.Ranges[Index];
+    State &Known = States[Index];
+    if (Range.Donor != Call.Target || Range.DonorFence != Call.Fence ||
+        Range.From < Call.From || Range.To > Call.To)
+      continue;
+    Known.Releasing = false;
+    Known.ReleaseAt = Now + Times.RepeatAfter;
+    if (Answer != RangeAnswer::Accepted)
+      continue;
+    Known.Released = true;
+    Known.Handover = Handover;
+  }
+}
+
+auto RangeKeeper::callEnded(const RangeCall &Call, RangeAnswer Answer,
+                            const std::string &Handover, TimePoint Now)
+    -> void {
+  if (Answer == RangeAnswer::Accepted || Answer == RangeAnswer::Refused)
+    Silent.erase(Call.Target);
+  else
+    Silent.try_emplace(Call.Target, Silence{Now, Now}).first->second.Last = Now;
+  if (Call.What == RangeCall::Kind::Grant)
+    granted(Call, Answer, Now);
+  else
+    released(Call, Answer, Handover, Now);
+}
+
+auto RangeKeeper::unresponsive(const TargetId &Target, TimePoint Now) const
+    -> bool {
+  const auto Found = Silent.find(Target);
+  return Found != Silent.end() && Now - Found->second.Last < SilenceMemory &&
+         Now - Found->second.Since > SilenceLimit;
+}
+
+auto RangeKeeper::involved() const -> std::set<TargetId> {
+  std::set<TargetId> Out;
+  for (std::size_t Index = 0; Index < Current.Ranges.size(); ++Index) {
+    if (!Current.Ranges[Index].Owner.empty())
+      Out.insert(Current.Ranges[Index].Owner);
+    if (!Current.Ranges[Index].Donor.empty() && !States[Index].Sent)
+      Out.insert(Current.Ranges[Index].Donor);
+  }
+  return Out;
+}
+
+} // namespace buckthornring
--- /dev/null
+++ b/lib/Fleet/RangeKeeper.h
@@ -0,0 +1,170 @@
+#pragma once
+
+#include "Fleet/KeyLoad.h"
+#include "Fleet/KeyRanges.h"
+#include "Fleet/RangePlanner.h"
+#include "buckthornring/Common/EnumNames.h"
+#include "buckthornring/Common/Time.h"
+
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace buckthornring {
+
+/// Times of the ownership protocol.
+struct RangeTimes {
+  /// Length of a grant, from its arrival at the target.
+  Duration Hold = std::chrono::seconds(3);
+  Duration RenewEvery = std::chrono::milliseconds(1000);
+  /// Wait before a call that got no answer is repeated.
+  Duration RepeatAfter = std::chrono::milliseconds(300);
+  /// Time since the last proof of leadership during which grants are renewed.
+  Duration Authority = std::chrono::seconds(10);
+  double ClockError = 0.02; ///< A target's clock may run slow by this part.
+  /// Longest time from the end of a call's connection to its arrival.
+  Duration Transit = std::chrono::milliseconds(150);
+
+  /// Time after which a grant that arrived at the latest by now has ended.
+  auto longestHold() const -> Duration {
+    return std::chrono::duration_cast<Duration>(Hold * (1 + ClockError)) +
+           Transit;
+  }
+};
+
+/// An order to a target.
+struct RangeCall {
+  enum class Kind { Grant, Release };
+  Kind What = Kind::Grant;
+  TargetId Target;
+  std::int64_t StartedAt = 0; ///< Life of the target that is meant.
+  std::uint32_t From = 0;
+  std::uint32_t To = 0;
+  std::uint64_t Fence = 0;
+  Duration Hold{0};
+  std::string Handover; ///< State of the previous owner, if known.
+};
+
+inline constexpr EnumNames<RangeCall::Kind, 2> RangeCallNames({"grant",
+                                                               "release"});
+
+enum class RangeAnswer {
+  Accepted,
+  Refused,    ///< A higher fencing token was seen.
+  Unanswered, ///< The connection was closed; the call may still take effect.
+  NotSent,    ///< The target was not reached.
+};
+
+inline constexpr EnumNames<RangeAnswer, 4>
+    RangeAnswerNames({"accepted", "refused", "unanswered", "not-sent"});
+
+/// Keeps the keys of one service owned, as the current leader.
+///
+/// Each change of owners is recorded in the store, under a condition, before
+/// any target hears of it. A new owner gets its grant only when the previous
+/// one has released the keys, has started anew without them, or its grant has
+/// certainly ended. A new leader first gives all ranges higher fencing tokens,
+/// so that targets refuse what an earlier leader still sends.
+class RangeKeeper {
+public:
+  RangeKeeper(std::uint32_t Keys, RangeTimes Times)
+      : Keys(Keys), Times(Times) {}
+
+  /// Starts leading from the recorded state; \p Revision 0: none is recorded.
+  auto takeOver(RangeRecord Recorded, std::uint64_t Revision, TimePoint Now)
+      -> void;
+
+  struct View {
+    std::vector<PlanTarget> Targets;
+    /// Start time by id of all targets in the directory.
+    std::unordered_map<TargetId, std::int64_t> Lives;
+    /// Targets from which keys are to be withdrawn while they still answer.
+    std::set<TargetId> Leaving;
+  };
+
+  /// Plans changes. Call at intervals and when targets change.
+  auto plan(View Seen, const KeyLoad &Load, TimePoint Now) -> void;
+
+  /// A record to be written to the store when it has revision(), or nothing.
+  auto pendingWrite() const -> const std::optional<RangeRecord> & {
+    return Proposed;
+  }
+  auto revision() const -> std::uint64_t { return Revision; }
+  auto writeDone(std::uint64_t NewRevision, TimePoint Now) -> void;
+  /// Nothing was written; the change is planned anew.
+  auto writeRefused() -> void;
+
+  /// Returns the next order to the target that is due, or nothing. The caller
+  /// has at most one grant to a target under way; releases may wait beside it.
+  /// \p ConfirmedAt is when the leadership was last proved.
+  auto nextGrant(const TargetId &Target, TimePoint ConfirmedAt, TimePoint Now)
+      -> std::optional<RangeCall>;
+  auto nextRelease(const TargetId &Target, TimePoint ConfirmedAt, TimePoint Now)
+      -> std::optional<RangeCall>;
+  auto callEnded(const RangeCall &Call, RangeAnswer Answer,
+                 const std::string &Handover, TimePoint Now) -> void;
+
+  /// Targets that have or get ranges, and donors.
+  auto involved() const -> std::set<TargetId>;
+  /// Whether the target has left orders unanswered for long. Forgotten some
+  /// time after the last failure, so that the target is tried again.
+  auto unresponsive(const TargetId &Target, TimePoint Now) const -> bool;
+
+  /// Returns the fencing tokens of new owners that have received their first
+  /// grants since the last call.
+  auto takeGranted() -> std::vector<std::uint64_t> {
+    return std::exchange(Granted, {});
+  }
+
+  auto record() const -> const RangeRecord & { return Current; }
+
+private:
+  /// What this leader knows of one recorded range.
+  struct State {
+    /// Latest time up to which the owner may hold the keys.
+    TimePoint HoldEnd = TimePoint::min();
+    /// Latest effect of a grant to the owner that got no answer.
+    TimePoint StrayEnd = TimePoint::min();
+    TimePoint DonorHoldEnd = TimePoint::min();
+    TimePoint DonorStrayEnd = TimePoint::min();
+    TimePoint NextAt = TimePoint::min();
+    TimePoint ReleaseAt = TimePoint::min();
+    bool InFlight = false;      ///< A grant to the owner is under way.
+    bool DonorInFlight = false; ///< The same for the donor.
+    bool Sent = false;          ///< A grant was sent to the owner.
+    bool Accepted = false;      ///< The owner has accepted a grant.
+    bool Releasing = false;     ///< A release is under way at the donor.
+    bool Released = false;
+    std::string Handover;
+  };
+
+  auto donorGone(const KeyRange &Range, const State &Known, TimePoint Now) const
+      -> bool;
+  auto stateOf(const RangeRecord &Record, const KeyRange &Range) const -> State;
+  auto proposedAway(const KeyRange &Range) const -> bool;
+  auto granted(const RangeCall &Call, RangeAnswer Answer, TimePoint Now)
+      -> void;
+  auto released(const RangeCall &Call, RangeAnswer Answer,
+                const std::string &Handover, TimePoint Now) -> void;
+
+  std::uint32_t Keys;
+  RangeTimes Times;
+  RangeRecord Current;
+  std::vector<State> States; ///< Parallel to Current.Ranges.
+  std::uint64_t Revision = 0;
+  std::optional<RangeRecord> Proposed;
+  bool TakingOver = false;
+  TimePoint TakenOverAt = TimePoint::min();
+  View Seen;
+  struct Silence {
+    TimePoint Since;
+    TimePoint Last;
+  };
+  std::unordered_map<TargetId, Silence> Silent;
+  std::vector<std::uint64_t> Granted;
+};
+
+} // namespace buckthornring
--- /dev/null
+++ b/lib/Fleet/RateShares.cpp
@@ -0,0 +1,146 @@
+#include "Fleet/RateShares.h"
+
+#include <algorithm>
+
+namespace buckthornring {
+
+namespace {
+
+/// Part of the tolerance that the buckets use. The rest covers the overlap
+/// while parts move from one instance to another, and restarts.
+constexpr double UsedTolerance = 0.8;
+
+/// Part of the rate that is divided equally, whatever the demand, so that a
+/// workspace's first requests at an instance find some of it.
+constexpr double EqualPart = 0.15;
+
+/// Seconds of its rate that a new bucket holds.
+constexpr double StartSeconds = 0.5;
+
+/// Weight of one report in the smoothed demand: about the last 2 s.
+constexpr double DemandWeight = 0.3;
+
+/// An instance without reports for this time no longer holds parts. It halves
+/// the risk that a cut-off instance and its successors serve the same part.
+constexpr Duration HolderLifetime = std::chrono::seconds(6);
+
+auto seconds(Duration Span) -> double {
+  return std::chrono::duration<double>(Span).count();
+}
+
+} // namespace
+
+auto RateShares::depth(const Bucket &Of) const -> double {
+  const double Room = Tolerance.Excess * Of.Rate * seconds(Tolerance.Window) +
+                      (1 + Tolerance.Excess) * Of.Burst + Tolerance.Slack;
+  const double Equal = 1.0 / std::max(1U, Instances);
+  return std::max(1.0, UsedTolerance * Room * (0.5 * Equal + 0.5 * Of.Part));
+}
+
+auto RateShares::refill(Bucket &Of, TimePoint Now) const -> void {
+  if (Of.Filled == TimePoint::min())
+    Of.Tokens = 1 + StartSeconds * Of.Rate * Of.Part;
+  else
+    Of.Tokens += Of.Rate * Of.Part * seconds(Now - Of.Filled);
+  Of.Tokens = std::min(Of.Tokens, depth(Of));
+  Of.Filled = Now;
+}
+
+auto RateShares::configure(const Configuration &Config, TimePoint Now) -> void {
+  std::erase_if(Buckets, [&Config](const auto &Entry) {
+    return !Config.Workspaces.contains(Entry.first);
+  });
+  for (const auto &[Id, Workspace] : Config.Workspaces) {
+    const bool Added = !Buckets.contains(Id);
+    Bucket &Own = Buckets[Id];
+    if (!Added)
+      refill(Own, Now);
+    Own.Rate = Workspace.RatePerSecond;
+    Own.Burst = Workspace.Burst;
+    if (Added)
+      Own.Part = 1.0 / std::max(1U, Instances);
+    refill(Own, Now);
+  }
+}
+
+auto RateShares::setParts(const std::map<WorkspaceId, double> &Parts,
+                          double Others, std::uint32_t InstanceCount,
+                          TimePoint Now) -> void {
+  Instances = std::max(1U, InstanceCount);
+  for (auto &[Id, Own] : Buckets) {
+    refill(Own, Now);
+    const auto Told = Parts.find(Id);
+    Own.Part = Told == Parts.end() ? Others : Told->second;
+    Own.Tokens = std::min(Own.Tokens, depth(Own));
+  }
+}
+
+auto RateShares::admit(const WorkspaceId &Workspace, TimePoint Now) -> bool {
+  ++Demand[Workspace];
+  const auto Found = Buckets.find(Workspace);
+  if (Found == Buckets.end() || Found->second.Rate <= 0)
+    return true;
+  refill(Found->second, Now);
+  if (Found->second.Tokens < 1)
+    return false;
+  Found->second.Tokens -= 1;
+  return true;
+}
+
+auto RateShares::retryAfter(const WorkspaceId &Workspace) const -> Duration {
+  constexpr double LongestSeconds = 2;
+  const auto Found = Buckets.find(Workspace);
+  if (Found == Buckets.end())
+    return Duration(0);
+  const double Rate = std::max(0.1, Found->second.Rate * Found->second.Part);
+  const double Wait =
+      std::clamp((1 - Found->second.Tokens) / Rate, 0.1, LongestSeconds);
+  return Duration(static_cast<std::int64_t>(Wait * 1e6));
+}
+
+auto RateShares::takeDemand() -> std::map<WorkspaceId, std::uint32_t> {
+  return std::exchange(Demand, {});
+}
+
+auto RateDivider::reported(const InstanceId &Instance,
+                           const std::map<WorkspaceId, std::uint32_t> &Demand,
+                           Duration Span, TimePoint Now) -> void {
+  Holder &Own = Holders[Instance];
+  Own.Seen = Now;
+  const double Length = std::max(0.05, seconds(Span));
+  for (auto &[Id, Rate] : Own.Rates)
+    if (!Demand.contains(Id))
+      Rate -= DemandWeight * Rate;
+  for (const auto &[Id, Count] : Demand) {
+    double &Rate = Own.Rates[Id];
+    Rate += DemandWeight * (Count / Length - Rate);
+  }
+}
+
+auto RateDivider::expire(TimePoint Now) -> void {
+  std::erase_if(Holders, [Now](const auto &Entry) {
+    return Now - Entry.second.Seen > HolderLifetime;
+  });
+}
+
+auto RateDivider::partsOf(const InstanceId &Instance) const -> Parts {
+  Parts Out;
+  Out.Instances = std::max<std::uint32_t>(1, instances());
+  Out.Others = EqualPart / Out.Instances;
+  const auto Own = Holders.find(Instance);
+  if (Own == Holders.end())
+    return Out;
+  for (const auto &[Id, Rate] : Own->second.Rates) {
+    double Total = 0;
+    for (const auto &[Name, Other] : Holders) {
+      const auto Found = Other.Rates.find(Id);
+      Total += Found == Other.Rates.end() ? 0 : Found->second;
+    }
+    const double Wanted = Total > 0 ? Rate / Total : 1.0 / Out.Instances;
+    Out.ByWorkspace[Id] =
+        EqualPart / Out.Instances + (1 - EqualPart) * Wanted;
+  }
+  return Out;
+}
+
+} // namespace buckthornring
--- /dev/null
+++ b/lib/Fleet/SlidingCount.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "buckthornring/Common/Time.h"
+
+#include <cstddef>
+#include <deque>
+
+namespace buckthornring {
+
+/// Number of events within a sliding window.
+class SlidingCount {
+public:
+  explicit SlidingCount(Duration Window) : Window(Window) {}
+
+  auto add(TimePoint Now) -> void { Events.push_back(Now); }
+
+  /// Events not older than the window.
+  auto count(TimePoint Now) -> std::size_t {
+    while (!Events.empty() && Now - Events.front() > Window)
+      Events.pop_front();
+    return Events.size();
+  }
+
+  /// Time of the oldest event in the window; count() must not be zero.
+  auto oldest() const -> TimePoint { return Events.front(); }
+
+private:
+  Duration Window;
+  std::deque<TimePoint> Events;
+};
+
+} // namespace buckthornring
--- /dev/null
+++ b/lib/Gateway/FleetMember.cpp
@@ -0,0 +1,274 @@
+#include "Gateway/FleetMember.h"
+
+#include "IO/BootClock.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace buckthornring {
+
+using Json = nlohmann::json;
+
+namespace {
+
+/// A grant lasts 3 s and is renewed every second, so a lost leader has to be
+/// replaced within 2 s: three missed answers and the claim.
+constexpr Duration ReportInterval = std::chrono::milliseconds(400);
+constexpr Duration LeaderSilence = std::chrono::milliseconds(1300);
+
+/// Time without a leader object after the start, so that one instance claims
+/// and the others see it.
+constexpr Duration LongestStagger = std::chrono::milliseconds(300);
+
+/// A leader without contact to the store for this long is replaced.
+constexpr Duration StoreLossLimit = std::chrono::milliseconds(800);
+
+/// An instance whose claim was soon replaced does not reach what the others
+/// reach, so it leaves the lead to them for a while.
+constexpr Duration ShortLead = std::chrono::seconds(10);
+constexpr Duration ClaimPause = std::chrono::seconds(8);
+
+/// Time that the store has to tell a change that a peer has seen already.
+constexpr Duration BehindLimit = std::chrono::milliseconds(500);
+
+/// Keys told in one report; a datagram has to fit into one packet.
+constexpr std::size_t MaxKeys = 150;
+
+auto leaderJson(const LeaderInfo &Leader) -> Json {
+  return {{"instance", Leader.Instance.str()},
+          {"process", Leader.Process},
+          {"address", Leader.Address}};
+}
+
+auto parseLeader(const StoredObject &Object) -> Result<LeaderInfo> {
+  try {
+    return LeaderInfo{
+        InstanceId(Object.Value.at("instance").get<std::string>()),
+        Object.Value.at("process").get<std::string>(),
+        Object.Value.at("address").get<std::string>(), Object.Revision};
+  } catch (const Json::exception &Failure) {
+    return Error(Failure.what());
+  }
+}
+
+} // namespace
+
+FleetMember::FleetMember(boost::asio::io_context &Context, Surroundings Around,
+                         std::uint64_t Seed)
+    : Around(std::move(Around)), Timer(Context), ClaimTimer(Context),
+      Random(Seed) {}
+
+auto FleetMember::scheduleReport() -> void {
+  Timer.expires_after(ReportInterval);
+  Timer.async_wait([this](const boost::system::error_code &Cancelled) {
+    if (Cancelled)
+      return;
+    sendReport();
+    considerClaim(bootNow());
+    scheduleReport();
+  });
+}
+
+auto FleetMember::compose(TimePoint Now) -> FleetReport {
+  FleetReport Report;
+  Report.Instance = Around.Self.Instance;
+  Report.Process = Around.Self.Process;
+  Report.DataCentre = Around.DataCentre;
+  Report.Leader = Current;
+  Report.StoreReachable = Around.StoreReachable();
+  Report.Leaving = Leaving;
+  Report.Seen = Around.Seen();
+  const Duration Span =
+      ReportedAt == TimePoint::min() ? ReportInterval : Now - ReportedAt;
+  Report.SpanMs = static_cast<std::uint32_t>(Span.count() / 1000);
+  ReportedAt = Now;
+  Report.Demand = Around.Requests.Rates.takeDemand();
+  for (auto &[Id, Keys] : Around.Requests.KeysSeen) {
+    if (Keys.size() > MaxKeys)
+      Keys.resize(MaxKeys);
+    if (!Keys.empty())
+      Report.Keys[Id] = std::exchange(Keys, {});
+  }
+  return Report;
+}
+
+auto FleetMember::sendReport() -> void {
+  const TimePoint Now = bootNow();
+  if (Around.Lead.leading())
+    return applyReply(
+        Around.Lead.report(compose(Now), "", Around.StoreReachable()));
+  if (Current.Term != 0)
+    Around.Peers.send(Current.Address, compose(Now));
+}
+
+auto FleetMember::received(const FleetMessage &Message, const std::string &From)
+    -> void {
+  if (const auto *Report = std::get_if<FleetReport>(&Message))
+    gotReport(*Report, From);
+  else if (const auto *Reply = std::get_if<FleetReply>(&Message))
+    gotReply(*Reply);
+  else
+    gotNotice(std::get<GrantNotice>(Message));
+}
+
+auto FleetMember::gotReport(const FleetReport &Report, const std::string &From)
+    -> void {
+  // The sender may know a newer leader than this instance, which may be cut
+  // off from the store.
+  if (Report.Leader.Term > Current.Term)
+    follow(Report.Leader);
+  if (!Around.Lead.leading())
+    return;
+  compareSeen(Report.Seen, From);
+  Around.Peers.send(From, Around.Lead.report(Report, From,
+                                             Around.StoreReachable()));
+}
+
+auto FleetMember::gotReply(const FleetReply &Reply) -> void {
+  if (Reply.Leader.Term < Current.Term)
+    return;
+  if (Reply.Leader.Term > Current.Term)
+    follow(Reply.Leader);
+  if (Around.Lead.leading())
+    return;
+  const TimePoint Now = bootNow();
+  LastReply = Now;
+  if (Reply.StoreReachable)
+    StoreLostAtLeader = TimePoint::min();
+  else if (StoreLostAtLeader == TimePoint::min())
+    StoreLostAtLeader = Now;
+  applyReply(Reply);
+  compareSeen(Reply.Seen, Reply.SeenFrom);
+}
+
+auto FleetMember::applyReply(const FleetReply &Reply) -> void {
+  Around.Requests.Targets.setFleetSize({Reply.Instances, Reply.InDataCentre});
+  Around.Requests.Rates.setParts(Reply.RateParts, Reply.OtherParts,
+                                 Reply.Instances, bootNow());
+}
+
+auto FleetMember::gotNotice(const GrantNotice &Notice) -> void {
+  for (const auto &[Id, Fences] : Notice.Fences) {
+    const auto View = Around.Requests.Ranges.find(Id);
+    if (View == Around.Requests.Ranges.end())
+      continue;
+    for (const std::uint64_t Fence : Fences)
+      View->second.Moving.erase(Fence);
+  }
+  Around.Requests.Waiting.serve();
+}
+
+auto FleetMember::compareSeen(const SeenChanges &Others,
+                              const std::string &From) -> void {
+  const SeenChanges Mine = Around.Seen();
+  const bool Newer = Others.Configuration > Mine.Configuration ||
+                     Others.Targets > Mine.Targets ||
+                     Others.Evacuations > Mine.Evacuations;
+  const TimePoint Now = bootNow();
+  if (!Newer) {
+    BehindSince = TimePoint::min();
+    return;
+  }
+  if (BehindSince == TimePoint::min())
+    BehindSince = Now;
+  if (Now - BehindSince < BehindLimit || From.empty())
+    return;
+  BehindSince = Now;
+  Around.Behind(From);
+}
+
+auto FleetMember::leaderChanged(const StoredObject *Object) -> void {
+  if (!Object || Object->Deleted) {
+    if (Around.Lead.leading())
+      Around.Lead.stop();
+    Current = LeaderInfo();
+    return;
+  }
+  auto Parsed = parseLeader(*Object);
+  if (!Parsed) {
+    Around.Requests.Events.write(EventLine("leader-unreadable")
+                                     .field("reason", Parsed.error().message())
+                                     .field("revision", Object->Revision));
+    return;
+  }
+  if (Parsed->Term > Current.Term)
+    follow(std::move(Parsed).value());
+}
+
+auto FleetMember::follow(LeaderInfo Next) -> void {
+  const TimePoint Now = bootNow();
+  const LeaderInfo Previous = std::exchange(Current, std::move(Next));
+  LastReply = Now;
+  ClaimAt = TimePoint::min();
+  StoreLostAtLeader = TimePoint::min();
+  const bool Self = Current.Process == Around.Self.Process;
+  Around.Requests.Events.write(EventLine("leader-changed")
+                                   .field("leader", Current.Instance.str())
+                                   .field("term", Current.Term)
+                                   .field("self", Self));
+  if (Self && !Leaving)
+    return Around.Lead.start(Current);
+  if (Around.Lead.leading()) {
+    if (Now - ClaimedAt < ShortLead)
+      NoClaimBefore = Now + ClaimPause;
+    Around.Lead.stop();
+  }
+  // The previous leader may be cut off from the store.
+  if (!Previous.Address.empty() && Previous.Address != Around.Self.Address)
+    Around.Peers.send(Previous.Address, compose(Now));
+}
+
+auto FleetMember::considerClaim(TimePoint Now) -> void {
+  if (Around.Lead.leading() || Leaving || Claiming || !Around.Own.loaded() ||
+      !Around.StoreReachable() || Now < NoClaimBefore)
+    return;
+  const bool Silent = Now - LastReply > LeaderSilence;
+  const bool CutOff = StoreLostAtLeader != TimePoint::min() &&
+                      Now - StoreLostAtLeader > StoreLossLimit;
+  if (Current.Term != 0 && !Silent && !CutOff) {
+    ClaimAt = TimePoint::min();
+    return;
+  }
+  if (ClaimAt == TimePoint::min()) {
+    const auto Stagger = std::chrono::duration_cast<Duration>(
+        LongestStagger * Random.unit());
+    ClaimAt = Now + Stagger;
+    ClaimTimer.expires_after(Stagger);
+    ClaimTimer.async_wait([this](const boost::system::error_code &Cancelled) {
+      if (!Cancelled)
+        considerClaim(bootNow());
+    });
+    return;
+  }
+  if (Now >= ClaimAt)
+    claim();
+}
+
+auto FleetMember::claim() -> void {
+  Claiming = true;
+  ClaimAt = TimePoint::min();
+  Around.Store.write(
+      Around.Requests.Protocol.Kinds.Own, LeaderObject, Current.Term,
+      leaderJson(Around.Self), [this](const StoreWrite &Answer) {
+        Claiming = false;
+        Around.Requests.Events.write(
+            EventLine("lead-claimed")
+                .field("status", StoreStatusNames.name(Answer.Status))
+                .field("revision",
+                       Answer.Object ? Answer.Object->Revision : 0));
+        if (Answer.Status == StoreStatus::Done)
+          ClaimedAt = bootNow();
+        if (Answer.Object)
+          leaderChanged(&*Answer.Object);
+      });
+}
+
+auto FleetMember::leave() -> void {
+  Leaving = true;
+  if (!Around.Lead.leading())
+    return sendReport();
+  Around.Lead.resign();
+}
+
+} // namespace buckthornring
--- /dev/null
+++ b/lib/Gateway/Gateway.cpp
@@ -0,0 +1,353 @@
+#include "Gateway/GatewayParts.h"
+
+#include "Gateway/RefusalTable.h"
+#include "IO/BootClock.h"
+#include "IO/Endpoint.h"
+
+#include <algorithm>
+#include <unistd.h>
+
+namespace buckthornring {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+/// Interval of the leader's duties.
+constexpr Duration LeaderTick = std::chrono::milliseconds(100);
+/// Interval of an instance's own upkeep.
+constexpr Duration IdleTick = std::chrono::milliseconds(500);
+
+/// Interval in which waiting requests are tried again; answers and changes
+/// wake them as well.
+constexpr Duration WaitTick = std::chrono::milliseconds(25);
+
+/// Time after the stop signal in which new connections are still accepted: the
+/// balancer notices within two checks, one a second.
+constexpr Duration AcceptAfterStop = std::chrono::milliseconds(2600);
+
+/// Time before the end of the grace at which the rest is ended.
+constexpr Duration StopMargin = std::chrono::milliseconds(400);
+constexpr Duration StopInterval = std::chrono::milliseconds(100);
+
+auto processName(const InstanceId &Instance) -> std::string {
+  timespec Time{};
+  clock_gettime(CLOCK_REALTIME, &Time);
+  return Instance.str() + "-" + std::to_string(Time.tv_sec) + "." +
+         std::to_string(Time.tv_nsec / 1000) + "-" + std::to_string(::getpid());
+}
+
+auto portOf(const std::string &Address) -> std::uint16_t {
+  const auto Endpoint = parseEndpoint(Address);
+  return Endpoint ? Endpoint->port() : 0;
+}
+
+} // namespace
+
+Gateway::Parts::Parts(GatewaySettings Given, PlatformProtocol Spoken)
+    : Settings(std::move(Given)), Protocol(std::move(Spoken)),
+      Events(Settings.Instance.str()), Process(processName(Settings.Instance)),
+      Targets(TargetTable::Settings{Settings.DataCentre},
+              std::hash<std::string>()(Process)),
+      Pool(Io.get_executor()),
+      Requests{Io,
+               Protocol,
+               Targets,
+               Pool,
+               Events,
+               Waiting,
+               Settings.Bounds.Retries,
+               Settings.Instance.str(),
+               nullptr,
+               {},
+               {},
+               RateShares(Settings.Bounds.Rates),
+               {},
+               Totals.stripe(0),
+               {},
+               {}},
+      Listener(Io), Signals(Io, SIGTERM, SIGINT, SIGHUP), TickTimer(Io),
+      WaitTimer(Io), StopTimer(Io) {}
+
+auto Gateway::Parts::bind(const StoreFactory &MakeStore) -> Result<bool> {
+  auto Made = MakeStore(Io, Settings.StoreAddress);
+  if (!Made)
+    return Made.error();
+  Store = std::move(Made).value();
+  const auto Front = parseEndpoint(Settings.CallerAddress);
+  error_code Failure;
+  Listener.open(Front->protocol(), Failure);
+  if (!Failure)
+    Listener.set_option(boost::asio::socket_base::reuse_address(true), Failure);
+  if (!Failure)
+    Listener.bind(*Front, Failure);
+  if (!Failure)
+    Listener.listen(boost::asio::socket_base::max_listen_connections, Failure);
+  if (Failure)
+    return Error("cannot listen on " + Settings.CallerAddress + ": " +
+                 Failure.message());
+  const auto serve = [this](const std::string &Address,
+                            HttpServer::Handler Handler) {
+    const auto Endpoint = parseEndpoint(Address);
+    HttpServerOptions Options;
+    Options.Address = Endpoint->address().to_string();
+    Options.Port = Endpoint->port();
+    return HttpServer::start(Io, std::move(Options), std::move(Handler));
+  };
+  auto Ready = serve(Settings.ReadyAddress,
+                     [this](const HttpRequest &, const HttpResponder &To) {
+                       HttpResponse Response;
+                       Response.Status = ready() ? 200 : 503;
+                       To.respond(std::move(Response));
+                     });
+  if (!Ready)
+    return Ready.error();
+  ReadyServer = std::move(Ready).value();
+  auto Peer = serve(Settings.PeerAddress, [this](const HttpRequest &Request,
+                                                 const HttpResponder &To) {
+    To.respond(answerPeer(Request));
+  });
+  if (!Peer)
+    return Peer.error();
+  PeerServer = std::move(Peer).value();
+  auto Socket = PeerSocket::open(
+      Io, Settings.PeerAddress,
+      [this](const FleetMessage &Message, const std::string &From) {
+        Member->received(Message, From);
+      });
+  if (!Socket)
+    return Socket.error();
+  Peers = std::move(Socket).value();
+  return true;
+}
+
+auto Gateway::Parts::start() -> void {
+  Events.write(EventLine("start")
+                   .field("process", Process)
+                   .field("data_centre", Settings.DataCentre.str())
+                   .field("caller_address", Settings.CallerAddress)
+                   .field("store_address", Settings.StoreAddress));
+  makeFeeds();
+  RangeTimes Times;
+  Times.Hold = std::min(Times.Hold, Settings.Bounds.LongestHold);
+  Lead = std::make_unique<Leader>(
+      Leader::Surroundings{
+          Io, *Store, Protocol, Targets, Events, *OwnFeed,
+          [this](const std::string &To, const FleetMessage &Message) {
+            Peers->send(To, Message);
+          },
+          [this](const GrantNotice &Notice) {
+            Member->received(Notice, Settings.PeerAddress);
+          }},
+      Times);
+  Member = std::make_unique<FleetMember>(
+      Io,
+      FleetMember::Surroundings{
+          Requests, *Store, *OwnFeed, *Lead, *Peers,
+          LeaderInfo{Settings.Instance, Process, Settings.PeerAddress, 0},
+          Settings.DataCentre, [this] { return seen(); },
+          [this] { return storeReachable(); },
+          [this](const std::string &Address) { fetchFrom(Address); }},
+      std::hash<std::string>()(Process) + 1);
+  for (const auto *Feed : {&ConfigurationFeed, &TargetFeed, &EvacuationFeed,
+                           &OwnFeed})
+    (*Feed)->start();
+  Member->start();
+  waitForSignal();
+  accept();
+  tick();
+}
+
+auto Gateway::Parts::accept() -> void {
+  Listener.async_accept([this](const error_code &Failure, tcp::socket Socket) {
+    if (Failure == boost::asio::error::operation_aborted ||
+        !Listener.is_open())
+      return;
+    if (!Failure) {
+      const RequestLimits Limits =
+          Requests.Active ? Requests.Active->Config.Limits : RequestLimits();
+      auto Session =
+          std::make_shared<CallerSession>(std::move(Socket), *this, Limits);
+      Sessions.insert(Session);
+      Session->start();
+      if (StopBegan != TimePoint::min())
+        Session->drain(false);
+    }
+    accept();
+  });
+}
+
+auto Gateway::Parts::received(const std::shared_ptr<CallerSession> &Session,
+                              std::uint64_t Number, CallerRequest Request)
+    -> void {
+  const auto Name = std::make_pair(
+      static_cast<const CallerSession *>(Session.get()), Number);
+  auto Flow = std::make_shared<RequestFlow>(Requests, Session, Number,
+                                            std::move(Request),
+                                            [this, Name] { Flows.erase(Name); });
+  Flows[Name] = Flow;
+  Flow->start();
+  serveWaiting();
+}
+
+auto Gateway::Parts::callerLeft(const CallerSession &Session,
+                                std::uint64_t Number) -> void {
+  const auto Found = Flows.find({&Session, Number});
+  if (Found == Flows.end())
+    return;
+  const auto Flow = Found->second;
+  Flow->callerLeft();
+}
+
+auto Gateway::Parts::unreadable(unsigned Status) -> CallerAnswer {
+  CallerAnswer Answer;
+  Answer.Status = Status;
+  Answer.Fields.add("Btr-Run", "not-run");
+  if (Events.admits(EventClass::Failure, bootNow()))
+    Events.write(EventLine("request-unreadable").field("status", Status));
+  return Answer;
+}
+
+auto Gateway::Parts::sessionEnded(const std::shared_ptr<CallerSession> &Session)
+    -> void {
+  Sessions.erase(Session);
+}
+
+auto Gateway::Parts::serveWaiting() -> void {
+  if (Waiting.empty() || std::exchange(WaitArmed, true))
+    return;
+  WaitTimer.expires_after(WaitTick);
+  WaitTimer.async_wait([this](const error_code &Cancelled) {
+    WaitArmed = false;
+    if (Cancelled)
+      return;
+    Waiting.serve();
+    serveWaiting();
+  });
+}
+
+auto Gateway::Parts::tick() -> void {
+  const TimePoint Now = bootNow();
+  if (Targets.dropMissing(Now))
+    Waiting.serve();
+  Pool.closeIdle(Now);
+  serveWaiting();
+  Events.flush();
+  if (Lead->leading()) {
+    if (OwnFeed->connected())
+      Lead->confirmed(OwnFeed->lastContact());
+    if (Requests.Active)
+      Lead->tick(Requests.Active->Config);
+  }
+  TickTimer.expires_after(Lead->leading() ? LeaderTick : IdleTick);
+  TickTimer.async_wait([this](const error_code &Cancelled) {
+    if (!Cancelled)
+      tick();
+  });
+}
+
+auto Gateway::Parts::ready() const -> bool {
+  return StopBegan == TimePoint::min() && Requests.Active &&
+         TargetFeed->loaded() && !Targets.all().empty();
+}
+
+auto Gateway::Parts::waitForSignal() -> void {
+  Signals.async_wait([this](const error_code &Failure, int Signal) {
+    if (Failure)
+      return;
+    if (Signal == SIGHUP)
+      reloadSettings("signal");
+    else
+      beginStop();
+    waitForSignal();
+  });
+}
+
+auto Gateway::Parts::reloadSettings(const char *Cause) -> void {
+  EventLine Line("settings-reload");
+  Line.field("cause", Cause);
+  if (Reload) {
+    auto Next = Reload();
+    Line.field("accepted", Next.hasValue());
+    if (Next) {
+      // Addresses hold for the life of the process.
+      Settings.Bounds = Next->Bounds;
+      Requests.RetryBounds = Settings.Bounds.Retries;
+    } else {
+      Line.field("reason", Next.error().message());
+    }
+  }
+  Events.write(Line);
+}
+
+auto Gateway::Parts::beginStop() -> void {
+  if (StopBegan != TimePoint::min())
+    return;
+  StopBegan = bootNow();
+  Events.write(EventLine("stop-began").field("requests", Flows.size()));
+  Member->leave();
+  const auto Open = Sessions;
+  for (const auto &Session : Open)
+    Session->drain(false);
+  stopStep();
+}
+
+auto Gateway::Parts::stopStep() -> void {
+  const Duration Passed = bootNow() - StopBegan;
+  if (Passed >= AcceptAfterStop) {
+    error_code Ignored;
+    Listener.close(Ignored);
+    const auto Open = Sessions;
+    for (const auto &Session : Open)
+      Session->drain(true);
+    if (Sessions.empty()) {
+      Events.write(EventLine("stop"));
+      return Io.stop();
+    }
+  }
+  if (Passed >= Settings.Bounds.StopGrace - StopMargin) {
+    const auto Running = Flows;
+    for (const auto &[Name, Flow] : Running)
+      Flow->abandon();
+    Events.write(EventLine("stop").field("abandoned", Running.size()));
+    return Io.stop();
+  }
+  StopTimer.expires_after(StopInterval);
+  StopTimer.async_wait([this](const error_code &Cancelled) {
+    if (!Cancelled)
+      stopStep();
+  });
+}
+
+Gateway::Gateway(std::unique_ptr<Parts> Given) : Io(std::move(Given)) {}
+
+Gateway::~Gateway() = default;
+
+auto Gateway::create(GatewaySettings Settings, PlatformProtocol Protocol,
+                     const StoreFactory &MakeStore)
+    -> Result<std::unique_ptr<Gateway>> {
+  auto Made =
+      std::make_unique<Parts>(std::move(Settings), std::move(Protocol));
+  const auto Bound = Made->bind(MakeStore);
+  if (!Bound)
+    return Bound.error();
+  return std::unique_ptr<Gateway>(new Gateway(std::move(Made)));
+}
+
+auto Gateway::setReload(SettingsReload Reload) -> void {
+  Io->Reload = std::move(Reload);
+}
+
+auto Gateway::listeningLine() const -> std::string {
+  return "listening caller=" + Io->Settings.CallerAddress +
+         " peer=" + Io->Settings.PeerAddress +
+         " port=" + std::to_string(portOf(Io->Settings.ReadyAddress));
+}
+
+auto Gateway::run() -> void {
+  Io->start();
+  Io->Io.run();
+}
+
+} // namespace buckthornring
--- /dev/null
+++ b/lib/Gateway/GatewayParts.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "Gateway/CallerSession.h"
+#include "Gateway/FleetMember.h"
+#include "Gateway/Gateway.h"
+#include "Gateway/Leader.h"
+#include "Gateway/PeerSocket.h"
+#include "Gateway/RequestContext.h"
+#include "Gateway/RequestFlow.h"
+#include "Gateway/StoreFeed.h"
+#include "Gateway/WaitQueue.h"
+#include "buckthornring/IO/HttpClient.h"
+#include "buckthornring/IO/HttpServer.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <set>
+
+namespace buckthornring {
+
+/// All parts of one instance. Callbacks between them run on one thread.
+struct Gateway::Parts final : public CallerHandler {
+  Parts(GatewaySettings Given, PlatformProtocol Spoken);
+
+  // CallerHandler.
+  auto received(const std::shared_ptr<CallerSession> &Session,
+                std::uint64_t Number, CallerRequest Request) -> void override;
+  auto callerLeft(const CallerSession &Session, std::uint64_t Number)
+      -> void override;
+  auto unreadable(unsigned Status) -> CallerAnswer override;
+  auto sessionEnded(const std::shared_ptr<CallerSession> &Session)
+      -> void override;
+
+  auto bind(const StoreFactory &MakeStore) -> Result<bool>;
+  auto start() -> void;
+  auto accept() -> void;
+
+  // Changes in the store.
+  auto makeFeeds() -> void;
+  auto makeFeed(std::string Kind, StoreFeed::Handlers Handlers)
+      -> std::unique_ptr<StoreFeed>;
+  auto configurationChanged(const StoredObject &Object) -> void;
+  auto applyConfiguration(Configuration Accepted) -> void;
+  auto targetsWhole(const std::map<std::string, StoredObject> &Objects) -> void;
+  auto targetChanged(const StoredObject &Object) -> void;
+  auto evacuationsChanged() -> void;
+  auto ownChanged(const StoredObject &Object) -> void;
+  auto rangesChanged(const ServiceId &Service, const StoredObject &Object)
+      -> void;
+  auto afterOutage(const StoreFeed &Feed) const -> bool;
+  auto contact(const std::string &Kind, bool Connected, const char *Reason)
+      -> void;
+
+  // Peers.
+  auto seen() const -> SeenChanges;
+  auto storeReachable() const -> bool;
+  auto fetchFrom(const std::string &Address) -> void;
+  auto takeState(const std::string &Body) -> void;
+  auto answerPeer(const HttpRequest &Request) -> HttpResponse;
+  auto stateText() const -> std::string;
+  auto metricsText() const -> std::string;
+
+  // Life of the process.
+  auto tick() -> void;
+  auto serveWaiting() -> void;
+  auto waitForSignal() -> void;
+  auto beginStop() -> void;
+  auto stopStep() -> void;
+  auto reloadSettings(const char *Cause) -> void;
+  auto ready() const -> bool;
+
+  boost::asio::io_context Io{1};
+  GatewaySettings Settings;
+  PlatformProtocol Protocol;
+  EventLog Events;
+  std::string Process;
+  TargetTable Targets;
+  TargetPool Pool;
+  WaitQueue Waiting;
+  Counters Totals{1};
+  RequestContext Requests;
+  std::unique_ptr<ObjectStore> Store;
+  std::unique_ptr<StoreFeed> ConfigurationFeed;
+  std::unique_ptr<StoreFeed> TargetFeed;
+  std::unique_ptr<StoreFeed> EvacuationFeed;
+  std::unique_ptr<StoreFeed> OwnFeed;
+  std::unique_ptr<PeerSocket> Peers;
+  std::unique_ptr<Leader> Lead;
+  std::unique_ptr<FleetMember> Member;
+  std::unique_ptr<HttpServer> ReadyServer;
+  std::unique_ptr<HttpServer> PeerServer;
+  std::unique_ptr<HttpClient> PeerClient;
+  std::string PeerClientAddress;
+  boost::asio::ip::tcp::acceptor Listener;
+  boost::asio::signal_set Signals;
+  boost::asio::steady_timer TickTimer;
+  boost::asio::steady_timer WaitTimer;
+  boost::asio::steady_timer StopTimer;
+  SettingsReload Reload;
+  std::set<std::shared_ptr<CallerSession>> Sessions;
+  std::map<std::pair<const CallerSession *, std::uint64_t>,
+           std::shared_ptr<RequestFlow>>
+      Flows;
+  TimePoint StopBegan = TimePoint::min(); ///< min(): not stopping.
+  std::uint64_t BadRecords = 0;
+  bool WaitArmed = false;
+  bool Fetching = false;
+};
+
+} // namespace buckthornring
--- /dev/null
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -0,0 +1,79 @@
+#include "Gateway/GatewaySettings.h"
+
+#include "Config/FieldReader.h"
+#include "buckthornring/Config/SettingsReader.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cmath>
+
+namespace buckthornring {
+
+namespace {
+
+constexpr double LongestSeconds = 3600;
+constexpr double LargestCount = 1e6;
+
+auto seconds(FieldReader &Fields, const std::string &Key, Duration &Out)
+    -> void {
+  double Value = 0;
+  Fields.number(Key, Value, 0.001, LongestSeconds, Presence::Required);
+  Out = Duration(std::llround(Value * 1e6));
+}
+
+auto readBounds(FieldReader &Fields, FleetBounds &Out) -> void {
+  const auto number = [&Fields](const char *Key, double &Value) {
+    Fields.number(Key, Value, 0, LargestCount, Presence::Required);
+  };
+  number("retry_ratio", Out.Retries.Ratio);
+  number("retry_slack", Out.Retries.Slack);
+  seconds(Fields, "retry_window_s", Out.Retries.Window);
+  number("rate_excess", Out.Rates.Excess);
+  number("rate_slack", Out.Rates.Slack);
+  seconds(Fields, "rate_window_s", Out.Rates.Window);
+  number("cold_excess", Out.ColdExcess);
+  number("cold_slack", Out.ColdSlack);
+  seconds(Fields, "stop_grace_s", Out.StopGrace);
+  seconds(Fields, "longest_hold_s", Out.LongestHold);
+}
+
+} // namespace
+
+auto GatewaySettings::describes(const SettingsDocument &Document) -> bool {
+  return Document.value().is_object() &&
+         Document.value().contains("store_address");
+}
+
+auto GatewaySettings::check(const SettingsDocument &Document)
+    -> Checked<GatewaySettings> {
+  std::vector<SettingsError> Errors;
+  FieldReader Root(Document, Errors);
+  GatewaySettings Out;
+  std::string Name;
+  Root.identifier("instance", Name);
+  Out.Instance = InstanceId(Name);
+  Root.identifier("data_centre", Name);
+  Out.DataCentre = DataCentreId(Name);
+  Root.address("caller_address", Out.CallerAddress, 0);
+  Root.address("ready_address", Out.ReadyAddress, 0);
+  Root.address("peer_address", Out.PeerAddress, 0);
+  Root.address("store_address", Out.StoreAddress, 1);
+  if (!Root.has("bounds"))
+    Root.report("bounds", "nothing", "an object");
+  Root.object("bounds",
+              [&Out](FieldReader &Fields) { readBounds(Fields, Out.Bounds); });
+  Root.finish();
+  if (!Errors.empty())
+    return {std::nullopt, std::move(Errors)};
+  return {std::move(Out), {}};
+}
+
+auto GatewaySettings::read(std::string_view Text, const std::string &File)
+    -> Checked<GatewaySettings> {
+  auto Document = SettingsReader::read(Text, File);
+  if (!Document)
+    return {std::nullopt, std::move(Document.Errors)};
+  return check(*Document.Value);
+}
+
+} // namespace buckthornring
--- /dev/null
+++ b/lib/Gateway/GatewayState.cpp
@@ -0,0 +1,349 @@
+// What an instance knows from the store and its peers.
+
+#include "Gateway/GatewayParts.h"
+#include "IO/BootClock.h"
+#include "buckthornring/Observe/PrometheusText.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace buckthornring {
+
+using Json = nlohmann::json;
+
+namespace {
+
+/// Time after the store's return within which records that lapsed meanwhile
+/// may come back.
+constexpr Duration ReturnTime = std::chrono::milliseconds(2500);
+
+/// Wait of the watch on the router's own objects. Its answers prove to the
+/// leader that it still has contact with the store.
+constexpr Duration OwnWatchWait = std::chrono::seconds(5);
+
+constexpr Duration PeerCallLimit = std::chrono::milliseconds(1000);
+
+constexpr std::string_view RangePrefix = "ranges.";
+
+auto stateOf(const StoreFeed &Feed) -> Json {
+  Json List = Json::array();
+  for (const auto &[Name, Object] : Feed.objects())
+    List.push_back(Json::array({Name, Object.Revision, Object.Value}));
+  return {{"revision", Feed.revision()}, {"objects", std::move(List)}};
+}
+
+auto readState(const Json &Value) -> std::vector<StoredObject> {
+  std::vector<StoredObject> Objects;
+  for (const Json &Entry : Value.at("objects"))
+    Objects.push_back({Entry.at(0).get<std::string>(),
+                       Entry.at(1).get<std::uint64_t>(), false, Entry.at(2)});
+  return Objects;
+}
+
+} // namespace
+
+auto Gateway::Parts::makeFeed(std::string Kind, StoreFeed::Handlers Handlers)
+    -> std::unique_ptr<StoreFeed> {
+  StoreFeed::Options Options;
+  Options.Kind = Kind;
+  Options.Seed = std::hash<std::string>()(Process + Kind);
+  if (Kind == Protocol.Kinds.Own)
+    Options.WatchWait = OwnWatchWait;
+  Handlers.OnContact = [this, Kind](bool Connected, const char *Reason) {
+    contact(Kind, Connected, Reason);
+  };
+  return std::make_unique<StoreFeed>(Io, *Store, std::move(Options),
+                                     std::move(Handlers));
+}
+
+auto Gateway::Parts::makeFeeds() -> void {
+  using Whole = std::map<std::string, StoredObject>;
+  ConfigurationFeed = makeFeed(
+      Protocol.Kinds.Settings,
+      {[this](const Whole &Objects) {
+         for (const auto &[Name, Object] : Objects)
+           configurationChanged(Object);
+       },
+       [this](const StoredObject &Object) { configurationChanged(Object); },
+       {}});
+  TargetFeed = makeFeed(
+      Protocol.Kinds.Targets,
+      {[this](const Whole &Objects) { targetsWhole(Objects); },
+       [this](const StoredObject &Object) { targetChanged(Object); },
+       {}});
+  EvacuationFeed =
+      makeFeed(Protocol.Kinds.Evacuations,
+               {[this](const Whole &) { evacuationsChanged(); },
+                [this](const StoredObject &) { evacuationsChanged(); },
+                {}});
+  OwnFeed = makeFeed(
+      Protocol.Kinds.Own,
+      {[this](const Whole &Objects) {
+         for (const auto &[Name, Object] : Objects)
+           ownChanged(Object);
+       },
+       [this](const StoredObject &Object) { ownChanged(Object); },
+       {}});
+}
+
+auto Gateway::Parts::contact(const std::string &Kind, bool Connected,
+                             const char *Reason) -> void {
+  Events.write(
+      EventLine(Connected ? "store-contact-regained" : "store-contact-lost")
+          .field("kind", Kind)
+          .field("reason", Reason));
+}
+
+auto Gateway::Parts::configurationChanged(const StoredObject &Object) -> void {
+  if (Object.Name != Protocol.Kinds.SettingsName || Object.Deleted)
+    return;
+  auto Accepted = Protocol.Kinds.ReadConfiguration(Object.Value);
+  if (!Accepted) {
+    Events.write(EventLine("configuration-rejected")
+                     .field("reason", Accepted.error().message())
+                     .field("revision", Object.Revision));
+    return;
+  }
+  const std::uint64_t InForce =
+      Requests.Active ? Requests.Active->Config.Generation : 0;
+  if (Accepted->Generation <= InForce)
+    return;
+  applyConfiguration(std::move(Accepted).value());
+}
+
+auto Gateway::Parts::applyConfiguration(Configuration Accepted) -> void {
+  const TimePoint Now = bootNow();
+  Events.write(EventLine("configuration-in-force")
+                   .field("generation", Accepted.Generation)
+                   .field("routes", Accepted.Routes.size())
+                   .field("workspaces", Accepted.Workspaces.size()));
+  std::unordered_map<ServiceId, ColdLimit> Cold;
+  for (const auto &[Id, Service] : Accepted.Services)
+    Cold[Id] = {Service.ColdRequestsPerSecond * Settings.Bounds.ColdExcess +
+                    Settings.Bounds.ColdSlack,
+                Service.ColdStartRamp};
+  Targets.setColdLimits(std::move(Cold));
+  Requests.Rates.configure(Accepted, Now);
+  Requests.Splits.reset();
+  Requests.Active = std::make_shared<const ActiveConfig>(std::move(Accepted));
+  for (const auto &[Name, Object] : OwnFeed->objects())
+    ownChanged(Object);
+  Waiting.serve();
+}
+
+auto Gateway::Parts::afterOutage(const StoreFeed &Feed) const -> bool {
+  return !Feed.connected() || bootNow() - Feed.regainedAt() < ReturnTime;
+}
+
+auto Gateway::Parts::targetsWhole(
+    const std::map<std::string, StoredObject> &Objects) -> void {
+  std::vector<TargetRecord> Records;
+  for (const auto &[Name, Object] : Objects) {
+    auto Record = Protocol.Kinds.ReadTarget(Object);
+    if (Record)
+      Records.push_back(std::move(Record).value());
+    else if (++BadRecords; Events.admits(EventClass::Failure, bootNow()))
+      Events.write(EventLine("record-ignored")
+                       .field("target", Name)
+                       .field("reason", Record.error().message()));
+  }
+  Targets.replace(Records, afterOutage(*TargetFeed), bootNow());
+  Events.write(EventLine("targets-read")
+                   .field("targets", Records.size())
+                   .field("revision", TargetFeed->revision()));
+  Waiting.serve();
+}
+
+auto Gateway::Parts::targetChanged(const StoredObject &Object) -> void {
+  const TimePoint Now = bootNow();
+  if (Object.Deleted) {
+    Events.write(EventLine("target-removed")
+                     .field("target", Object.Name)
+                     .field("revision", Object.Revision)
+                     .field("after_outage", afterOutage(*TargetFeed)));
+    Targets.remove(TargetId(Object.Name), afterOutage(*TargetFeed), Now);
+    return;
+  }
+  const auto Record = Protocol.Kinds.ReadTarget(Object);
+  if (!Record) {
+    ++BadRecords;
+    if (Events.admits(EventClass::Failure, Now))
+      Events.write(EventLine("record-ignored")
+                       .field("target", Object.Name)
+                       .field("reason", Record.error().message()));
+    return;
+  }
+  const bool NewLife = Targets.apply(*Record, Now);
+  Events.write(EventLine("target-changed")
+                   .field("target", Object.Name)
+                   .field("service", Record->Service.str())
+                   .field("data_centre", Record->DataCentre.str())
+                   .field("draining", Record->Draining)
+                   .field("cold_ms", Record->ColdLeft)
+                   .field("new_life", NewLife)
+                   .field("revision", Object.Revision));
+  Waiting.serve();
+}
+
+auto Gateway::Parts::evacuationsChanged() -> void {
+  std::set<DataCentreId> Evacuated;
+  for (const auto &[Name, Object] : EvacuationFeed->objects())
+    Evacuated.insert(DataCentreId(Name));
+  if (Evacuated == Targets.evacuated())
+    return;
+  std::string Names;
+  for (const DataCentreId &Each : Evacuated)
+    Names.append(Names.empty() ? "" : ",").append(Each.str());
+  Events.write(EventLine("evacuations-changed")
+                   .field("data_centres", Names)
+                   .field("revision", EvacuationFeed->lastChange()));
+  Targets.setEvacuated(std::move(Evacuated), bootNow());
+}
+
+auto Gateway::Parts::ownChanged(const StoredObject &Object) -> void {
+  if (Object.Name == FleetMember::LeaderObject)
+    return Member->leaderChanged(&Object);
+  if (!Object.Deleted && Object.Name.starts_with(RangePrefix))
+    rangesChanged(ServiceId(Object.Name.substr(RangePrefix.size())), Object);
+}
+
+auto Gateway::Parts::rangesChanged(const ServiceId &Service,
+                                   const StoredObject &Object) -> void {
+  if (!Requests.Active)
+    return;
+  const auto Settings = Requests.Active->Config.Services.find(Service);
+  if (Settings == Requests.Active->Config.Services.end())
+    return;
+  RangeView &View = Requests.Ranges[Service];
+  if (Object.Revision <= View.Revision)
+    return;
+  auto Parsed =
+      RangeRecord::parse(Object.Value, Settings->second.NumberedKeys);
+  if (!Parsed) {
+    Events.write(EventLine("ranges-unreadable")
+                     .field("service", Service.str())
+                     .field("reason", Parsed.error().message()));
+    return;
+  }
+  const TimePoint Now = bootNow();
+  std::unordered_map<std::uint64_t, TimePoint> Moving;
+  for (const KeyRange &Range : Parsed->Ranges) {
+    const KeyRange *Before = View.Record.find(Range.From);
+    const bool Known = View.Revision != 0 && Before;
+    if (!Known || Range.Donor.empty())
+      continue;
+    const auto Pending = View.Moving.find(Before->Fence);
+    if (Before->Owner != Range.Owner ||
+        Before->OwnerStartedAt != Range.OwnerStartedAt)
+      Moving[Range.Fence] = Now;
+    else if (Pending != View.Moving.end())
+      Moving[Range.Fence] = Pending->second;
+  }
+  View.Record = std::move(Parsed).value();
+  View.Revision = Object.Revision;
+  View.Moving = std::move(Moving);
+  Waiting.serve();
+}
+
+auto Gateway::Parts::seen() const -> SeenChanges {
+  return {ConfigurationFeed->lastChange(), TargetFeed->lastChange(),
+          EvacuationFeed->lastChange()};
+}
+
+auto Gateway::Parts::storeReachable() const -> bool {
+  return OwnFeed->connected();
+}
+
+auto Gateway::Parts::fetchFrom(const std::string &Address) -> void {
+  if (Fetching)
+    return;
+  if (PeerClientAddress != Address) {
+    auto Client = HttpClient::create(Io, Address);
+    if (!Client) {
+      Events.write(EventLine("peer-unusable").field("address", Address));
+      return;
+    }
+    PeerClient = std::move(Client).value();
+    PeerClientAddress = Address;
+  }
+  Fetching = true;
+  HttpRequest Request;
+  Request.Target = "/state";
+  HttpCallOptions Options;
+  Options.TimeLimit = PeerCallLimit;
+  PeerClient->request(std::move(Request), Options,
+                      [this, Address](const HttpOutcome &Outcome) {
+                        Fetching = false;
+                        Events.write(EventLine("peer-state-read")
+                                         .field("peer", Address)
+                                         .field("done", Outcome.done()));
+                        if (Outcome.done() && Outcome.Response.Status == 200)
+                          takeState(Outcome.Response.Body);
+                      });
+}
+
+auto Gateway::Parts::takeState(const std::string &Body) -> void {
+  try {
+    const Json State = Json::parse(Body);
+    const auto take = [&State](const char *Name, StoreFeed &Feed) {
+      const Json &Each = State.at(Name);
+      Feed.applyFromPeer(readState(Each),
+                         Each.at("revision").get<std::uint64_t>());
+    };
+    take("configuration", *ConfigurationFeed);
+    take("targets", *TargetFeed);
+    take("evacuations", *EvacuationFeed);
+    take("own", *OwnFeed);
+  } catch (const Json::exception &Failure) {
+    Events.write(
+        EventLine("peer-state-unreadable").field("reason", Failure.what()));
+  }
+}
+
+auto Gateway::Parts::stateText() const -> std::string {
+  return Json{{"configuration", stateOf(*ConfigurationFeed)},
+              {"targets", stateOf(*TargetFeed)},
+              {"evacuations", stateOf(*EvacuationFeed)},
+              {"own", stateOf(*OwnFeed)}}
+      .dump();
+}
+
+auto Gateway::Parts::metricsText() const -> std::string {
+  PrometheusText Text;
+  Text.add(Totals.totals());
+  Text.histogramFamily("btr_request_seconds", "Time to the answer");
+  Text.sample({}, Requests.Latency);
+  Text.gaugeFamily("btr_waiting_requests", "Requests without a target");
+  Text.sample({}, std::uint64_t{Waiting.size()});
+  Text.gaugeFamily("btr_running_requests", "Requests without an answer");
+  Text.sample({}, std::uint64_t{Flows.size()});
+  Text.counterFamily("btr_target_connections_total",
+                     "Connections opened to targets");
+  Text.sample({}, Pool.opened());
+  Text.counterFamily("btr_ignored_records_total",
+                     "Target records that could not be used");
+  Text.sample({}, BadRecords);
+  Text.gaugeFamily("btr_leading", "Whether this instance leads");
+  Text.sample({}, std::uint64_t{Lead->leading() ? 1U : 0U});
+  Text.gaugeFamily("btr_store_reachable", "Whether the store answers");
+  Text.sample({}, std::uint64_t{storeReachable() ? 1U : 0U});
+  return Text.text();
+}
+
+auto Gateway::Parts::answerPeer(const HttpRequest &Request) -> HttpResponse {
+  HttpResponse Response;
+  if (Request.path() == "/metrics") {
+    Response.Headers.set("Content-Type",
+                         std::string(PrometheusText::ContentType));
+    Response.Body = metricsText();
+  } else if (Request.path() == "/state") {
+    Response.Headers.set("Content-Type", "application/json");
+    Response.Body = stateText();
+  } else {
+    Response.Status = 404;
+  }
+  return Response;
+}
+
+} // namespace buckthornring
--- /dev/null
+++ b/lib/Gateway/Leader.cpp
@@ -0,0 +1,321 @@
+#include "Gateway/Leader.h"
+
+#include "IO/BootClock.h"
+
+#include <algorithm>
+
+namespace buckthornring {
+
+namespace {
+
+constexpr Duration PlanInterval = std::chrono::milliseconds(250);
+
+/// Wait before a write that was refused or got no answer is repeated.
+constexpr Duration WriteRepeat = std::chrono::milliseconds(400);
+
+/// Releases under way at the same time, over all targets of a service.
+constexpr std::uint32_t MaxReleases = 12;
+
+/// An instance without reports for this time is no longer counted.
+constexpr Duration MemberLifetime = std::chrono::seconds(6);
+
+/// Capacities of targets differ by at most this factor from the usual one.
+constexpr double CapacitySpread = 2.5;
+
+} // namespace
+
+auto Leader::rangeObject(const ServiceId &Service) -> std::string {
+  return "ranges." + Service.str();
+}
+
+auto Leader::start(LeaderInfo Given) -> void {
+  Self = std::move(Given);
+  ConfirmedAt = bootNow();
+  Services.clear();
+  Members.clear();
+  Rates = RateDivider();
+  Around.Events.write(
+      EventLine("leadership-taken").field("term", Self.Term));
+}
+
+auto Leader::stop() -> void {
+  if (!leading())
+    return;
+  Around.Events.write(EventLine("leadership-left").field("term", Self.Term));
+  Self = LeaderInfo();
+  Orders.clear();
+  Services.clear();
+}
+
+auto Leader::resign() -> void {
+  for (const auto &[Name, Other] : Members) {
+    FleetReply Last;
+    Last.Leader = Self;
+    Last.StoreReachable = false;
+    Last.Instances = static_cast<std::uint32_t>(Members.size());
+    const auto Parts = Rates.partsOf(Name);
+    Last.RateParts = Parts.ByWorkspace;
+    Last.OtherParts = Parts.Others;
+    if (Name != Self.Instance)
+      Around.Send(Other.Address, Last);
+  }
+  stop();
+}
+
+auto Leader::report(const FleetReport &From, const std::string &Address,
+                    bool StoreReachable) -> FleetReply {
+  const TimePoint Now = bootNow();
+  if (From.Leaving)
+    Members.erase(From.Instance);
+  else
+    Members[From.Instance] = {Address, From.DataCentre, From.Seen, Now};
+  std::erase_if(Members, [Now](const auto &Entry) {
+    return Now - Entry.second.At > MemberLifetime;
+  });
+  Rates.reported(From.Instance, From.Demand,
+                 std::chrono::milliseconds(From.SpanMs), Now);
+  Rates.expire(Now);
+  for (const auto &[Id, Keys] : From.Keys) {
+    const auto Found = Services.find(Id);
+    if (Found != Services.end())
+      for (const std::uint32_t Key : Keys)
+        Found->second.Load.add(Key, Now);
+  }
+  FleetReply Reply;
+  Reply.Leader = Self;
+  Reply.StoreReachable = StoreReachable;
+  const auto Parts = Rates.partsOf(From.Instance);
+  Reply.RateParts = Parts.ByWorkspace;
+  Reply.OtherParts = Parts.Others;
+  Reply.Instances = std::max(Parts.Instances,
+                             static_cast<std::uint32_t>(Members.size()));
+  Reply.InDataCentre = static_cast<std::uint32_t>(
+      std::count_if(Members.begin(), Members.end(), [&](const auto &Entry) {
+        return Entry.second.DataCentre == From.DataCentre;
+      }));
+  for (const auto &[Id, Other] : Members) {
+    const SeenChanges &Seen = Other.Seen;
+    const bool Newer = Seen.Configuration > Reply.Seen.Configuration ||
+                       Seen.Targets > Reply.Seen.Targets ||
+                       Seen.Evacuations > Reply.Seen.Evacuations;
+    if (Newer && Id != From.Instance)
+      Reply.SeenFrom = Other.Address;
+    Reply.Seen.Configuration =
+        std::max(Reply.Seen.Configuration, Seen.Configuration);
+    Reply.Seen.Targets = std::max(Reply.Seen.Targets, Seen.Targets);
+    Reply.Seen.Evacuations = std::max(Reply.Seen.Evacuations, Seen.Evacuations);
+  }
+  return Reply;
+}
+
+auto Leader::serviceOf(const ServiceId &Id, const ServiceConfig &Config)
+    -> Service * {
+  const auto Known = Services.find(Id);
+  if (Known != Services.end())
+    return &Known->second;
+  RangeRecord Recorded;
+  std::uint64_t Revision = 0;
+  const auto Object = Around.Own.objects().find(rangeObject(Id));
+  if (Object != Around.Own.objects().end()) {
+    auto Parsed = RangeRecord::parse(Object->second.Value, Config.NumberedKeys);
+    if (!Parsed) {
+      // Without the recorded tokens no safe grant can be made.
+      Around.Events.write(EventLine("ranges-unreadable")
+                              .field("service", Id.str())
+                              .field("reason", Parsed.error().message()));
+      return nullptr;
+    }
+    Recorded = std::move(Parsed).value();
+    Revision = Object->second.Revision;
+  }
+  auto &Added =
+      Services.emplace(Id, RangeKeeper(Config.NumberedKeys, Times))
+          .first->second;
+  Added.Keeper.takeOver(std::move(Recorded), Revision, bootNow());
+  return &Added;
+}
+
+auto Leader::viewOf(const ServiceId &Id, TimePoint Now) const
+    -> RangeKeeper::View {
+  RangeKeeper::View View;
+  double Usual = 0;
+  for (const TargetPtr &Target : Around.Targets.ofService(Id))
+    Usual += static_cast<double>(
+        Target->Load.work(Now).value_or(Duration(0)).count());
+  Usual /= std::max<std::size_t>(1, Around.Targets.ofService(Id).size());
+  bool AllCold = true;
+  for (const TargetPtr &Target : Around.Targets.ofService(Id)) {
+    const TargetRecord &Record = Target->Record;
+    View.Lives[Record.Id] = Record.StartedAtMs;
+    if (!Around.Targets.takesRequests(*Target)) {
+      View.Leaving.insert(Record.Id);
+      continue;
+    }
+    if (Now < Target->DownUntil)
+      continue;
+    PlanTarget Each{Record.Id, Record.StartedAtMs,
+                    static_cast<double>(Record.Slots), !Target->cold(Now)};
+    const auto Work = Target->Load.work(Now);
+    if (Work && Usual > 0)
+      Each.Capacity *=
+          std::clamp(Usual / static_cast<double>(Work->count()),
+                     1 / CapacitySpread, CapacitySpread);
+    AllCold = AllCold && !Each.TakesNewKeys;
+    View.Targets.push_back(Each);
+  }
+  if (AllCold)
+    for (PlanTarget &Each : View.Targets)
+      Each.TakesNewKeys = true;
+  return View;
+}
+
+auto Leader::tick(const Configuration &Config) -> void {
+  if (!leading() || !Around.Own.loaded())
+    return;
+  const TimePoint Now = bootNow();
+  for (const auto &[Id, Settings] : Config.Services) {
+    if (Settings.Kind != ServiceKind::Divided || Settings.NumberedKeys == 0)
+      continue;
+    Service *Own = serviceOf(Id, Settings);
+    if (!Own)
+      continue;
+    if (Now >= Own->PlanAt && !Own->Writing) {
+      Own->PlanAt = Now + PlanInterval;
+      Own->Keeper.plan(viewOf(Id, Now), Own->Load, Now);
+    }
+    if (Own->Keeper.pendingWrite() && !Own->Writing && Now >= Own->WriteAt)
+      write(Id, *Own);
+    sendOrders(Id, *Own, Now);
+  }
+}
+
+auto Leader::write(const ServiceId &Id, Service &Own) -> void {
+  Own.Writing = true;
+  Around.Store.write(
+      Around.Protocol.Kinds.Own, rangeObject(Id), Own.Keeper.revision(),
+      Own.Keeper.pendingWrite()->json(),
+      [this, Id, Term = Self.Term](const StoreWrite &Answer) {
+        if (Self.Term == Term)
+          writeEnded(Id, Answer);
+      });
+}
+
+auto Leader::writeEnded(const ServiceId &Id, const StoreWrite &Answer) -> void {
+  const auto Found = Services.find(Id);
+  if (Found == Services.end())
+    return;
+  Service &Own = Found->second;
+  const TimePoint Now = bootNow();
+  Own.Writing = false;
+  Around.Events.write(
+      EventLine("ranges-written")
+          .field("service", Id.str())
+          .field("status", StoreStatusNames.name(Answer.Status))
+          .field("ranges", Own.Keeper.pendingWrite()->Ranges.size())
+          .field("revision", Answer.Object ? Answer.Object->Revision : 0));
+  const bool Same = Answer.Object && Answer.Object->Value ==
+                                         Own.Keeper.pendingWrite()->json();
+  if (Answer.Status == StoreStatus::Done ||
+      (Answer.Status == StoreStatus::Conflict && Same)) {
+    confirmed(Now);
+    Own.Keeper.writeDone(Answer.Object->Revision, Now);
+    return sendOrders(Id, Own, Now);
+  }
+  if (Answer.Status != StoreStatus::Conflict) {
+    // Whether it took effect is found out by writing it again.
+    Own.WriteAt = Now + WriteRepeat;
+    return;
+  }
+  // Another instance has written; a later look at the leader object decides
+  // whether this one still leads.
+  auto Parsed = RangeRecord::parse(Answer.Object->Value,
+                                   Own.Keeper.record().Ranges.back().To + 1);
+  if (!Parsed) {
+    Services.erase(Found);
+    return;
+  }
+  Own.WriteAt = Now + WriteRepeat;
+  Own.Keeper.takeOver(std::move(Parsed).value(), Answer.Object->Revision, Now);
+}
+
+auto Leader::sendOrders(const ServiceId &Id, Service &Own, TimePoint Now)
+    -> void {
+  for (const TargetId &Target : Own.Keeper.involved()) {
+    if (!Own.Granting.contains(Target))
+      if (const auto Call = Own.Keeper.nextGrant(Target, ConfirmedAt, Now)) {
+        Own.Granting.insert(Target);
+        order(Id, *Call);
+      }
+    while (Own.Releasing < MaxReleases) {
+      const auto Call = Own.Keeper.nextRelease(Target, ConfirmedAt, Now);
+      if (!Call)
+        break;
+      ++Own.Releasing;
+      order(Id, *Call);
+    }
+  }
+}
+
+auto Leader::order(const ServiceId &Id, const RangeCall &Call) -> void {
+  const TargetPtr Target = Around.Targets.find(Call.Target);
+  const auto Ended = [this, Id, Call, Term = Self.Term](
+                         RangeAnswer Answer, const std::string &Handover) {
+    if (Self.Term == Term)
+      orderEnded(Id, Call, Answer, Handover);
+  };
+  if (!Target || Target->Record.StartedAtMs != Call.StartedAt) {
+    // This life is gone, and its address may belong to another target.
+    boost::asio::post(Around.Io, [Ended] { Ended(RangeAnswer::NotSent, ""); });
+    return;
+  }
+  Orders.send(Target->Record, Call, Ended);
+}
+
+auto Leader::orderEnded(const ServiceId &Id, const RangeCall &Call,
+                        RangeAnswer Answer, const std::string &Handover)
+    -> void {
+  const auto Found = Services.find(Id);
+  if (Found == Services.end())
+    return;
+  Service &Own = Found->second;
+  const TimePoint Now = bootNow();
+  if (Call.What == RangeCall::Kind::Grant)
+    Own.Granting.erase(Call.Target);
+  else
+    --Own.Releasing;
+  Own.Keeper.callEnded(Call, Answer, Handover, Now);
+  if (Answer != RangeAnswer::Accepted ||
+      Call.What == RangeCall::Kind::Release)
+    Around.Events.write(EventLine("order-ended")
+                            .field("service", Id.str())
+                            .field("order", RangeCallNames.name(Call.What))
+                            .field("target", Call.Target.str())
+                            .field("from", Call.From)
+                            .field("to", Call.To)
+                            .field("fence", Call.Fence)
+                            .field("answer", RangeAnswerNames.name(Answer))
+                            .field("handover", !Handover.empty()));
+  announce(Id, Own);
+  sendOrders(Id, Own, Now);
+}
+
+auto Leader::announce(const ServiceId &Id, Service &Own) -> void {
+  GrantNotice Notice;
+  Notice.Term = Self.Term;
+  Notice.Fences[Id] = Own.Keeper.takeGranted();
+  // Owners that stay the same need no notice.
+  std::erase_if(Notice.Fences[Id], [&Own](std::uint64_t Fence) {
+    for (const KeyRange &Range : Own.Keeper.record().Ranges)
+      if (Range.Fence == Fence)
+        return Range.Donor.empty();
+    return true;
+  });
+  if (Notice.Fences[Id].empty())
+    return;
+  Around.OnGranted(Notice);
+  for (const auto &[Name, Other] : Members)
+    if (Name != Self.Instance)
+      Around.Send(Other.Address, Notice);
+}
+
+} // namespace buckthornring
--- /dev/null
+++ b/lib/Gateway/Leader.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "Fleet/FleetMessage.h"
+#include "Fleet/KeyLoad.h"
+#include "Fleet/RangeKeeper.h"
+#include "Fleet/RateShares.h"
+#include "Fleet/TargetTable.h"
+#include "Gateway/OrderSender.h"
+#include "Gateway/Protocol.h"
+#include "Gateway/StoreFeed.h"
+#include "IO/EventLog.h"
+#include "buckthornring/Config/Configuration.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace buckthornring {
+
+/// The duties of the one instance that leads: it keeps the keys of divided
+/// services owned, divides workspace rates, and tells all instances what the
+/// others have seen.
+class Leader {
+public:
+  struct Surroundings {
+    boost::asio::io_context &Io;
+    ObjectStore &Store;
+    const PlatformProtocol &Protocol;
+    TargetTable &Targets;
+    EventLog &Events;
+    /// The router's own objects as last read.
+    const StoreFeed &Own;
+    /// Sends a message to an instance.
+    std::function<void(const std::string &, const FleetMessage &)> Send;
+    /// New owners have their grants.
+    std::function<void(const GrantNotice &)> OnGranted;
+  };
+
+  Leader(Surroundings Around, RangeTimes Times)
+      : Around(std::move(Around)), Times(Times),
+        Orders(this->Around.Io, this->Around.Protocol.Orders) {}
+
+  /// Name of the object that holds a service's ranges.
+  static auto rangeObject(const ServiceId &Service) -> std::string;
+
+  auto start(LeaderInfo Self) -> void;
+  auto stop() -> void;
+  /// Tells the others to take over, then stops.
+  auto resign() -> void;
+  auto leading() const -> bool { return Self.Term != 0; }
+  auto self() const -> const LeaderInfo & { return Self; }
+
+  /// The leadership was proved by the store at this time.
+  auto confirmed(TimePoint At) -> void {
+    ConfirmedAt = std::max(ConfirmedAt, At);
+  }
+  auto confirmedAt() const -> TimePoint { return ConfirmedAt; }
+
+  /// Takes an instance's report and returns the answer.
+  auto report(const FleetReport &From, const std::string &Address,
+              bool StoreReachable) -> FleetReply;
+
+  /// Plans, writes and orders what is due.
+  auto tick(const Configuration &Config) -> void;
+
+  auto instances() const -> std::size_t { return Members.size(); }
+
+private:
+  struct Member {
+    std::string Address;
+    DataCentreId DataCentre;
+    SeenChanges Seen;
+    TimePoint At;
+  };
+  struct Service {
+    explicit Service(RangeKeeper Given) : Keeper(std::move(Given)) {}
+
+    RangeKeeper Keeper;
+    KeyLoad Load;
+    std::set<TargetId> Granting; ///< Targets with a grant under way.
+    std::uint32_t Releasing = 0; ///< Releases under way.
+    bool Writing = false;
+    TimePoint WriteAt = TimePoint::min();
+    TimePoint PlanAt = TimePoint::min();
+  };
+
+  auto serviceOf(const ServiceId &Id, const ServiceConfig &Config)
+      -> Service *;
+  auto viewOf(const ServiceId &Id, TimePoint Now) const -> RangeKeeper::View;
+  auto write(const ServiceId &Id, Service &Own) -> void;
+  auto writeEnded(const ServiceId &Id, const StoreWrite &Answer) -> void;
+  auto sendOrders(const ServiceId &Id, Service &Own, TimePoint Now) -> void;
+  auto order(const ServiceId &Id, const RangeCall &Call) -> void;
+  auto orderEnded(const ServiceId &Id, const RangeCall &Call,
+                  RangeAnswer Answer, const std::string &Handover) -> void;
+  auto announce(const ServiceId &Id, Service &Own) -> void;
+
+  Surroundings Around;
+  RangeTimes Times;
+  OrderSender Orders;
+  LeaderInfo Self; ///< Term 0: not leading.
+  TimePoint ConfirmedAt = TimePoint::min();
+  RateDivider Rates;
+  std::map<InstanceId, Member> Members;
+  std::map<ServiceId, Service> Services;
+};
+
+} // namespace buckthornring
--- /dev/null
+++ b/lib/Gateway/Protocol.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "Fleet/RangeKeeper.h"
+#include "Fleet/TargetRecord.h"
+#include "buckthornring/Config/Configuration.h"
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace buckthornring {
+
+/// Names of the header fields that the router reads and sets.
+struct HeaderNames {
+  std::string RequestId;      ///< Set by the caller, echoed by the target.
+  std::string Deadline;       ///< Remaining time in ms.
+  std::string CallerKey;      ///< The key as such; never sent to a target.
+  std::string Workspace;      ///< Set by the router for the target.
+  std::string ExpectedTarget; ///< The target that alone may run the request.
+  std::string KeyNumber;      ///< Key of a divided service.
+  std::string Signature;      ///< Proves that a target made the answer.
+  std::string NotRun;         ///< The target did not run the request.
+  std::string Load;           ///< The target's load.
+  std::string TargetName;     ///< The target's id, in health answers.
+  std::string ColdTime;       ///< Remaining cold time in ms, in health answers.
+};
+
+/// What is known after a call to the store.
+enum class StoreStatus {
+  Done,
+  Absent,      ///< There is no such object.
+  Conflict,    ///< The condition did not hold; nothing was written.
+  HistoryLost, ///< The watch's revision is no longer kept; list again.
+  Refused,     ///< The store answered that it did nothing.
+  Unreachable, ///< No answer to a call without effect.
+  Unknown,     ///< No answer; the write may take effect, now or later.
+};
+
+inline constexpr EnumNames<StoreStatus, 7>
+    StoreStatusNames({"done", "absent", "conflict", "history-lost", "refused",
+                      "unreachable", "unknown"});
+
+struct StoredObject {
+  std::string Name;
+  std::uint64_t Revision = 0;
+  bool Deleted = false;
+  nlohmann::json Value;
+};
+
+/// Answer to list and watch. Revision is the point to continue from.
+struct StoreChanges {
+  StoreStatus Status = StoreStatus::Unreachable;
+  std::vector<StoredObject> Objects;
+  std::uint64_t Revision = 0;
+};
+
+/// Answer to write. Object is what the store holds, when it told it.
+struct StoreWrite {
+  StoreStatus Status = StoreStatus::Unknown;
+  std::optional<StoredObject> Object;
+};
+
+/// Versioned objects by kind and name, with conditional writes and watches.
+class ObjectStore {
+public:
+  using ChangesHandler = std::function<void(StoreChanges)>;
+  using WriteHandler = std::function<void(StoreWrite)>;
+
+  virtual ~ObjectStore() = default;
+
+  /// All objects of a kind.
+  virtual auto list(const std::string &Kind, ChangesHandler Done) -> void = 0;
+  /// Waits up to \p Wait for changes after \p Revision.
+  virtual auto watch(const std::string &Kind, std::uint64_t Revision,
+                     Duration Wait, ChangesHandler Done) -> void = 0;
+  /// Replaces the object when it has revision \p Expected; 0 creates it.
+  virtual auto write(const std::string &Kind, const std::string &Name,
+                     std::uint64_t Expected, nlohmann::json Value,
+                     WriteHandler Done) -> void = 0;
+};
+
+/// How the operator's and the targets' objects are named and read.
+struct ObjectKinds {
+  std::string Settings;     ///< Kind of the configuration object.
+  std::string SettingsName; ///< Its name.
+  std::string Targets;           ///< Kind of the targets' records.
+  std::string Evacuations; ///< Kind of objects named after data centres.
+  std::string Own;         ///< Kind of the router's own objects.
+
+  std::function<Result<Configuration>(const nlohmann::json &)>
+      ReadConfiguration;
+  std::function<Result<TargetRecord>(const StoredObject &)> ReadTarget;
+};
+
+/// Reads a load header. Nothing when it is malformed.
+using LoadReader = std::function<std::optional<LoadReport>(std::string_view)>;
+
+/// One order as an HTTP request of the targets' protocol.
+struct OrderRequest {
+  std::string Path;
+  std::string Body;
+};
+
+/// Protocol of orders to targets that own keys.
+struct OrderProtocol {
+  std::function<OrderRequest(const RangeCall &)> Encode;
+  std::string HandoverField; ///< Header of the answer to a release.
+};
+
+/// All that is particular to the platform that the router runs on.
+struct PlatformProtocol {
+  HeaderNames Headers;
+  ObjectKinds Kinds;
+  LoadReader ReadLoad;
+  OrderProtocol Orders;
+};
+
+} // namespace buckthornring
--- /dev/null
+++ b/lib/Gateway/RefusalTable.cpp
@@ -0,0 +1,64 @@
+#include "Gateway/RefusalTable.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace buckthornring {
+
+namespace {
+
+/// Bounds of the time to come back. Shorter waits find the same queue, longer
+/// ones exceed what callers accept.
+constexpr Duration ShortestWait = std::chrono::milliseconds(150);
+constexpr Duration LongestWait = std::chrono::milliseconds(1500);
+
+/// Time until a move or a new grant is usually over.
+constexpr Duration OwnerWait = std::chrono::milliseconds(700);
+
+constexpr unsigned BadGateway = 502;
+constexpr unsigned Unavailable = 503;
+constexpr unsigned GatewayTimeout = 504;
+
+} // namespace
+
+auto refusalStatus(RefusalReason Reason, RunStatus Run) -> unsigned {
+  if (Run == RunStatus::Unknown)
+    return Reason == RefusalReason::DeadlineExceeded ? GatewayTimeout
+                                                     : BadGateway;
+  switch (Reason) {
+  case RefusalReason::MalformedRequest:
+  case RefusalReason::MissingKey:
+    return 400;
+  case RefusalReason::UnknownCallerKey:
+  case RefusalReason::WithdrawnCallerKey:
+    return 401;
+  case RefusalReason::UnknownRoute:
+    return 404;
+  case RefusalReason::SlowSender:
+    return 408;
+  case RefusalReason::BodyTooLarge:
+    return 413;
+  case RefusalReason::OverRate:
+    return 429;
+  case RefusalReason::HeadTooLarge:
+    return 431;
+  default:
+    return Unavailable;
+  }
+}
+
+auto retryAfter(RefusalReason Reason, Duration TargetLatency) -> Duration {
+  const Duration Wanted =
+      Reason == RefusalReason::NoOwner ? OwnerWait : TargetLatency / 2;
+  return std::clamp(Wanted, ShortestWait, LongestWait);
+}
+
+auto secondsText(Duration Span) -> std::string {
+  std::array<char, 32> Text{};
+  std::snprintf(Text.data(), Text.size(), "%.3f",
+                static_cast<double>(Span.count()) / 1e6);
+  return Text.data();
+}
+
+} // namespace buckthornring
--- /dev/null
+++ b/lib/Gateway/StoreFeed.cpp
@@ -0,0 +1,143 @@
+#include "Gateway/StoreFeed.h"
+
+#include "IO/BootClock.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace buckthornring {
+
+namespace {
+
+/// Pause before the next watch after changes: several changes that follow one
+/// another then cost one call. Short against the seconds in which changes have
+/// to be in force.
+constexpr Duration GatherTime = std::chrono::milliseconds(120);
+
+constexpr Duration FirstBackoff = std::chrono::milliseconds(150);
+constexpr Duration LongestBackoff = std::chrono::milliseconds(1200);
+
+} // namespace
+
+StoreFeed::StoreFeed(boost::asio::io_context &Context, ObjectStore &Store,
+                     Options Settings, Handlers Callbacks)
+    : Store(Store), Settings(std::move(Settings)),
+      Callbacks(std::move(Callbacks)), Timer(Context),
+      Random(this->Settings.Seed) {}
+
+StoreFeed::~StoreFeed() { *Alive = false; }
+
+auto StoreFeed::later(Duration Delay, void (StoreFeed::*Next)()) -> void {
+  Timer.expires_after(Delay);
+  Timer.async_wait(
+      [this, Next, Living = Alive](const boost::system::error_code &Cancelled) {
+        if (!Cancelled && *Living)
+          (this->*Next)();
+      });
+}
+
+auto StoreFeed::succeeded() -> void {
+  LastContact = bootNow();
+  Failures = 0;
+  if (std::exchange(Connected, true))
+    return;
+  RegainedAt = LastContact;
+  Callbacks.OnContact(true, "answered");
+}
+
+auto StoreFeed::failed(StoreStatus Status) -> void {
+  if (std::exchange(Connected, false))
+    Callbacks.OnContact(false, StoreStatusNames.name(Status).data());
+  const double Factor = std::pow(2.0, std::min(Failures, 5U));
+  ++Failures;
+  const auto Delay = std::min(
+      std::chrono::duration_cast<Duration>(FirstBackoff * Factor),
+      LongestBackoff);
+  later(std::chrono::duration_cast<Duration>(Delay *
+                                             (0.75 + 0.5 * Random.unit())),
+        MustList ? &StoreFeed::list : &StoreFeed::watch);
+}
+
+auto StoreFeed::list() -> void {
+  Store.list(Settings.Kind,
+             [this, Living = Alive](StoreChanges Changes) {
+               if (*Living)
+                 gotList(std::move(Changes));
+             });
+}
+
+auto StoreFeed::gotList(StoreChanges Changes) -> void {
+  if (Changes.Status != StoreStatus::Done)
+    return failed(Changes.Status);
+  MustList = false;
+  succeeded();
+  takeWhole(Changes.Objects, Changes.Revision);
+  watch();
+}
+
+auto StoreFeed::takeWhole(const std::vector<StoredObject> &Whole,
+                          std::uint64_t At) -> void {
+  if (Loaded && At < Revision)
+    return;
+  Objects.clear();
+  for (const StoredObject &Object : Whole) {
+    Objects[Object.Name] = Object;
+    LastChange = std::max(LastChange, Object.Revision);
+  }
+  Revision = At;
+  Loaded = true;
+  Callbacks.OnWhole(Objects);
+}
+
+auto StoreFeed::watch() -> void {
+  WatchedAt = bootNow();
+  Store.watch(Settings.Kind, Revision, Settings.WatchWait,
+              [this, Living = Alive](const StoreChanges &Changes) {
+                if (*Living)
+                  gotChanges(Changes);
+              });
+}
+
+auto StoreFeed::gotChanges(const StoreChanges &Changes) -> void {
+  if (Changes.Status == StoreStatus::HistoryLost) {
+    MustList = true;
+    return list();
+  }
+  if (Changes.Status != StoreStatus::Done)
+    return failed(Changes.Status);
+  succeeded();
+  bool Changed = false;
+  for (const StoredObject &Object : Changes.Objects)
+    Changed = apply(Object) || Changed;
+  Revision = std::max(Revision, Changes.Revision);
+  // A store that answers at once without changes must not be asked in a loop.
+  const bool Early = bootNow() - WatchedAt < GatherTime;
+  if (Changed || Early)
+    return later(GatherTime, &StoreFeed::watch);
+  watch();
+}
+
+auto StoreFeed::apply(const StoredObject &Object) -> bool {
+  const auto Known = Objects.find(Object.Name);
+  if (Known != Objects.end() && Known->second.Revision > Object.Revision)
+    return false;
+  LastChange = std::max(LastChange, Object.Revision);
+  if (Object.Deleted) {
+    if (Known == Objects.end())
+      return false;
+    Objects.erase(Known);
+  } else {
+    Objects[Object.Name] = Object;
+  }
+  Callbacks.OnChange(Object);
+  return true;
+}
+
+auto StoreFeed::applyFromPeer(const std::vector<StoredObject> &Whole,
+                              std::uint64_t At) -> void {
+  if (Loaded && At <= Revision)
+    return;
+  takeWhole(Whole, At);
+}
+
+} // namespace buckthornring
--- /dev/null
+++ b/lib/Gateway/StoreFeed.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "Gateway/Protocol.h"
+#include "buckthornring/Common/Random.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace buckthornring {
+
+/// Follows all objects of one kind in the store: reads them once, then watches
+/// for changes, and reads them again when the history was lost.
+class StoreFeed {
+public:
+  struct Options {
+    std::string Kind;
+    /// Longest wait of one watch; its answer proves contact with the store.
+    Duration WatchWait = std::chrono::seconds(25);
+    std::uint64_t Seed = 1;
+  };
+  struct Handlers {
+    /// All objects as they are now.
+    std::function<void(const std::map<std::string, StoredObject> &)> OnWhole;
+    std::function<void(const StoredObject &)> OnChange;
+    /// Contact with the store was lost or regained.
+    std::function<void(bool Connected, const char *Reason)> OnContact;
+  };
+
+  StoreFeed(boost::asio::io_context &Context, ObjectStore &Store,
+            Options Settings, Handlers Callbacks);
+  ~StoreFeed();
+  StoreFeed(const StoreFeed &) = delete;
+  auto operator=(const StoreFeed &) -> StoreFeed & = delete;
+
+  auto start() -> void { list(); }
+
+  /// Takes over what a peer has read from the store, when it is newer.
+  auto applyFromPeer(const std::vector<StoredObject> &Objects,
+                     std::uint64_t Revision) -> void;
+
+  auto loaded() const -> bool { return Loaded; }
+  auto connected() const -> bool { return Connected; }
+  /// When the store was last heard of, and when contact was last regained.
+  auto lastContact() const -> TimePoint { return LastContact; }
+  auto regainedAt() const -> TimePoint { return RegainedAt; }
+  /// Revision of the newest change seen.
+  auto lastChange() const -> std::uint64_t { return LastChange; }
+  auto revision() const -> std::uint64_t { return Revision; }
+  auto objects() const -> const std::map<std::string, StoredObject> & {
+    return Objects;
+  }
+
+private:
+  auto list() -> void;
+  auto gotList(StoreChanges Changes) -> void;
+  auto watch() -> void;
+  auto gotChanges(const StoreChanges &Changes) -> void;
+  auto apply(const StoredObject &Object) -> bool;
+  auto takeWhole(const std::vector<StoredObject> &Whole, std::uint64_t At)
+      -> void;
+  auto succeeded() -> void;
+  auto failed(StoreStatus Status) -> void;
+  auto later(Duration Delay, void (StoreFeed::*Next)()) -> void;
+
+  ObjectStore &Store;
+  Options Settings;
+  Handlers Callbacks;
+  boost::asio::steady_timer Timer;
+  RandomSource Random;
+  std::map<std::string, StoredObject> Objects;
+  std::uint64_t Revision = 0;
+  std::uint64_t LastChange = 0;
+  TimePoint LastContact = TimePoint::min();
+  TimePoint RegainedAt = TimePoint::min();
+  TimePoint WatchedAt = TimePoint::min();
+  std::uint32_t Failures = 0;
+  bool Loaded = false;
+  bool Connected = false;
+  bool MustList = true;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+} // namespace buckthornring
--- /dev/null
+++ b/lib/IO/BootClock.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "buckthornring/Common/Time.h"
+
+#include <ctime>
+
+namespace buckthornring {
+
+/// Reads the clock that goes on while the machine is suspended. Leases and
+/// deadlines use it: the monotonic clock would hide the time of a suspension.
+inline auto bootNow() -> TimePoint {
+  constexpr std::int64_t MicrosPerSecond = 1'000'000;
+  constexpr std::int64_t NanosPerMicro = 1000;
+  timespec Time{};
+  clock_gettime(CLOCK_BOOTTIME, &Time);
+  return TimePoint(
+      Duration(Time.tv_sec * MicrosPerSecond + Time.tv_nsec / NanosPerMicro));
+}
+
+} // namespace buckthornring
--- a/lib/IO/HttpExchange.cpp
+++ b/lib/IO/HttpExchange.cpp
@@ -1,6 +1,7 @@
 #include "HttpExchange.h"
 
 #include "HttpWire.h"
+#include "IO/SocketOptions.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -18,6 +19,9 @@
 
 namespace {
 
+/// Sent data without acknowledgement for this long means a dead connection.
+constexpr Duration UnacknowledgedLimit = std::chrono::seconds(2);
+
 // A response that waits on an idle connection belongs to no request, and an
 // end of stream means that the server has closed it.
 auto isUsable(tcp::socket &Socket) -> bool {
@@ -48,13 +52,8 @@
       Socket(this->Client->Context), Timer(this->Client->Context) {}
 
 auto HttpExchange::start() -> void {
-  Timer.expires_after(Options.TimeLimit);
-  Timer.async_wait([Self = shared_from_this()](error_code Cancelled) {
-    if (Cancelled || Self->Finished)
-      return;
-    Self->Outcome.TimedOut = true;
-    Self->fail("time limit exceeded");
-  });
+  Begun = std::chrono::steady_clock::now();
+  armTimer(Options.TimeLimit);
   if (!Options.FreshConnection)
     if (auto Kept = Client->takeIdle(Options.MaxIdleAge)) {
       Socket = std::move(*Kept);
@@ -68,6 +67,16 @@
   connect();
 }
 
+auto HttpExchange::armTimer(Duration AfterBegin) -> void {
+  Timer.expires_at(Begun + AfterBegin);
+  Timer.async_wait([Self = shared_from_this()](error_code Cancelled) {
+    if (Cancelled || Self->Finished)
+      return;
+    Self->Outcome.TimedOut = true;
+    Self->fail("time limit exceeded");
+  });
+}
+
 auto HttpExchange::cancel() -> void {
   if (Finished)
     return;
@@ -82,6 +91,8 @@
 }
 
 auto HttpExchange::connect() -> void {
+  if (Options.ConnectLimit < Options.TimeLimit)
+    armTimer(Options.ConnectLimit);
   Socket.async_connect(Client->Endpoint,
                        [Self = shared_from_this()](error_code Code) {
                          if (Self->Finished)
@@ -90,8 +101,10 @@
                            Self->fail("cannot connect: " + Code.message());
                            return;
                          }
-                         error_code Ignored;
-                         Self->Socket.set_option(tcp::no_delay(true), Ignored);
+                         detectSilence(Self->Socket, UnacknowledgedLimit);
+                         if (Self->Options.ConnectLimit <
+                             Self->Options.TimeLimit)
+                           Self->armTimer(Self->Options.TimeLimit);
                          Self->write();
                        });
 }
--- a/lib/IO/HttpExchange.h
+++ b/lib/IO/HttpExchange.h
@@ -50,6 +50,8 @@
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::string_body>;
 
+  /// Limits the exchange to a time after its begin.
+  auto armTimer(Duration AfterBegin) -> void;
   auto enter(HttpPhase Phase) -> void;
   auto connect() -> void;
   auto write() -> void;
@@ -68,6 +70,7 @@
   boost::beast::flat_buffer Buffer;
   std::optional<Parser> Response;
   std::string Wire;
+  std::chrono::steady_clock::time_point Begun;
   HttpOutcome Outcome;
   bool Finished = false;
 };
--- /dev/null
+++ b/lib/IO/SocketOptions.cpp
@@ -0,0 +1,34 @@
+#include "IO/SocketOptions.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+namespace buckthornring {
+
+namespace {
+
+constexpr int IdleSeconds = 1;
+constexpr int ProbeSeconds = 1;
+constexpr int Probes = 2;
+
+auto setOption(int Descriptor, int Level, int Name, int Value) -> void {
+  // A refused option leaves the connection usable, only slower to fail.
+  static_cast<void>(
+      ::setsockopt(Descriptor, Level, Name, &Value, sizeof(Value)));
+}
+
+} // namespace
+
+auto detectSilence(boost::asio::ip::tcp::socket &Socket,
+                   Duration Unacknowledged) -> void {
+  const int Descriptor = Socket.native_handle();
+  setOption(Descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+  setOption(Descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+  setOption(Descriptor, IPPROTO_TCP, TCP_KEEPIDLE, IdleSeconds);
+  setOption(Descriptor, IPPROTO_TCP, TCP_KEEPINTVL, ProbeSeconds);
+  setOption(Descriptor, IPPROTO_TCP, TCP_KEEPCNT, Probes);
+  setOption(Descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(Unacknowledged.count() / 1000));
+}
+
+} // namespace buckthornring
--- /dev/null
+++ b/lib/IO/SocketOptions.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "buckthornring/Common/Time.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace buckthornring {
+
+/// Makes the kernel end a connection whose peer no longer answers: middleboxes
+/// drop the state of open connections without a sign to either end.
+///
+/// Sends without delay; probes an idle connection after a second and ends it
+/// two probes later; ends it when sent data is not acknowledged within
+/// \p Unacknowledged. Options that the system refuses keep their defaults.
+auto detectSilence(boost::asio::ip::tcp::socket &Socket,
+                   Duration Unacknowledged) -> void;
+
+} // namespace buckthornring
--- a/lib/Routing/RouteTable.cpp
+++ b/lib/Routing/RouteTable.cpp
@@ -71,18 +71,25 @@
 
 RouteTable::RouteTable(const Configuration &Config) {
   for (const auto &[Name, Route] : Config.Routes)
-    LongestFirst.push_back(&Route);
-  std::stable_sort(LongestFirst.begin(), LongestFirst.end(),
-                   [](const RouteConfig *First, const RouteConfig *Second) {
-                     return First->PathPrefix.size() >
-                            Second->PathPrefix.size();
-                   });
+    ByHost[Route.Host].push_back(&Route);
+  for (auto &[Host, Routes] : ByHost)
+    std::stable_sort(Routes.begin(), Routes.end(),
+                     [](const RouteConfig *First, const RouteConfig *Second) {
+                       return First->PathPrefix.size() >
+                              Second->PathPrefix.size();
+                     });
 }
 
-auto RouteTable::match(std::string_view Path) const -> const RouteConfig * {
-  for (const RouteConfig *Route : LongestFirst)
-    if (covers(Route->PathPrefix, Path))
-      return Route;
+auto RouteTable::match(std::string_view Path, std::string_view Host) const
+    -> const RouteConfig * {
+  for (const std::string &Name : {std::string(Host), std::string()}) {
+    const auto Found = ByHost.find(Name);
+    if (Found == ByHost.end())
+      continue;
+    for (const RouteConfig *Route : Found->second)
+      if (covers(Route->PathPrefix, Path))
+        return Route;
+  }
   return nullptr;
 }
 
