Count sends under way against a request's attempts

Cause: a hedge and a repeat after a failed answer each looked only at sends that had begun, so a request could run on three targets of two. Ruled out: retries after rejections, which run nothing. Also: a new leader had the demand of few instances and gave them whole rates; instances now keep their parts for its first 1.5 s.

--- a/lib/Fleet/FleetMessage.cpp
+++ b/lib/Fleet/FleetMessage.cpp
@@ -77,6 +77,7 @@
           {"f", Reply.SeenFrom},
           {"n", Reply.Instances},
           {"z", Reply.InDataCentre},
+          {"q", Reply.PartsKnown},
           {"w", encodeMap(shortParts(Reply.RateParts))},
           {"o", static_cast<std::uint32_t>(Reply.OtherParts * 10'000)}};
 }
@@ -109,6 +110,7 @@
   Reply.SeenFrom = Value.at("f").get<std::string>();
   Reply.Instances = Value.at("n").get<std::uint32_t>();
   Reply.InDataCentre = Value.at("z").get<std::uint32_t>();
+  Reply.PartsKnown = Value.at("q").get<bool>();
   for (const auto &[Id, Part] :
        decodeMap<WorkspaceId, std::uint32_t>(Value.at("w")))
     Reply.RateParts[Id] = Part / 10'000.0;
--- a/lib/Fleet/FleetMessage.h
+++ b/lib/Fleet/FleetMessage.h
@@ -53,6 +53,9 @@
   std::string SeenFrom; ///< Address of an instance that has seen it.
   std::uint32_t Instances = 1;
   std::uint32_t InDataCentre = 1; ///< Of the receiver.
+  /// Whether the parts below are to be used. A new leader does not know the
+  /// demand of all instances yet, so they keep the parts that they have.
+  bool PartsKnown = false;
   std::map<WorkspaceId, double> RateParts;
   double OtherParts = 0;
 };
--- a/lib/Fleet/TargetTable.h
+++ b/lib/Fleet/TargetTable.h
@@ -16,8 +16,8 @@
 
 /// Numbers of live instances, for limits that hold for all of them together.
 struct FleetSize {
-  std::uint32_t Instances = 1;
-  std::uint32_t InOwnDataCentre = 1;
+  std::uint32_t Instances = 16; ///< Assumed until the leader has told it.
+  std::uint32_t InOwnDataCentre = 4;
 };
 
 /// How many requests per second a cold target of a service may get from the
--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -143,6 +143,8 @@
 }
 
 auto FleetMember::applyReply(const FleetReply &Reply) -> void {
+  if (!Reply.PartsKnown)
+    return;
   Around.Requests.Targets.setFleetSize({Reply.Instances, Reply.InDataCentre});
   Around.Requests.Rates.setParts(Reply.RateParts, Reply.OtherParts,
                                  Reply.Instances, bootNow());
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -19,6 +19,9 @@
 /// An instance without reports for this time is no longer counted.
 constexpr Duration MemberLifetime = std::chrono::seconds(6);
 
+/// Time after the start in which all instances have reported several times.
+constexpr Duration LearnTime = std::chrono::milliseconds(1500);
+
 /// Capacities of targets differ by at most this factor from the usual one.
 constexpr double CapacitySpread = 2.5;
 
@@ -30,7 +33,8 @@
 
 auto Leader::start(LeaderInfo Given) -> void {
   Self = std::move(Given);
-  ConfirmedAt = bootNow();
+  StartedAt = bootNow();
+  ConfirmedAt = StartedAt;
   Services.clear();
   Members.clear();
   Rates = RateDivider();
@@ -52,10 +56,6 @@
     FleetReply Last;
     Last.Leader = Self;
     Last.StoreReachable = false;
-    Last.Instances = static_cast<std::uint32_t>(Members.size());
-    const auto Parts = Rates.partsOf(Name);
-    Last.RateParts = Parts.ByWorkspace;
-    Last.OtherParts = Parts.Others;
     if (Name != Self.Instance)
       Around.Send(Other.Address, Last);
   }
@@ -84,6 +84,7 @@
   FleetReply Reply;
   Reply.Leader = Self;
   Reply.StoreReachable = StoreReachable;
+  Reply.PartsKnown = Now - StartedAt > LearnTime;
   const auto Parts = Rates.partsOf(From.Instance);
   Reply.RateParts = Parts.ByWorkspace;
   Reply.OtherParts = Parts.Others;
--- a/lib/Gateway/Leader.h
+++ b/lib/Gateway/Leader.h
@@ -102,6 +102,7 @@
   RangeTimes Times;
   OrderSender Orders;
   LeaderInfo Self; ///< Term 0: not leading.
+  TimePoint StartedAt = TimePoint::min();
   TimePoint ConfirmedAt = TimePoint::min();
   RateDivider Rates;
   std::map<InstanceId, Member> Members;
--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -314,14 +314,15 @@
 
 auto RequestFlow::armHedge(const Leg & /*Sent*/) -> void {
   if (!Idempotent || Key || Legs.size() != 1 ||
-      MayHave >= Route->MaxAttempts)
+      committed() >= Route->MaxAttempts)
     return;
   HedgeTimer.expires_after(std::chrono::duration_cast<Duration>(
       Route->TargetLatency * HedgePart));
   HedgeTimer.async_wait(
       [Self = shared_from_this()](const boost::system::error_code &Cancelled) {
         if (!Cancelled && !Self->Done && Self->Legs.size() == 1 &&
-            Self->Legs.front()->SentAt != TimePoint::min())
+            Self->Legs.front()->SentAt != TimePoint::min() &&
+            Self->committed() < Self->Route->MaxAttempts)
           Self->hedge();
       });
 }
@@ -422,8 +423,15 @@
   refuse(RefusalReason::ConnectionLost);
 }
 
+auto RequestFlow::committed() const -> std::uint32_t {
+  return MayHave + static_cast<std::uint32_t>(std::count_if(
+                       Legs.begin(), Legs.end(), [](const LegPtr &Sent) {
+                         return Sent->SentAt == TimePoint::min();
+                       }));
+}
+
 auto RequestFlow::mayRepeat(TimePoint Now) -> bool {
-  return MayHave < Route->MaxAttempts && Now < EndAt &&
+  return committed() < Route->MaxAttempts && Now < EndAt &&
          Context.retries(Service).tryTake(
              Context.Targets.fleetSize().Instances, Now);
 }
--- a/lib/Gateway/RequestFlow.h
+++ b/lib/Gateway/RequestFlow.h
@@ -72,6 +72,8 @@
   auto forward(const Leg &Sent, TargetAnswer Answer) -> void;
   auto sound(const TargetAnswer &Answer) const -> bool;
 
+  /// Targets that have the request or are about to get it.
+  auto committed() const -> std::uint32_t;
   auto mayRepeat(TimePoint Now) -> bool;
   auto retryOr(RetryReason Why, RefusalReason Otherwise) -> void;
   auto endLeg(const LegPtr &Sent) -> void;
