--- a/lib/Fleet/RateShares.cpp
+++ b/lib/Fleet/RateShares.cpp
@@ -8,7 +8,7 @@
 
 /// Part of the tolerance that the buckets use. The rest covers the overlap
 /// while parts move from one instance to another, and restarts.
-constexpr double UsedTolerance = 0.8;
+constexpr double UsedTolerance = 0.7;
 
 /// Part of the rate that is divided equally, whatever the demand, so that a
 /// workspace's first requests at an instance find some of it.
@@ -123,22 +123,38 @@
   });
 }
 
+auto RateDivider::recompute() -> void {
+  std::map<WorkspaceId, double> Totals;
+  for (const auto &[Name, Holder] : Holders)
+    for (const auto &[Id, Rate] : Holder.Rates)
+      Totals[Id] += Rate;
+  Previous = std::exchange(Newest, {});
+  const std::uint32_t Count = std::max<std::uint32_t>(1, instances());
+  for (const auto &[Name, Holder] : Holders) {
+    Parts &Own = Newest[Name];
+    Own.Instances = Count;
+    Own.Others = EqualPart / Count;
+    for (const auto &[Id, Rate] : Holder.Rates) {
+      const double Wanted = Totals[Id] > 0 ? Rate / Totals[Id] : 1.0 / Count;
+      Own.ByWorkspace[Id] = EqualPart / Count + (1 - EqualPart) * Wanted;
+    }
+  }
+}
+
 auto RateDivider::partsOf(const InstanceId &Instance) const -> Parts {
+  const auto Now = Newest.find(Instance);
+  const auto Before = Previous.find(Instance);
   Parts Out;
   Out.Instances = std::max<std::uint32_t>(1, instances());
   Out.Others = EqualPart / Out.Instances;
-  const auto Own = Holders.find(Instance);
-  if (Own == Holders.end())
+  if (Now == Newest.end() || Before == Previous.end())
     return Out;
-  for (const auto &[Id, Rate] : Own->second.Rates) {
-    double Total = 0;
-    for (const auto &[Name, Other] : Holders) {
-      const auto Found = Other.Rates.find(Id);
-      Total += Found == Other.Rates.end() ? 0 : Found->second;
-    }
-    const double Wanted = Total > 0 ? Rate / Total : 1.0 / Out.Instances;
+  Out.Others = std::min(Now->second.Others, Before->second.Others);
+  for (const auto &[Id, Part] : Now->second.ByWorkspace) {
+    const auto Old = Before->second.ByWorkspace.find(Id);
+    const bool Known = Old != Before->second.ByWorkspace.end();
     Out.ByWorkspace[Id] =
-        EqualPart / Out.Instances + (1 - EqualPart) * Wanted;
+        std::min(Part, Known ? Old->second : Before->second.Others);
   }
   return Out;
 }
--- a/lib/Fleet/RateShares.h
+++ b/lib/Fleet/RateShares.h
@@ -80,6 +80,13 @@
     double Others = 0; ///< Part of each workspace without demand here.
     std::uint32_t Instances = 1;
   };
+
+  /// Computes all parts anew from the same demand. Call at the interval of the
+  /// reports.
+  auto recompute() -> void;
+
+  /// Parts that an instance may use now. A part grows one interval after the
+  /// parts of others have shrunk for it.
   auto partsOf(const InstanceId &Instance) const -> Parts;
 
   auto instances() const -> std::uint32_t {
@@ -91,7 +98,11 @@
     std::map<WorkspaceId, double> Rates; ///< Requests per second, smoothed.
     TimePoint Seen;
   };
+  using Table = std::map<InstanceId, Parts>;
+
   std::map<InstanceId, Holder> Holders;
+  Table Newest;
+  Table Previous;
 };
 
 } // namespace buckthornring
--- a/lib/Fleet/TargetTable.cpp
+++ b/lib/Fleet/TargetTable.cpp
@@ -159,9 +159,21 @@
   double Part = Total / std::max(1U, Fleet.Instances);
   if (Part < 1)
     Part = Near ? Total / std::max(1U, Fleet.InOwnDataCentre) : 0;
+  // Where even that is less than one request each, some of them may send.
+  if (Part > 0 && Part < 1)
+    Part = chosenFor(Target.Record, Part * UsedColdPart) ? 1 : 0;
   return static_cast<double>(Target.Sends.count(Now)) >= std::floor(Part);
 }
 
+auto TargetTable::chosenFor(const TargetRecord &Target, double Share) const
+    -> bool {
+  constexpr std::size_t Steps = 1000;
+  const std::size_t Hash = std::hash<std::string>()(
+      Given.Instance.str() + "/" + Target.Id.str() + "/" +
+      std::to_string(Target.StartedAtMs));
+  return static_cast<double>(Hash % Steps) < Share * Steps;
+}
+
 auto TargetTable::typicalWork(const ServiceId &Service) const -> Duration {
   const auto Found = WorkUs.find(Service);
   return Found == WorkUs.end()
--- a/lib/Fleet/TargetTable.h
+++ b/lib/Fleet/TargetTable.h
@@ -74,6 +74,7 @@
 class TargetTable {
 public:
   struct Settings {
+    InstanceId Instance;
     DataCentreId DataCentre; ///< Of this instance.
     /// Time after the directory's return within which missing records may come
     /// back.
@@ -137,6 +138,9 @@
 
 private:
   auto coldLimitReached(TargetState &Target, TimePoint Now) -> bool;
+  /// Whether this instance is among a share of all instances, chosen at random
+  /// for each life of a target.
+  auto chosenFor(const TargetRecord &Target, double Share) const -> bool;
   auto erase(const TargetId &Id) -> void;
   auto typicalWork(const ServiceId &Service) const -> Duration;
 
--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -210,7 +210,7 @@
                                    .field("term", Current.Term)
                                    .field("self", Self));
   if (Self && !Leaving)
-    return Around.Lead.start(Current);
+    return Around.Lead.start(Current, ClaimedAt);
   if (Around.Lead.leading()) {
     if (Now - ClaimedAt < ShortLead)
       NoClaimBefore = Now + ClaimPause;
@@ -249,6 +249,7 @@
 
 auto FleetMember::claim() -> void {
   Claiming = true;
+  ClaimedAt = bootNow();
   ClaimAt = TimePoint::min();
   Around.Store.write(
       Around.Requests.Protocol.Kinds.Own, LeaderObject, Current.Term,
@@ -259,8 +260,6 @@
                 .field("status", StoreStatusNames.name(Answer.Status))
                 .field("revision",
                        Answer.Object ? Answer.Object->Revision : 0));
-        if (Answer.Status == StoreStatus::Done)
-          ClaimedAt = bootNow();
         if (Answer.Object)
           leaderChanged(&*Answer.Object);
       });
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -19,6 +19,11 @@
 /// Interval of an instance's own upkeep.
 constexpr Duration IdleTick = std::chrono::milliseconds(500);
 
+/// Wait of the watch on the router's own objects. Its answers tell an instance
+/// that it has contact with the store, and prove to the leader that it leads.
+constexpr Duration OwnWatchWait = std::chrono::seconds(20);
+constexpr Duration LeaderWatchWait = std::chrono::milliseconds(2500);
+
 /// Interval in which waiting requests are tried again; answers and changes
 /// wake them as well.
 constexpr Duration WaitTick = std::chrono::milliseconds(25);
@@ -48,7 +53,7 @@
 Gateway::Parts::Parts(GatewaySettings Given, PlatformProtocol Spoken)
     : Settings(std::move(Given)), Protocol(std::move(Spoken)),
       Events(Settings.Instance.str()), Process(processName(Settings.Instance)),
-      Targets(TargetTable::Settings{Settings.DataCentre},
+      Targets(TargetTable::Settings{Settings.Instance, Settings.DataCentre},
               std::hash<std::string>()(Process)),
       Pool(Io.get_executor()),
       Requests{Io,
@@ -234,9 +239,9 @@
   Pool.closeIdle(Now);
   serveWaiting();
   Events.flush();
+  OwnFeed->setWatchWait(Lead->leading() ? LeaderWatchWait : OwnWatchWait);
   if (Lead->leading()) {
-    if (OwnFeed->connected())
-      Lead->confirmed(OwnFeed->lastContact());
+    Lead->confirmed(OwnFeed->knownAt());
     if (Requests.Active)
       Lead->tick(Requests.Active->Config);
   }
--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -18,10 +18,6 @@
 /// may come back.
 constexpr Duration ReturnTime = std::chrono::milliseconds(2500);
 
-/// Wait of the watch on the router's own objects. Its answers prove to the
-/// leader that it still has contact with the store.
-constexpr Duration OwnWatchWait = std::chrono::seconds(5);
-
 constexpr Duration PeerCallLimit = std::chrono::milliseconds(1000);
 
 constexpr std::string_view RangePrefix = "ranges.";
@@ -48,8 +44,6 @@
   StoreFeed::Options Options;
   Options.Kind = Kind;
   Options.Seed = std::hash<std::string>()(Process + Kind);
-  if (Kind == Protocol.Kinds.Own)
-    Options.WatchWait = OwnWatchWait;
   Handlers.OnContact = [this, Kind](bool Connected, const char *Reason) {
     contact(Kind, Connected, Reason);
   };
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -31,10 +31,10 @@
   return "ranges." + Service.str();
 }
 
-auto Leader::start(LeaderInfo Given) -> void {
+auto Leader::start(LeaderInfo Given, TimePoint ProvedAt) -> void {
   Self = std::move(Given);
   StartedAt = bootNow();
-  ConfirmedAt = StartedAt;
+  ConfirmedAt = ProvedAt;
   Services.clear();
   Members.clear();
   Rates = RateDivider();
@@ -75,6 +75,9 @@
   Rates.reported(From.Instance, From.Demand,
                  std::chrono::milliseconds(From.SpanMs), Now);
   Rates.expire(Now);
+  // The leader's own report comes once in each interval.
+  if (From.Instance == Self.Instance)
+    Rates.recompute();
   for (const auto &[Id, Keys] : From.Keys) {
     const auto Found = Services.find(Id);
     if (Found != Services.end())
@@ -192,16 +195,18 @@
 
 auto Leader::write(const ServiceId &Id, Service &Own) -> void {
   Own.Writing = true;
+  const TimePoint SentAt = bootNow();
   Around.Store.write(
       Around.Protocol.Kinds.Own, rangeObject(Id), Own.Keeper.revision(),
       Own.Keeper.pendingWrite()->json(),
-      [this, Id, Term = Self.Term](const StoreWrite &Answer) {
+      [this, Id, SentAt, Term = Self.Term](const StoreWrite &Answer) {
         if (Self.Term == Term)
-          writeEnded(Id, Answer);
+          writeEnded(Id, Answer, SentAt);
       });
 }
 
-auto Leader::writeEnded(const ServiceId &Id, const StoreWrite &Answer) -> void {
+auto Leader::writeEnded(const ServiceId &Id, const StoreWrite &Answer,
+                        TimePoint SentAt) -> void {
   const auto Found = Services.find(Id);
   if (Found == Services.end())
     return;
@@ -218,7 +223,7 @@
                                          Own.Keeper.pendingWrite()->json();
   if (Answer.Status == StoreStatus::Done ||
       (Answer.Status == StoreStatus::Conflict && Same)) {
-    confirmed(Now);
+    confirmed(SentAt);
     Own.Keeper.writeDone(Answer.Object->Revision, Now);
     return sendOrders(Id, Own, Now);
   }
--- a/lib/Gateway/Leader.h
+++ b/lib/Gateway/Leader.h
@@ -46,7 +46,8 @@
   /// Name of the object that holds a service's ranges.
   static auto rangeObject(const ServiceId &Service) -> std::string;
 
-  auto start(LeaderInfo Self) -> void;
+  /// \p ProvedAt is when the claim was sent that made this instance lead.
+  auto start(LeaderInfo Self, TimePoint ProvedAt) -> void;
   auto stop() -> void;
   /// Tells the others to take over, then stops.
   auto resign() -> void;
@@ -91,7 +92,8 @@
       -> Service *;
   auto viewOf(const ServiceId &Id, TimePoint Now) const -> RangeKeeper::View;
   auto write(const ServiceId &Id, Service &Own) -> void;
-  auto writeEnded(const ServiceId &Id, const StoreWrite &Answer) -> void;
+  auto writeEnded(const ServiceId &Id, const StoreWrite &Answer,
+                  TimePoint SentAt) -> void;
   auto sendOrders(const ServiceId &Id, Service &Own, TimePoint Now) -> void;
   auto order(const ServiceId &Id, const RangeCall &Call) -> void;
   auto orderEnded(const ServiceId &Id, const RangeCall &Call,
--- a/lib/Gateway/StoreFeed.cpp
+++ b/lib/Gateway/StoreFeed.cpp
@@ -38,6 +38,7 @@
 
 auto StoreFeed::succeeded() -> void {
   LastContact = bootNow();
+  KnownAt = AskedAt;
   Failures = 0;
   if (std::exchange(Connected, true))
     return;
@@ -59,6 +60,7 @@
 }
 
 auto StoreFeed::list() -> void {
+  AskedAt = bootNow();
   Store.list(Settings.Kind,
              [this, Living = Alive](StoreChanges Changes) {
                if (*Living)
@@ -90,7 +92,7 @@
 }
 
 auto StoreFeed::watch() -> void {
-  WatchedAt = bootNow();
+  AskedAt = bootNow();
   Store.watch(Settings.Kind, Revision, Settings.WatchWait,
               [this, Living = Alive](const StoreChanges &Changes) {
                 if (*Living)
@@ -111,7 +113,7 @@
     Changed = apply(Object) || Changed;
   Revision = std::max(Revision, Changes.Revision);
   // A store that answers at once without changes must not be asked in a loop.
-  const bool Early = bootNow() - WatchedAt < GatherTime;
+  const bool Early = bootNow() - AskedAt < GatherTime;
   if (Changed || Early)
     return later(GatherTime, &StoreFeed::watch);
   watch();
--- a/lib/Gateway/StoreFeed.h
+++ b/lib/Gateway/StoreFeed.h
@@ -45,8 +45,13 @@
 
   auto loaded() const -> bool { return Loaded; }
   auto connected() const -> bool { return Connected; }
-  /// When the store was last heard of, and when contact was last regained.
+  /// When the store was last heard of.
   auto lastContact() const -> TimePoint { return LastContact; }
+  /// What the store held at this time is known: when the last answered call
+  /// was sent. The answer itself may have been held up on its way.
+  auto knownAt() const -> TimePoint { return KnownAt; }
+  auto setWatchWait(Duration Wait) -> void { Settings.WatchWait = Wait; }
+  /// When contact was last regained.
   auto regainedAt() const -> TimePoint { return RegainedAt; }
   /// Revision of the newest change seen.
   auto lastChange() const -> std::uint64_t { return LastChange; }
@@ -77,7 +82,8 @@
   std::uint64_t LastChange = 0;
   TimePoint LastContact = TimePoint::min();
   TimePoint RegainedAt = TimePoint::min();
-  TimePoint WatchedAt = TimePoint::min();
+  TimePoint AskedAt = TimePoint::min();
+  TimePoint KnownAt = TimePoint::min();
   std::uint32_t Failures = 0;
   bool Loaded = false;
   bool Connected = false;
--- /dev/null
+++ b/tests/unit/RateSharesTest.cpp
@@ -0,0 +1,150 @@
+#include "Fleet/RateShares.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+
+using namespace buckthornring;
+
+namespace {
+
+constexpr Duration Interval = std::chrono::milliseconds(400);
+const WorkspaceId Busy("busy");
+
+auto configWith(double Rate, double Burst) -> Configuration {
+  Configuration Config;
+  Config.Workspaces[Busy] = {Rate, Burst, 1, 64, {}, {}};
+  return Config;
+}
+
+/// Instances that report one after another within each interval, as datagrams
+/// arrive, and a divider.
+class RateFleet {
+public:
+  RateFleet(std::size_t Count, double Rate, double Burst) {
+    for (std::size_t Index = 0; Index < Count; ++Index)
+      Holders.emplace_back(RateTolerance());
+    for (RateShares &Holder : Holders)
+      Holder.configure(configWith(Rate, Burst), Now);
+  }
+
+  /// Offers \p PerSecond requests per second for one step of 10 ms.
+  auto step(double PerSecond) -> void {
+    constexpr Duration Step = std::chrono::milliseconds(10);
+    Now += Step;
+    ++Steps;
+    Credit += PerSecond / 100;
+    while (Credit >= 1) {
+      Credit -= 1;
+      // A few of the instances get most of the requests.
+      ++Next;
+      const std::size_t To = Next * (Next + 1) % Holders.size();
+      if (Holders[To].admit(Busy, Now))
+        Admitted.push_back(Now);
+    }
+    const auto PerInterval = static_cast<std::size_t>(Interval / Step);
+    const std::size_t Slot = Steps % PerInterval;
+    for (std::size_t Index = 0; Index < Holders.size(); ++Index)
+      if (Index * PerInterval / Holders.size() == Slot)
+        report(Index);
+  }
+
+  auto partSum() const -> double {
+    double Sum = 0;
+    for (const double Part : Parts)
+      Sum += Part;
+    return Sum;
+  }
+
+  /// Most admissions in any window of 5 s.
+  auto busiestWindow() const -> std::size_t {
+    std::size_t Most = 0;
+    std::deque<TimePoint> Window;
+    for (const TimePoint At : Admitted) {
+      Window.push_back(At);
+      while (At - Window.front() > std::chrono::seconds(5))
+        Window.pop_front();
+      Most = std::max(Most, Window.size());
+    }
+    return Most;
+  }
+
+private:
+  auto report(std::size_t Index) -> void {
+    const InstanceId Name("i" + std::to_string(Index));
+    Divider.reported(Name, Holders[Index].takeDemand(), Interval, Now);
+    if (Index == 0)
+      Divider.recompute();
+    const auto Told = Divider.partsOf(Name);
+    Holders[Index].setParts(Told.ByWorkspace, Told.Others, Told.Instances, Now);
+    const auto Own = Told.ByWorkspace.find(Busy);
+    Parts.resize(Holders.size());
+    Parts[Index] = Own == Told.ByWorkspace.end() ? Told.Others : Own->second;
+  }
+
+  std::deque<RateShares> Holders;
+  RateDivider Divider;
+  std::vector<double> Parts;
+  std::vector<TimePoint> Admitted;
+  TimePoint Now = TimePoint(std::chrono::seconds(100));
+  std::size_t Steps = 0;
+  std::size_t Next = 0;
+  double Credit = 0;
+};
+
+// The parts used to be computed anew for each report. While the demand rose,
+// each reporter's own demand was newer than that of the others, and the parts
+// added up to more than one.
+TEST(RateSharesTest, PartsNeverAddUpToMoreThanOneWhileDemandRises) {
+  RateFleet Fleet(11, 96, 96);
+  for (int Step = 0; Step < 400; ++Step)
+    Fleet.step(60);
+  for (int Step = 0; Step < 300; ++Step) {
+    Fleet.step(430);
+    ASSERT_LE(Fleet.partSum(), 1.02) << "step " << Step;
+  }
+}
+
+TEST(RateSharesTest, NoWindowExceedsTheRateWhenDemandIsSevenTimesTheUsual) {
+  constexpr double Rate = 96;
+  constexpr double Burst = 96;
+  RateFleet Fleet(11, Rate, Burst);
+  for (int Step = 0; Step < 1000; ++Step)
+    Fleet.step(60);
+  for (int Step = 0; Step < 1000; ++Step)
+    Fleet.step(430);
+  EXPECT_LE(Fleet.busiestWindow(), (Rate * 5 + Burst) * 1.1 + 20);
+}
+
+TEST(RateSharesTest, UsualDemandBelowTheRateIsAdmitted) {
+  RateFleet Fleet(11, 96, 96);
+  for (int Step = 0; Step < 1000; ++Step)
+    Fleet.step(60);
+  // 10 s at 60 requests per second, without the first second's unknown parts.
+  EXPECT_GE(Fleet.busiestWindow(), 295U);
+}
+
+TEST(RateSharesTest, LoweredRateBindsAtOnce) {
+  RateShares Shares{RateTolerance()};
+  TimePoint Now(std::chrono::seconds(100));
+  Shares.configure(configWith(1000, 1000), Now);
+  Shares.setParts({}, 1, 1, Now);
+  Now += std::chrono::seconds(10);
+  Shares.configure(configWith(10, 10), Now);
+  int Admitted = 0;
+  for (int Step = 0; Step < 500; ++Step) {
+    Now += std::chrono::milliseconds(10);
+    Admitted += Shares.admit(Busy, Now) ? 1 : 0;
+  }
+  EXPECT_LE(Admitted, (10 * 5 + 10) * 1.1 + 20);
+}
+
+TEST(RateSharesTest, WorkspaceWithoutRateIsNotLimited) {
+  RateShares Shares{RateTolerance()};
+  const TimePoint Now(std::chrono::seconds(100));
+  Shares.configure(configWith(0, 0), Now);
+  for (int Count = 0; Count < 1000; ++Count)
+    ASSERT_TRUE(Shares.admit(Busy, Now));
+}
+
+} // namespace
--- /dev/null
+++ b/tests/unit/TargetTableTest.cpp
@@ -0,0 +1,154 @@
+#include "Fleet/TargetTable.h"
+
+#include <gtest/gtest.h>
+
+using namespace buckthornring;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const ServiceId Service("stock");
+const DataCentreId Near("dc1");
+const DataCentreId Far("dc2");
+const TimePoint Start(seconds(100));
+
+auto record(const std::string &Id, const DataCentreId &DataCentre,
+            std::int64_t StartedAt = 1, std::uint64_t Sequence = 1)
+    -> TargetRecord {
+  TargetRecord Record;
+  Record.Id = TargetId(Id);
+  Record.Service = Service;
+  Record.Address = "10.0.0.1:80";
+  Record.DataCentre = DataCentre;
+  Record.Slots = 4;
+  Record.StartedAtMs = StartedAt;
+  Record.Sequence = Sequence;
+  return Record;
+}
+
+auto table() -> TargetTable {
+  TargetTable::Settings Settings;
+  Settings.DataCentre = Near;
+  return TargetTable(Settings, 1);
+}
+
+auto selected(TargetTable &Table, TimePoint Now) -> std::string {
+  const auto Selection =
+      Table.select({Service, true, milliseconds(400), {}}, Now);
+  return Selection.Target ? Selection.Target->Record.Id.str() : "";
+}
+
+TEST(TargetTableTest, PrefersTheOwnDataCentreUntilItIsLoaded) {
+  auto Table = table();
+  Table.apply(record("near", Near), Start);
+  Table.apply(record("far", Far), Start);
+  EXPECT_EQ(selected(Table, Start), "near");
+  for (int Count = 0; Count < 10; ++Count)
+    Table.find(TargetId("near"))->Load.sent();
+  EXPECT_EQ(selected(Table, Start), "far");
+}
+
+TEST(TargetTableTest, DrainingAndEvacuatedTargetsGetNothing) {
+  auto Table = table();
+  auto Leaving = record("a", Near);
+  Leaving.Draining = true;
+  Table.apply(Leaving, Start);
+  EXPECT_EQ(selected(Table, Start), "");
+  Table.apply(record("b", Far), Start);
+  Table.setEvacuated({Far}, Start);
+  EXPECT_EQ(selected(Table, Start), "");
+  Table.setEvacuated({}, Start);
+  EXPECT_EQ(selected(Table, Start), "b");
+}
+
+// Records may be written late, after newer ones of the same target.
+TEST(TargetTableTest, OlderRecordOfTheSameTargetIsIgnored) {
+  auto Table = table();
+  auto Leaving = record("a", Near, 5, 9);
+  Leaving.Draining = true;
+  Table.apply(Leaving, Start);
+  EXPECT_FALSE(Table.apply(record("a", Near, 5, 8), Start));
+  EXPECT_TRUE(Table.find(TargetId("a"))->Record.Draining);
+  EXPECT_FALSE(Table.apply(record("a", Near, 4, 20), Start));
+  EXPECT_EQ(Table.find(TargetId("a"))->Record.StartedAtMs, 5);
+  EXPECT_TRUE(Table.apply(record("a", Near, 6, 1), Start));
+}
+
+TEST(TargetTableTest, RecordsMissingAfterAnOutageAreGivenTimeToReturn) {
+  auto Table = table();
+  Table.apply(record("a", Near), Start);
+  Table.apply(record("b", Near), Start);
+  Table.replace({}, true, Start);
+  EXPECT_NE(selected(Table, Start), "");
+  Table.apply(record("a", Near, 1, 2), Start + seconds(1));
+  EXPECT_TRUE(Table.dropMissing(Start + seconds(3)));
+  EXPECT_TRUE(Table.find(TargetId("a")));
+  EXPECT_FALSE(Table.find(TargetId("b")));
+}
+
+TEST(TargetTableTest, RecordsMissingWithoutOutageAreGoneAtOnce) {
+  auto Table = table();
+  Table.apply(record("a", Near), Start);
+  Table.replace({}, false, Start);
+  EXPECT_FALSE(Table.find(TargetId("a")));
+}
+
+/// Requests that all instances together send to one cold target in a second.
+auto coldRequests(std::uint32_t Instances, std::uint32_t Near_) -> int {
+  int Sent = 0;
+  for (std::uint32_t Index = 0; Index < Instances; ++Index) {
+    TargetTable::Settings Settings;
+    Settings.Instance = InstanceId("i" + std::to_string(Index));
+    Settings.DataCentre = Index < Near_ ? Near : Far;
+    TargetTable Table(Settings, Index);
+    Table.setFleetSize({Instances, Index < Near_ ? Near_ : 1});
+    Table.setColdLimits({{Service, {7.8 * 1.5 + 5, seconds(3)}}});
+    auto Cold = record("a", Near);
+    Cold.ColdLeft = seconds(3);
+    Table.apply(Cold, Start);
+    for (int Step = 0; Step < 100; ++Step) {
+      const TimePoint Now = Start + milliseconds(10) * Step;
+      const auto Selection =
+          Table.select({Service, true, milliseconds(400), {}}, Now);
+      if (!Selection.Target)
+        continue;
+      Selection.Target->Sends.add(Now);
+      ++Sent;
+    }
+  }
+  return Sent;
+}
+
+TEST(TargetTableTest, ColdTargetIsNotOverloadedByAllInstancesTogether) {
+  constexpr double Limit = 7.8 * 1.5 + 5;
+  for (const auto &[Instances, InDataCentre] :
+       {std::pair{1U, 1U}, {4U, 1U}, {11U, 3U}, {16U, 4U}, {78U, 16U}}) {
+    const int Sent = coldRequests(Instances, InDataCentre);
+    EXPECT_LE(Sent, Limit) << Instances << " instances";
+    EXPECT_GE(Sent, 1) << Instances << " instances";
+  }
+}
+
+TEST(TargetTableTest, UnreachableTargetIsTriedAgainAndCountsAsCold) {
+  auto Table = table();
+  Table.apply(record("a", Near), Start);
+  Table.unreachable(*Table.find(TargetId("a")), Start);
+  EXPECT_EQ(selected(Table, Start), "");
+  const TimePoint Later = Start + seconds(1);
+  EXPECT_EQ(selected(Table, Later), "a");
+  EXPECT_TRUE(Table.find(TargetId("a"))->cold(Later));
+  EXPECT_FALSE(Table.find(TargetId("a"))->cold(Later + seconds(3)));
+}
+
+TEST(TargetTableTest, FailingTargetIsAvoidedThoughItIsFast) {
+  auto Table = table();
+  Table.apply(record("bad", Near), Start);
+  Table.apply(record("good", Near), Start);
+  for (int Count = 0; Count < 8; ++Count)
+    Table.find(TargetId("bad"))->Load.failed();
+  for (int Count = 0; Count < 20; ++Count)
+    EXPECT_EQ(selected(Table, Start), "good");
+}
+
+} // namespace
