--- a/lib/Fleet/RangeKeeper.cpp
+++ b/lib/Fleet/RangeKeeper.cpp
@@ -12,6 +12,11 @@
 /// elsewhere. Covers two repeated calls.
 constexpr Duration SilenceLimit = std::chrono::milliseconds(1200);
 
+/// Time after the last change at which it is recorded that the moves are over.
+/// A new leader waits for the donors of unfinished moves; recording the end of
+/// each move would double the writes.
+constexpr Duration SettleTime = std::chrono::milliseconds(800);
+
 /// Time after the last failed order after which a silent target is tried again.
 constexpr Duration SilenceMemory = std::chrono::seconds(4);
 
@@ -38,7 +43,7 @@
 auto RangeKeeper::takeOver(RangeRecord Recorded, std::uint64_t AtRevision,
                            TimePoint Now) -> void {
   Revision = AtRevision;
-  TakenOverAt = Now;
+  ChangedAt = Now;
   Silent.clear();
   if (Recorded.Ranges.empty()) {
     KeyRange All;
@@ -46,13 +51,13 @@
     Recorded.Ranges = {All};
   }
   Current = std::move(Recorded);
-  // An earlier leader may renew what is recorded until its authority ends. It
-  // has stopped renewing at a donor before it recorded the move.
+  // Any earlier leader may renew what it knows until its authority ends, at
+  // owners and at donors.
   State Unknown;
   Unknown.HoldEnd = Now + Times.Authority + Times.longestHold();
   Unknown.StrayEnd = Unknown.HoldEnd;
-  Unknown.DonorHoldEnd = Now + Times.longestHold();
-  Unknown.DonorStrayEnd = Unknown.DonorHoldEnd;
+  Unknown.DonorHoldEnd = Unknown.HoldEnd;
+  Unknown.DonorStrayEnd = Unknown.HoldEnd;
   Unknown.Sent = true;
   States.assign(Current.Ranges.size(), Unknown);
   for (std::size_t Index = 0; Index < States.size(); ++Index)
@@ -103,8 +108,7 @@
   return Joined;
 }
 
-auto RangeKeeper::writeDone(std::uint64_t NewRevision, TimePoint /*Now*/)
-    -> void {
+auto RangeKeeper::writeDone(std::uint64_t NewRevision, TimePoint Now) -> void {
   invariant(Proposed.has_value(), "a record was being written");
   std::vector<State> Next;
   for (const KeyRange &Range : Proposed->Ranges)
@@ -112,6 +116,7 @@
   Current = std::move(*Proposed);
   States = std::move(Next);
   Proposed.reset();
+  ChangedAt = Now;
   Revision = NewRevision;
   TakingOver = false;
 }
@@ -152,10 +157,30 @@
         const State &Known = States[&Range - Current.Ranges.data()];
         return donorGone(Range, Known, Now) && Known.Sent;
       });
-  auto Next = RangePlanner::plan(
-      {Current, Seen.Targets, Load, Keys, Movable, Settled});
+  const RangeRecord Base = withoutSettledDonors(Now);
+  const auto MovableIn = [&](const KeyRange &Range) {
+    const KeyRange *Own = Current.find(Range.From);
+    return Own && Movable(*Own);
+  };
+  auto Next =
+      RangePlanner::plan({Base, Seen.Targets, Load, Keys, MovableIn, Settled});
   if (Next)
     Proposed = std::move(Next);
+  else if (Base.Ranges != Current.Ranges && Now - ChangedAt > SettleTime)
+    Proposed = Base;
+}
+
+auto RangeKeeper::withoutSettledDonors(TimePoint Now) const -> RangeRecord {
+  RangeRecord Out = Current;
+  for (std::size_t Index = 0; Index < States.size(); ++Index) {
+    KeyRange &Range = Out.Ranges[Index];
+    if (!States[Index].Accepted || !donorGone(Range, States[Index], Now))
+      continue;
+    Range.Donor = TargetId();
+    Range.DonorStartedAt = 0;
+    Range.DonorFence = 0;
+  }
+  return Out;
 }
 
 auto RangeKeeper::proposedAway(const KeyRange &Range) const -> bool {
@@ -243,13 +268,21 @@
     TimePoint &End = Owns ? Known.HoldEnd : Known.DonorHoldEnd;
     TimePoint &Stray = Owns ? Known.StrayEnd : Known.DonorStrayEnd;
     const TimePoint Latest = Now + Times.longestHold();
-    if (Answer == RangeAnswer::Accepted || Answer == RangeAnswer::Unanswered)
-      End = std::max(End, Latest);
-    if (Answer == RangeAnswer::Unanswered)
-      Stray = Latest;
     if (Owns && Answer == RangeAnswer::Accepted &&
-        !std::exchange(Known.Accepted, true))
+        !std::exchange(Known.Accepted, true)) {
       Granted.push_back(Range.Fence);
+      // From now on the owner refuses what earlier leaders send, so only this
+      // leader's calls count.
+      Stray = Known.OwnStrayEnd;
+      End = Stray;
+    }
+    if (Answer == RangeAnswer::Accepted || Answer == RangeAnswer::Unanswered)
+      End = std::max(End, Latest);
+    if (Answer == RangeAnswer::Unanswered) {
+      Stray = std::max(Stray, Latest);
+      if (Owns)
+        Known.OwnStrayEnd = Latest;
+    }
     if (Owns)
       Known.NextAt = Now + (Answer == RangeAnswer::Accepted ? Times.RenewEvery
                                                             : Times.RepeatAfter);
--- a/lib/Fleet/RangeKeeper.h
+++ b/lib/Fleet/RangeKeeper.h
@@ -128,6 +128,7 @@
     TimePoint HoldEnd = TimePoint::min();
     /// Latest effect of a grant to the owner that got no answer.
     TimePoint StrayEnd = TimePoint::min();
+    TimePoint OwnStrayEnd = TimePoint::min(); ///< Of this leader's grants.
     TimePoint DonorHoldEnd = TimePoint::min();
     TimePoint DonorStrayEnd = TimePoint::min();
     TimePoint NextAt = TimePoint::min();
@@ -144,6 +145,8 @@
   auto donorGone(const KeyRange &Range, const State &Known, TimePoint Now) const
       -> bool;
   auto stateOf(const RangeRecord &Record, const KeyRange &Range) const -> State;
+  /// The record without the donors that can hold nothing any more.
+  auto withoutSettledDonors(TimePoint Now) const -> RangeRecord;
   auto proposedAway(const KeyRange &Range) const -> bool;
   auto granted(const RangeCall &Call, RangeAnswer Answer, TimePoint Now)
       -> void;
@@ -157,7 +160,7 @@
   std::uint64_t Revision = 0;
   std::optional<RangeRecord> Proposed;
   bool TakingOver = false;
-  TimePoint TakenOverAt = TimePoint::min();
+  TimePoint ChangedAt = TimePoint::min();
   View Seen;
   struct Silence {
     TimePoint Since;
--- a/lib/Fleet/RangePlanner.cpp
+++ b/lib/Fleet/RangePlanner.cpp
@@ -86,6 +86,12 @@
     return nullptr;
   }
 
+  /// A range that this plan has already moved has not reached its owner, so its
+  /// donor is still the previous one.
+  auto movable(const KeyRange &Range) const -> bool {
+    return Range.Fence < Given.Record.NextFence && Given.Movable(Range);
+  }
+
   auto weight(std::uint32_t From, std::uint32_t To) const -> double {
     return Given.Load.rate(From, To) + Assumed * (To - From + 1.0);
   }
@@ -199,7 +205,7 @@
         Loads[From.Id] * Share - Loads[To.Id] * (1 - Share);
     KeyRange *Busiest = nullptr;
     for (KeyRange &Range : Record.Ranges)
-      if (Range.Owner == From.Id && owner(Range) && Given.Movable(Range) &&
+      if (Range.Owner == From.Id && owner(Range) && movable(Range) &&
           (!Busiest || weight(Range.From, Range.To) >
                            weight(Busiest->From, Busiest->To)))
         Busiest = &Range;
