--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -139,6 +139,7 @@
   Lead = std::make_unique<Leader>(
       Leader::Surroundings{
           Io, *Store, Protocol, Targets, Events, *OwnFeed,
+          [this] { OwnFeed->refresh(); },
           [this](const std::string &To, const FleetMessage &Message) {
             Peers->send(To, Message);
           },
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -35,6 +35,7 @@
   Self = std::move(Given);
   StartedAt = bootNow();
   ConfirmedAt = ProvedAt;
+  RecordsKnownAfter = TimePoint::min();
   Services.clear();
   Members.clear();
   Rates = RateDivider();
@@ -115,8 +116,12 @@
 auto Leader::serviceOf(const ServiceId &Id, const ServiceConfig &Config)
     -> Service * {
   const auto Known = Services.find(Id);
-  if (Known != Services.end())
+  // A replaced leader's last write may come after the takeover.
+  if (Known != Services.end() && !overwritten(Id, Known->second))
     return &Known->second;
+  if (Around.Own.knownAt() <= RecordsKnownAfter)
+    return nullptr;
+  Services.erase(Id);
   RangeRecord Recorded;
   std::uint64_t Revision = 0;
   const auto Object = Around.Own.objects().find(rangeObject(Id));
@@ -232,16 +237,19 @@
     Own.WriteAt = Now + WriteRepeat;
     return;
   }
-  // Another instance has written; a later look at the leader object decides
-  // whether this one still leads.
-  auto Parsed = RangeRecord::parse(Answer.Object->Value,
-                                   Own.Keeper.record().Ranges.back().To + 1);
-  if (!Parsed) {
-    Services.erase(Found);
-    return;
-  }
-  Own.WriteAt = Now + WriteRepeat;
-  Own.Keeper.takeOver(std::move(Parsed).value(), Answer.Object->Revision, Now);
+  // Another instance has written. What the store holds now tells whether this
+  // one still leads, and from which record.
+  Services.erase(Found);
+  RecordsKnownAfter = Now;
+  Around.Refresh();
+}
+
+auto Leader::overwritten(const ServiceId &Id, const Service &Own) const
+    -> bool {
+  const auto Object = Around.Own.objects().find(rangeObject(Id));
+  return Object != Around.Own.objects().end() && !Own.Writing &&
+         !Own.Keeper.pendingWrite() &&
+         Object->second.Revision > Own.Keeper.revision();
 }
 
 auto Leader::sendOrders(const ServiceId &Id, Service &Own, TimePoint Now)
--- a/lib/Gateway/Leader.h
+++ b/lib/Gateway/Leader.h
@@ -33,6 +33,8 @@
     EventLog &Events;
     /// The router's own objects as last read.
     const StoreFeed &Own;
+    /// Reads the router's own objects anew.
+    std::function<void()> Refresh;
     /// Sends a message to an instance.
     std::function<void(const std::string &, const FleetMessage &)> Send;
     /// New owners have their grants.
@@ -94,6 +96,8 @@
   auto write(const ServiceId &Id, Service &Own) -> void;
   auto writeEnded(const ServiceId &Id, const StoreWrite &Answer,
                   TimePoint SentAt) -> void;
+  /// Whether the store holds a later record than this leader has written.
+  auto overwritten(const ServiceId &Id, const Service &Own) const -> bool;
   auto sendOrders(const ServiceId &Id, Service &Own, TimePoint Now) -> void;
   auto order(const ServiceId &Id, const RangeCall &Call) -> void;
   auto orderEnded(const ServiceId &Id, const RangeCall &Call,
@@ -106,6 +110,8 @@
   LeaderInfo Self; ///< Term 0: not leading.
   TimePoint StartedAt = TimePoint::min();
   TimePoint ConfirmedAt = TimePoint::min();
+  /// Records that were read before this time may be out of date.
+  TimePoint RecordsKnownAfter = TimePoint::min();
   RateDivider Rates;
   std::map<InstanceId, Member> Members;
   std::map<ServiceId, Service> Services;
--- a/lib/Gateway/StoreFeed.cpp
+++ b/lib/Gateway/StoreFeed.cpp
@@ -38,7 +38,7 @@
 
 auto StoreFeed::succeeded() -> void {
   LastContact = bootNow();
-  KnownAt = AskedAt;
+  KnownAt = std::max(KnownAt, AskedAt);
   Failures = 0;
   if (std::exchange(Connected, true))
     return;
@@ -68,6 +68,17 @@
              });
 }
 
+auto StoreFeed::refresh() -> void {
+  Store.list(Settings.Kind, [this, SentAt = bootNow(),
+                             Living = Alive](const StoreChanges &Changes) {
+    // After a failure the watch brings the changes.
+    if (!*Living || Changes.Status != StoreStatus::Done)
+      return;
+    KnownAt = std::max(KnownAt, SentAt);
+    takeWhole(Changes.Objects, Changes.Revision);
+  });
+}
+
 auto StoreFeed::gotList(StoreChanges Changes) -> void {
   if (Changes.Status != StoreStatus::Done)
     return failed(Changes.Status);
--- a/lib/Gateway/StoreFeed.h
+++ b/lib/Gateway/StoreFeed.h
@@ -43,6 +43,9 @@
   auto applyFromPeer(const std::vector<StoredObject> &Objects,
                      std::uint64_t Revision) -> void;
 
+  /// Reads all objects once more, beside the watch.
+  auto refresh() -> void;
+
   auto loaded() const -> bool { return Loaded; }
   auto connected() const -> bool { return Connected; }
   /// When the store was last heard of.
--- a/tests/support/RangeWorld.h
+++ b/tests/support/RangeWorld.h
@@ -89,6 +89,7 @@
     TimePoint PlanAt = TimePoint::min();
     std::set<TargetId> Granting;
     bool Writing = false;
+    bool Stopped = false;
     bool CutOff = false; ///< No longer the leader, without knowing it.
     TimePoint CutOffAt = TimePoint::min();
   };
@@ -128,8 +129,14 @@
   }
 
   auto lead(Process &Own) -> void {
-    if (!Own.CutOff)
+    if (Own.Stopped)
+      return;
+    if (!Own.CutOff) {
       Own.ConfirmedAt = Now;
+      // A replaced leader's last write may have come after the takeover.
+      if (!Own.Writing && Revision > Own.Keeper.revision())
+        Own.Keeper.takeOver(Recorded, Revision, Now);
+    }
     if (Now >= Own.PlanAt) {
       Own.PlanAt = Now + std::chrono::milliseconds(250);
       Own.Load.add(static_cast<std::uint32_t>(Random.below(20)), Now);
@@ -190,6 +197,8 @@
           return;
         if (Done)
           Own->Keeper.writeDone(At, Now);
+        else if (Own->CutOff)
+          Own->Stopped = true; // The leader object told it.
         else
           Own->Keeper.takeOver(Held, At, Now);
       });
