Keep a reserve of each workspace rate at the leader

Cause: small workspaces were refused below their rates: an instance's part of a rate of 10 requests/s holds one or two requests. Ruled out: larger parts; they add up beyond the rate's window.

--- a/include/buckthornring/Common/Time.h
+++ b/include/buckthornring/Common/Time.h
@@ -22,4 +22,8 @@
 /// Point on the monotonic clock of one process.
 using TimePoint = MonotonicClock::time_point;
 
+/// Before every time that a clock shows. Unlike TimePoint::min() it can be
+/// subtracted from any of them without overflow.
+inline constexpr TimePoint LongAgo{Duration(-(std::int64_t{1} << 60))};
+
 } // namespace buckthornring
--- a/lib/Fleet/FleetMessage.cpp
+++ b/lib/Fleet/FleetMessage.cpp
@@ -86,6 +86,20 @@
   return {{"t", 3}, {"r", Notice.Term}, {"g", encodeMap(Notice.Fences)}};
 }
 
+auto encode(const RateQuestion &Question) -> Json {
+  return {{"t", 4},
+          {"w", Question.Workspace.str()},
+          {"n", Question.Wanted},
+          {"i", Question.Number}};
+}
+
+auto encode(const RateAnswer &Answer) -> Json {
+  return {{"t", 5},
+          {"w", Answer.Workspace.str()},
+          {"n", Answer.Granted},
+          {"i", Answer.Number}};
+}
+
 auto decodeReport(const Json &Value) -> FleetReport {
   FleetReport Report;
   Report.Instance = InstanceId(Value.at("i").get<std::string>());
@@ -146,6 +160,16 @@
       return FleetMessage(decodeReply(Value));
     case 3:
       return FleetMessage(decodeNotice(Value));
+    case 4:
+      return FleetMessage(
+          RateQuestion{WorkspaceId(Value.at("w").get<std::string>()),
+                       Value.at("n").get<std::uint32_t>(),
+                       Value.at("i").get<std::uint64_t>()});
+    case 5:
+      return FleetMessage(
+          RateAnswer{WorkspaceId(Value.at("w").get<std::string>()),
+                     Value.at("n").get<std::uint32_t>(),
+                     Value.at("i").get<std::uint64_t>()});
     default:
       return Error("unknown message type");
     }
--- a/lib/Fleet/FleetMessage.h
+++ b/lib/Fleet/FleetMessage.h
@@ -66,7 +66,21 @@
   std::map<ServiceId, std::vector<std::uint64_t>> Fences;
 };
 
-using FleetMessage = std::variant<FleetReport, FleetReply, GrantNotice>;
+/// An instance asks for requests of a workspace from the leader's reserve.
+struct RateQuestion {
+  WorkspaceId Workspace;
+  std::uint32_t Wanted = 1;
+  std::uint64_t Number = 0; ///< Repeated in the answer.
+};
+
+struct RateAnswer {
+  WorkspaceId Workspace;
+  std::uint32_t Granted = 0;
+  std::uint64_t Number = 0;
+};
+
+using FleetMessage = std::variant<FleetReport, FleetReply, GrantNotice,
+                                  RateQuestion, RateAnswer>;
 
 /// Encodes a message as CBOR.
 auto encodeFleetMessage(const FleetMessage &Message) -> std::string;
--- a/lib/Fleet/KeyLoad.h
+++ b/lib/Fleet/KeyLoad.h
@@ -42,7 +42,7 @@
   static constexpr double Negligible = 0.05;
 
   auto decay(TimePoint Now) -> void {
-    if (Last == TimePoint::min())
+    if (Last == LongAgo)
       Last = Now;
     if (Now - Last < DecayInterval)
       return;
@@ -56,7 +56,7 @@
   }
 
   std::map<std::uint32_t, double> Weights;
-  TimePoint Last = TimePoint::min();
+  TimePoint Last = LongAgo;
 };
 
 } // namespace buckthornring
--- a/lib/Fleet/RangeKeeper.cpp
+++ b/lib/Fleet/RangeKeeper.cpp
@@ -80,7 +80,7 @@
       return Known;
     if (Range.Owner == Old.Owner &&
         Range.OwnerStartedAt == Old.OwnerStartedAt) {
-      Known.NextAt = TimePoint::min();
+      Known.NextAt = LongAgo;
       return Known;
     }
     State Moved;
--- a/lib/Fleet/RangeKeeper.h
+++ b/lib/Fleet/RangeKeeper.h
@@ -125,14 +125,14 @@
   /// What this leader knows of one recorded range.
   struct State {
     /// Latest time up to which the owner may hold the keys.
-    TimePoint HoldEnd = TimePoint::min();
+    TimePoint HoldEnd = LongAgo;
     /// Latest effect of a grant to the owner that got no answer.
-    TimePoint StrayEnd = TimePoint::min();
-    TimePoint OwnStrayEnd = TimePoint::min(); ///< Of this leader's grants.
-    TimePoint DonorHoldEnd = TimePoint::min();
-    TimePoint DonorStrayEnd = TimePoint::min();
-    TimePoint NextAt = TimePoint::min();
-    TimePoint ReleaseAt = TimePoint::min();
+    TimePoint StrayEnd = LongAgo;
+    TimePoint OwnStrayEnd = LongAgo; ///< Of this leader's grants.
+    TimePoint DonorHoldEnd = LongAgo;
+    TimePoint DonorStrayEnd = LongAgo;
+    TimePoint NextAt = LongAgo;
+    TimePoint ReleaseAt = LongAgo;
     bool InFlight = false;      ///< A grant to the owner is under way.
     bool DonorInFlight = false; ///< The same for the donor.
     bool Sent = false;          ///< A grant was sent to the owner.
@@ -160,7 +160,7 @@
   std::uint64_t Revision = 0;
   std::optional<RangeRecord> Proposed;
   bool TakingOver = false;
-  TimePoint ChangedAt = TimePoint::min();
+  TimePoint ChangedAt = LongAgo;
   View Seen;
   struct Silence {
     TimePoint Since;
--- a/lib/Fleet/RateShares.cpp
+++ b/lib/Fleet/RateShares.cpp
@@ -1,24 +1,30 @@
 #include "Fleet/RateShares.h"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace buckthornring {
 
 namespace {
 
-/// Part of the tolerance that the buckets use. The rest covers the overlap
-/// while parts move from one instance to another, and restarts.
-constexpr double UsedTolerance = 0.7;
+/// Part of the room that the buckets use. The rest covers the overlap while
+/// parts move from one instance to another, restarts and changes of the leader.
+constexpr double UsedRoom = 0.75;
 
-/// Part of the rate that is divided equally, whatever the demand, so that a
-/// workspace's first requests at an instance find some of it.
-constexpr double EqualPart = 0.15;
+/// Part of rate and room that is divided over the instances; the leader hands
+/// out the rest on demand.
+constexpr double DividedPart = 0.6;
+
+/// Part of the divided rate that each instance gets alike, whatever its demand,
+/// so that a workspace's first requests at an instance find some of it.
+constexpr double EqualPart = 0.2;
 
 /// Seconds of its rate that a new bucket holds.
-constexpr double StartSeconds = 0.5;
+constexpr double StartSeconds = 0.3;
 
-/// Weight of one report in the smoothed demand: about the last 2 s.
-constexpr double DemandWeight = 0.3;
+/// Weight of one report in the smoothed demand: about the last 4 s.
+constexpr double DemandWeight = 0.1;
 
 /// An instance without reports for this time no longer holds parts. It halves
 /// the risk that a cut-off instance and its successors serve the same part.
@@ -30,19 +36,25 @@
 
 } // namespace
 
+auto rateRoom(const WorkspaceConfig &Workspace, const RateTolerance &Tolerance)
+    -> double {
+  return Tolerance.Excess * Workspace.RatePerSecond * seconds(Tolerance.Window) +
+         (1 + Tolerance.Excess) * Workspace.Burst + Tolerance.Slack;
+}
+
 auto RateShares::depth(const Bucket &Of) const -> double {
-  const double Room = Tolerance.Excess * Of.Rate * seconds(Tolerance.Window) +
-                      (1 + Tolerance.Excess) * Of.Burst + Tolerance.Slack;
   const double Equal = 1.0 / std::max(1U, Instances);
-  return std::max(1.0, UsedTolerance * Room * (0.5 * Equal + 0.5 * Of.Part));
+  return UsedRoom * DividedPart * Of.Room * (0.5 * Equal + 0.5 * Of.Part);
 }
 
 auto RateShares::refill(Bucket &Of, TimePoint Now) const -> void {
-  if (Of.Filled == TimePoint::min())
-    Of.Tokens = 1 + StartSeconds * Of.Rate * Of.Part;
+  const double Rate = DividedPart * Of.Rate * Of.Part;
+  if (Of.Filled == LongAgo)
+    Of.Tokens = StartSeconds * Rate;
   else
-    Of.Tokens += Of.Rate * Of.Part * seconds(Now - Of.Filled);
-  Of.Tokens = std::min(Of.Tokens, depth(Of));
+    Of.Tokens += Rate * seconds(Now - Of.Filled);
+  Of.Tokens = std::min(Of.Tokens, std::max(depth(Of), Of.Kept));
+  Of.Kept = std::min(Of.Kept, Of.Tokens);
   Of.Filled = Now;
 }
 
@@ -56,7 +68,8 @@
     if (!Added)
       refill(Own, Now);
     Own.Rate = Workspace.RatePerSecond;
-    Own.Burst = Workspace.Burst;
+    Own.Room = rateRoom(Workspace, Tolerance);
+    Own.Kept = 0;
     if (Added)
       Own.Part = 1.0 / std::max(1U, Instances);
     refill(Own, Now);
@@ -71,7 +84,7 @@
     refill(Own, Now);
     const auto Told = Parts.find(Id);
     Own.Part = Told == Parts.end() ? Others : Told->second;
-    Own.Tokens = std::min(Own.Tokens, depth(Own));
+    Own.Tokens = std::min(Own.Tokens, std::max(depth(Own), Own.Kept));
   }
 }
 
@@ -81,12 +94,58 @@
   if (Found == Buckets.end() || Found->second.Rate <= 0)
     return true;
   refill(Found->second, Now);
+  return spend(Workspace);
+}
+
+auto RateShares::spend(const WorkspaceId &Workspace) -> bool {
+  const auto Found = Buckets.find(Workspace);
+  if (Found == Buckets.end())
+    return true;
   if (Found->second.Tokens < 1)
     return false;
   Found->second.Tokens -= 1;
   return true;
 }
 
+auto RateShares::mayAsk(const WorkspaceId &Workspace, TimePoint Now) const
+    -> bool {
+  const auto Found = Buckets.find(Workspace);
+  return Found != Buckets.end() && Now >= Found->second.NotBefore;
+}
+
+auto RateShares::topUp(const WorkspaceId &Workspace, double Tokens) -> void {
+  const auto Found = Buckets.find(Workspace);
+  if (Found == Buckets.end())
+    return;
+  Found->second.Tokens += Tokens;
+  Found->second.Kept += Tokens;
+}
+
+auto RateShares::reserveEmpty(const WorkspaceId &Workspace, TimePoint Until)
+    -> void {
+  const auto Found = Buckets.find(Workspace);
+  if (Found != Buckets.end())
+    Found->second.NotBefore = Until;
+}
+
+auto RateReserve::take(const WorkspaceId &Id, const WorkspaceConfig &Workspace,
+                       std::uint32_t Wanted, TimePoint Now) -> std::uint32_t {
+  const double Rate = (1 - DividedPart) * Workspace.RatePerSecond;
+  const double Depth =
+      UsedRoom * (1 - DividedPart) * rateRoom(Workspace, Tolerance);
+  Bucket &Own = Buckets[Id];
+  if (Own.Filled == LongAgo)
+    Own.Tokens = StartSeconds * Rate + 1;
+  else
+    Own.Tokens += Rate * seconds(Now - Own.Filled);
+  Own.Tokens = std::min(Own.Tokens, Depth);
+  Own.Filled = Now;
+  const auto Granted = static_cast<std::uint32_t>(
+      std::min(static_cast<double>(Wanted), std::floor(Own.Tokens)));
+  Own.Tokens -= Granted;
+  return Granted;
+}
+
 auto RateShares::retryAfter(const WorkspaceId &Workspace) const -> Duration {
   constexpr double LongestSeconds = 2;
   const auto Found = Buckets.find(Workspace);
--- a/lib/Fleet/RateShares.h
+++ b/lib/Fleet/RateShares.h
@@ -18,11 +18,17 @@
   double Slack = 20;   ///< Requests.
 };
 
+/// Requests that a workspace may have beyond its rate in one window.
+auto rateRoom(const WorkspaceConfig &Workspace, const RateTolerance &Tolerance)
+    -> double;
+
 /// This instance's parts of the workspace rates.
 ///
-/// The parts of all instances add up to at most one, so no workspace exceeds
-/// its rate whatever messages are lost. The tolerance of the rate, divided in
-/// the same way, is the depth of the local buckets.
+/// Most of a rate is divided into parts that add up to at most one, and the
+/// leader keeps the rest as a reserve for which an instance asks when its part
+/// is used up. The room of the rate's window is divided in the same way into
+/// the depths of the buckets. So no workspace exceeds its rate, whatever
+/// messages are lost, and few requests below it are refused.
 class RateShares {
 public:
   explicit RateShares(const RateTolerance &Tolerance) : Tolerance(Tolerance) {}
@@ -38,6 +44,16 @@
   /// Takes one request of the workspace. False when it is over its rate here.
   auto admit(const WorkspaceId &Workspace, TimePoint Now) -> bool;
 
+  /// Uses one request that is there already. False when there is none.
+  auto spend(const WorkspaceId &Workspace) -> bool;
+
+  /// Whether the leader's reserve may have more, after admit() was false.
+  auto mayAsk(const WorkspaceId &Workspace, TimePoint Now) const -> bool;
+  /// The reserve gave \p Tokens requests, one of which is to be used at once.
+  auto topUp(const WorkspaceId &Workspace, double Tokens) -> void;
+  /// The reserve is empty; not asked again before \p Until.
+  auto reserveEmpty(const WorkspaceId &Workspace, TimePoint Until) -> void;
+
   /// Time after which the next request is likely to be admitted.
   auto retryAfter(const WorkspaceId &Workspace) const -> Duration;
 
@@ -47,10 +63,12 @@
 private:
   struct Bucket {
     double Rate = 0; ///< Requests per second over all instances; 0: no limit.
-    double Burst = 0;
     double Part = 0;
     double Tokens = 0;
-    TimePoint Filled = TimePoint::min();
+    double Kept = 0; ///< Tokens from the reserve, beside the depth.
+    double Room = 0;
+    TimePoint Filled = LongAgo;
+    TimePoint NotBefore = LongAgo; ///< Of the next question.
   };
 
   auto depth(const Bucket &Of) const -> double;
@@ -62,6 +80,25 @@
   std::uint32_t Instances = 16; ///< Assumed until the divider has told it.
 };
 
+/// The part of the workspace rates that the leader hands out on demand.
+class RateReserve {
+public:
+  explicit RateReserve(const RateTolerance &Tolerance) : Tolerance(Tolerance) {}
+
+  /// Returns the requests granted, at most \p Wanted.
+  auto take(const WorkspaceId &Id, const WorkspaceConfig &Workspace,
+            std::uint32_t Wanted, TimePoint Now) -> std::uint32_t;
+
+private:
+  struct Bucket {
+    double Tokens = 0;
+    TimePoint Filled = LongAgo;
+  };
+
+  RateTolerance Tolerance;
+  std::unordered_map<WorkspaceId, Bucket> Buckets;
+};
+
 /// Divides the workspace rates over the instances by their demand. Kept by the
 /// leader.
 class RateDivider {
--- a/lib/Fleet/TargetLoad.cpp
+++ b/lib/Fleet/TargetLoad.cpp
@@ -70,7 +70,7 @@
 auto TargetLoad::succeeded() -> void { Failures -= FailureWeight * Failures; }
 
 auto TargetLoad::queue(TimePoint Now) const -> double {
-  if (ReportedAt == TimePoint::min())
+  if (ReportedAt == LongAgo)
     return InFlight;
   const double Age = static_cast<double>((Now - ReportedAt).count());
   const double Trust = std::exp(-Age / ReportLifetimeUs);
@@ -80,7 +80,7 @@
 auto TargetLoad::work(TimePoint Now) const -> std::optional<Duration> {
   if (WorkUs == 0)
     return std::nullopt;
-  const bool Fresh = ReportedAt != TimePoint::min() &&
+  const bool Fresh = ReportedAt != LongAgo &&
                      Now - ReportedAt < SlownessLifetime;
   // The average already holds the usual share of slow moments.
   const double Factor = Fresh ? std::clamp(Slowness, 0.7, 4.0) : 1.0;
--- a/lib/Fleet/TargetLoad.h
+++ b/lib/Fleet/TargetLoad.h
@@ -44,7 +44,7 @@
   std::uint32_t InFlight = 0;
   double Others = 0;      ///< Requests of other instances at the last report.
   double UsualOthers = 0; ///< Moving average of the above.
-  TimePoint ReportedAt = TimePoint::min();
+  TimePoint ReportedAt = LongAgo;
   double Slowness = 1;
   double WorkUs = 0; ///< 0: unknown.
   double Failures = 0;
--- a/lib/Fleet/TargetTable.cpp
+++ b/lib/Fleet/TargetTable.cpp
@@ -267,7 +267,7 @@
 
 auto TargetTable::reachable(TargetState &Target) -> void {
   Target.Backoff = Duration(0);
-  Target.DownUntil = TimePoint::min();
+  Target.DownUntil = LongAgo;
 }
 
 } // namespace buckthornring
--- a/lib/Fleet/TargetTable.h
+++ b/lib/Fleet/TargetTable.h
@@ -32,12 +32,12 @@
   TargetRecord Record;
   TargetLoad Load;
   SlidingCount Sends{std::chrono::milliseconds(1100)};
-  TimePoint ColdUntil = TimePoint::min();
-  TimePoint DownUntil = TimePoint::min(); ///< Unreachable up to this time.
+  TimePoint ColdUntil = LongAgo;
+  TimePoint DownUntil = LongAgo; ///< Unreachable up to this time.
   Duration Backoff{0};                    ///< Length of the next down time.
   /// Until then the target may have restarted without its record telling so
   /// yet; it counts as cold.
-  TimePoint UnverifiedUntil = TimePoint::min();
+  TimePoint UnverifiedUntil = LongAgo;
   /// Missing from the directory, which may be late after an outage.
   std::optional<TimePoint> MissingSince;
 
--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -32,6 +32,15 @@
 /// Time that the store has to tell a change that a peer has seen already.
 constexpr Duration BehindLimit = std::chrono::milliseconds(500);
 
+/// Requests asked for at once, so that a busy workspace asks less often.
+constexpr std::uint32_t WantedAtOnce = 3;
+
+/// Time for the leader's answer; it takes a few milliseconds.
+constexpr Duration AnswerLimit = std::chrono::milliseconds(40);
+
+/// Time after an empty reserve in which it is not asked again.
+constexpr Duration EmptyPause = std::chrono::milliseconds(150);
+
 /// Keys told in one report; a datagram has to fit into one packet.
 constexpr std::size_t MaxKeys = 150;
 
@@ -56,7 +65,7 @@
 
 FleetMember::FleetMember(boost::asio::io_context &Context, Surroundings Around,
                          std::uint64_t Seed)
-    : Around(std::move(Around)), Timer(Context), ClaimTimer(Context),
+    : Context(Context), Around(std::move(Around)), Timer(Context), ClaimTimer(Context),
       Random(Seed) {}
 
 auto FleetMember::scheduleReport() -> void {
@@ -80,7 +89,7 @@
   Report.Leaving = Leaving;
   Report.Seen = Around.Seen();
   const Duration Span =
-      ReportedAt == TimePoint::min() ? ReportInterval : Now - ReportedAt;
+      ReportedAt == LongAgo ? ReportInterval : Now - ReportedAt;
   Report.SpanMs = static_cast<std::uint32_t>(Span.count() / 1000);
   ReportedAt = Now;
   Report.Demand = Around.Requests.Rates.takeDemand();
@@ -108,8 +117,61 @@
     gotReport(*Report, From);
   else if (const auto *Reply = std::get_if<FleetReply>(&Message))
     gotReply(*Reply);
-  else
-    gotNotice(std::get<GrantNotice>(Message));
+  else if (const auto *Notice = std::get_if<GrantNotice>(&Message))
+    gotNotice(*Notice);
+  else if (const auto *Answer = std::get_if<RateAnswer>(&Message))
+    gotAnswer(*Answer);
+  else if (Around.Requests.Active)
+    Around.Peers.send(
+        From, Around.Lead.takeRate(std::get<RateQuestion>(Message),
+                                   Around.Requests.Active->Config));
+}
+
+auto FleetMember::askRate(const WorkspaceId &Workspace,
+                          std::function<void(bool)> Done) -> void {
+  RateShares &Rates = Around.Requests.Rates;
+  if (!Rates.mayAsk(Workspace, bootNow()) || Current.Term == 0)
+    return Done(false);
+  const auto Running = Questions.find(Workspace);
+  if (Running != Questions.end()) {
+    Running->second.Waiting.push_back(std::move(Done));
+    return;
+  }
+  Question &Asked =
+      Questions.try_emplace(Workspace, Context, ++LastQuestion).first->second;
+  Asked.Waiting.push_back(std::move(Done));
+  const RateQuestion Message{Workspace, WantedAtOnce, Asked.Number};
+  if (Around.Lead.leading())
+    return gotAnswer(
+        Around.Lead.takeRate(Message, Around.Requests.Active->Config));
+  Around.Peers.send(Current.Address, Message);
+  Asked.Timer.expires_after(AnswerLimit);
+  Asked.Timer.async_wait(
+      [this, Workspace](const boost::system::error_code &Cancelled) {
+        if (!Cancelled)
+          endQuestion(Workspace, 0);
+      });
+}
+
+auto FleetMember::gotAnswer(const RateAnswer &Answer) -> void {
+  const auto Asked = Questions.find(Answer.Workspace);
+  // A late answer's requests are lost rather than used twice.
+  if (Asked != Questions.end() && Asked->second.Number == Answer.Number)
+    endQuestion(Answer.Workspace, Answer.Granted);
+}
+
+auto FleetMember::endQuestion(const WorkspaceId &Workspace,
+                              std::uint32_t Granted) -> void {
+  RateShares &Rates = Around.Requests.Rates;
+  const auto Asked = Questions.find(Workspace);
+  const auto Waiting = std::move(Asked->second.Waiting);
+  Questions.erase(Asked);
+  const TimePoint Now = bootNow();
+  if (Granted == 0)
+    Rates.reserveEmpty(Workspace, Now + EmptyPause);
+  Rates.topUp(Workspace, Granted);
+  for (const auto &Done : Waiting)
+    Done(Granted > 0 && Rates.spend(Workspace));
 }
 
 auto FleetMember::gotReport(const FleetReport &Report, const std::string &From)
@@ -135,8 +197,8 @@
   const TimePoint Now = bootNow();
   LastReply = Now;
   if (Reply.StoreReachable)
-    StoreLostAtLeader = TimePoint::min();
-  else if (StoreLostAtLeader == TimePoint::min())
+    StoreLostAtLeader = LongAgo;
+  else if (StoreLostAtLeader == LongAgo)
     StoreLostAtLeader = Now;
   applyReply(Reply);
   compareSeen(Reply.Seen, Reply.SeenFrom);
@@ -169,10 +231,10 @@
                      Others.Evacuations > Mine.Evacuations;
   const TimePoint Now = bootNow();
   if (!Newer) {
-    BehindSince = TimePoint::min();
+    BehindSince = LongAgo;
     return;
   }
-  if (BehindSince == TimePoint::min())
+  if (BehindSince == LongAgo)
     BehindSince = Now;
   if (Now - BehindSince < BehindLimit || From.empty())
     return;
@@ -202,8 +264,8 @@
   const TimePoint Now = bootNow();
   const LeaderInfo Previous = std::exchange(Current, std::move(Next));
   LastReply = Now;
-  ClaimAt = TimePoint::min();
-  StoreLostAtLeader = TimePoint::min();
+  ClaimAt = LongAgo;
+  StoreLostAtLeader = LongAgo;
   const bool Self = Current.Process == Around.Self.Process;
   Around.Requests.Events.write(EventLine("leader-changed")
                                    .field("leader", Current.Instance.str())
@@ -226,13 +288,13 @@
       !Around.StoreReachable() || Now < NoClaimBefore)
     return;
   const bool Silent = Now - LastReply > LeaderSilence;
-  const bool CutOff = StoreLostAtLeader != TimePoint::min() &&
+  const bool CutOff = StoreLostAtLeader != LongAgo &&
                       Now - StoreLostAtLeader > StoreLossLimit;
   if (Current.Term != 0 && !Silent && !CutOff) {
-    ClaimAt = TimePoint::min();
+    ClaimAt = LongAgo;
     return;
   }
-  if (ClaimAt == TimePoint::min()) {
+  if (ClaimAt == LongAgo) {
     const auto Stagger = std::chrono::duration_cast<Duration>(
         LongestStagger * Random.unit());
     ClaimAt = Now + Stagger;
@@ -250,7 +312,7 @@
 auto FleetMember::claim() -> void {
   Claiming = true;
   ClaimedAt = bootNow();
-  ClaimAt = TimePoint::min();
+  ClaimAt = LongAgo;
   Around.Store.write(
       Around.Requests.Protocol.Kinds.Own, LeaderObject, Current.Term,
       leaderJson(Around.Self), [this](const StoreWrite &Answer) {
--- a/lib/Gateway/FleetMember.h
+++ b/lib/Gateway/FleetMember.h
@@ -10,8 +10,10 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace buckthornring {
 
@@ -41,6 +43,10 @@
   /// The leader object has changed; nothing: there is none.
   auto leaderChanged(const StoredObject *Object) -> void;
   auto received(const FleetMessage &Message, const std::string &From) -> void;
+  /// Asks the leader's reserve for one request of a workspace. \p Done gets
+  /// whether it may run; called at once, or within the time of an answer.
+  auto askRate(const WorkspaceId &Workspace, std::function<void(bool)> Done)
+      -> void;
   /// Gives up the lead and tells the others.
   auto leave() -> void;
 
@@ -57,24 +63,39 @@
   auto gotReply(const FleetReply &Reply) -> void;
   auto gotReport(const FleetReport &Report, const std::string &From) -> void;
   auto gotNotice(const GrantNotice &Notice) -> void;
+  auto gotAnswer(const RateAnswer &Answer) -> void;
+  auto endQuestion(const WorkspaceId &Workspace, std::uint32_t Granted) -> void;
   auto applyReply(const FleetReply &Reply) -> void;
   auto compareSeen(const SeenChanges &Others, const std::string &From) -> void;
   auto considerClaim(TimePoint Now) -> void;
   auto claim() -> void;
   auto follow(LeaderInfo Next) -> void;
 
+  /// A question under way and the requests that wait for its answer.
+  struct Question {
+    Question(boost::asio::io_context &Context, std::uint64_t Number)
+        : Timer(Context), Number(Number) {}
+
+    boost::asio::steady_timer Timer;
+    std::uint64_t Number;
+    std::vector<std::function<void(bool)>> Waiting;
+  };
+
+  boost::asio::io_context &Context;
   Surroundings Around;
+  std::map<WorkspaceId, Question> Questions;
+  std::uint64_t LastQuestion = 0;
   boost::asio::steady_timer Timer;
   boost::asio::steady_timer ClaimTimer;
   RandomSource Random;
   LeaderInfo Current;
-  TimePoint LastReply = TimePoint::min();
-  TimePoint ReportedAt = TimePoint::min();
-  TimePoint StoreLostAtLeader = TimePoint::min(); ///< min(): it has contact.
-  TimePoint ClaimAt = TimePoint::min();           ///< min(): no claim planned.
-  TimePoint NoClaimBefore = TimePoint::min();
-  TimePoint ClaimedAt = TimePoint::min();
-  TimePoint BehindSince = TimePoint::min(); ///< min(): up to date.
+  TimePoint LastReply = LongAgo;
+  TimePoint ReportedAt = LongAgo;
+  TimePoint StoreLostAtLeader = LongAgo; ///< LongAgo: it has contact.
+  TimePoint ClaimAt = LongAgo;           ///< LongAgo: no claim planned.
+  TimePoint NoClaimBefore = LongAgo;
+  TimePoint ClaimedAt = LongAgo;
+  TimePoint BehindSince = LongAgo; ///< LongAgo: up to date.
   bool Claiming = false;
   bool Leaving = false;
 };
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -71,6 +71,7 @@
                {},
                Totals.stripe(0),
                {},
+               {},
                {}},
       Listener(Io), Signals(Io, SIGTERM, SIGINT, SIGHUP), TickTimer(Io),
       WaitTimer(Io), StopTimer(Io) {}
@@ -146,7 +147,11 @@
           [this](const GrantNotice &Notice) {
             Member->received(Notice, Settings.PeerAddress);
           }},
-      Times);
+      Times, Settings.Bounds.Rates);
+  Requests.AskRate = [this](const WorkspaceId &Workspace,
+                            std::function<void(bool)> Done) {
+    Member->askRate(Workspace, std::move(Done));
+  };
   Member = std::make_unique<FleetMember>(
       Io,
       FleetMember::Surroundings{
@@ -177,7 +182,7 @@
           std::make_shared<CallerSession>(std::move(Socket), *this, Limits);
       Sessions.insert(Session);
       Session->start();
-      if (StopBegan != TimePoint::min())
+      if (StopBegan != LongAgo)
         Session->drain(false);
     }
     accept();
@@ -254,7 +259,7 @@
 }
 
 auto Gateway::Parts::ready() const -> bool {
-  return StopBegan == TimePoint::min() && Requests.Active &&
+  return StopBegan == LongAgo && Requests.Active &&
          TargetFeed->loaded() && !Targets.all().empty();
 }
 
@@ -288,7 +293,7 @@
 }
 
 auto Gateway::Parts::beginStop() -> void {
-  if (StopBegan != TimePoint::min())
+  if (StopBegan != LongAgo)
     return;
   StopBegan = bootNow();
   Events.write(EventLine("stop-began").field("requests", Flows.size()));
--- a/lib/Gateway/GatewayParts.h
+++ b/lib/Gateway/GatewayParts.h
@@ -103,7 +103,7 @@
   std::map<std::pair<const CallerSession *, std::uint64_t>,
            std::shared_ptr<RequestFlow>>
       Flows;
-  TimePoint StopBegan = TimePoint::min(); ///< min(): not stopping.
+  TimePoint StopBegan = LongAgo; ///< LongAgo: not stopping.
   std::uint64_t BadRecords = 0;
   bool WaitArmed = false;
   bool Fetching = false;
--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -127,7 +127,8 @@
 }
 
 auto Gateway::Parts::afterOutage(const StoreFeed &Feed) const -> bool {
-  return !Feed.connected() || bootNow() - Feed.regainedAt() < ReturnTime;
+  return Feed.inOutage() || (Feed.outageEndedAt() != LongAgo &&
+                             bootNow() - Feed.outageEndedAt() < ReturnTime);
 }
 
 auto Gateway::Parts::targetsWhole(
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -35,10 +35,11 @@
   Self = std::move(Given);
   StartedAt = bootNow();
   ConfirmedAt = ProvedAt;
-  RecordsKnownAfter = TimePoint::min();
+  RecordsKnownAfter = LongAgo;
   Services.clear();
   Members.clear();
   Rates = RateDivider();
+  Reserve = RateReserve(Tolerance);
   Around.Events.write(
       EventLine("leadership-taken").field("term", Self.Term));
 }
@@ -113,6 +114,16 @@
   return Reply;
 }
 
+auto Leader::takeRate(const RateQuestion &Question, const Configuration &Config)
+    -> RateAnswer {
+  RateAnswer Answer{Question.Workspace, 0, Question.Number};
+  const auto Found = Config.Workspaces.find(Question.Workspace);
+  if (leading() && Found != Config.Workspaces.end())
+    Answer.Granted = Reserve.take(Question.Workspace, Found->second,
+                                  Question.Wanted, bootNow());
+  return Answer;
+}
+
 auto Leader::serviceOf(const ServiceId &Id, const ServiceConfig &Config)
     -> Service * {
   const auto Known = Services.find(Id);
--- a/lib/Gateway/Leader.h
+++ b/lib/Gateway/Leader.h
@@ -41,8 +41,9 @@
     std::function<void(const GrantNotice &)> OnGranted;
   };
 
-  Leader(Surroundings Around, RangeTimes Times)
-      : Around(std::move(Around)), Times(Times),
+  Leader(Surroundings Around, RangeTimes Times, const RateTolerance &Tolerance)
+      : Around(std::move(Around)), Times(Times), Tolerance(Tolerance),
+        Reserve(Tolerance),
         Orders(this->Around.Io, this->Around.Protocol.Orders) {}
 
   /// Name of the object that holds a service's ranges.
@@ -66,6 +67,10 @@
   auto report(const FleetReport &From, const std::string &Address,
               bool StoreReachable) -> FleetReply;
 
+  /// Takes requests of a workspace from the reserve of its rate.
+  auto takeRate(const RateQuestion &Question, const Configuration &Config)
+      -> RateAnswer;
+
   /// Plans, writes and orders what is due.
   auto tick(const Configuration &Config) -> void;
 
@@ -86,8 +91,8 @@
     std::set<TargetId> Granting; ///< Targets with a grant under way.
     std::uint32_t Releasing = 0; ///< Releases under way.
     bool Writing = false;
-    TimePoint WriteAt = TimePoint::min();
-    TimePoint PlanAt = TimePoint::min();
+    TimePoint WriteAt = LongAgo;
+    TimePoint PlanAt = LongAgo;
   };
 
   auto serviceOf(const ServiceId &Id, const ServiceConfig &Config)
@@ -106,12 +111,14 @@
 
   Surroundings Around;
   RangeTimes Times;
+  RateTolerance Tolerance;
+  RateReserve Reserve;
   OrderSender Orders;
   LeaderInfo Self; ///< Term 0: not leading.
-  TimePoint StartedAt = TimePoint::min();
-  TimePoint ConfirmedAt = TimePoint::min();
+  TimePoint StartedAt = LongAgo;
+  TimePoint ConfirmedAt = LongAgo;
   /// Records that were read before this time may be out of date.
-  TimePoint RecordsKnownAfter = TimePoint::min();
+  TimePoint RecordsKnownAfter = LongAgo;
   RateDivider Rates;
   std::map<InstanceId, Member> Members;
   std::map<ServiceId, Service> Services;
--- a/lib/Gateway/RequestContext.h
+++ b/lib/Gateway/RequestContext.h
@@ -65,6 +65,8 @@
   LatencyHistogram Latency;
   /// Keys requested since the last report to the leader.
   std::unordered_map<ServiceId, std::vector<std::uint32_t>> KeysSeen;
+  /// Asks the leader's reserve for one request of a workspace.
+  std::function<void(const WorkspaceId &, std::function<void(bool)>)> AskRate;
 
   auto retries(const ServiceId &Service) -> RetryAllowance & {
     return Retries.try_emplace(Service, RetryBounds).first->second;
--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -80,7 +80,22 @@
     return;
   readDeadline(Now);
   if (!Workspace.empty() && !Context.Rates.admit(Workspace, Now))
-    return refuse(RefusalReason::OverRate);
+    return askRate();
+  admitted();
+}
+
+auto RequestFlow::askRate() -> void {
+  Context.AskRate(Workspace, [Self = shared_from_this()](bool Granted) {
+    if (Self->Done)
+      return;
+    if (!Granted)
+      return Self->refuse(RefusalReason::OverRate);
+    Self->admitted();
+  });
+}
+
+auto RequestFlow::admitted() -> void {
+  const TimePoint Now = bootNow();
   Service = Context.Splits.next(*Route);
   Context.retries(Service).requestSeen(Now);
   if (!readKey())
@@ -321,7 +336,7 @@
   HedgeTimer.async_wait(
       [Self = shared_from_this()](const boost::system::error_code &Cancelled) {
         if (!Cancelled && !Self->Done && Self->Legs.size() == 1 &&
-            Self->Legs.front()->SentAt != TimePoint::min() &&
+            Self->Legs.front()->SentAt != LongAgo &&
             Self->committed() < Self->Route->MaxAttempts)
           Self->hedge();
       });
@@ -426,7 +441,7 @@
 auto RequestFlow::committed() const -> std::uint32_t {
   return MayHave + static_cast<std::uint32_t>(std::count_if(
                        Legs.begin(), Legs.end(), [](const LegPtr &Sent) {
-                         return Sent->SentAt == TimePoint::min();
+                         return Sent->SentAt == LongAgo;
                        }));
 }
 
@@ -438,7 +453,7 @@
 
 auto RequestFlow::endLeg(const LegPtr &Sent) -> void {
   std::erase(Legs, Sent);
-  const Duration Elapsed = Sent->SentAt == TimePoint::min()
+  const Duration Elapsed = Sent->SentAt == LongAgo
                                ? Duration(0)
                                : bootNow() - Sent->SentAt;
   Sent->Target->Load.abandoned(Elapsed, Sent->QueueAtSend,
@@ -472,7 +487,7 @@
 
 auto RequestFlow::timeout() -> void {
   for (const LegPtr &Sent : Legs)
-    if (Sent->SentAt != TimePoint::min())
+    if (Sent->SentAt != LongAgo)
       Sent->Target->Load.failed();
   refuse(RefusalReason::DeadlineExceeded);
 }
--- a/lib/Gateway/RequestFlow.h
+++ b/lib/Gateway/RequestFlow.h
@@ -34,7 +34,7 @@
   struct Leg {
     TargetPtr Target;
     TargetPool::ConnectionPtr Connection;
-    TimePoint SentAt = TimePoint::min(); ///< min(): not yet sent.
+    TimePoint SentAt = LongAgo; ///< LongAgo: not yet sent.
     double QueueAtSend = 0;
     bool Reused = false;
   };
@@ -45,6 +45,9 @@
   auto readDeadline(TimePoint Now) -> void;
   auto readKey() -> bool;
 
+  auto askRate() -> void;
+  auto admitted() -> void;
+
   // Placing.
   auto place() -> void;
   auto tryPlace() -> bool;
@@ -108,8 +111,8 @@
   std::uint32_t Rejections = 0;
   NoTargetReason LastReason = NoTargetReason::None;
   WaitQueue::Ticket Ticket = 0;
-  TimePoint WaitUntil = TimePoint::min(); ///< Give-up time while waiting.
-  TimePoint NotBefore = TimePoint::min(); ///< Pause after a rejection.
+  TimePoint WaitUntil = LongAgo; ///< Give-up time while waiting.
+  TimePoint NotBefore = LongAgo; ///< Pause after a rejection.
   boost::asio::steady_timer EndTimer;
   boost::asio::steady_timer HedgeTimer;
   boost::asio::steady_timer WaitTimer;
--- a/lib/Gateway/StoreFeed.cpp
+++ b/lib/Gateway/StoreFeed.cpp
@@ -14,6 +14,11 @@
 /// to be in force.
 constexpr Duration GatherTime = std::chrono::milliseconds(120);
 
+/// Shortest time without contact in which records of targets can lapse: they
+/// are written about every second and lapse after three missed writes. A watch
+/// that is merely cut hides no lapse.
+constexpr Duration LapseTime = std::chrono::milliseconds(1500);
+
 constexpr Duration FirstBackoff = std::chrono::milliseconds(150);
 constexpr Duration LongestBackoff = std::chrono::milliseconds(1200);
 
@@ -36,13 +41,18 @@
       });
 }
 
+auto StoreFeed::inOutage() const -> bool {
+  return !Connected && bootNow() - LastContact > LapseTime;
+}
+
 auto StoreFeed::succeeded() -> void {
+  if (Loaded && inOutage())
+    OutageEndedAt = bootNow();
   LastContact = bootNow();
   KnownAt = std::max(KnownAt, AskedAt);
   Failures = 0;
   if (std::exchange(Connected, true))
     return;
-  RegainedAt = LastContact;
   Callbacks.OnContact(true, "answered");
 }
 
--- a/lib/Gateway/StoreFeed.h
+++ b/lib/Gateway/StoreFeed.h
@@ -54,8 +54,11 @@
   /// was sent. The answer itself may have been held up on its way.
   auto knownAt() const -> TimePoint { return KnownAt; }
   auto setWatchWait(Duration Wait) -> void { Settings.WatchWait = Wait; }
-  /// When contact was last regained.
-  auto regainedAt() const -> TimePoint { return RegainedAt; }
+  /// When the store was last reached again after an outage that was long enough
+  /// for records to lapse.
+  auto outageEndedAt() const -> TimePoint { return OutageEndedAt; }
+  /// Whether such an outage goes on.
+  auto inOutage() const -> bool;
   /// Revision of the newest change seen.
   auto lastChange() const -> std::uint64_t { return LastChange; }
   auto revision() const -> std::uint64_t { return Revision; }
@@ -83,10 +86,10 @@
   std::map<std::string, StoredObject> Objects;
   std::uint64_t Revision = 0;
   std::uint64_t LastChange = 0;
-  TimePoint LastContact = TimePoint::min();
-  TimePoint RegainedAt = TimePoint::min();
-  TimePoint AskedAt = TimePoint::min();
-  TimePoint KnownAt = TimePoint::min();
+  TimePoint LastContact = LongAgo;
+  TimePoint OutageEndedAt = LongAgo;
+  TimePoint AskedAt = LongAgo;
+  TimePoint KnownAt = LongAgo;
   std::uint32_t Failures = 0;
   bool Loaded = false;
   bool Connected = false;
--- a/lib/Gateway/TargetConnection.h
+++ b/lib/Gateway/TargetConnection.h
@@ -62,7 +62,7 @@
   /// Resets the connection, so that bytes on their way are dropped.
   auto close() -> void;
 
-  TimePoint IdleSince = TimePoint::min(); ///< Kept by the pool.
+  TimePoint IdleSince = LongAgo; ///< Kept by the pool.
 
 private:
   struct State;
--- a/lib/IO/EventLog.h
+++ b/lib/IO/EventLog.h
@@ -87,7 +87,7 @@
   Limits Bounds;
   int Descriptor;
   std::string Buffer;
-  TimePoint Second = TimePoint::min();
+  TimePoint Second = LongAgo;
   std::array<std::uint32_t, EventClassNames.size()> Written{};
   std::array<std::uint64_t, EventClassNames.size()> Dropped{};
   std::uint64_t Unreported = 0;
--- a/tests/support/RangeWorld.h
+++ b/tests/support/RangeWorld.h
@@ -59,7 +59,7 @@
   auto calm() -> void {
     Faults = {0, 0, 0, 0, 0, 0, 0, 0};
     for (auto &[Id, Each] : Targets) {
-      Each.CutUntil = TimePoint::min();
+      Each.CutUntil = LongAgo;
       Each.Draining = false;
     }
   }
@@ -77,7 +77,7 @@
     double ClockRate = 1; ///< Length of a granted second; up to 1.02.
     std::map<std::uint32_t, std::uint64_t> Fences;
     std::map<std::uint32_t, TimePoint> HeldUntil;
-    TimePoint CutUntil = TimePoint::min();
+    TimePoint CutUntil = LongAgo;
     bool Draining = false;
   };
   struct Process {
@@ -86,12 +86,12 @@
     RangeKeeper Keeper;
     KeyLoad Load;
     TimePoint ConfirmedAt;
-    TimePoint PlanAt = TimePoint::min();
+    TimePoint PlanAt = LongAgo;
     std::set<TargetId> Granting;
     bool Writing = false;
     bool Stopped = false;
     bool CutOff = false; ///< No longer the leader, without knowing it.
-    TimePoint CutOffAt = TimePoint::min();
+    TimePoint CutOffAt = LongAgo;
   };
   using ProcessPtr = std::shared_ptr<Process>;
 
--- a/tests/unit/RateSharesTest.cpp
+++ b/tests/unit/RateSharesTest.cpp
@@ -24,8 +24,9 @@
   RateFleet(std::size_t Count, double Rate, double Burst) {
     for (std::size_t Index = 0; Index < Count; ++Index)
       Holders.emplace_back(RateTolerance());
+    Config = configWith(Rate, Burst);
     for (RateShares &Holder : Holders)
-      Holder.configure(configWith(Rate, Burst), Now);
+      Holder.configure(Config, Now);
   }
 
   /// Offers \p PerSecond requests per second for one step of 10 ms.
@@ -39,7 +40,7 @@
       // A few of the instances get most of the requests.
       ++Next;
       const std::size_t To = Next * (Next + 1) % Holders.size();
-      if (Holders[To].admit(Busy, Now))
+      if (admit(Holders[To]))
         Admitted.push_back(Now);
     }
     const auto PerInterval = static_cast<std::size_t>(Interval / Step);
@@ -70,6 +71,20 @@
   }
 
 private:
+  /// Admits from the holder's part or, as an instance does, from the reserve.
+  auto admit(RateShares &Holder) -> bool {
+    if (Holder.admit(Busy, Now))
+      return true;
+    if (!Holder.mayAsk(Busy, Now))
+      return false;
+    const std::uint32_t Granted =
+        Reserve.take(Busy, Config.Workspaces.at(Busy), 3, Now);
+    if (Granted == 0)
+      Holder.reserveEmpty(Busy, Now + std::chrono::milliseconds(150));
+    Holder.topUp(Busy, Granted);
+    return Granted > 0 && Holder.spend(Busy);
+  }
+
   auto report(std::size_t Index) -> void {
     const InstanceId Name("i" + std::to_string(Index));
     Divider.reported(Name, Holders[Index].takeDemand(), Interval, Now);
@@ -82,7 +97,9 @@
     Parts[Index] = Own == Told.ByWorkspace.end() ? Told.Others : Own->second;
   }
 
+  Configuration Config;
   std::deque<RateShares> Holders;
+  RateReserve Reserve{RateTolerance()};
   RateDivider Divider;
   std::vector<double> Parts;
   std::vector<TimePoint> Admitted;
