Balance owned keys by utilisation, with several moves in one plan

Cause: owners of busy ranges were overloaded: the first assignment was split by halves as targets registered, moves went one at a time, and the threshold of 2 requests/s is more than a quarter of what one target runs. Ruled out: slow release; releases were answered within the time of a request. Change: targets register first; loads are compared as utilisation with the speed that all instances observe; up to four moves in one plan. A leader that stops says so, and an instance whose earlier process led claims at once.

--- a/lib/Fleet/FleetMessage.cpp
+++ b/lib/Fleet/FleetMessage.cpp
@@ -66,13 +66,15 @@
           {"c", encodeSeen(Report.Seen)},
           {"m", Report.SpanMs},
           {"w", encodeMap(Report.Demand)},
-          {"k", encodeMap(Report.Keys)}};
+          {"k", encodeMap(Report.Keys)},
+          {"b", encodeMap(Report.WorkMs)}};
 }
 
 auto encode(const FleetReply &Reply) -> Json {
   return {{"t", 2},
           {"l", encodeLeader(Reply.Leader)},
           {"s", Reply.StoreReachable},
+          {"e", Reply.Resigned},
           {"c", encodeSeen(Reply.Seen)},
           {"f", Reply.SeenFrom},
           {"n", Reply.Instances},
@@ -113,6 +115,7 @@
   Report.Demand = decodeMap<WorkspaceId, std::uint32_t>(Value.at("w"));
   Report.Keys =
       decodeMap<ServiceId, std::vector<std::uint32_t>>(Value.at("k"));
+  Report.WorkMs = decodeMap<TargetId, std::uint32_t>(Value.at("b"));
   return Report;
 }
 
@@ -120,6 +123,7 @@
   FleetReply Reply;
   Reply.Leader = decodeLeader(Value.at("l"));
   Reply.StoreReachable = Value.at("s").get<bool>();
+  Reply.Resigned = Value.at("e").get<bool>();
   Reply.Seen = decodeSeen(Value.at("c"));
   Reply.SeenFrom = Value.at("f").get<std::string>();
   Reply.Instances = Value.at("n").get<std::uint32_t>();
--- a/lib/Fleet/FleetMessage.h
+++ b/lib/Fleet/FleetMessage.h
@@ -43,12 +43,16 @@
   std::uint32_t SpanMs = 0; ///< Time that the counts cover.
   std::map<WorkspaceId, std::uint32_t> Demand;
   std::map<ServiceId, std::vector<std::uint32_t>> Keys;
+  /// Time of a request at targets of divided services, in ms, where it was
+  /// observed since the last report.
+  std::map<TargetId, std::uint32_t> WorkMs;
 };
 
 /// The leader's answer to a report.
 struct FleetReply {
   LeaderInfo Leader;
   bool StoreReachable = false;
+  bool Resigned = false; ///< The leader stops; another is to take over.
   SeenChanges Seen;     ///< Newest that any instance has reported.
   std::string SeenFrom; ///< Address of an instance that has seen it.
   std::uint32_t Instances = 1;
--- a/lib/Fleet/RangeKeeper.cpp
+++ b/lib/Fleet/RangeKeeper.cpp
@@ -12,6 +12,9 @@
 /// elsewhere. Covers two repeated calls.
 constexpr Duration SilenceLimit = std::chrono::milliseconds(1200);
 
+/// Ranges on the move beside which the load may still be evened out.
+constexpr std::ptrdiff_t MaxMoving = 3;
+
 /// Time after the last change at which it is recorded that the moves are over.
 /// A new leader waits for the donors of unfinished moves; recording the end of
 /// each move would double the writes.
@@ -151,19 +154,21 @@
         return donorGone(Range, States[Index], Now);
     return false;
   };
-  const bool Settled = std::all_of(
+  const auto Moving = std::count_if(
       Current.Ranges.begin(), Current.Ranges.end(),
       [&](const KeyRange &Range) {
         const State &Known = States[&Range - Current.Ranges.data()];
-        return donorGone(Range, Known, Now) && Known.Sent;
+        return !donorGone(Range, Known, Now) || !Known.Sent;
       });
+  const bool Settled = Moving <= MaxMoving;
   const RangeRecord Base = withoutSettledDonors(Now);
   const auto MovableIn = [&](const KeyRange &Range) {
     const KeyRange *Own = Current.find(Range.From);
     return Own && Movable(*Own);
   };
   auto Next =
-      RangePlanner::plan({Base, Seen.Targets, Load, Keys, MovableIn, Settled});
+      RangePlanner::plan({Base, Seen.Targets, Load, Keys, Seen.WorkSeconds,
+                          MovableIn, Settled});
   if (Next)
     Proposed = std::move(Next);
   else if (Base.Ranges != Current.Ranges && Now - ChangedAt > SettleTime)
--- a/lib/Fleet/RangeKeeper.h
+++ b/lib/Fleet/RangeKeeper.h
@@ -79,6 +79,7 @@
 
   struct View {
     std::vector<PlanTarget> Targets;
+    double WorkSeconds = 0; ///< RangePlanner::Input::WorkSeconds.
     /// Start time by id of all targets in the directory.
     std::unordered_map<TargetId, std::int64_t> Lives;
     /// Targets from which keys are to be withdrawn while they still answer.
--- a/lib/Fleet/RangePlanner.cpp
+++ b/lib/Fleet/RangePlanner.cpp
@@ -10,12 +10,16 @@
 
 namespace {
 
-/// Load above the mean, as a factor, from which keys move to another target.
-/// Each move interrupts its keys for about one request time.
-constexpr double ImbalanceFactor = 1.4;
+/// Utilisation from which a target's keys move to a less used one: above it,
+/// requests begin to wait for a place.
+constexpr double BusyUtilisation = 0.6;
 
-/// Difference in requests per second below which no keys move.
-constexpr double SmallestImbalance = 2.0;
+/// Difference in utilisation below which no keys move. Each move interrupts its
+/// keys for about one request time, and the measured rates are noisy.
+constexpr double SmallestImbalance = 0.25;
+
+/// Moves of one plan that only even out the load.
+constexpr int MaxMoves = 4;
 
 /// Requests per second that all keys together are assumed to get beside the
 /// measured ones, so that idle keys are spread too.
@@ -62,17 +66,16 @@
   }
 
   auto balance() -> void {
-    const PlanTarget *From = mostLoaded();
-    const PlanTarget *To = leastLoaded();
-    if (!From || !To || From == To || rangesOf(From->Id) >= MaxRanges)
-      return;
-    double Mean = 0;
-    for (const PlanTarget &Target : Given.Targets)
-      Mean += relative(Target);
-    Mean /= static_cast<double>(Given.Targets.size());
-    if (relative(*From) > ImbalanceFactor * Mean &&
-        Loads[From->Id] - Loads[To->Id] > SmallestImbalance)
-      takePart(*From, *To);
+    for (int Move = 0; Move < MaxMoves; ++Move) {
+      const PlanTarget *From = mostLoaded();
+      const PlanTarget *To = leastLoaded();
+      if (!From || !To || From == To || rangesOf(From->Id) >= MaxRanges ||
+          rangesOf(To->Id) >= MaxRanges ||
+          utilisation(*From) < BusyUtilisation ||
+          utilisation(*From) - utilisation(*To) < SmallestImbalance ||
+          !takePart(*From, *To))
+        return;
+    }
   }
 
   auto changed() const -> bool { return Changed; }
@@ -100,6 +103,10 @@
     return Loads.at(Target.Id) / Target.Capacity;
   }
 
+  auto utilisation(const PlanTarget &Target) const -> double {
+    return relative(Target) * Given.WorkSeconds;
+  }
+
   auto anyTaker() const -> bool {
     return std::any_of(Given.Targets.begin(), Given.Targets.end(),
                        [](const PlanTarget &T) { return T.TakesNewKeys; });
@@ -198,8 +205,8 @@
     Changed = true;
   }
 
-  /// Moves about half of the difference in load.
-  auto takePart(const PlanTarget &From, const PlanTarget &To) -> void {
+  /// Moves about half of the difference in load. False when nothing can move.
+  auto takePart(const PlanTarget &From, const PlanTarget &To) -> bool {
     const double Share = To.Capacity / (From.Capacity + To.Capacity);
     const double Wanted =
         Loads[From.Id] * Share - Loads[To.Id] * (1 - Share);
@@ -210,13 +217,13 @@
                            weight(Busiest->From, Busiest->To)))
         Busiest = &Range;
     if (!Busiest || Wanted <= 0)
-      return;
+      return false;
     const std::uint32_t End = splitPoint(*Busiest, Wanted);
     KeyRange Moved = *Busiest;
     if (End >= Busiest->To) {
       // The whole range moves, unless that would only swap the roles.
       if (weight(Moved.From, Moved.To) > 1.5 * Wanted)
-        return;
+        return false;
       std::erase(Record.Ranges, Moved);
     } else {
       Moved.To = End;
@@ -225,6 +232,7 @@
     Loads[From.Id] -= weight(Moved.From, Moved.To);
     give(std::move(Moved), To);
     sort();
+    return true;
   }
 
   auto sort() -> void {
--- a/lib/Fleet/RangePlanner.h
+++ b/lib/Fleet/RangePlanner.h
@@ -13,7 +13,8 @@
 struct PlanTarget {
   TargetId Id;
   std::int64_t StartedAt = 0;
-  double Capacity = 1; ///< Relative to the other targets.
+  /// Requests that it runs at a time, relative to a target of usual speed.
+  double Capacity = 1;
   bool TakesNewKeys = true;
 };
 
@@ -26,6 +27,8 @@
     const std::vector<PlanTarget> &Targets;
     const KeyLoad &Load;
     std::uint32_t Keys = 0;
+    /// Seconds that one request occupies a place at a target of capacity 1.
+    double WorkSeconds = 0;
     /// Whether a range may change its owner now.
     std::function<bool(const KeyRange &)> Movable;
     /// Whether ranges may move only to even out the load.
--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -16,6 +16,9 @@
 /// replaced within 2 s: three missed answers and the claim.
 constexpr Duration ReportInterval = std::chrono::milliseconds(400);
 constexpr Duration LeaderSilence = std::chrono::milliseconds(1300);
+/// The same for a leader that has never answered this process: it was probably
+/// lost before the process started.
+constexpr Duration FirstSilence = std::chrono::milliseconds(900);
 
 /// Time without a leader object after the start, so that one instance claims
 /// and the others see it.
@@ -93,6 +96,10 @@
   Report.SpanMs = static_cast<std::uint32_t>(Span.count() / 1000);
   ReportedAt = Now;
   Report.Demand = Around.Requests.Rates.takeDemand();
+  for (const TargetId &Id : std::exchange(Around.Requests.OwnersSeen, {}))
+    if (const TargetPtr Target = Around.Requests.Targets.find(Id))
+      if (const auto Work = Target->Load.usualWork())
+        Report.WorkMs[Id] = static_cast<std::uint32_t>(Work->count() / 1000);
   for (auto &[Id, Keys] : Around.Requests.KeysSeen) {
     if (Keys.size() > MaxKeys)
       Keys.resize(MaxKeys);
@@ -196,6 +203,11 @@
     return;
   const TimePoint Now = bootNow();
   LastReply = Now;
+  Heard = true;
+  if (Reply.Resigned) {
+    Resigned = true;
+    return considerClaim(Now);
+  }
   if (Reply.StoreReachable)
     StoreLostAtLeader = LongAgo;
   else if (StoreLostAtLeader == LongAgo)
@@ -266,13 +278,18 @@
   LastReply = Now;
   ClaimAt = LongAgo;
   StoreLostAtLeader = LongAgo;
+  Heard = false;
+  Resigned = false;
   const bool Self = Current.Process == Around.Self.Process;
   Around.Requests.Events.write(EventLine("leader-changed")
                                    .field("leader", Current.Instance.str())
                                    .field("term", Current.Term)
                                    .field("self", Self));
-  if (Self && !Leaving)
-    return Around.Lead.start(Current, ClaimedAt);
+  if (Self && !Leaving) {
+    Around.Lead.start(Current, ClaimedAt);
+    return Around.Started();
+  }
+  considerClaim(Now);
   if (Around.Lead.leading()) {
     if (Now - ClaimedAt < ShortLead)
       NoClaimBefore = Now + ClaimPause;
@@ -287,7 +304,11 @@
   if (Around.Lead.leading() || Leaving || Claiming || !Around.Own.loaded() ||
       !Around.StoreReachable() || Now < NoClaimBefore)
     return;
-  const bool Silent = Now - LastReply > LeaderSilence;
+  // An earlier process of this instance led, so nobody does.
+  const bool Orphaned = Current.Instance == Around.Self.Instance;
+  const bool Silent =
+      Resigned || Orphaned ||
+      Now - LastReply > (Heard ? LeaderSilence : FirstSilence);
   const bool CutOff = StoreLostAtLeader != LongAgo &&
                       Now - StoreLostAtLeader > StoreLossLimit;
   if (Current.Term != 0 && !Silent && !CutOff) {
@@ -298,6 +319,9 @@
     const auto Stagger = std::chrono::duration_cast<Duration>(
         LongestStagger * Random.unit());
     ClaimAt = Now + Stagger;
+    // One who knows for certain goes first.
+    if (Orphaned)
+      return claim();
     ClaimTimer.expires_after(Stagger);
     ClaimTimer.async_wait([this](const boost::system::error_code &Cancelled) {
       if (!Cancelled)
--- a/lib/Gateway/FleetMember.h
+++ b/lib/Gateway/FleetMember.h
@@ -29,6 +29,8 @@
     PeerSocket &Peers;
     LeaderInfo Self; ///< Without a term.
     DataCentreId DataCentre;
+    /// This instance leads from now on.
+    std::function<void()> Started;
     std::function<SeenChanges()> Seen;
     std::function<bool()> StoreReachable;
     /// A peer has seen changes that this instance has not.
@@ -91,6 +93,8 @@
   LeaderInfo Current;
   TimePoint LastReply = LongAgo;
   TimePoint ReportedAt = LongAgo;
+  bool Heard = false;    ///< The leader has answered this process.
+  bool Resigned = false; ///< The leader has told that it stops.
   TimePoint StoreLostAtLeader = LongAgo; ///< LongAgo: it has contact.
   TimePoint ClaimAt = LongAgo;           ///< LongAgo: no claim planned.
   TimePoint NoClaimBefore = LongAgo;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -72,6 +72,7 @@
                Totals.stripe(0),
                {},
                {},
+               {},
                {}},
       Listener(Io), Signals(Io, SIGTERM, SIGINT, SIGHUP), TickTimer(Io),
       WaitTimer(Io), StopTimer(Io) {}
@@ -157,7 +158,9 @@
       FleetMember::Surroundings{
           Requests, *Store, *OwnFeed, *Lead, *Peers,
           LeaderInfo{Settings.Instance, Process, Settings.PeerAddress, 0},
-          Settings.DataCentre, [this] { return seen(); },
+          Settings.DataCentre,
+          [this] { TickTimer.expires_after(Duration(0)); armTick(); },
+          [this] { return seen(); },
           [this] { return storeReachable(); },
           [this](const std::string &Address) { fetchFrom(Address); }},
       std::hash<std::string>()(Process) + 1);
@@ -252,6 +255,10 @@
       Lead->tick(Requests.Active->Config);
   }
   TickTimer.expires_after(Lead->leading() ? LeaderTick : IdleTick);
+  armTick();
+}
+
+auto Gateway::Parts::armTick() -> void {
   TickTimer.async_wait([this](const error_code &Cancelled) {
     if (!Cancelled)
       tick();
--- a/lib/Gateway/GatewayParts.h
+++ b/lib/Gateway/GatewayParts.h
@@ -64,6 +64,7 @@
 
   // Life of the process.
   auto tick() -> void;
+  auto armTick() -> void;
   auto serveWaiting() -> void;
   auto waitForSignal() -> void;
   auto beginStop() -> void;
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -22,6 +22,13 @@
 /// Time after the start in which all instances have reported several times.
 constexpr Duration LearnTime = std::chrono::milliseconds(1500);
 
+/// Time without a new target after which the first assignment is made, so that
+/// targets that start together share the keys evenly.
+constexpr Duration RegistrationPause = std::chrono::milliseconds(700);
+
+/// Weight of one instance's observation of a target's speed.
+constexpr double WorkWeight = 0.15;
+
 /// Capacities of targets differ by at most this factor from the usual one.
 constexpr double CapacitySpread = 2.5;
 
@@ -57,7 +64,7 @@
   for (const auto &[Name, Other] : Members) {
     FleetReply Last;
     Last.Leader = Self;
-    Last.StoreReachable = false;
+    Last.Resigned = true;
     if (Name != Self.Instance)
       Around.Send(Other.Address, Last);
   }
@@ -86,6 +93,15 @@
       for (const std::uint32_t Key : Keys)
         Found->second.Load.add(Key, Now);
   }
+  for (const auto &[Id, WorkMs] : From.WorkMs)
+    if (const TargetPtr Target = Around.Targets.find(Id)) {
+      const auto Found = Services.find(Target->Record.Service);
+      if (Found == Services.end())
+        continue;
+      double &Average =
+          Found->second.WorkMs.try_emplace(Id, WorkMs).first->second;
+      Average += WorkWeight * (WorkMs - Average);
+    }
   FleetReply Reply;
   Reply.Leader = Self;
   Reply.StoreReachable = StoreReachable;
@@ -155,14 +171,18 @@
   return &Added;
 }
 
-auto Leader::viewOf(const ServiceId &Id, TimePoint Now) const
-    -> RangeKeeper::View {
+auto Leader::usualWorkMs(const Service &Own) const -> double {
+  double Sum = 0;
+  for (const auto &[Id, Work] : Own.WorkMs)
+    Sum += Work;
+  return Own.WorkMs.empty() ? 0 : Sum / static_cast<double>(Own.WorkMs.size());
+}
+
+auto Leader::viewOf(const ServiceId &Id, const Service &Own,
+                    TimePoint Now) const -> RangeKeeper::View {
   RangeKeeper::View View;
-  double Usual = 0;
-  for (const TargetPtr &Target : Around.Targets.ofService(Id))
-    Usual += static_cast<double>(
-        Target->Load.work(Now).value_or(Duration(0)).count());
-  Usual /= std::max<std::size_t>(1, Around.Targets.ofService(Id).size());
+  const double Usual = usualWorkMs(Own);
+  View.WorkSeconds = Usual / 1000;
   bool AllCold = true;
   for (const TargetPtr &Target : Around.Targets.ofService(Id)) {
     const TargetRecord &Record = Target->Record;
@@ -175,11 +195,10 @@
       continue;
     PlanTarget Each{Record.Id, Record.StartedAtMs,
                     static_cast<double>(Record.Slots), !Target->cold(Now)};
-    const auto Work = Target->Load.work(Now);
-    if (Work && Usual > 0)
-      Each.Capacity *=
-          std::clamp(Usual / static_cast<double>(Work->count()),
-                     1 / CapacitySpread, CapacitySpread);
+    const auto Work = Own.WorkMs.find(Record.Id);
+    if (Work != Own.WorkMs.end())
+      Each.Capacity *= std::clamp(Usual / std::max(1.0, Work->second),
+                                  1 / CapacitySpread, CapacitySpread);
     AllCold = AllCold && !Each.TakesNewKeys;
     View.Targets.push_back(Each);
   }
@@ -199,9 +218,11 @@
     Service *Own = serviceOf(Id, Settings);
     if (!Own)
       continue;
+    if (Own->Keeper.revision() == 0 && !allRegistered(Id, Now))
+      continue;
     if (Now >= Own->PlanAt && !Own->Writing) {
       Own->PlanAt = Now + PlanInterval;
-      Own->Keeper.plan(viewOf(Id, Now), Own->Load, Now);
+      Own->Keeper.plan(viewOf(Id, *Own, Now), Own->Load, Now);
     }
     if (Own->Keeper.pendingWrite() && !Own->Writing && Now >= Own->WriteAt)
       write(Id, *Own);
@@ -209,6 +230,14 @@
   }
 }
 
+auto Leader::allRegistered(const ServiceId &Id, TimePoint Now) -> bool {
+  Registration &Last = Registered[Id];
+  const std::size_t Count = Around.Targets.ofService(Id).size();
+  if (Count != Last.Targets)
+    Last = {Count, Now};
+  return Count > 0 && Now - Last.Since > RegistrationPause;
+}
+
 auto Leader::write(const ServiceId &Id, Service &Own) -> void {
   Own.Writing = true;
   const TimePoint SentAt = bootNow();
--- a/lib/Gateway/Leader.h
+++ b/lib/Gateway/Leader.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <unordered_map>
 
 namespace buckthornring {
 
@@ -88,6 +89,7 @@
 
     RangeKeeper Keeper;
     KeyLoad Load;
+    std::unordered_map<TargetId, double> WorkMs; ///< Moving averages.
     std::set<TargetId> Granting; ///< Targets with a grant under way.
     std::uint32_t Releasing = 0; ///< Releases under way.
     bool Writing = false;
@@ -97,7 +99,11 @@
 
   auto serviceOf(const ServiceId &Id, const ServiceConfig &Config)
       -> Service *;
-  auto viewOf(const ServiceId &Id, TimePoint Now) const -> RangeKeeper::View;
+  auto viewOf(const ServiceId &Id, const Service &Own, TimePoint Now) const
+      -> RangeKeeper::View;
+  auto usualWorkMs(const Service &Own) const -> double;
+  /// Whether the targets of a service have probably all registered.
+  auto allRegistered(const ServiceId &Id, TimePoint Now) -> bool;
   auto write(const ServiceId &Id, Service &Own) -> void;
   auto writeEnded(const ServiceId &Id, const StoreWrite &Answer,
                   TimePoint SentAt) -> void;
@@ -122,6 +128,11 @@
   RateDivider Rates;
   std::map<InstanceId, Member> Members;
   std::map<ServiceId, Service> Services;
+  struct Registration {
+    std::size_t Targets = 0;
+    TimePoint Since = LongAgo; ///< Of the last change.
+  };
+  std::map<ServiceId, Registration> Registered;
 };
 
 } // namespace buckthornring
--- a/lib/Gateway/RequestContext.h
+++ b/lib/Gateway/RequestContext.h
@@ -20,6 +20,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <unordered_map>
 
 namespace buckthornring {
@@ -65,6 +66,8 @@
   LatencyHistogram Latency;
   /// Keys requested since the last report to the leader.
   std::unordered_map<ServiceId, std::vector<std::uint32_t>> KeysSeen;
+  /// Owners that have answered since then.
+  std::set<TargetId> OwnersSeen;
   /// Asks the leader's reserve for one request of a workspace.
   std::function<void(const WorkspaceId &, std::function<void(bool)>)> AskRate;
 
--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -392,6 +392,8 @@
     return rejected(Sent, Answer);
   if (Answer.Status < 500) {
     Context.Targets.answered(*Sent->Target, Latency);
+    if (Key)
+      Context.OwnersSeen.insert(Sent->Target->Record.Id);
   } else {
     Sent->Target->Load.failed();
     if (Idempotent && !Key && mayRepeat(Now)) {
