--- a/lib/Gateway/CallerSession.cpp
+++ b/lib/Gateway/CallerSession.cpp
@@ -207,7 +207,7 @@
   Request.Body = std::move(Io->Request->get().body());
   Request.ReceivedAt = Io->HeadAt;
   const std::uint64_t Number = ++Io->LastNumber;
-  const bool KeepAlive = Io->Request->get().keep_alive();
+  const bool KeepAlive = Io->Request->keep_alive();
   Io->Slots.push_back(
       {Number, KeepAlive, Request.Head.Method == "HEAD", std::nullopt});
   if (!KeepAlive)
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -43,11 +43,6 @@
          std::to_string(Time.tv_nsec / 1000) + "-" + std::to_string(::getpid());
 }
 
-auto portOf(const std::string &Address) -> std::uint16_t {
-  const auto Endpoint = parseEndpoint(Address);
-  return Endpoint ? Endpoint->port() : 0;
-}
-
 } // namespace
 
 Gateway::Parts::Parts(GatewaySettings Given, PlatformProtocol Spoken)
@@ -357,10 +352,12 @@
   Io->Reload = std::move(Reload);
 }
 
-auto Gateway::listeningLine() const -> std::string {
-  return "listening caller=" + Io->Settings.CallerAddress +
-         " peer=" + Io->Settings.PeerAddress +
-         " port=" + std::to_string(portOf(Io->Settings.ReadyAddress));
+auto Gateway::stop() -> void { Io->Io.stop(); }
+
+auto Gateway::callerAddress() const -> std::string {
+  error_code Failure;
+  const auto Endpoint = Io->Listener.local_endpoint(Failure);
+  return Failure ? "" : endpointText(Endpoint);
 }
 
 auto Gateway::run() -> void {
--- a/lib/Gateway/Gateway.h
+++ b/lib/Gateway/Gateway.h
@@ -37,7 +37,11 @@
   using SettingsReload = std::function<Result<GatewaySettings>()>;
   auto setReload(SettingsReload Reload) -> void;
 
-  auto listeningLine() const -> std::string;
+  /// Stops at once. May be called from any thread.
+  auto stop() -> void;
+
+  /// IP address and port for callers, with the port that was bound.
+  auto callerAddress() const -> std::string;
 
 private:
   struct Parts;
--- /dev/null
+++ b/tests/support/FakeObjectStore.h
@@ -0,0 +1,167 @@
+#pragma once
+
+#include "Gateway/Protocol.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace buckthornring::test {
+
+/// Contents of an object store, changed by a test while instances use it.
+class StoreContents {
+public:
+  using Key = std::pair<std::string, std::string>;
+
+  auto set(const std::string &Kind, const std::string &Name,
+           nlohmann::json Value) -> void {
+    const std::lock_guard Guard(Lock);
+    put(Kind, Name, std::move(Value));
+  }
+  auto remove(const std::string &Kind, const std::string &Name) -> void {
+    const std::lock_guard Guard(Lock);
+    Log.push_back({Kind, {Name, ++Revision, true, {}}});
+    Objects.erase({Kind, Name});
+  }
+  /// Calls get no answer while down.
+  auto setDown(bool Is) -> void {
+    const std::lock_guard Guard(Lock);
+    Down = Is;
+  }
+  auto dropHistory() -> void {
+    const std::lock_guard Guard(Lock);
+    OldestKept = Revision + 1;
+    Log.clear();
+  }
+  auto value(const std::string &Kind, const std::string &Name) const
+      -> std::optional<nlohmann::json> {
+    const std::lock_guard Guard(Lock);
+    const auto Found = Objects.find({Kind, Name});
+    if (Found == Objects.end())
+      return std::nullopt;
+    return Found->second.Value;
+  }
+  auto calls() const -> std::size_t {
+    const std::lock_guard Guard(Lock);
+    return Calls;
+  }
+
+private:
+  friend class FakeObjectStore;
+
+  auto put(const std::string &Kind, const std::string &Name,
+           nlohmann::json Value) -> StoredObject {
+    StoredObject Object{Name, ++Revision, false, std::move(Value)};
+    Objects[{Kind, Name}] = Object;
+    Log.push_back({Kind, Object});
+    return Object;
+  }
+
+  mutable std::mutex Lock;
+  std::map<Key, StoredObject> Objects;
+  std::vector<std::pair<std::string, StoredObject>> Log;
+  std::uint64_t Revision = 1;
+  std::uint64_t OldestKept = 0;
+  std::size_t Calls = 0;
+  bool Down = false;
+};
+
+/// One instance's connection to the contents.
+class FakeObjectStore final : public ObjectStore {
+public:
+  FakeObjectStore(boost::asio::io_context &Context,
+                  std::shared_ptr<StoreContents> Contents)
+      : Context(Context), Contents(std::move(Contents)) {}
+
+  auto list(const std::string &Kind, ChangesHandler Done) -> void override {
+    StoreChanges Changes;
+    const std::lock_guard Guard(Contents->Lock);
+    ++Contents->Calls;
+    if (!Contents->Down) {
+      Changes.Status = StoreStatus::Done;
+      Changes.Revision = Contents->Revision;
+      for (const auto &[Key, Object] : Contents->Objects)
+        if (Key.first == Kind)
+          Changes.Objects.push_back(Object);
+    }
+    answer(std::move(Done), std::move(Changes));
+  }
+
+  auto watch(const std::string &Kind, std::uint64_t Revision, Duration Wait,
+             ChangesHandler Done) -> void override {
+    {
+      const std::lock_guard Guard(Contents->Lock);
+      ++Contents->Calls;
+    }
+    poll(Kind, Revision, std::chrono::steady_clock::now() + Wait,
+         std::move(Done));
+  }
+
+  auto write(const std::string &Kind, const std::string &Name,
+             std::uint64_t Expected, nlohmann::json Value, WriteHandler Done)
+      -> void override {
+    StoreWrite Write;
+    const std::lock_guard Guard(Contents->Lock);
+    ++Contents->Calls;
+    if (!Contents->Down) {
+      const auto Found = Contents->Objects.find({Kind, Name});
+      const std::uint64_t Held =
+          Found == Contents->Objects.end() ? 0 : Found->second.Revision;
+      Write.Status =
+          Held == Expected ? StoreStatus::Done : StoreStatus::Conflict;
+      Write.Object = Held == Expected
+                         ? Contents->put(Kind, Name, std::move(Value))
+                         : Found->second;
+    }
+    answer(std::move(Done), std::move(Write));
+  }
+
+private:
+  template <class Handler, class Answer>
+  auto answer(Handler Done, Answer Given) -> void {
+    boost::asio::post(Context, [Done = std::move(Done),
+                                Given = std::move(Given)] { Done(Given); });
+  }
+
+  auto poll(const std::string &Kind, std::uint64_t Revision,
+            std::chrono::steady_clock::time_point Until, ChangesHandler Done)
+      -> void {
+    StoreChanges Changes;
+    {
+      const std::lock_guard Guard(Contents->Lock);
+      if (!Contents->Down && Revision + 1 < Contents->OldestKept)
+        Changes.Status = StoreStatus::HistoryLost;
+      else if (!Contents->Down)
+        for (const auto &[Each, Object] : Contents->Log)
+          if (Each == Kind && Object.Revision > Revision)
+            Changes.Objects.push_back(Object);
+      const bool Late = std::chrono::steady_clock::now() >= Until;
+      if (!Changes.Objects.empty() || (Late && !Contents->Down)) {
+        Changes.Status = StoreStatus::Done;
+        Changes.Revision = Contents->Revision;
+      }
+      if (Changes.Status != StoreStatus::Unreachable || Contents->Down)
+        return answer(std::move(Done), std::move(Changes));
+    }
+    auto Timer = std::make_shared<boost::asio::steady_timer>(Context);
+    Timer->expires_after(std::chrono::milliseconds(5));
+    Timer->async_wait([this, Timer, Kind, Revision, Until,
+                       Done = std::move(Done)](
+                          const boost::system::error_code &Cancelled) mutable {
+      if (!Cancelled)
+        poll(Kind, Revision, Until, std::move(Done));
+    });
+  }
+
+  boost::asio::io_context &Context;
+  std::shared_ptr<StoreContents> Contents;
+};
+
+} // namespace buckthornring::test
--- /dev/null
+++ b/tests/support/GatewayPath.cpp
@@ -0,0 +1,155 @@
+#include "support/GatewayPath.h"
+
+#include "HeaderFields.h"
+#include "IO/Endpoint.h"
+#include "Records.h"
+
+#include <nlohmann/json.hpp>
+
+namespace buckthornring::test {
+
+using Json = nlohmann::json;
+
+namespace {
+
+auto settings() -> GatewaySettings {
+  GatewaySettings Settings;
+  Settings.Instance = InstanceId("i1");
+  Settings.DataCentre = DataCentreId("dc1");
+  Settings.CallerAddress = "127.0.0.1:0";
+  Settings.ReadyAddress = "127.0.0.1:0";
+  Settings.PeerAddress = "127.0.0.1:0";
+  Settings.StoreAddress = "127.0.0.1:1";
+  return Settings;
+}
+
+auto protocol() -> PlatformProtocol {
+  PlatformProtocol Protocol;
+  Protocol.Headers = platform::headerNames();
+  Protocol.Kinds = platform::objectKinds();
+  Protocol.ReadLoad = platform::readLoad;
+  Protocol.Orders = {platform::encodeOrder, "Handover"};
+  return Protocol;
+}
+
+auto rule(const std::string &Name, const std::string &Kind,
+          const std::string &Service, bool Open) -> Json {
+  return {{"name", Name},
+          {"kind", Kind},
+          {"target_latency_s", 0.2},
+          {"public", Open},
+          {"match", {{"path_prefix", "/" + Name + "/"}}},
+          {"action",
+           {{"service", Service}, {"timeout_s", 1.0}, {"max_attempts", 2}}}};
+}
+
+} // namespace
+
+GatewayPath::GatewayPath() {
+  auto Made = Gateway::create(
+      settings(), protocol(),
+      [this](boost::asio::io_context &Context, const std::string &)
+          -> Result<std::unique_ptr<ObjectStore>> {
+        return std::unique_ptr<ObjectStore>(
+            std::make_unique<FakeObjectStore>(Context, Contents));
+      });
+  Instance = std::move(Made).value();
+  Running = std::thread([this] { Instance->run(); });
+}
+
+GatewayPath::~GatewayPath() {
+  Instance->stop();
+  Running.join();
+}
+
+auto GatewayPath::addTarget(const std::string &Service, const std::string &Name,
+                            const ScriptedTarget &Target,
+                            const std::string &State, int Sequence) -> void {
+  Contents->set("servers", Name,
+                {{"service", Service},
+                 {"address", Target.address()},
+                 {"zone", "dc1"},
+                 {"version", "v1"},
+                 {"slots", 4},
+                 {"state", State},
+                 {"warmup_left_s", 0},
+                 {"seq", Sequence},
+                 {"born", 1000}});
+}
+
+auto GatewayPath::configure(int Version, const std::string &Service) -> void {
+  const Json Rules = Json::array({rule("safe", "safe", Service, false),
+                                  rule("unsafe", "unsafe", "pay", false),
+                                  rule("owned", "safe", "stock", false),
+                                  rule("open", "safe", "pay", true)});
+  const Json Tenant = {{"name", "acme"}, {"api_keys", Json::array({"secret"})}};
+  Contents->set(
+      "config", "main",
+      {{"version", "r" + std::to_string(Version)},
+       {"limits",
+        {{"max_header_bytes", 4096},
+         {"max_body_bytes", 100000},
+         {"header_timeout_s", 1.0},
+         {"idle_timeout_s", 5.0}}},
+       {"tenants", Json::array({Tenant})},
+       {"listeners",
+        Json::array({Json{{"host", "h"}, {"route_rules", Rules}}})},
+       {"clusters",
+        Json::array({Json{{"name", "pay"}, {"health_path", "/health"}},
+                     Json{{"name", "other"}, {"health_path", "/health"}},
+                     Json{{"name", "stock"},
+                          {"health_path", "/health"},
+                          {"sharded", true}}})}});
+}
+
+auto GatewayPath::waitUntilServing() -> bool {
+  return eventually(
+      [this] { return exchange("GET", "/safe/ping", "", "", "ping").has(" 200 "); });
+}
+
+auto GatewayPath::connect() -> RawCaller {
+  boost::asio::ip::tcp::socket Caller(Io);
+  Caller.connect(*parseEndpoint(Instance->callerAddress()));
+  return RawCaller(std::move(Caller));
+}
+
+auto GatewayPath::request(const std::string &Method, const std::string &Path,
+                          const std::string &Id, const std::string &Fields,
+                          const std::string &Body) -> std::string {
+  std::string Text = Method + " " + Path + " HTTP/1.1\r\nHost: h\r\nAttempt-Id: " +
+                     Id + "\r\nDeadline-Ms: 3000\r\nApi-Key: secret\r\n" + Fields;
+  if (!Body.empty())
+    Text += "Content-Length: " + std::to_string(Body.size()) + "\r\n";
+  return Text + "\r\n" + Body;
+}
+
+auto GatewayPath::exchange(const std::string &Method, const std::string &Path,
+                           const std::string &Fields, const std::string &Body,
+                           const std::string &Id) -> CallerView {
+  RawCaller Caller = connect();
+  Caller.send(
+      request(Method, Path, Id, Fields + "Connection: close\r\n", Body));
+  return Caller.readAll();
+}
+
+auto GatewayPath::idOf(const std::string &Request) -> std::string {
+  const std::string Name = "Attempt-Id: ";
+  const std::size_t Start = Request.find(Name) + Name.size();
+  return Request.substr(Start, Request.find("\r\n", Start) - Start);
+}
+
+auto GatewayPath::answer(const std::string &Id, const std::string &Body,
+                         const std::string &Fields, int Status) -> std::string {
+  return "HTTP/1.1 " + std::to_string(Status) + " X\r\nAttempt-Id: " + Id +
+         "\r\nResponse-Signature: s." + Id + "\r\n" + Fields +
+         "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+auto GatewayPath::answering(const std::string &Body, const std::string &Fields,
+                            int Status) -> ScriptedTarget::Script {
+  return [=](ScriptedTarget::Tcp::socket &To, const std::string &Request) {
+    return ScriptedTarget::send(To, answer(idOf(Request), Body, Fields, Status));
+  };
+}
+
+} // namespace buckthornring::test
