--- a/lib/Gateway/CallerSession.cpp
+++ b/lib/Gateway/CallerSession.cpp
@@ -88,6 +88,7 @@
   RequestLimits Limits;
   boost::beast::flat_buffer Buffer;
   std::optional<Parser> Request;
+  std::uint64_t TimerRound = 0;
   TimePoint HeadAt;
   std::deque<Slot> Slots;
   std::string Out;
@@ -117,9 +118,12 @@
 auto CallerSession::armTimer(Duration Limit) -> void {
   Io->TimedOut = false;
   Io->Timer.expires_after(Limit);
-  Io->Timer.async_wait([Weak = weak_from_this()](const error_code &Cancelled) {
+  Io->Timer.async_wait([Weak = weak_from_this(), Round = ++Io->TimerRound](
+                           const error_code &Cancelled) {
     const auto Self = Weak.lock();
-    if (Cancelled || !Self || Self->Io->Ended)
+    // The wait may have ended while this call was already queued.
+    if (Cancelled || !Self || Self->Io->Ended ||
+        Self->Io->TimerRound != Round)
       return;
     Self->Io->TimedOut = true;
     error_code Ignored;
@@ -127,6 +131,11 @@
   });
 }
 
+auto CallerSession::disarmTimer() -> void {
+  ++Io->TimerRound;
+  Io->Timer.cancel();
+}
+
 auto CallerSession::readHead() -> void {
   if (Io->Ended || Io->StopReading || Io->Reading ||
       Io->Slots.size() >= MaxPipelined)
@@ -140,7 +149,7 @@
     armTimer(Io->Buffer.size() > 0 ? Io->Limits.HeadTimeout
                                    : Io->Limits.IdleTimeout);
   else
-    Io->Timer.cancel();
+    disarmTimer();
   http::async_read_header(
       Io->Socket, Io->Buffer, *Io->Request,
       [Self = shared_from_this()](const error_code &Failure, std::size_t) {
@@ -148,6 +157,7 @@
         Io.Reading = false;
         if (Io.Ended)
           return;
+        Self->disarmTimer();
         if (Io.TimedOut && Failure == asio::error::operation_aborted)
           return Io.Request->got_some() ? Self->failRead(408)
                                         : Self->close(false);
@@ -201,7 +211,7 @@
 }
 
 auto CallerSession::gotRequest() -> void {
-  Io->Timer.cancel();
+  disarmTimer();
   CallerRequest Request;
   Request.Head = readHeadOf(*Io->Request);
   Request.Body = std::move(Io->Request->get().body());
--- a/lib/Gateway/CallerSession.h
+++ b/lib/Gateway/CallerSession.h
@@ -80,6 +80,7 @@
   auto gotRequest() -> void;
   auto failRead(unsigned Status) -> void;
   auto armTimer(Duration Limit) -> void;
+  auto disarmTimer() -> void;
   auto flush() -> void;
   auto written(bool Close) -> void;
   auto left() -> void;
--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -154,9 +154,11 @@
   Around.Peers.send(Current.Address, Message);
   Asked.Timer.expires_after(AnswerLimit);
   Asked.Timer.async_wait(
-      [this, Workspace](const boost::system::error_code &Cancelled) {
+      [this, Workspace,
+       Number = Asked.Number](const boost::system::error_code &Cancelled) {
+        // The answer may have come while this call was already queued.
         if (!Cancelled)
-          endQuestion(Workspace, 0);
+          gotAnswer({Workspace, 0, Number});
       });
 }
 
--- a/lib/Gateway/StoreFeed.cpp
+++ b/lib/Gateway/StoreFeed.cpp
@@ -14,10 +14,10 @@
 /// to be in force.
 constexpr Duration GatherTime = std::chrono::milliseconds(120);
 
-/// Shortest time without contact in which records of targets can lapse: they
-/// are written about every second and lapse after three missed writes. A watch
-/// that is merely cut hides no lapse.
-constexpr Duration LapseTime = std::chrono::milliseconds(1500);
+/// Shortest known time without contact that counts as an outage, in which
+/// records of targets may have lapsed. A watch that was merely cut is followed
+/// by an answer to the next call, sooner than this.
+constexpr Duration ShortestOutage = std::chrono::milliseconds(500);
 
 constexpr Duration FirstBackoff = std::chrono::milliseconds(150);
 constexpr Duration LongestBackoff = std::chrono::milliseconds(1200);
@@ -42,12 +42,12 @@
 }
 
 auto StoreFeed::inOutage() const -> bool {
-  return !Connected && bootNow() - LastContact > LapseTime;
+  return !Connected && bootNow() - LostAt > ShortestOutage;
 }
 
 auto StoreFeed::succeeded() -> void {
-  if (Loaded && inOutage())
-    OutageEndedAt = bootNow();
+  if (Loaded && !Connected && AskedAt - LostAt > ShortestOutage)
+    OutageEndedAt = AskedAt;
   LastContact = bootNow();
   KnownAt = std::max(KnownAt, AskedAt);
   Failures = 0;
@@ -56,7 +56,11 @@
   Callbacks.OnContact(true, "answered");
 }
 
+// Goes on with a read of all objects: unlike a watch, it is answered at once
+// and so tells that the store is back.
 auto StoreFeed::failed(StoreStatus Status) -> void {
+  if (Connected)
+    LostAt = bootNow();
   if (std::exchange(Connected, false))
     Callbacks.OnContact(false, StoreStatusNames.name(Status).data());
   const double Factor = std::pow(2.0, std::min(Failures, 5U));
@@ -66,7 +70,7 @@
       LongestBackoff);
   later(std::chrono::duration_cast<Duration>(Delay *
                                              (0.75 + 0.5 * Random.unit())),
-        MustList ? &StoreFeed::list : &StoreFeed::watch);
+        &StoreFeed::list);
 }
 
 auto StoreFeed::list() -> void {
@@ -92,7 +96,6 @@
 auto StoreFeed::gotList(StoreChanges Changes) -> void {
   if (Changes.Status != StoreStatus::Done)
     return failed(Changes.Status);
-  MustList = false;
   succeeded();
   takeWhole(Changes.Objects, Changes.Revision);
   watch();
@@ -122,10 +125,8 @@
 }
 
 auto StoreFeed::gotChanges(const StoreChanges &Changes) -> void {
-  if (Changes.Status == StoreStatus::HistoryLost) {
-    MustList = true;
+  if (Changes.Status == StoreStatus::HistoryLost)
     return list();
-  }
   if (Changes.Status != StoreStatus::Done)
     return failed(Changes.Status);
   succeeded();
--- a/lib/Gateway/StoreFeed.h
+++ b/lib/Gateway/StoreFeed.h
@@ -87,13 +87,13 @@
   std::uint64_t Revision = 0;
   std::uint64_t LastChange = 0;
   TimePoint LastContact = LongAgo;
+  TimePoint LostAt = LongAgo;
   TimePoint OutageEndedAt = LongAgo;
   TimePoint AskedAt = LongAgo;
   TimePoint KnownAt = LongAgo;
   std::uint32_t Failures = 0;
   bool Loaded = false;
   bool Connected = false;
-  bool MustList = true;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
--- a/lib/Gateway/TargetConnection.cpp
+++ b/lib/Gateway/TargetConnection.cpp
@@ -63,6 +63,7 @@
   AnswerHandler Done;
   Duration IdleLimit{0};
   int Skipped = 0;
+  bool Connecting = false;
   bool HeadOnly = false;
   bool Written = true;
   bool KeepAlive = true;
@@ -80,12 +81,14 @@
   Io->Timer.async_wait([Weak = weak_from_this()](const error_code &Cancelled) {
     const auto Self = Weak.lock();
     error_code Ignored;
-    if (!Cancelled && Self)
+    if (!Cancelled && Self && Self->Io->Connecting)
       Self->Io->Socket.cancel(Ignored);
   });
+  Io->Connecting = true;
   Io->Socket.async_connect(
       Peer, [Self = shared_from_this(),
              Done = std::move(Done)](const error_code &Failure) {
+        Self->Io->Connecting = false;
         Self->Io->Timer.cancel();
         if (Self->Io->Closed)
           return;
--- a/lib/IO/HttpExchange.cpp
+++ b/lib/IO/HttpExchange.cpp
@@ -70,7 +70,9 @@
 auto HttpExchange::armTimer(Duration AfterBegin) -> void {
   Timer.expires_at(Begun + AfterBegin);
   Timer.async_wait([Self = shared_from_this()](error_code Cancelled) {
-    if (Cancelled || Self->Finished)
+    // The timer may have been armed anew while this call was already queued.
+    if (Cancelled || Self->Finished ||
+        Self->Timer.expiry() > std::chrono::steady_clock::now())
       return;
     Self->Outcome.TimedOut = true;
     Self->fail("time limit exceeded");
--- /dev/null
+++ b/tests/unit/StoreFeedTest.cpp
@@ -0,0 +1,156 @@
+#include "Gateway/StoreFeed.h"
+#include "IO/BootClock.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <thread>
+
+using namespace buckthornring;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Store whose calls a test answers one by one.
+class ManualStore final : public ObjectStore {
+public:
+  struct Call {
+    bool Watch;
+    std::uint64_t Revision;
+    ChangesHandler Done;
+  };
+
+  auto list(const std::string &, ChangesHandler Done) -> void override {
+    Calls.push_back({false, 0, std::move(Done)});
+  }
+  auto watch(const std::string &, std::uint64_t Revision, Duration,
+             ChangesHandler Done) -> void override {
+    Calls.push_back({true, Revision, std::move(Done)});
+  }
+  auto write(const std::string &, const std::string &, std::uint64_t,
+             nlohmann::json, WriteHandler) -> void override {}
+
+  auto answer(StoreChanges Changes) -> void {
+    const Call Next = std::move(Calls.front());
+    Calls.pop_front();
+    Next.Done(std::move(Changes));
+  }
+
+  std::deque<Call> Calls;
+};
+
+class StoreFeedTest : public testing::Test {
+protected:
+  StoreFeedTest()
+      : Feed(Io, Store, {"servers", 1s, 1},
+             {[this](const auto &Objects) { Whole = Objects.size(); },
+              [this](const StoredObject &Object) {
+                Changed.push_back(Object.Name);
+              },
+              [](bool, const char *) {}}) {
+    Feed.start();
+  }
+
+  static auto done(std::vector<StoredObject> Objects, std::uint64_t Revision)
+      -> StoreChanges {
+    return {StoreStatus::Done, std::move(Objects), Revision};
+  }
+  static auto object(const char *Name, std::uint64_t Revision,
+                     bool Deleted = false) -> StoredObject {
+    return {Name, Revision, Deleted, {}};
+  }
+  /// Runs until the feed has made a call.
+  auto waitForCall() -> void {
+    while (Store.Calls.empty()) {
+      Io.restart();
+      Io.run_one();
+    }
+  }
+
+  boost::asio::io_context Io;
+  ManualStore Store;
+  StoreFeed Feed;
+  std::size_t Whole = 0;
+  std::vector<std::string> Changed;
+};
+
+TEST_F(StoreFeedTest, ContinuesFromTheRevisionOfEachAnswer) {
+  Store.answer(done({object("a", 3)}, 10));
+  EXPECT_EQ(Whole, 1U);
+  waitForCall();
+  EXPECT_TRUE(Store.Calls.front().Watch);
+  EXPECT_EQ(Store.Calls.front().Revision, 10U);
+  Store.answer(done({object("b", 12)}, 13));
+  waitForCall();
+  EXPECT_EQ(Store.Calls.front().Revision, 13U);
+  EXPECT_EQ(Changed, std::vector<std::string>{"b"});
+}
+
+TEST_F(StoreFeedTest, ReadsAllObjectsWhenTheHistoryIsLost) {
+  Store.answer(done({object("a", 3), object("b", 4)}, 10));
+  waitForCall();
+  Store.answer({StoreStatus::HistoryLost, {}, 0});
+  waitForCall();
+  EXPECT_FALSE(Store.Calls.front().Watch);
+  Store.answer(done({object("a", 3)}, 20));
+  EXPECT_EQ(Whole, 1U);
+}
+
+TEST_F(StoreFeedTest, NeverGoesBackToAnOlderState) {
+  Store.answer(done({object("a", 15)}, 20));
+  Feed.applyFromPeer({object("a", 5), object("b", 6)}, 18);
+  EXPECT_EQ(Feed.objects().size(), 1U);
+  waitForCall();
+  Store.answer(done({object("a", 9)}, 21));
+  EXPECT_EQ(Feed.objects().at("a").Revision, 15U);
+  Feed.applyFromPeer({object("a", 15), object("b", 22)}, 25);
+  EXPECT_EQ(Feed.objects().size(), 2U);
+}
+
+TEST_F(StoreFeedTest, RefusedCallsAreRepeatedWithGrowingPauses) {
+  std::vector<Duration> Pauses;
+  for (int Count = 0; Count < 4; ++Count) {
+    waitForCall();
+    const TimePoint Refused = bootNow();
+    Store.answer({StoreStatus::Refused, {}, 0});
+    waitForCall();
+    Pauses.push_back(bootNow() - Refused);
+  }
+  EXPECT_GE(Pauses.front(), 100ms);
+  EXPECT_GE(Pauses.back(), 600ms);
+}
+
+// A cut watch is not an outage: a record that is missing after it is gone.
+TEST_F(StoreFeedTest, CutWatchIsNoOutage) {
+  Store.answer(done({object("a", 3)}, 10));
+  waitForCall();
+  Store.answer({StoreStatus::Unreachable, {}, 0});
+  waitForCall();
+  EXPECT_FALSE(Store.Calls.front().Watch);
+  Store.answer(done({}, 12));
+  EXPECT_EQ(Feed.outageEndedAt(), LongAgo);
+}
+
+// The watch after an outage used to be answered only by the next change, whose
+// removed record then counted as lapsed in the outage.
+TEST_F(StoreFeedTest, OutageEndsWithTheFirstAnswerNotWithTheNextChange) {
+  Store.answer(done({object("a", 3)}, 10));
+  waitForCall();
+  Store.answer({StoreStatus::Unreachable, {}, 0});
+  const TimePoint Until = bootNow() + 700ms;
+  while (bootNow() < Until) {
+    waitForCall();
+    Store.answer({StoreStatus::Unreachable, {}, 0});
+  }
+  waitForCall();
+  EXPECT_FALSE(Store.Calls.front().Watch);
+  Store.answer(done({object("a", 3)}, 10));
+  const TimePoint Ended = Feed.outageEndedAt();
+  EXPECT_NE(Ended, LongAgo);
+  waitForCall();
+  std::this_thread::sleep_for(100ms);
+  Store.answer(done({object("a", 11, true)}, 11));
+  EXPECT_EQ(Feed.outageEndedAt(), Ended);
+}
+
+} // namespace
