Share target loads among the instances of a data centre

Cause: an instance sees one answer in eleven, so its view of a target's queue and momentary speed is older than a request takes. Ruled out: health checks, which are charged.

--- a/lib/Fleet/FleetMessage.cpp
+++ b/lib/Fleet/FleetMessage.cpp
@@ -63,6 +63,7 @@
           {"l", encodeLeader(Report.Leader)},
           {"s", Report.StoreReachable},
           {"x", Report.Leaving},
+          {"h", Report.NeighboursKnown},
           {"c", encodeSeen(Report.Seen)},
           {"m", Report.SpanMs},
           {"w", encodeMap(Report.Demand)},
@@ -79,6 +80,8 @@
           {"f", Reply.SeenFrom},
           {"n", Reply.Instances},
           {"z", Reply.InDataCentre},
+          {"h", Reply.NeighboursVersion},
+          {"a", Reply.Neighbours},
           {"q", Reply.PartsKnown},
           {"w", encodeMap(shortParts(Reply.RateParts))},
           {"o", static_cast<std::uint32_t>(Reply.OtherParts * 10'000)}};
@@ -102,6 +105,27 @@
           {"i", Answer.Number}};
 }
 
+constexpr double SlownessSteps = 100;
+
+auto encode(const LoadNotice &Notice) -> Json {
+  Json Loads = Json::object();
+  for (const auto &[Id, Load] : Notice.Loads)
+    Loads[Id.str()] =
+        Json::array({Load.Running, Load.Waiting, Load.Slots,
+                     static_cast<std::uint32_t>(Load.Slowness * SlownessSteps)});
+  return {{"t", 6}, {"l", std::move(Loads)}};
+}
+
+auto decodeLoads(const Json &Value) -> LoadNotice {
+  LoadNotice Notice;
+  for (const auto &[Id, Load] : Value.at("l").items())
+    Notice.Loads[TargetId(Id)] = {
+        Load.at(0).get<std::uint32_t>(), Load.at(1).get<std::uint32_t>(),
+        Load.at(2).get<std::uint32_t>(),
+        Load.at(3).get<std::uint32_t>() / SlownessSteps};
+  return Notice;
+}
+
 auto decodeReport(const Json &Value) -> FleetReport {
   FleetReport Report;
   Report.Instance = InstanceId(Value.at("i").get<std::string>());
@@ -110,6 +134,7 @@
   Report.Leader = decodeLeader(Value.at("l"));
   Report.StoreReachable = Value.at("s").get<bool>();
   Report.Leaving = Value.at("x").get<bool>();
+  Report.NeighboursKnown = Value.at("h").get<std::uint64_t>();
   Report.Seen = decodeSeen(Value.at("c"));
   Report.SpanMs = Value.at("m").get<std::uint32_t>();
   Report.Demand = decodeMap<WorkspaceId, std::uint32_t>(Value.at("w"));
@@ -128,6 +153,8 @@
   Reply.SeenFrom = Value.at("f").get<std::string>();
   Reply.Instances = Value.at("n").get<std::uint32_t>();
   Reply.InDataCentre = Value.at("z").get<std::uint32_t>();
+  Reply.NeighboursVersion = Value.at("h").get<std::uint64_t>();
+  Reply.Neighbours = Value.at("a").get<std::vector<std::string>>();
   Reply.PartsKnown = Value.at("q").get<bool>();
   for (const auto &[Id, Part] :
        decodeMap<WorkspaceId, std::uint32_t>(Value.at("w")))
@@ -174,6 +201,8 @@
           RateAnswer{WorkspaceId(Value.at("w").get<std::string>()),
                      Value.at("n").get<std::uint32_t>(),
                      Value.at("i").get<std::uint64_t>()});
+    case 6:
+      return FleetMessage(decodeLoads(Value));
     default:
       return Error("unknown message type");
     }
--- a/lib/Fleet/FleetMessage.h
+++ b/lib/Fleet/FleetMessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Fleet/TargetRecord.h"
 #include "buckthornring/Common/Ids.h"
 #include "buckthornring/Common/Result.h"
 
@@ -39,6 +40,7 @@
   LeaderInfo Leader; ///< As the sender knows it.
   bool StoreReachable = false;
   bool Leaving = false;
+  std::uint64_t NeighboursKnown = 0; ///< FleetReply::NeighboursVersion.
   SeenChanges Seen;
   std::uint32_t SpanMs = 0; ///< Time that the counts cover.
   std::map<WorkspaceId, std::uint32_t> Demand;
@@ -57,6 +59,10 @@
   std::string SeenFrom; ///< Address of an instance that has seen it.
   std::uint32_t Instances = 1;
   std::uint32_t InDataCentre = 1; ///< Of the receiver.
+  /// Changes with the instances of the receiver's data centre.
+  std::uint64_t NeighboursVersion = 0;
+  /// Addresses of the others there, unless the receiver knows them.
+  std::vector<std::string> Neighbours;
   /// Whether the parts below are to be used. A new leader does not know the
   /// demand of all instances yet, so they keep the parts that they have.
   bool PartsKnown = false;
@@ -83,8 +89,13 @@
   std::uint64_t Number = 0;
 };
 
+/// Loads of targets that an instance has just seen, for its neighbours.
+struct LoadNotice {
+  std::map<TargetId, LoadReport> Loads;
+};
+
 using FleetMessage = std::variant<FleetReport, FleetReply, GrantNotice,
-                                  RateQuestion, RateAnswer>;
+                                  RateQuestion, RateAnswer, LoadNotice>;
 
 /// Encodes a message as CBOR.
 auto encodeFleetMessage(const FleetMessage &Message) -> std::string;
--- a/lib/Fleet/KeyLoad.h
+++ b/lib/Fleet/KeyLoad.h
@@ -37,7 +37,7 @@
 private:
   /// Time constant of the moving average: long enough for some hundred
   /// requests of a service, short enough to follow a change of the busy keys.
-  static constexpr double MemorySeconds = 4;
+  static constexpr double MemorySeconds = 5;
   static constexpr Duration DecayInterval = std::chrono::milliseconds(250);
   static constexpr double Negligible = 0.05;
 
--- a/lib/Fleet/RangePlanner.cpp
+++ b/lib/Fleet/RangePlanner.cpp
@@ -12,11 +12,11 @@
 
 /// Utilisation from which a target's keys move to a less used one: above it,
 /// requests begin to wait for a place.
-constexpr double BusyUtilisation = 0.6;
+constexpr double BusyUtilisation = 0.5;
 
 /// Difference in utilisation below which no keys move. Each move interrupts its
 /// keys for about one request time, and the measured rates are noisy.
-constexpr double SmallestImbalance = 0.25;
+constexpr double SmallestImbalance = 0.18;
 
 /// Moves of one plan that only even out the load.
 constexpr int MaxMoves = 4;
--- a/lib/Fleet/TargetTable.cpp
+++ b/lib/Fleet/TargetTable.cpp
@@ -15,8 +15,9 @@
 /// be repeated in doubt, so these keep a greater distance.
 constexpr double IdempotentCap = 2.5;
 constexpr double NonIdempotentCap = 2.0;
-/// An owned key has no other target, so waiting there is the only way.
-constexpr double OwnerCap = 3.0;
+/// An owned key has no other target, but a longer queue would make all its
+/// requests late.
+constexpr double OwnerCap = 2.5;
 
 /// Handicap of targets in other data centres, as a part of the request's
 /// target latency: traffic between data centres is charged by the byte.
--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -35,6 +35,10 @@
 /// Time that the store has to tell a change that a peer has seen already.
 constexpr Duration BehindLimit = std::chrono::milliseconds(500);
 
+/// Time in which loads are gathered for the neighbours. Targets change speed
+/// and queue several times a second.
+constexpr Duration LoadInterval = std::chrono::milliseconds(40);
+
 /// Requests asked for at once, so that a busy workspace asks less often.
 constexpr std::uint32_t WantedAtOnce = 3;
 
@@ -69,6 +73,7 @@
 FleetMember::FleetMember(boost::asio::io_context &Context, Surroundings Around,
                          std::uint64_t Seed)
     : Context(Context), Around(std::move(Around)), Timer(Context), ClaimTimer(Context),
+      LoadTimer(Context),
       Random(Seed) {}
 
 auto FleetMember::scheduleReport() -> void {
@@ -90,6 +95,7 @@
   Report.Leader = Current;
   Report.StoreReachable = Around.StoreReachable();
   Report.Leaving = Leaving;
+  Report.NeighboursKnown = NeighboursVersion;
   Report.Seen = Around.Seen();
   const Duration Span =
       ReportedAt == LongAgo ? ReportInterval : Now - ReportedAt;
@@ -128,12 +134,44 @@
     gotNotice(*Notice);
   else if (const auto *Answer = std::get_if<RateAnswer>(&Message))
     gotAnswer(*Answer);
+  else if (const auto *Loads = std::get_if<LoadNotice>(&Message))
+    gotLoads(*Loads);
   else if (Around.Requests.Active)
     Around.Peers.send(
         From, Around.Lead.takeRate(std::get<RateQuestion>(Message),
                                    Around.Requests.Active->Config));
 }
 
+auto FleetMember::loadSeen() -> void {
+  if (Neighbours.empty())
+    return Around.Requests.LoadsSeen.clear();
+  if (std::exchange(LoadArmed, true))
+    return;
+  // With many neighbours each one tells less often, so that the messages that
+  // an instance receives do not grow with their number.
+  const auto Pause = std::max<std::size_t>(1, Neighbours.size() / 4);
+  LoadTimer.expires_after(LoadInterval * Pause);
+  LoadTimer.async_wait([this](const boost::system::error_code &Cancelled) {
+    LoadArmed = false;
+    if (!Cancelled)
+      sendLoads();
+  });
+}
+
+auto FleetMember::sendLoads() -> void {
+  const LoadNotice Notice{std::exchange(Around.Requests.LoadsSeen, {})};
+  for (const std::string &Address : Neighbours)
+    Around.Peers.send(Address, Notice);
+}
+
+auto FleetMember::gotLoads(const LoadNotice &Notice) -> void {
+  const TimePoint Now = bootNow();
+  for (const auto &[Id, Load] : Notice.Loads)
+    if (const TargetPtr Target = Around.Requests.Targets.find(Id))
+      Target->Load.reported(Load, Now);
+  Around.Requests.Waiting.serve();
+}
+
 auto FleetMember::askRate(const WorkspaceId &Workspace,
                           std::function<void(bool)> Done) -> void {
   RateShares &Rates = Around.Requests.Rates;
@@ -219,6 +257,10 @@
 }
 
 auto FleetMember::applyReply(const FleetReply &Reply) -> void {
+  if (Reply.NeighboursVersion != NeighboursVersion) {
+    NeighboursVersion = Reply.NeighboursVersion;
+    Neighbours = Reply.Neighbours;
+  }
   if (!Reply.PartsKnown)
     return;
   Around.Requests.Targets.setFleetSize({Reply.Instances, Reply.InDataCentre});
--- a/lib/Gateway/FleetMember.h
+++ b/lib/Gateway/FleetMember.h
@@ -45,6 +45,8 @@
   /// The leader object has changed; nothing: there is none.
   auto leaderChanged(const StoredObject *Object) -> void;
   auto received(const FleetMessage &Message, const std::string &From) -> void;
+  /// Requests.LoadsSeen has grown; the neighbours are told soon.
+  auto loadSeen() -> void;
   /// Asks the leader's reserve for one request of a workspace. \p Done gets
   /// whether it may run; called at once, or within the time of an answer.
   auto askRate(const WorkspaceId &Workspace, std::function<void(bool)> Done)
@@ -65,6 +67,8 @@
   auto gotReply(const FleetReply &Reply) -> void;
   auto gotReport(const FleetReport &Report, const std::string &From) -> void;
   auto gotNotice(const GrantNotice &Notice) -> void;
+  auto sendLoads() -> void;
+  auto gotLoads(const LoadNotice &Notice) -> void;
   auto gotAnswer(const RateAnswer &Answer) -> void;
   auto endQuestion(const WorkspaceId &Workspace, std::uint32_t Granted) -> void;
   auto applyReply(const FleetReply &Reply) -> void;
@@ -89,6 +93,10 @@
   std::uint64_t LastQuestion = 0;
   boost::asio::steady_timer Timer;
   boost::asio::steady_timer ClaimTimer;
+  boost::asio::steady_timer LoadTimer;
+  bool LoadArmed = false;
+  std::vector<std::string> Neighbours;
+  std::uint64_t NeighboursVersion = 0;
   RandomSource Random;
   LeaderInfo Current;
   TimePoint LastReply = LongAgo;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -68,6 +68,8 @@
                {},
                {},
                {},
+               {},
+               {},
                {}},
       Listener(Io), Signals(Io, SIGTERM, SIGINT, SIGHUP), TickTimer(Io),
       WaitTimer(Io), StopTimer(Io) {}
@@ -144,6 +146,7 @@
             Member->received(Notice, Settings.PeerAddress);
           }},
       Times, Settings.Bounds.Rates);
+  Requests.OnLoadSeen = [this] { Member->loadSeen(); };
   Requests.AskRate = [this](const WorkspaceId &Workspace,
                             std::function<void(bool)> Done) {
     Member->askRate(Workspace, std::move(Done));
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -115,6 +115,7 @@
       std::count_if(Members.begin(), Members.end(), [&](const auto &Entry) {
         return Entry.second.DataCentre == From.DataCentre;
       }));
+  addNeighbours(From, Reply);
   for (const auto &[Id, Other] : Members) {
     const SeenChanges &Seen = Other.Seen;
     const bool Newer = Seen.Configuration > Reply.Seen.Configuration ||
@@ -130,6 +131,22 @@
   return Reply;
 }
 
+auto Leader::addNeighbours(const FleetReport &From, FleetReply &Reply) const
+    -> void {
+  std::string All;
+  for (const auto &[Id, Other] : Members)
+    if (Other.DataCentre == From.DataCentre && Id != From.Instance) {
+      // The leader does not know its own address as others see it.
+      const std::string Address =
+          Id == Self.Instance ? Self.Address : Other.Address;
+      Reply.Neighbours.push_back(Address);
+      All.append(Address).append(",");
+    }
+  Reply.NeighboursVersion = std::hash<std::string>()(All);
+  if (Reply.NeighboursVersion == From.NeighboursKnown)
+    Reply.Neighbours.clear();
+}
+
 auto Leader::takeRate(const RateQuestion &Question, const Configuration &Config)
     -> RateAnswer {
   RateAnswer Answer{Question.Workspace, 0, Question.Number};
--- a/lib/Gateway/Leader.h
+++ b/lib/Gateway/Leader.h
@@ -97,6 +97,8 @@
     TimePoint PlanAt = LongAgo;
   };
 
+  /// Tells the other instances of the sender's data centre.
+  auto addNeighbours(const FleetReport &From, FleetReply &Reply) const -> void;
   auto serviceOf(const ServiceId &Id, const ServiceConfig &Config)
       -> Service *;
   auto viewOf(const ServiceId &Id, const Service &Own, TimePoint Now) const
--- a/lib/Gateway/RequestContext.h
+++ b/lib/Gateway/RequestContext.h
@@ -19,6 +19,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <unordered_map>
@@ -68,6 +69,10 @@
   std::unordered_map<ServiceId, std::vector<std::uint32_t>> KeysSeen;
   /// Owners that have answered since then.
   std::set<TargetId> OwnersSeen;
+  /// Newest loads of targets that the neighbours have not been told yet.
+  std::map<TargetId, LoadReport> LoadsSeen;
+  /// Something was added to LoadsSeen.
+  std::function<void()> OnLoadSeen;
   /// Asks the leader's reserve for one request of a workspace.
   std::function<void(const WorkspaceId &, std::function<void(bool)>)> AskRate;
 
--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -38,9 +38,11 @@
 /// grant is announced.
 constexpr Duration MoveTime = std::chrono::milliseconds(700);
 
-/// Part of the target latency after which an idempotent request is sent to a
-/// second target.
-constexpr double HedgePart = 0.5;
+/// Time after which an idempotent request is sent to a second target: when it
+/// takes much longer than expected, within these parts of the target latency.
+constexpr double HedgeFactor = 1.5;
+constexpr double EarliestHedge = 0.3;
+constexpr double LatestHedge = 0.6;
 
 auto remainingMs(TimePoint Until, TimePoint Now) -> std::int64_t {
   return std::max<std::int64_t>(1, (Until - Now).count() / 1000);
@@ -327,12 +329,17 @@
   return Wire;
 }
 
-auto RequestFlow::armHedge(const Leg & /*Sent*/) -> void {
+auto RequestFlow::armHedge(const Leg &Sent) -> void {
   if (!Idempotent || Key || Legs.size() != 1 ||
       committed() >= Route->MaxAttempts)
     return;
-  HedgeTimer.expires_after(std::chrono::duration_cast<Duration>(
-      Route->TargetLatency * HedgePart));
+  const auto Latency = static_cast<double>(Route->TargetLatency.count());
+  const double Expected =
+      HedgeFactor *
+      static_cast<double>(
+          Context.Targets.expected(*Sent.Target, bootNow()).count());
+  HedgeTimer.expires_after(Duration(static_cast<std::int64_t>(std::clamp(
+      Expected, EarliestHedge * Latency, LatestHedge * Latency))));
   HedgeTimer.async_wait(
       [Self = shared_from_this()](const boost::system::error_code &Cancelled) {
         if (!Cancelled && !Self->Done && Self->Legs.size() == 1 &&
@@ -345,10 +352,10 @@
 auto RequestFlow::hedge() -> void {
   const TimePoint Now = bootNow();
   const TargetSelection Selected = selectTarget(Now);
-  // A second copy helps only where it runs at once and still arrives in time.
+  // A second copy helps only where it runs at once.
   if (!Selected.Target ||
       Selected.Target->Load.queue(Now) >= Selected.Target->Record.Slots ||
-      Now + Selected.Expected > Request.ReceivedAt + Route->TargetLatency ||
+      Now + Selected.Expected > EndAt ||
       !Context.retries(Service).tryTakeOptional(Now))
     return;
   Context.Count.add(RetryReason::Hedge);
@@ -360,8 +367,12 @@
   const auto Text = Answer.Fields.find(Context.Protocol.Headers.Load);
   if (!Text)
     return;
-  if (const auto Report = Context.Protocol.ReadLoad(*Text))
-    Sent.Target->Load.reported(*Report, Now);
+  const auto Report = Context.Protocol.ReadLoad(*Text);
+  if (!Report)
+    return;
+  Sent.Target->Load.reported(*Report, Now);
+  Context.LoadsSeen[Sent.Target->Record.Id] = *Report;
+  Context.OnLoadSeen();
 }
 
 auto RequestFlow::sound(const TargetAnswer &Answer) const -> bool {
