Name the target in orders and pause them after it ends a connection

Ruled out: a missing fencing token; the same grant went to two targets. Change: orders carry the target's identity; after a connection that the target ended, none is sent until its record would tell a restart under the same id. Before: new test OrdersNameTheirTargetAndPauseAfterItEndsAConnection fails.

--- a/lib/Fleet/RangeKeeper.cpp
+++ b/lib/Fleet/RangeKeeper.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 /// Time without an answer to any order after which a target's keys are planned
-/// elsewhere. Covers two repeated calls.
-constexpr Duration SilenceLimit = std::chrono::milliseconds(1200);
+/// elsewhere. Longer than the pause after a connection that the target ended.
+constexpr Duration SilenceLimit = std::chrono::milliseconds(1600);
 
 /// Ranges on the move beside which the load may still be evened out.
 constexpr std::ptrdiff_t MaxMoving = 3;
--- a/lib/Gateway/Leader.h
+++ b/lib/Gateway/Leader.h
@@ -45,7 +45,7 @@
   Leader(Surroundings Around, RangeTimes Times, const RateTolerance &Tolerance)
       : Around(std::move(Around)), Times(Times), Tolerance(Tolerance),
         Reserve(Tolerance),
-        Orders(this->Around.Io, this->Around.Protocol.Orders) {}
+        Orders(this->Around.Io, this->Around.Protocol) {}
 
   /// Name of the object that holds a service's ranges.
   static auto rangeObject(const ServiceId &Service) -> std::string;
--- a/lib/Gateway/OrderSender.cpp
+++ b/lib/Gateway/OrderSender.cpp
@@ -3,6 +3,7 @@
 #include "IO/BootClock.h"
 #include "IO/Endpoint.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 namespace buckthornring {
@@ -22,6 +23,14 @@
 /// connections.
 constexpr Duration LongestIdle = std::chrono::seconds(4);
 
+/// Time after which a target's record tells of a restart: its heartbeat
+/// interval, the store's answer and the watch.
+constexpr Duration RestartNotice = std::chrono::milliseconds(1100);
+
+auto lifeOf(const TargetRecord &Target) -> std::string {
+  return Target.Id.str() + "@" + std::to_string(Target.StartedAtMs);
+}
+
 auto limitOf(const RangeCall &Call) -> Duration {
   return Call.What == RangeCall::Kind::Grant ? GrantLimit : ReleaseLimit;
 }
@@ -65,14 +74,24 @@
                  Current->Sent ? RangeAnswer::Unanswered : RangeAnswer::NotSent,
                  "");
       });
-  auto &Kept = Idle[Target.Address];
+  auto &Kept = Idle[lifeOf(Target)];
   while (!Kept.empty()) {
     Current->Connection = std::move(Kept.back());
     Kept.pop_back();
-    if (bootNow() - Current->Connection->IdleSince < LongestIdle &&
-        !Current->Connection->brokenWhileIdle())
+    const bool Recent =
+        bootNow() - Current->Connection->IdleSince < LongestIdle;
+    if (Recent && !Current->Connection->brokenWhileIdle())
       return connected(Current, true);
-    Current->Connection->close();
+    if (Recent)
+      ended(Target);
+    std::exchange(Current->Connection, nullptr)->close();
+  }
+  const auto Ended = EndedAt.find(lifeOf(Target));
+  if (Ended != EndedAt.end() && bootNow() - Ended->second < RestartNotice) {
+    boost::asio::post(Context, [this, Current] {
+      finish(Current, RangeAnswer::NotSent, "");
+    });
+    return;
   }
   const auto Endpoint = parseEndpoint(Target.Address);
   Current->Connection =
@@ -82,10 +101,18 @@
       [this, Current](bool Success) { connected(Current, Success); });
 }
 
+auto OrderSender::ended(const TargetRecord &Target) -> void {
+  EndedAt[lifeOf(Target)] = bootNow();
+  std::erase_if(EndedAt, [](const auto &Entry) {
+    return bootNow() - Entry.second > RestartNotice;
+  });
+}
+
 auto OrderSender::wireFor(const Order &Current) const -> std::string {
-  const OrderRequest Request = Protocol.Encode(Current.Call);
+  const OrderRequest Request = Protocol.Orders.Encode(Current.Call);
   return "POST " + Request.Path +
-         " HTTP/1.1\r\nHost: " + Current.Target.Address +
+         " HTTP/1.1\r\nHost: " + Current.Target.Address + "\r\n" +
+         Protocol.Headers.ExpectedTarget + ": " + Current.Target.Id.str() +
          "\r\nContent-Type: application/json\r\nContent-Length: " +
          std::to_string(Request.Body.size()) + "\r\n\r\n" + Request.Body;
 }
@@ -102,16 +129,19 @@
   Current->Connection->exchange(
       wireFor(*Current), "", "", false,
       [this, Current](ExchangeEnd End, const TargetAnswer &Answer) {
+        if (End == ExchangeEnd::Lost)
+          ended(Current->Target);
         if (End != ExchangeEnd::Answered)
           return finish(Current, RangeAnswer::Unanswered, "");
-        const auto Handover = Answer.Fields.find(Protocol.HandoverField);
+        const auto Handover =
+            Answer.Fields.find(Protocol.Orders.HandoverField);
         if (Answer.Status == 200)
           return finish(Current, RangeAnswer::Accepted,
                         std::string(Handover.value_or("")));
+        // 421: another target has the address.
+        const bool Refused = Answer.Status == 409 || Answer.Status == 421;
         finish(Current,
-               Answer.Status == 409 ? RangeAnswer::Refused
-                                    : RangeAnswer::Unanswered,
-               "");
+               Refused ? RangeAnswer::Refused : RangeAnswer::Unanswered, "");
       });
 }
 
@@ -123,10 +153,12 @@
   Current->Timer.cancel();
   const bool Answered =
       Answer == RangeAnswer::Accepted || Answer == RangeAnswer::Refused;
-  if (Answered && Current->Connection->reusable() &&
+  if (!Current->Connection) {
+    // Not sent for fear of a restart.
+  } else if (Answered && Current->Connection->reusable() &&
       *Generation == Current->Started) {
     Current->Connection->IdleSince = bootNow();
-    Idle[Current->Target.Address].push_back(Current->Connection);
+    Idle[lifeOf(Current->Target)].push_back(Current->Connection);
   } else {
     Current->Connection->close();
   }
--- a/tests/unit/GatewayTest.cpp
+++ b/tests/unit/GatewayTest.cpp
@@ -358,4 +358,39 @@
   EXPECT_TRUE(eventually([&] { return Grants >= 3; }));
 }
 
+// A renewal once reached another target that had taken over the address.
+TEST(GatewayTest, OrdersNameTheirTargetAndPauseAfterItEndsAConnection) {
+  std::atomic<int> Grants = 0;
+  std::atomic<bool> End = false;
+  std::atomic<std::int64_t> EndedAt = 0;
+  std::atomic<std::int64_t> NextAt = 0;
+  const auto nowMs = [] {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::steady_clock::now().time_since_epoch())
+        .count();
+  };
+  GatewayPath Path;
+  ScriptedTarget Owner([&](Socket &To, const std::string &Request) {
+    if (!Request.starts_with("POST /v1/grant"))
+      return true;
+    ++Grants;
+    if (EndedAt != 0 && NextAt == 0)
+      NextAt = nowMs();
+    if (End.exchange(false)) {
+      EndedAt = nowMs();
+      return false;
+    }
+    return ScriptedTarget::send(
+        To, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  });
+  Path.addTarget("stock", "o1", Owner);
+  Path.configure(1);
+  ASSERT_TRUE(eventually([&] { return Grants >= 1; }));
+  EXPECT_NE(Owner.requests().front().find("Expect-Instance: o1\r\n"),
+            std::string::npos);
+  End = true;
+  ASSERT_TRUE(eventually([&] { return NextAt != 0; }));
+  EXPECT_GE(NextAt - EndedAt, 1000);
+}
+
 } // namespace
