--- /dev/null
+++ b/tests/unit/FleetTest.cpp
@@ -0,0 +1,255 @@
+#include "Fleet/FleetMessage.h"
+#include "Fleet/RangePlanner.h"
+#include "Fleet/RetryAllowance.h"
+#include "Fleet/SplitBalancer.h"
+#include "Gateway/GatewaySettings.h"
+#include "IO/EventLog.h"
+#include "buckthornring/Common/Random.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <unistd.h>
+
+using namespace buckthornring;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const TimePoint Start(seconds(1000));
+
+TEST(FleetMessageTest, ReportsSurviveTheWire) {
+  FleetReport Report;
+  Report.Instance = InstanceId("i1");
+  Report.Process = "i1-5";
+  Report.DataCentre = DataCentreId("dc1");
+  Report.Leader = {InstanceId("i2"), "i2-7", "10.0.0.1:7000", 42};
+  Report.StoreReachable = true;
+  Report.Seen = {3, 4, 5};
+  Report.SpanMs = 400;
+  Report.Demand = {{WorkspaceId("w"), 12}};
+  Report.Keys = {{ServiceId("s"), {1, 65535}}};
+  Report.WorkMs = {{TargetId("t"), 250}};
+  const auto Read = decodeFleetMessage(encodeFleetMessage(Report));
+  ASSERT_TRUE(Read) << Read.error().message();
+  const auto &Copy = std::get<FleetReport>(*Read);
+  EXPECT_EQ(Copy.Process, Report.Process);
+  EXPECT_EQ(Copy.Leader.Term, 42U);
+  EXPECT_EQ(Copy.Seen, Report.Seen);
+  EXPECT_EQ(Copy.Demand, Report.Demand);
+  EXPECT_EQ(Copy.Keys, Report.Keys);
+  EXPECT_EQ(Copy.WorkMs, Report.WorkMs);
+}
+
+TEST(FleetMessageTest, TruncatedAndForeignBytesAreNoMessages) {
+  FleetReply Reply;
+  Reply.Leader = {InstanceId("i2"), "i2-7", "10.0.0.1:7000", 42};
+  Reply.RateParts = {{WorkspaceId("w"), 0.25}};
+  const std::string Bytes = encodeFleetMessage(Reply);
+  for (std::size_t Size = 0; Size < Bytes.size(); ++Size)
+    EXPECT_FALSE(decodeFleetMessage({Bytes.data(), Size})) << Size;
+  RandomSource Random(7);
+  for (int Count = 0; Count < 2000; ++Count) {
+    std::string Changed = Bytes;
+    Changed[Random.below(Changed.size())] =
+        static_cast<char>(Random.below(256));
+    // Must not fail in any other way than by an error.
+    static_cast<void>(decodeFleetMessage(Changed));
+  }
+}
+
+TEST(RetryAllowanceTest, AllInstancesTogetherStayWithinTheLimit) {
+  const RetryLimit Limit{0.2, 62, seconds(10)};
+  constexpr std::uint32_t Instances = 11;
+  int Taken = 0;
+  int Requests = 0;
+  for (std::uint32_t Index = 0; Index < Instances; ++Index) {
+    RetryAllowance Own(Limit);
+    for (int Step = 0; Step < 100; ++Step) {
+      const TimePoint Now = Start + milliseconds(90) * Step;
+      Own.requestSeen(Now);
+      ++Requests;
+      Taken += Own.tryTake(Instances, Now) ? 1 : 0;
+      Taken += Own.tryTakeOptional(Now) ? 1 : 0;
+    }
+  }
+  EXPECT_LE(Taken, 0.2 * Requests + 62);
+  EXPECT_GE(Taken, 0.1 * Requests);
+}
+
+TEST(SplitBalancerTest, EachPartGetsItsShareOverFewRequests) {
+  RouteConfig Route;
+  Route.Split = {{ServiceId("a"), 90}, {ServiceId("b"), 10}};
+  SplitBalancer Balancer;
+  std::map<ServiceId, int> Counts;
+  for (int Count = 0; Count < 20; ++Count)
+    ++Counts[Balancer.next(Route)];
+  EXPECT_EQ(Counts[ServiceId("a")], 18);
+  EXPECT_EQ(Counts[ServiceId("b")], 2);
+}
+
+auto planTargets(int Count) -> std::vector<PlanTarget> {
+  std::vector<PlanTarget> Targets;
+  for (int Index = 0; Index < Count; ++Index)
+    Targets.push_back({TargetId("t" + std::to_string(Index)), 1, 4, true});
+  return Targets;
+}
+
+auto planned(const RangeRecord &Record, const std::vector<PlanTarget> &Targets,
+             const KeyLoad &Load) -> std::optional<RangeRecord> {
+  return RangePlanner::plan({Record, Targets, Load, 65'536, 0.3,
+                             [](const KeyRange &) { return true; }, true});
+}
+
+auto firstRecord(int Targets) -> RangeRecord {
+  RangeRecord Record;
+  KeyRange All;
+  All.To = 65'535;
+  Record.Ranges = {All};
+  return *planned(Record, planTargets(Targets), KeyLoad());
+}
+
+TEST(RangePlannerTest, FirstAssignmentIsEven) {
+  const RangeRecord Record = firstRecord(14);
+  EXPECT_EQ(Record.Ranges.size(), 14U);
+  for (const KeyRange &Range : Record.Ranges) {
+    EXPECT_NEAR(Range.width(), 65'536 / 14.0, 100);
+    EXPECT_TRUE(Range.Donor.empty());
+  }
+}
+
+TEST(RangePlannerTest, BusyNeighbouringKeysAreSpreadOverTargets) {
+  RangeRecord Record = firstRecord(14);
+  KeyLoad Load;
+  for (int Count = 0; Count < 400; ++Count)
+    Load.add(1000 + Count % 200, Start);
+  for (int Round = 0; Round < 6; ++Round)
+    if (auto Next = planned(Record, planTargets(14), Load))
+      Record = std::move(*Next);
+  std::map<TargetId, double> Rates;
+  double Total = 0;
+  for (const KeyRange &Range : Record.Ranges) {
+    Rates[Range.Owner] += Load.rate(Range.From, Range.To);
+    Total += Load.rate(Range.From, Range.To);
+  }
+  for (const auto &[Owner, Rate] : Rates)
+    EXPECT_LE(Rate, 0.4 * Total) << Owner.str();
+}
+
+TEST(RangePlannerTest, OnlyTheKeysOfALostTargetMove) {
+  const RangeRecord Record = firstRecord(14);
+  auto Targets = planTargets(14);
+  Targets.erase(Targets.begin() + 3);
+  const auto Next = planned(Record, Targets, KeyLoad());
+  ASSERT_TRUE(Next);
+  std::uint32_t Moved = 0;
+  for (const KeyRange &Range : Next->Ranges)
+    if (!Range.Donor.empty()) {
+      EXPECT_EQ(Range.Donor.str(), "t3");
+      EXPECT_GE(Range.Fence, Record.NextFence);
+      Moved += Range.width();
+    }
+  EXPECT_LE(Moved, 1.1 * 65'536 / 14);
+}
+
+TEST(RangePlannerTest, JoiningTargetGetsAShare) {
+  const RangeRecord Record = firstRecord(4);
+  const auto Next = planned(Record, planTargets(5), KeyLoad());
+  ASSERT_TRUE(Next);
+  EXPECT_TRUE(std::any_of(
+      Next->Ranges.begin(), Next->Ranges.end(),
+      [](const KeyRange &Range) { return Range.Owner.str() == "t4"; }));
+}
+
+TEST(RangePlannerTest, NothingMovesWhenAllIsWell) {
+  EXPECT_FALSE(planned(firstRecord(14), planTargets(14), KeyLoad()));
+}
+
+TEST(RangeRecordTest, ReadsBackWhatItWroteAndNothingElse) {
+  const RangeRecord Record = firstRecord(3);
+  const auto Read = RangeRecord::parse(Record.json(), 65'536);
+  ASSERT_TRUE(Read) << Read.error().message();
+  EXPECT_EQ(Read->Ranges, Record.Ranges);
+  EXPECT_EQ(Read->NextFence, Record.NextFence);
+  EXPECT_FALSE(RangeRecord::parse(Record.json(), 65'537));
+  EXPECT_FALSE(RangeRecord::parse("garbled", 65'536));
+  auto Gap = Record.json();
+  Gap["ranges"].erase(1);
+  EXPECT_FALSE(RangeRecord::parse(Gap, 65'536));
+}
+
+const char *const GoodSettings = R"({
+  "instance": "i1", "data_centre": "dc1",
+  "caller_address": "127.0.0.1:80", "ready_address": "127.0.0.1:81",
+  "peer_address": "127.0.0.1:82", "store_address": "127.0.0.1:83",
+  "bounds": {"retry_ratio": 0.2, "retry_slack": 62, "retry_window_s": 10,
+             "rate_excess": 0.1, "rate_slack": 20, "rate_window_s": 5,
+             "cold_excess": 1.5, "cold_slack": 5, "stop_grace_s": 6,
+             "longest_hold_s": 10}
+})";
+
+TEST(GatewaySettingsTest, ReadsEveryKey) {
+  const auto Read = GatewaySettings::read(GoodSettings, "s.json");
+  ASSERT_TRUE(Read) << settingsErrorText(Read.Errors);
+  EXPECT_EQ(Read.Value->Instance.str(), "i1");
+  EXPECT_EQ(Read.Value->PeerAddress, "127.0.0.1:82");
+  EXPECT_EQ(Read.Value->Bounds.Retries.Slack, 62);
+  EXPECT_EQ(Read.Value->Bounds.Rates.Window, seconds(5));
+  EXPECT_EQ(Read.Value->Bounds.StopGrace, seconds(6));
+}
+
+TEST(GatewaySettingsTest, NamesEachMissingOrWrongKeyWithItsLine) {
+  std::string Text = GoodSettings;
+  Text.replace(Text.find("\"i1\""), 4, "null");
+  Text.replace(Text.find("127.0.0.1:83"), 12, "store");
+  Text.replace(Text.find("62"), 2, "-1");
+  const auto Read = GatewaySettings::read(Text, "s.json");
+  ASSERT_FALSE(Read);
+  const std::string Errors = settingsErrorText(Read.Errors);
+  for (const char *Part : {"s.json:2: instance", "s.json:4: store_address",
+                           "s.json:5: bounds/retry_slack"})
+    EXPECT_NE(Errors.find(Part), std::string::npos) << Errors;
+}
+
+TEST(EventLogTest, LinesAreObjectsWithEscapedText) {
+  EventLine Line("test");
+  Line.field("text", "a\"b\\c\n\x80").field("number", 7).field("flag", true);
+  Line.field("span_ms", milliseconds(1500)).field("bad", 0.0 / 0.0);
+  const auto Read = nlohmann::json::parse(Line.text());
+  EXPECT_EQ(Read["event"], "test");
+  EXPECT_EQ(Read["number"], 7);
+  EXPECT_EQ(Read["flag"], true);
+  EXPECT_EQ(Read["span_ms"], 1500);
+  EXPECT_TRUE(Read["bad"].is_null());
+}
+
+TEST(EventLogTest, StoppedReaderDelaysNothingAndLosesLinesOnly) {
+  int Ends[2];
+  ASSERT_EQ(::pipe(Ends), 0);
+  EventLog Log("i1", {10, 50, 4096}, Ends[1]);
+  const auto Begun = std::chrono::steady_clock::now();
+  for (int Count = 0; Count < 20'000; ++Count)
+    Log.write(EventLine("belief").field("count", Count));
+  EXPECT_LT(std::chrono::steady_clock::now() - Begun, seconds(5));
+  ::close(Ends[0]);
+  ::close(Ends[1]);
+}
+
+TEST(EventLogTest, ServedRequestsAreLimitedAndBeliefsAreNot) {
+  EventLog Log("i1", {10, 50, 4096}, -1);
+  int Served = 0;
+  int Beliefs = 0;
+  for (int Count = 0; Count < 1000; ++Count) {
+    const TimePoint Now = Start + milliseconds(Count);
+    Served += Log.admits(EventClass::Served, Now) ? 1 : 0;
+    Beliefs += Log.admits(EventClass::Belief, Now) ? 1 : 0;
+  }
+  EXPECT_EQ(Served, 10);
+  EXPECT_EQ(Beliefs, 1000);
+  EXPECT_EQ(Log.dropped(EventClass::Served), 990U);
+  EXPECT_TRUE(Log.admits(EventClass::Served, Start + seconds(2)));
+}
+
+} // namespace
--- /dev/null
+++ b/tests/unit/PlatformTest.cpp
@@ -0,0 +1,150 @@
+#include "HeaderFields.h"
+#include "Records.h"
+#include "buckthornring/Config/CallerKeys.h"
+
+#include <gtest/gtest.h>
+
+using namespace buckthornring;
+using Json = nlohmann::json;
+
+namespace {
+
+auto configuration() -> Json {
+  return Json::parse(R"({
+    "version": "r12",
+    "limits": {"max_header_bytes": 1000, "max_body_bytes": 2000,
+               "header_timeout_s": 3, "idle_timeout_s": 15.5},
+    "tenants": [{"name": "t1", "api_keys": ["k1", "k2"], "priority": 0,
+                 "rate_per_s": 117, "burst": 50}],
+    "listeners": [{"host": "h.example", "route_rules": [
+      {"name": "a", "kind": "safe", "target_latency_s": 0.4, "priority": 2,
+       "public": false, "match": {"path_prefix": "/a/"},
+       "action": {"traffic_split": [{"service": "s1", "weight": 90},
+                                    {"service": "s2", "weight": 10}],
+                  "timeout_s": 1.2, "max_attempts": 3}},
+      {"name": "b", "kind": "unsafe", "public": true,
+       "match": {"path_prefix": "/a/b/"}, "action": {"service": "s2"}}]}],
+    "clusters": [{"name": "s1", "health_path": "/health", "max_conns": 130,
+                  "warmup_s": 3.0, "warmup_per_s": 7.8},
+                 {"name": "s2", "sharded": true}]})");
+}
+
+TEST(PlatformTest, ReadsEveryPartOfAConfiguration) {
+  const auto Read = platform::readConfiguration(configuration());
+  ASSERT_TRUE(Read) << Read.error().message();
+  EXPECT_EQ(Read->Generation, 12U);
+  EXPECT_EQ(Read->Limits.HeadBytes, 1000U);
+  EXPECT_EQ(Read->Limits.IdleTimeout, std::chrono::milliseconds(15500));
+  const auto &Workspace = Read->Workspaces.at(WorkspaceId("t1"));
+  EXPECT_EQ(Workspace.RatePerSecond, 117);
+  EXPECT_EQ(Workspace.Burst, 50);
+  EXPECT_EQ(Workspace.Priority, 0U);
+  const CallerKeys Keys(*Read);
+  ASSERT_TRUE(Keys.find("k2"));
+  EXPECT_EQ(Keys.find("k2")->Workspace.str(), "t1");
+  EXPECT_FALSE(Keys.find("k3"));
+  const auto &Split = Read->Routes.at("h.example/a/");
+  EXPECT_EQ(Split.Split.size(), 2U);
+  EXPECT_EQ(Split.Split[0].Weight, 90U);
+  EXPECT_EQ(Split.MaxAttempts, 3U);
+  EXPECT_EQ(Split.Timeout, std::chrono::milliseconds(1200));
+  EXPECT_TRUE(*Split.Idempotent);
+  const auto &Other = Read->Routes.at("h.example/a/b/");
+  EXPECT_FALSE(*Other.Idempotent);
+  EXPECT_TRUE(Other.Open);
+  EXPECT_FALSE(Other.Timeout);
+  EXPECT_EQ(Read->Services.at(ServiceId("s1")).ColdRequestsPerSecond, 7.8);
+  EXPECT_EQ(Read->Services.at(ServiceId("s2")).NumberedKeys, 65536U);
+}
+
+TEST(PlatformTest, ConfigurationWithAnyMistakeIsRefusedAsAWhole) {
+  for (const char *Change :
+       {R"([{"op":"replace","path":"/version","value":"12"}])",
+        R"([{"op":"replace","path":"/version","value":"r"}])",
+        R"([{"op":"remove","path":"/listeners/0/route_rules/0/match"}])",
+        R"([{"op":"replace","path":"/tenants/0/api_keys","value":7}])",
+        R"([{"op":"replace","path":"/listeners/0/route_rules/0/action/timeout_s","value":-1}])",
+        R"([{"op":"remove","path":"/clusters"}])"})
+    EXPECT_FALSE(
+        platform::readConfiguration(configuration().patch(Json::parse(Change))))
+        << Change;
+  EXPECT_FALSE(platform::readConfiguration(Json("bytes")));
+}
+
+auto target(Json Spec) -> Result<TargetRecord> {
+  return platform::readTarget({"i1", 5, false, std::move(Spec)});
+}
+
+TEST(PlatformTest, ReadsTargetRecords) {
+  const auto Read = target(Json::parse(
+      R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1",
+          "slots":4,"state":"draining","warmup_left_s":1.5,"seq":7,
+          "born":1700000000123,"new_field":true})"));
+  ASSERT_TRUE(Read) << Read.error().message();
+  EXPECT_EQ(Read->Id.str(), "i1");
+  EXPECT_EQ(Read->DataCentre.str(), "z");
+  EXPECT_TRUE(Read->Draining);
+  EXPECT_EQ(Read->ColdLeft, std::chrono::milliseconds(1500));
+  EXPECT_EQ(Read->StartedAtMs, 1700000000123);
+  EXPECT_EQ(Read->Sequence, 7U);
+}
+
+TEST(PlatformTest, ForeignTargetRecordsNameNoTarget) {
+  const Json Good = Json::parse(
+      R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,
+          "state":"ready","seq":7,"born":17})");
+  ASSERT_TRUE(target(Good));
+  for (const char *Field : {"service", "address", "zone", "slots", "state",
+                            "seq"}) {
+    Json Missing = Good;
+    Missing.erase(Field);
+    EXPECT_FALSE(target(Missing)) << Field;
+    Json Wrong = Good;
+    Wrong[Field] = Json::array();
+    EXPECT_FALSE(target(Wrong)) << Field;
+  }
+  for (const auto &[Field, Value] :
+       std::map<std::string, Json>{{"state", "gone"},
+                                   {"address", "host:80"},
+                                   {"slots", 0},
+                                   {"born", 1.5},
+                                   {"born", "17"}}) {
+    Json Wrong = Good;
+    Wrong[Field] = Value;
+    EXPECT_FALSE(target(Wrong)) << Field;
+  }
+  EXPECT_FALSE(target("bytes"));
+}
+
+TEST(PlatformTest, ReadsLoadsWithAndWithoutSpeed) {
+  const auto Three = platform::readLoad("3,1,8");
+  ASSERT_TRUE(Three);
+  EXPECT_EQ(Three->Running, 3U);
+  EXPECT_EQ(Three->Waiting, 1U);
+  EXPECT_EQ(Three->Slots, 8U);
+  EXPECT_EQ(Three->Slowness, 1);
+  EXPECT_EQ(platform::readLoad("3,1,8,250")->Slowness, 2.5);
+  for (const char *Bad : {"", "3", "3,1", "a,b,c", "3,1,0", "3;1;8", "-1,0,4"})
+    EXPECT_FALSE(platform::readLoad(Bad)) << Bad;
+}
+
+TEST(PlatformTest, EncodesOrders) {
+  RangeCall Call;
+  Call.From = 1;
+  Call.To = 9;
+  Call.Fence = 12;
+  Call.Hold = std::chrono::milliseconds(2500);
+  Call.Handover = "abc";
+  const auto Grant = platform::encodeOrder(Call);
+  EXPECT_EQ(Grant.Path, "/v1/grant");
+  EXPECT_EQ(Json::parse(Grant.Body),
+            Json::parse(R"({"from":1,"to":9,"fence":12,"hold_s":2.5,
+                            "handover":"abc"})"));
+  Call.What = RangeCall::Kind::Release;
+  const auto Release = platform::encodeOrder(Call);
+  EXPECT_EQ(Release.Path, "/v1/release");
+  EXPECT_EQ(Json::parse(Release.Body),
+            Json::parse(R"({"from":1,"to":9,"fence":12})"));
+}
+
+} // namespace
