--- a/lib/Fleet/TargetTable.cpp
+++ b/lib/Fleet/TargetTable.cpp
@@ -52,7 +52,7 @@
 auto TargetTable::apply(const TargetRecord &Record, TimePoint Now) -> bool {
   const auto Known = find(Record.Id);
   if (Known && outdated(Record, Known->Record)) {
-    Known->MissingSince.reset();
+    Known->MissingUntil.reset();
     return false;
   }
   const bool NewLife =
@@ -61,7 +61,7 @@
       Known->Record.Address != Record.Address;
   if (!NewLife) {
     Known->Record = Record;
-    Known->MissingSince.reset();
+    Known->MissingUntil.reset();
     if (Record.ColdLeft > Duration(0))
       Known->ColdUntil = std::max(Known->ColdUntil, Now + Record.ColdLeft);
     return false;
@@ -76,19 +76,19 @@
   return true;
 }
 
-auto TargetTable::remove(const TargetId &Id, bool AfterOutage, TimePoint Now)
-    -> void {
+auto TargetTable::remove(const TargetId &Id, TimePoint KeepUntil,
+                         TimePoint Now) -> void {
   const auto Known = find(Id);
   if (!Known)
     return;
-  if (!AfterOutage)
+  if (Now >= KeepUntil)
     return erase(Id);
-  if (!Known->MissingSince)
-    Known->MissingSince = Now;
+  if (!Known->MissingUntil)
+    Known->MissingUntil = KeepUntil;
 }
 
 auto TargetTable::replace(const std::vector<TargetRecord> &Records,
-                          bool AfterOutage, TimePoint Now) -> void {
+                          TimePoint KeepUntil, TimePoint Now) -> void {
   std::set<TargetId> Listed;
   for (const TargetRecord &Record : Records) {
     Listed.insert(Record.Id);
@@ -99,13 +99,13 @@
     if (!Listed.contains(Id))
       Lacking.push_back(Id);
   for (const TargetId &Id : Lacking)
-    remove(Id, AfterOutage, Now);
+    remove(Id, KeepUntil, Now);
 }
 
 auto TargetTable::dropMissing(TimePoint Now) -> bool {
   std::vector<TargetId> Gone;
   for (const auto &[Id, State] : Targets)
-    if (State->MissingSince && Now - *State->MissingSince > Given.ReturnTime)
+    if (State->MissingUntil && Now >= *State->MissingUntil)
       Gone.push_back(Id);
   for (const TargetId &Id : Gone)
     erase(Id);
--- a/lib/Fleet/TargetTable.h
+++ b/lib/Fleet/TargetTable.h
@@ -38,8 +38,9 @@
   /// Until then the target may have restarted without its record telling so
   /// yet; it counts as cold.
   TimePoint UnverifiedUntil = LongAgo;
-  /// Missing from the directory, which may be late after an outage.
-  std::optional<TimePoint> MissingSince;
+  /// Missing from the directory, where its record may return until then: it may
+  /// have lapsed in an outage.
+  std::optional<TimePoint> MissingUntil;
 
   auto cold(TimePoint Now) const -> bool {
     return Now < UnverifiedUntil || Now < ColdUntil;
@@ -76,9 +77,6 @@
   struct Settings {
     InstanceId Instance;
     DataCentreId DataCentre; ///< Of this instance.
-    /// Time after the directory's return within which missing records may come
-    /// back.
-    Duration ReturnTime = std::chrono::milliseconds(2300);
     /// Longest time after a restart until the record tells it: a heartbeat
     /// interval of the targets and the delay of the store.
     Duration RecordDelay = std::chrono::milliseconds(2000);
@@ -92,11 +90,11 @@
   /// Adds or replaces a record. Returns whether it names a new life of the
   /// target.
   auto apply(const TargetRecord &Record, TimePoint Now) -> bool;
-  /// A record has been removed. When the directory has just come back from an
-  /// outage, the target is kept until the record could have returned.
-  auto remove(const TargetId &Id, bool AfterOutage, TimePoint Now) -> void;
+  /// A record has been removed. Until \p KeepUntil the target is kept, as the
+  /// record may return.
+  auto remove(const TargetId &Id, TimePoint KeepUntil, TimePoint Now) -> void;
   /// The directory as a whole; targets that it lacks are removed.
-  auto replace(const std::vector<TargetRecord> &Records, bool AfterOutage,
+  auto replace(const std::vector<TargetRecord> &Records, TimePoint KeepUntil,
                TimePoint Now) -> void;
   /// Removes targets whose records have not returned. Returns whether any was.
   auto dropMissing(TimePoint Now) -> bool;
--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -281,12 +281,8 @@
 
 auto FleetMember::compareSeen(const SeenChanges &Others,
                               const std::string &From) -> void {
-  const SeenChanges Mine = Around.Seen();
-  const bool Newer = Others.Configuration > Mine.Configuration ||
-                     Others.Targets > Mine.Targets ||
-                     Others.Evacuations > Mine.Evacuations;
   const TimePoint Now = bootNow();
-  if (!Newer) {
+  if (Around.Knows(Others)) {
     BehindSince = LongAgo;
     return;
   }
--- a/lib/Gateway/FleetMember.h
+++ b/lib/Gateway/FleetMember.h
@@ -32,6 +32,8 @@
     /// This instance leads from now on.
     std::function<void()> Started;
     std::function<SeenChanges()> Seen;
+    /// Whether this instance knows all these changes.
+    std::function<bool(const SeenChanges &)> Knows;
     std::function<bool()> StoreReachable;
     /// A peer has seen changes that this instance has not.
     std::function<void(const std::string &Address)> Behind;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -159,6 +159,7 @@
           Settings.DataCentre,
           [this] { TickTimer.expires_after(Duration(0)); armTick(); },
           [this] { return seen(); },
+          [this](const SeenChanges &Others) { return knows(Others); },
           [this] { return storeReachable(); },
           [this](const std::string &Address) { fetchFrom(Address); }},
       std::hash<std::string>()(Process) + 1);
--- a/lib/Gateway/GatewayParts.h
+++ b/lib/Gateway/GatewayParts.h
@@ -49,12 +49,15 @@
   auto ownChanged(const StoredObject &Object) -> void;
   auto rangesChanged(const ServiceId &Service, const StoredObject &Object)
       -> void;
-  auto afterOutage(const StoreFeed &Feed) const -> bool;
+  /// Time up to which records that are missing may return.
+  auto keepMissingUntil() const -> TimePoint;
   auto contact(const std::string &Kind, bool Connected, const char *Reason)
       -> void;
 
   // Peers.
   auto seen() const -> SeenChanges;
+  /// Whether this instance knows all these changes.
+  auto knows(const SeenChanges &Others) const -> bool;
   auto storeReachable() const -> bool;
   auto fetchFrom(const std::string &Address) -> void;
   auto takeState(const std::string &Body) -> void;
--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -15,8 +15,8 @@
 namespace {
 
 /// Time after the store's return within which records that lapsed meanwhile
-/// may come back.
-constexpr Duration ReturnTime = std::chrono::milliseconds(2500);
+/// may come back: the platform promises about two seconds.
+constexpr Duration ReturnTime = std::chrono::milliseconds(2300);
 
 constexpr Duration PeerCallLimit = std::chrono::milliseconds(1000);
 
@@ -126,9 +126,10 @@
   Waiting.serve();
 }
 
-auto Gateway::Parts::afterOutage(const StoreFeed &Feed) const -> bool {
-  return Feed.inOutage() || (Feed.outageEndedAt() != LongAgo &&
-                             bootNow() - Feed.outageEndedAt() < ReturnTime);
+auto Gateway::Parts::keepMissingUntil() const -> TimePoint {
+  if (TargetFeed->inOutage())
+    return bootNow() + ReturnTime;
+  return TargetFeed->outageEndedAt() + ReturnTime;
 }
 
 auto Gateway::Parts::targetsWhole(
@@ -143,7 +144,7 @@
                        .field("target", Name)
                        .field("reason", Record.error().message()));
   }
-  Targets.replace(Records, afterOutage(*TargetFeed), bootNow());
+  Targets.replace(Records, keepMissingUntil(), bootNow());
   Events.write(EventLine("targets-read")
                    .field("targets", Records.size())
                    .field("revision", TargetFeed->revision()));
@@ -156,8 +157,8 @@
     Events.write(EventLine("target-removed")
                      .field("target", Object.Name)
                      .field("revision", Object.Revision)
-                     .field("after_outage", afterOutage(*TargetFeed)));
-    Targets.remove(TargetId(Object.Name), afterOutage(*TargetFeed), Now);
+                     .field("kept", Now < keepMissingUntil()));
+    Targets.remove(TargetId(Object.Name), keepMissingUntil(), Now);
     return;
   }
   const auto Record = Protocol.Kinds.ReadTarget(Object);
@@ -246,6 +247,14 @@
           EvacuationFeed->lastChange()};
 }
 
+auto Gateway::Parts::knows(const SeenChanges &Others) const -> bool {
+  // A removal leaves no revision behind, so what counts is up to which revision
+  // the objects were read.
+  return ConfigurationFeed->revision() >= Others.Configuration &&
+         TargetFeed->revision() >= Others.Targets &&
+         EvacuationFeed->revision() >= Others.Evacuations;
+}
+
 auto Gateway::Parts::storeReachable() const -> bool {
   return OwnFeed->connected();
 }
