Add the explain command: a request's lines and the beliefs in force

Reads the structured logs of several instances, orders them and shows what each instance wrote of a request and what it believed then, with the age of each belief. Recorded as a golden session.

--- a/cli/buckthornring/CommandLine.cpp
+++ b/cli/buckthornring/CommandLine.cpp
@@ -35,6 +35,9 @@
   owner SERVICE KEY     The slice, home data centre and owner of a key.
   why [REASON]          Refusals by reason at the --admin endpoints, with their
                         meaning. REASON is the value of Btr-Refusal.
+  explain ID [LOG...]   What instances wrote of a request, and what they believed
+                        at that moment, from their logs (default: standard
+                        input).
 
 PATH is a folder whose *.json files are merged in the order of their names, or
 one file. Files are JSON with // and /* */ comments. In a merge, objects merge
@@ -54,7 +57,7 @@
   5  an answer was lost and could not be found out; run status, then repeat
   6  the platform refused the value, or holds one that cannot be used
   7  diff: there are differences; status: a generation is not in force at every
-     --admin endpoint; owner: the key has no owner
+     --admin endpoint; owner: the key has no owner; explain: no line of the request
 )";
 
 auto makeOptions() -> cxxopts::Options {
--- a/cli/buckthornring/Commands.h
+++ b/cli/buckthornring/Commands.h
@@ -9,6 +9,7 @@
 /// Commands that contact no platform.
 auto checkCommand(const CommandLine &Line) -> CommandResult;
 auto whyCommand(const CommandLine &Line) -> CommandResult;
+auto explainCommand(const CommandLine &Line) -> CommandResult;
 
 /// Commands that use the platform.
 auto diffCommand(const CommandLine &Line, PlatformSession &Session)
--- a/cli/buckthornring/Main.cpp
+++ b/cli/buckthornring/Main.cpp
@@ -18,7 +18,7 @@
   CommandResult (*WithPlatform)(const CommandLine &, PlatformSession &);
 };
 
-constexpr std::array<CommandEntry, 10> Table = {{
+constexpr std::array<CommandEntry, 11> Table = {{
     {"check", "check PATH", 1, 1, checkCommand, nullptr},
     {"apply", "apply PATH", 1, 1, nullptr, applyCommand},
     {"diff", "diff PATH", 1, 1, nullptr, diffCommand},
@@ -30,6 +30,8 @@
     {"drain", "drain SERVICE/TARGET", 1, 1, nullptr, drainCommand},
     {"owner", "owner SERVICE KEY", 2, 2, nullptr, ownerCommand},
     {"why", "why [REASON]", 0, 1, whyCommand, nullptr},
+    {"explain", "explain REQUEST-ID [LOG...]", 1, 1000, explainCommand,
+     nullptr},
 }};
 
 auto usage(const std::string &Message) -> CommandResult {
--- a/tests/golden/CommandSessionTest.cpp
+++ b/tests/golden/CommandSessionTest.cpp
@@ -199,7 +199,7 @@
 
 INSTANTIATE_TEST_SUITE_P(All, CommandSessionTest,
                          testing::Values("files", "usage", "changes", "races",
-                                         "faults", "lookups"),
+                                         "faults", "lookups", "explain"),
                          [](const auto &Info) {
                            return std::string(Info.param);
                          });
