Leave cold targets alone until the fleet's size is known

The parts of nine instances used 80% of the limit, sends are counted before the connection is open, and instances that had just started assumed a part. Ruled out: requests that got 421; none of these counted.

--- a/lib/Fleet/TargetTable.cpp
+++ b/lib/Fleet/TargetTable.cpp
@@ -35,8 +35,9 @@
 constexpr Duration LongestBackoff = std::chrono::seconds(2);
 
 /// Part of a cold target's limit that is used: sends of instances reach the
-/// target with different delays.
-constexpr double UsedColdPart = 0.8;
+/// target with different delays, and instances learn the size of the fleet one
+/// report after another.
+constexpr double UsedColdPart = 0.7;
 
 constexpr double WorkWeight = 0.02; ///< About the last 50 answers.
 
@@ -154,6 +155,9 @@
   const auto Limit = ColdLimits.find(Target.Record.Service);
   if (Limit == ColdLimits.end() || Limit->second.RequestsPerSecond <= 0)
     return false;
+  // An instance that has just started cannot tell its part of the limit.
+  if (!Fleet.known())
+    return true;
   const double Total = UsedColdPart * Limit->second.RequestsPerSecond;
   const bool Near = Target.Record.DataCentre == Given.DataCentre;
   // A limit below the number of instances is left to those near the target.
--- a/lib/Fleet/TargetTable.h
+++ b/lib/Fleet/TargetTable.h
@@ -16,8 +16,15 @@
 
 /// Numbers of live instances, for limits that hold for all of them together.
 struct FleetSize {
-  std::uint32_t Instances = 16; ///< Assumed until the leader has told it.
-  std::uint32_t InOwnDataCentre = 4;
+  std::uint32_t Instances = 0; ///< 0: not told by a leader yet.
+  std::uint32_t InOwnDataCentre = 0;
+
+  auto known() const -> bool { return Instances > 0; }
+  /// Number to divide by where an estimate will do.
+  auto assumed() const -> std::uint32_t {
+    constexpr std::uint32_t LikelyAtMost = 16;
+    return known() ? Instances : LikelyAtMost;
+  }
 };
 
 /// How many requests per second a cold target of a service may get from the
@@ -31,7 +38,8 @@
 struct TargetState {
   TargetRecord Record;
   TargetLoad Load;
-  SlidingCount Sends{std::chrono::milliseconds(1100)};
+  /// Longer than the second of the limit, as sends are delayed differently.
+  SlidingCount Sends{std::chrono::milliseconds(1300)};
   TimePoint ColdUntil = LongAgo;
   TimePoint DownUntil = LongAgo; ///< Unreachable up to this time.
   Duration Backoff{0};                    ///< Length of the next down time.
--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -428,7 +428,7 @@
     return;
   if (Rejections >= MaxRejections ||
       !Context.retries(Service).tryTake(
-          Context.Targets.fleetSize().Instances, bootNow()))
+          Context.Targets.fleetSize().assumed(), bootNow()))
     return refuse(Misdirected ? RefusalReason::NoOwner
                               : RefusalReason::TargetShed);
   Context.Count.add(Misdirected ? RetryReason::RefusedNoLease
@@ -461,7 +461,7 @@
 auto RequestFlow::mayRepeat(TimePoint Now) -> bool {
   return committed() < Route->MaxAttempts && Now < EndAt &&
          Context.retries(Service).tryTake(
-             Context.Targets.fleetSize().Instances, Now);
+             Context.Targets.fleetSize().assumed(), Now);
 }
 
 auto RequestFlow::endLeg(const LegPtr &Sent) -> void {
--- a/tests/unit/TargetTableTest.cpp
+++ b/tests/unit/TargetTableTest.cpp
@@ -143,6 +143,19 @@
   }
 }
 
+// After many instances had restarted at once, each assumed a part of its own.
+TEST(TargetTableTest, ColdTargetGetsNothingFromAnInstanceThatKnowsNoFleet) {
+  auto Table = table();
+  Table.setColdLimits({{Service, {7.8 * 1.5 + 5, seconds(3)}}});
+  auto Cold = record("a", Near);
+  Cold.ColdLeft = seconds(3);
+  Table.apply(Cold, Start);
+  EXPECT_EQ(selected(Table, Start), "");
+  EXPECT_EQ(selected(Table, Start + seconds(4)), "a");
+  Table.setFleetSize({1, 1});
+  EXPECT_EQ(selected(Table, Start), "a");
+}
+
 TEST(TargetTableTest, UnreachableTargetIsTriedAgainAndCountsAsCold) {
   auto Table = table();
   Table.apply(record("a", Near), Start);
