--- a/cli/buckthornring/ExplainCommand.cpp
+++ b/cli/buckthornring/ExplainCommand.cpp
@@ -68,11 +68,16 @@
 auto beliefsAt(const std::vector<LogLine> &Log, const LogLine &Request)
     -> std::vector<const LogLine *> {
   std::map<std::string, const LogLine *> Last;
-  for (const LogLine &Line : Log)
-    if (Line.TimeMs <= Request.TimeMs &&
-        text(Line.Fields, "instance") == text(Request.Fields, "instance") &&
-        isBelief(Line, text(Request.Fields, "target")))
-      Last[beliefKey(Line)] = &Line;
+  for (const LogLine &Line : Log) {
+    if (Line.TimeMs > Request.TimeMs ||
+        text(Line.Fields, "instance") != text(Request.Fields, "instance") ||
+        !isBelief(Line, text(Request.Fields, "target")))
+      continue;
+    // A new process knows nothing of what an earlier one believed.
+    if (text(Line.Fields, "event") == "start")
+      Last.clear();
+    Last[beliefKey(Line)] = &Line;
+  }
   std::vector<const LogLine *> Out;
   for (const auto &[Key, Line] : Last)
     Out.push_back(Line);
--- a/lib/Fleet/RateShares.cpp
+++ b/lib/Fleet/RateShares.cpp
@@ -16,6 +16,10 @@
 /// out the rest on demand.
 constexpr double DividedPart = 0.6;
 
+/// Part of the room that a new reserve holds. The reserve of an earlier leader
+/// may just have been used up, so this comes out of the unused room.
+constexpr double StartRoom = 0.15;
+
 /// Requests that an instance's bucket has to hold for a rate to be divided.
 constexpr double SmallestDepth = 1.5;
 
@@ -156,7 +160,7 @@
   const double Depth = UsedRoom * Own * Room;
   Bucket &Held = Buckets[Id];
   if (Held.Filled == LongAgo)
-    Held.Tokens = StartSeconds * Rate + 1;
+    Held.Tokens = StartRoom * Room;
   else
     Held.Tokens += Rate * seconds(Now - Held.Filled);
   Held.Tokens = std::min(Held.Tokens, Depth);
--- a/lib/Fleet/TargetTable.cpp
+++ b/lib/Fleet/TargetTable.cpp
@@ -19,6 +19,11 @@
 /// requests late.
 constexpr double OwnerCap = 2.5;
 
+/// Multiple of its part of that cap that one instance may use. Instances learn
+/// of each other's requests only by the answers, so keys that become busy would
+/// fill their owner before any of them knows.
+constexpr double ShareExcess = 2.2;
+
 /// Handicap of targets in other data centres, as a part of the request's
 /// target latency: traffic between data centres is charged by the byte.
 constexpr double CrossingHandicap = 0.5;
@@ -240,6 +245,12 @@
   return Best;
 }
 
+auto TargetTable::ownShare(const TargetState &Target) const -> std::uint32_t {
+  const double Share =
+      ShareExcess * OwnerCap * Target.Record.Slots / Fleet.assumed();
+  return std::max(1U, static_cast<std::uint32_t>(std::lround(Share)));
+}
+
 auto TargetTable::selectOwner(const TargetPtr &Target, TimePoint Now)
     -> TargetSelection {
   TargetSelection Selected;
@@ -247,7 +258,8 @@
     return Selected;
   if (Now < Target->DownUntil)
     Selected.Reason = NoTargetReason::Down;
-  else if (Target->Load.queue(Now) >= OwnerCap * Target->Record.Slots)
+  else if (Target->Load.queue(Now) >= OwnerCap * Target->Record.Slots ||
+           Target->Load.inFlight() >= ownShare(*Target))
     Selected.Reason = NoTargetReason::Busy;
   else if (coldLimitReached(*Target, Now))
     Selected.Reason = NoTargetReason::Cold;
--- a/lib/Fleet/TargetTable.h
+++ b/lib/Fleet/TargetTable.h
@@ -143,6 +143,8 @@
   auto reachable(TargetState &Target) -> void;
 
 private:
+  /// Requests that this instance may have at an owner of keys.
+  auto ownShare(const TargetState &Target) const -> std::uint32_t;
   auto coldLimitReached(TargetState &Target, TimePoint Now) -> bool;
   /// Whether this instance is among a share of all instances, chosen at random
   /// for each life of a target.
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -20,7 +20,7 @@
 constexpr Duration MemberLifetime = std::chrono::seconds(6);
 
 /// Time after the start in which all instances have reported several times.
-constexpr Duration LearnTime = std::chrono::milliseconds(1500);
+constexpr Duration LearnTime = std::chrono::milliseconds(1000);
 
 /// Time without a new target after which the first assignment is made, so that
 /// targets that start together share the keys evenly.
--- a/tests/unit/TargetTableTest.cpp
+++ b/tests/unit/TargetTableTest.cpp
@@ -167,6 +167,27 @@
   EXPECT_FALSE(Table.find(TargetId("a"))->cold(Later + seconds(3)));
 }
 
+// Keys that become busy are requested at all instances at once, before any of
+// them has seen the owner's queue.
+TEST(TargetTableTest, OwnerIsNotFilledByAllInstancesAtOnce) {
+  for (const std::uint32_t Instances : {1U, 4U, 11U}) {
+    std::uint32_t Sent = 0;
+    for (std::uint32_t Index = 0; Index < Instances; ++Index) {
+      auto Table = table();
+      Table.setFleetSize({Instances, Instances});
+      Table.apply(record("a", Near), Start);
+      const TargetPtr Owner = Table.find(TargetId("a"));
+      while (Table.selectOwner(Owner, Start).Target) {
+        Owner->Load.sent();
+        ++Sent;
+      }
+    }
+    // Four slots and 16 waiting requests are what such a target holds.
+    EXPECT_LE(Sent, 24U) << Instances;
+    EXPECT_GE(Sent, 8U) << Instances;
+  }
+}
+
 TEST(TargetTableTest, FailingTargetIsAvoidedThoughItIsFast) {
   auto Table = table();
   Table.apply(record("bad", Near), Start);
