--- a/cli/buckthornring/ExplainCommand.cpp
+++ b/cli/buckthornring/ExplainCommand.cpp
@@ -16,9 +16,9 @@
 /// Events that change what an instance believes, of which the last one before a
 /// request tells what was in force.
 constexpr std::array<const char *, 8> BeliefEvents = {
-    "start",           "stop-began",           "configuration-in-force",
-    "leader-changed",  "store-contact-lost",   "store-contact-regained",
-    "targets-read",    "evacuations-changed",
+    "start",          "stop-began",          "configuration-in-force",
+    "leader-changed", "store-contact-lost",  "store-contact-regained",
+    "targets-read",   "evacuations-changed",
 };
 
 struct LogLine {
@@ -79,6 +79,7 @@
     Last[beliefKey(Line)] = &Line;
   }
   std::vector<const LogLine *> Out;
+  Out.reserve(Last.size());
   for (const auto &[Key, Line] : Last)
     Out.push_back(Line);
   std::sort(Out.begin(), Out.end(),
@@ -106,8 +107,8 @@
   Json Beliefs = Json::array();
   for (const LogLine *Belief : beliefsAt(Log, Request)) {
     const std::int64_t Age = Request.TimeMs - Belief->TimeMs;
-    Out.Lines.push_back("  " + std::to_string(Age) + " ms before: " +
-                        summary(Belief->Fields));
+    Out.Lines.push_back("  " + std::to_string(Age) +
+                        " ms before: " + summary(Belief->Fields));
     Json Entry = Belief->Fields;
     Entry["age_ms"] = Age;
     Beliefs.push_back(std::move(Entry));
@@ -142,10 +143,10 @@
         text(Each.Fields, "id") == Line.Arguments.front())
       describe(Each, Log, Out);
   if (Out.Lines.empty())
-    return CommandResult::failure(
-        ExitCode::Different, "not-found",
-        "no line tells of request " + Line.Arguments.front() +
-            "; served requests are sampled");
+    return CommandResult::failure(ExitCode::Different, "not-found",
+                                  "no line tells of request " +
+                                      Line.Arguments.front() +
+                                      "; served requests are sampled");
   return Out;
 }
 
--- a/include/buckthornring/Config/Configuration.h
+++ b/include/buckthornring/Config/Configuration.h
@@ -100,7 +100,7 @@
   /// Time within which an answer is useful in full.
   Duration TargetLatency = std::chrono::seconds(1);
   std::uint32_t Priority = 0; ///< 0 is the most urgent.
-  bool Open = false; ///< Needs no caller key.
+  bool Open = false;          ///< Needs no caller key.
   KeySource Source = KeySource::PathSegment;
   std::string KeyName;          ///< Header or query parameter name.
   std::uint32_t KeySegment = 0; ///< Segment after the prefix, from zero.
@@ -121,7 +121,7 @@
 struct RequestLimits {
   std::uint32_t HeadBytes = 16'384;
   std::uint32_t BodyBytes = 67'108'864;
-  Duration HeadTimeout = std::chrono::seconds(3); ///< First to last head byte.
+  Duration HeadTimeout = std::chrono::seconds(3);  ///< First to last head byte.
   Duration IdleTimeout = std::chrono::seconds(15); ///< Between two requests.
 };
 
--- a/lib/Fleet/FleetMessage.cpp
+++ b/lib/Fleet/FleetMessage.cpp
@@ -11,8 +11,8 @@
 // Messages cross data centres several times a second, so names are short.
 
 auto encodeLeader(const LeaderInfo &Leader) -> Json {
-  return Json::array({Leader.Instance.str(), Leader.Process, Leader.Address,
-                      Leader.Term});
+  return Json::array(
+      {Leader.Instance.str(), Leader.Process, Leader.Address, Leader.Term});
 }
 
 auto decodeLeader(const Json &Value) -> LeaderInfo {
@@ -110,9 +110,9 @@
 auto encode(const LoadNotice &Notice) -> Json {
   Json Loads = Json::object();
   for (const auto &[Id, Load] : Notice.Loads)
-    Loads[Id.str()] =
-        Json::array({Load.Running, Load.Waiting, Load.Slots,
-                     static_cast<std::uint32_t>(Load.Slowness * SlownessSteps)});
+    Loads[Id.str()] = Json::array(
+        {Load.Running, Load.Waiting, Load.Slots,
+         static_cast<std::uint32_t>(Load.Slowness * SlownessSteps)});
   return {{"t", 6}, {"l", std::move(Loads)}};
 }
 
@@ -138,8 +138,7 @@
   Report.Seen = decodeSeen(Value.at("c"));
   Report.SpanMs = Value.at("m").get<std::uint32_t>();
   Report.Demand = decodeMap<WorkspaceId, std::uint32_t>(Value.at("w"));
-  Report.Keys =
-      decodeMap<ServiceId, std::vector<std::uint32_t>>(Value.at("k"));
+  Report.Keys = decodeMap<ServiceId, std::vector<std::uint32_t>>(Value.at("k"));
   Report.WorkMs = decodeMap<TargetId, std::uint32_t>(Value.at("b"));
   return Report;
 }
--- a/lib/Fleet/FleetMessage.h
+++ b/lib/Fleet/FleetMessage.h
@@ -27,8 +27,8 @@
 /// The instance that leads, by the object in the store.
 struct LeaderInfo {
   InstanceId Instance;
-  std::string Process; ///< Names one start of the instance.
-  std::string Address; ///< IP address and port for messages.
+  std::string Process;    ///< Names one start of the instance.
+  std::string Address;    ///< IP address and port for messages.
   std::uint64_t Term = 0; ///< Store revision of the object; 0: none.
 };
 
@@ -55,8 +55,8 @@
   LeaderInfo Leader;
   bool StoreReachable = false;
   bool Resigned = false; ///< The leader stops; another is to take over.
-  SeenChanges Seen;     ///< Newest that any instance has reported.
-  std::string SeenFrom; ///< Address of an instance that has seen it.
+  SeenChanges Seen;      ///< Newest that any instance has reported.
+  std::string SeenFrom;  ///< Address of an instance that has seen it.
   std::uint32_t Instances = 1;
   std::uint32_t InDataCentre = 1; ///< Of the receiver.
   /// Changes with the instances of the receiver's data centre.
--- a/lib/Fleet/KeyRanges.cpp
+++ b/lib/Fleet/KeyRanges.cpp
@@ -49,8 +49,7 @@
       Range.Fence = Entry.at("fence").get<std::uint64_t>();
       if (Entry.contains("donor")) {
         Range.Donor = TargetId(Entry.at("donor").get<std::string>());
-        Range.DonorStartedAt =
-            Entry.at("donor_started_at").get<std::int64_t>();
+        Range.DonorStartedAt = Entry.at("donor_started_at").get<std::int64_t>();
         Range.DonorFence = Entry.at("donor_fence").get<std::uint64_t>();
       }
       Record.Ranges.push_back(std::move(Range));
--- a/lib/Fleet/RangeKeeper.cpp
+++ b/lib/Fleet/RangeKeeper.cpp
@@ -155,8 +155,7 @@
     return false;
   };
   const auto Moving = std::count_if(
-      Current.Ranges.begin(), Current.Ranges.end(),
-      [&](const KeyRange &Range) {
+      Current.Ranges.begin(), Current.Ranges.end(), [&](const KeyRange &Range) {
         const State &Known = States[&Range - Current.Ranges.data()];
         return !donorGone(Range, Known, Now) || !Known.Sent;
       });
@@ -166,9 +165,8 @@
     const KeyRange *Own = Current.find(Range.From);
     return Own && Movable(*Own);
   };
-  auto Next =
-      RangePlanner::plan({Base, Seen.Targets, Load, Keys, Seen.WorkSeconds,
-                          MovableIn, Settled});
+  auto Next = RangePlanner::plan(
+      {Base, Seen.Targets, Load, Keys, Seen.WorkSeconds, MovableIn, Settled});
   if (Next)
     Proposed = std::move(Next);
   else if (Base.Ranges != Current.Ranges && Now - ChangedAt > SettleTime)
@@ -289,8 +287,9 @@
         Known.OwnStrayEnd = Latest;
     }
     if (Owns)
-      Known.NextAt = Now + (Answer == RangeAnswer::Accepted ? Times.RenewEvery
-                                                            : Times.RepeatAfter);
+      Known.NextAt =
+          Now + (Answer == RangeAnswer::Accepted ? Times.RenewEvery
+                                                 : Times.RepeatAfter);
   }
 }
 
--- a/lib/Fleet/RangePlanner.cpp
+++ b/lib/Fleet/RangePlanner.cpp
@@ -141,7 +141,7 @@
     std::uint32_t Position = Range.From;
     std::uint32_t Split = Range.To;
     bool Found = false;
-    const auto advance = [&](std::uint32_t Key, double Rate) {
+    const auto Advance = [&](std::uint32_t Key, double Rate) {
       if (Found)
         return;
       const double Before = Assumed * (Key - Position);
@@ -158,7 +158,7 @@
         Found = true;
       }
     };
-    Given.Load.forEach(Range.From, Range.To, advance);
+    Given.Load.forEach(Range.From, Range.To, Advance);
     if (!Found)
       Split = Position + static_cast<std::uint32_t>(
                              std::max(0.0, (Wanted - Sum) / Assumed));
@@ -208,13 +208,12 @@
   /// Moves about half of the difference in load. False when nothing can move.
   auto takePart(const PlanTarget &From, const PlanTarget &To) -> bool {
     const double Share = To.Capacity / (From.Capacity + To.Capacity);
-    const double Wanted =
-        Loads[From.Id] * Share - Loads[To.Id] * (1 - Share);
+    const double Wanted = Loads[From.Id] * Share - Loads[To.Id] * (1 - Share);
     KeyRange *Busiest = nullptr;
     for (KeyRange &Range : Record.Ranges)
       if (Range.Owner == From.Id && owner(Range) && movable(Range) &&
-          (!Busiest || weight(Range.From, Range.To) >
-                           weight(Busiest->From, Busiest->To)))
+          (!Busiest ||
+           weight(Range.From, Range.To) > weight(Busiest->From, Busiest->To)))
         Busiest = &Range;
     if (!Busiest || Wanted <= 0)
       return false;
--- a/lib/Fleet/RateShares.cpp
+++ b/lib/Fleet/RateShares.cpp
@@ -49,13 +49,13 @@
 
 auto rateRoom(const WorkspaceConfig &Workspace, const RateTolerance &Tolerance)
     -> double {
-  return Tolerance.Excess * Workspace.RatePerSecond * seconds(Tolerance.Window) +
+  return Tolerance.Excess * Workspace.RatePerSecond *
+             seconds(Tolerance.Window) +
          (1 + Tolerance.Excess) * Workspace.Burst + Tolerance.Slack;
 }
 
 auto dividedPart(double Room, std::uint32_t Instances) -> double {
-  const double Depth =
-      UsedRoom * DividedPart * Room / std::max(1U, Instances);
+  const double Depth = UsedRoom * DividedPart * Room / std::max(1U, Instances);
   return Depth >= SmallestDepth ? DividedPart : 0;
 }
 
@@ -66,8 +66,7 @@
 }
 
 auto RateShares::refill(Bucket &Of, TimePoint Now) const -> void {
-  const double Rate =
-      dividedPart(Of.Room, Instances) * Of.Rate * Of.Part;
+  const double Rate = dividedPart(Of.Room, Instances) * Of.Rate * Of.Part;
   if (Now >= Of.KeptUntil)
     Of.Kept = 0;
   if (Of.Filled == LongAgo)
--- a/lib/Fleet/RateShares.h
+++ b/lib/Fleet/RateShares.h
@@ -30,9 +30,10 @@
 ///
 /// Most of a rate is divided into parts that add up to at most one, and the
 /// leader keeps the rest as a reserve for which an instance asks when its part
-/// is used up. A rate that is too small to be divided is left to the reserve. The room of the rate's window is divided in the same way into
-/// the depths of the buckets. So no workspace exceeds its rate, whatever
-/// messages are lost, and few requests below it are refused.
+/// is used up. A rate that is too small to be divided is left to the reserve.
+/// The room of the rate's window is divided in the same way into the depths of
+/// the buckets. So no workspace exceeds its rate, whatever messages are lost,
+/// and few requests below it are refused.
 class RateShares {
 public:
   explicit RateShares(const RateTolerance &Tolerance) : Tolerance(Tolerance) {}
--- a/lib/Fleet/RetryAllowance.cpp
+++ b/lib/Fleet/RetryAllowance.cpp
@@ -17,9 +17,8 @@
 
 auto RetryAllowance::tryTake(std::uint32_t Instances, TimePoint Now) -> bool {
   const double Allowed =
-      UsedPart *
-      (Limit.Ratio * static_cast<double>(Requests.count(Now)) +
-       Limit.Slack / std::max(1U, Instances));
+      UsedPart * (Limit.Ratio * static_cast<double>(Requests.count(Now)) +
+                  Limit.Slack / std::max(1U, Instances));
   if (static_cast<double>(Repeats.count(Now)) + 1 > Allowed)
     return false;
   Repeats.add(Now);
@@ -27,8 +26,8 @@
 }
 
 auto RetryAllowance::tryTakeOptional(TimePoint Now) -> bool {
-  const double Allowed = OptionalPart * Limit.Ratio *
-                         static_cast<double>(Requests.count(Now));
+  const double Allowed =
+      OptionalPart * Limit.Ratio * static_cast<double>(Requests.count(Now));
   if (static_cast<double>(Repeats.count(Now)) + 1 > Allowed)
     return false;
   Repeats.add(Now);
--- a/lib/Fleet/TargetLoad.cpp
+++ b/lib/Fleet/TargetLoad.cpp
@@ -31,8 +31,8 @@
 
 auto TargetLoad::learn(Duration Latency, double QueueAtSend,
                        std::uint32_t Slots, double Weight) -> void {
-  const double Sample = static_cast<double>(Latency.count()) /
-                        queueFactor(QueueAtSend, Slots);
+  const double Sample =
+      static_cast<double>(Latency.count()) / queueFactor(QueueAtSend, Slots);
   WorkUs = WorkUs == 0 ? Sample : WorkUs + Weight * (Sample - WorkUs);
 }
 
@@ -49,8 +49,8 @@
   if (InFlight > 0)
     --InFlight;
   // The answer would have taken longer still, so a short wait says nothing.
-  const double Sample = static_cast<double>(Elapsed.count()) /
-                        queueFactor(QueueAtSend, Slots);
+  const double Sample =
+      static_cast<double>(Elapsed.count()) / queueFactor(QueueAtSend, Slots);
   if (Sample > WorkUs)
     learn(Elapsed, QueueAtSend, Slots, LatencyWeight);
 }
@@ -86,8 +86,8 @@
 auto TargetLoad::work(TimePoint Now) const -> std::optional<Duration> {
   if (WorkUs == 0)
     return std::nullopt;
-  const bool Fresh = ReportedAt != LongAgo &&
-                     Now - ReportedAt < SlownessLifetime;
+  const bool Fresh =
+      ReportedAt != LongAgo && Now - ReportedAt < SlownessLifetime;
   // The average already holds the usual share of slow moments.
   const double Factor = Fresh ? std::clamp(Slowness, 0.7, 4.0) : 1.0;
   return Duration(static_cast<std::int64_t>(WorkUs * Factor));
--- a/lib/Fleet/TargetTable.cpp
+++ b/lib/Fleet/TargetTable.cpp
@@ -61,10 +61,10 @@
     Known->MissingUntil.reset();
     return false;
   }
-  const bool NewLife =
-      !Known || Known->Record.StartedAtMs != Record.StartedAtMs ||
-      Known->Record.Service != Record.Service ||
-      Known->Record.Address != Record.Address;
+  const bool NewLife = !Known ||
+                       Known->Record.StartedAtMs != Record.StartedAtMs ||
+                       Known->Record.Service != Record.Service ||
+                       Known->Record.Address != Record.Address;
   if (!NewLife) {
     Known->Record = Record;
     Known->MissingUntil.reset();
@@ -82,8 +82,8 @@
   return true;
 }
 
-auto TargetTable::remove(const TargetId &Id, TimePoint KeepUntil,
-                         TimePoint Now) -> void {
+auto TargetTable::remove(const TargetId &Id, TimePoint KeepUntil, TimePoint Now)
+    -> void {
   const auto Known = find(Id);
   if (!Known)
     return;
@@ -178,9 +178,9 @@
 auto TargetTable::chosenFor(const TargetRecord &Target, double Share) const
     -> bool {
   constexpr std::size_t Steps = 1000;
-  const std::size_t Hash = std::hash<std::string>()(
-      Given.Instance.str() + "/" + Target.Id.str() + "/" +
-      std::to_string(Target.StartedAtMs));
+  const std::size_t Hash =
+      std::hash<std::string>()(Given.Instance.str() + "/" + Target.Id.str() +
+                               "/" + std::to_string(Target.StartedAtMs));
   return static_cast<double>(Hash % Steps) < Share * Steps;
 }
 
@@ -193,16 +193,16 @@
 
 auto TargetTable::expected(const TargetState &Target, TimePoint Now) const
     -> Duration {
-  const double Work = static_cast<double>(
-      Target.Load.work(Now).value_or(typicalWork(Target.Record.Service))
-          .count());
+  const double Work =
+      static_cast<double>(Target.Load.work(Now)
+                              .value_or(typicalWork(Target.Record.Service))
+                              .count());
   const double Slots = std::max(1U, Target.Record.Slots);
   const double Queue = Target.Load.queue(Now);
   const double Waiting = std::max(0.0, Queue + 1 - Slots) / Slots;
   // Targets slow down before their last slot is taken.
   const double Crowding = 0.15 * std::min(1.0, Queue / Slots);
-  return Duration(
-      static_cast<std::int64_t>(Work * (1 + Waiting + Crowding)));
+  return Duration(static_cast<std::int64_t>(Work * (1 + Waiting + Crowding)));
 }
 
 auto TargetTable::select(const TargetWish &Wish, TimePoint Now)
@@ -229,8 +229,8 @@
       continue;
     }
     const Duration Time = expected(*Target, Now);
-    double Cost = static_cast<double>(Time.count()) *
-                  (1 + Jitter * Random.unit());
+    double Cost =
+        static_cast<double>(Time.count()) * (1 + Jitter * Random.unit());
     if (Target->Record.DataCentre != Given.DataCentre)
       Cost += CrossingHandicap * Latency;
     Cost += FailureHandicap * Latency * Target->Load.failureShare();
--- a/lib/Fleet/TargetTable.h
+++ b/lib/Fleet/TargetTable.h
@@ -42,7 +42,7 @@
   SlidingCount Sends{std::chrono::milliseconds(1300)};
   TimePoint ColdUntil = LongAgo;
   TimePoint DownUntil = LongAgo; ///< Unreachable up to this time.
-  Duration Backoff{0};                    ///< Length of the next down time.
+  Duration Backoff{0};           ///< Length of the next down time.
   /// Until then the target may have restarted without its record telling so
   /// yet; it counts as cold.
   TimePoint UnverifiedUntil = LongAgo;
--- a/lib/Gateway/CallerSession.cpp
+++ b/lib/Gateway/CallerSession.cpp
@@ -118,12 +118,11 @@
 auto CallerSession::armTimer(Duration Limit) -> void {
   Io->TimedOut = false;
   Io->Timer.expires_after(Limit);
-  Io->Timer.async_wait([Weak = weak_from_this(), Round = ++Io->TimerRound](
-                           const error_code &Cancelled) {
+  Io->Timer.async_wait([Weak = weak_from_this(),
+                        Round = ++Io->TimerRound](const error_code &Cancelled) {
     const auto Self = Weak.lock();
     // The wait may have ended while this call was already queued.
-    if (Cancelled || !Self || Self->Io->Ended ||
-        Self->Io->TimerRound != Round)
+    if (Cancelled || !Self || Self->Io->Ended || Self->Io->TimerRound != Round)
       return;
     Self->Io->TimedOut = true;
     error_code Ignored;
@@ -181,16 +180,16 @@
     return readBody();
   Io->Out = "HTTP/1.1 100 Continue\r\n\r\n";
   Io->Writing = true;
-  asio::async_write(Io->Socket, asio::buffer(Io->Out),
-                    [Self = shared_from_this()](const error_code &Failure,
-                                                std::size_t) {
-                      Self->Io->Writing = false;
-                      if (Self->Io->Ended)
-                        return;
-                      if (Failure)
-                        return Self->left();
-                      Self->readBody();
-                    });
+  asio::async_write(
+      Io->Socket, asio::buffer(Io->Out),
+      [Self = shared_from_this()](const error_code &Failure, std::size_t) {
+        Self->Io->Writing = false;
+        if (Self->Io->Ended)
+          return;
+        if (Failure)
+          return Self->left();
+        Self->readBody();
+      });
 }
 
 auto CallerSession::readBody() -> void {
--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -72,9 +72,8 @@
 
 FleetMember::FleetMember(boost::asio::io_context &Context, Surroundings Around,
                          std::uint64_t Seed)
-    : Context(Context), Around(std::move(Around)), Timer(Context), ClaimTimer(Context),
-      LoadTimer(Context),
-      Random(Seed) {}
+    : Context(Context), Around(std::move(Around)), Timer(Context),
+      ClaimTimer(Context), LoadTimer(Context), Random(Seed) {}
 
 auto FleetMember::scheduleReport() -> void {
   Timer.expires_after(ReportInterval);
@@ -137,9 +136,9 @@
   else if (const auto *Loads = std::get_if<LoadNotice>(&Message))
     gotLoads(*Loads);
   else if (Around.Requests.Active)
-    Around.Peers.send(
-        From, Around.Lead.takeRate(std::get<RateQuestion>(Message),
-                                   Around.Requests.Active->Config));
+    Around.Peers.send(From,
+                      Around.Lead.takeRate(std::get<RateQuestion>(Message),
+                                           Around.Requests.Active->Config));
 }
 
 auto FleetMember::loadSeen() -> void {
@@ -191,13 +190,12 @@
         Around.Lead.takeRate(Message, Around.Requests.Active->Config));
   Around.Peers.send(Current.Address, Message);
   Asked.Timer.expires_after(AnswerLimit);
-  Asked.Timer.async_wait(
-      [this, Workspace,
-       Number = Asked.Number](const boost::system::error_code &Cancelled) {
-        // The answer may have come while this call was already queued.
-        if (!Cancelled)
-          gotAnswer({Workspace, 0, Number});
-      });
+  Asked.Timer.async_wait([this, Workspace, Number = Asked.Number](
+                             const boost::system::error_code &Cancelled) {
+    // The answer may have come while this call was already queued.
+    if (!Cancelled)
+      gotAnswer({Workspace, 0, Number});
+  });
 }
 
 auto FleetMember::gotAnswer(const RateAnswer &Answer) -> void {
@@ -234,8 +232,8 @@
   if (!Around.Lead.leading())
     return;
   compareSeen(Report.Seen, From);
-  Around.Peers.send(From, Around.Lead.report(Report, From,
-                                             Around.StoreReachable()));
+  Around.Peers.send(From,
+                    Around.Lead.report(Report, From, Around.StoreReachable()));
 }
 
 auto FleetMember::gotReply(const FleetReply &Reply) -> void {
@@ -350,18 +348,17 @@
     return;
   // An earlier process of this instance led, so nobody does.
   const bool Orphaned = Current.Instance == Around.Self.Instance;
-  const bool Silent =
-      Resigned || Orphaned ||
-      Now - LastReply > (Heard ? LeaderSilence : FirstSilence);
-  const bool CutOff = StoreLostAtLeader != LongAgo &&
-                      Now - StoreLostAtLeader > StoreLossLimit;
+  const bool Silent = Resigned || Orphaned ||
+                      Now - LastReply > (Heard ? LeaderSilence : FirstSilence);
+  const bool CutOff =
+      StoreLostAtLeader != LongAgo && Now - StoreLostAtLeader > StoreLossLimit;
   if (Current.Term != 0 && !Silent && !CutOff) {
     ClaimAt = LongAgo;
     return;
   }
   if (ClaimAt == LongAgo) {
-    const auto Stagger = std::chrono::duration_cast<Duration>(
-        LongestStagger * Random.unit());
+    const auto Stagger =
+        std::chrono::duration_cast<Duration>(LongestStagger * Random.unit());
     ClaimAt = Now + Stagger;
     // One who knows for certain goes first.
     if (Orphaned)
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -50,27 +50,26 @@
       Events(Settings.Instance.str()), Process(processName(Settings.Instance)),
       Targets(TargetTable::Settings{Settings.Instance, Settings.DataCentre},
               std::hash<std::string>()(Process)),
-      Pool(Io.get_executor()),
-      Requests{Io,
-               Protocol,
-               Targets,
-               Pool,
-               Events,
-               Waiting,
-               Settings.Bounds.Retries,
-               Settings.Instance.str(),
-               nullptr,
-               {},
-               {},
-               RateShares(Settings.Bounds.Rates),
-               {},
-               Totals.stripe(0),
-               {},
-               {},
-               {},
-               {},
-               {},
-               {}},
+      Pool(Io.get_executor()), Requests{Io,
+                                        Protocol,
+                                        Targets,
+                                        Pool,
+                                        Events,
+                                        Waiting,
+                                        Settings.Bounds.Retries,
+                                        Settings.Instance.str(),
+                                        nullptr,
+                                        {},
+                                        {},
+                                        RateShares(Settings.Bounds.Rates),
+                                        {},
+                                        Totals.stripe(0),
+                                        {},
+                                        {},
+                                        {},
+                                        {},
+                                        {},
+                                        {}},
       Listener(Io), Signals(Io, SIGTERM, SIGINT, SIGHUP), TickTimer(Io),
       WaitTimer(Io), StopTimer(Io) {}
 
@@ -91,7 +90,7 @@
   if (Failure)
     return Error("cannot listen on " + Settings.CallerAddress + ": " +
                  Failure.message());
-  const auto serve = [this](const std::string &Address,
+  const auto Serve = [this](const std::string &Address,
                             HttpServer::Handler Handler) {
     const auto Endpoint = parseEndpoint(Address);
     HttpServerOptions Options;
@@ -99,7 +98,7 @@
     Options.Port = Endpoint->port();
     return HttpServer::start(Io, std::move(Options), std::move(Handler));
   };
-  auto Ready = serve(Settings.ReadyAddress,
+  auto Ready = Serve(Settings.ReadyAddress,
                      [this](const HttpRequest &, const HttpResponder &To) {
                        HttpResponse Response;
                        Response.Status = ready() ? 200 : 503;
@@ -108,7 +107,7 @@
   if (!Ready)
     return Ready.error();
   ReadyServer = std::move(Ready).value();
-  auto Peer = serve(Settings.PeerAddress, [this](const HttpRequest &Request,
+  auto Peer = Serve(Settings.PeerAddress, [this](const HttpRequest &Request,
                                                  const HttpResponder &To) {
     To.respond(answerPeer(Request));
   });
@@ -157,14 +156,17 @@
           Requests, *Store, *OwnFeed, *Lead, *Peers,
           LeaderInfo{Settings.Instance, Process, Settings.PeerAddress, 0},
           Settings.DataCentre,
-          [this] { TickTimer.expires_after(Duration(0)); armTick(); },
+          [this] {
+            TickTimer.expires_after(Duration(0));
+            armTick();
+          },
           [this] { return seen(); },
           [this](const SeenChanges &Others) { return knows(Others); },
           [this] { return storeReachable(); },
           [this](const std::string &Address) { fetchFrom(Address); }},
       std::hash<std::string>()(Process) + 1);
-  for (const auto *Feed : {&ConfigurationFeed, &TargetFeed, &EvacuationFeed,
-                           &OwnFeed})
+  for (const auto *Feed :
+       {&ConfigurationFeed, &TargetFeed, &EvacuationFeed, &OwnFeed})
     (*Feed)->start();
   Member->start();
   waitForSignal();
@@ -174,8 +176,7 @@
 
 auto Gateway::Parts::accept() -> void {
   Listener.async_accept([this](const error_code &Failure, tcp::socket Socket) {
-    if (Failure == boost::asio::error::operation_aborted ||
-        !Listener.is_open())
+    if (Failure == boost::asio::error::operation_aborted || !Listener.is_open())
       return;
     if (!Failure) {
       const RequestLimits Limits =
@@ -194,11 +195,11 @@
 auto Gateway::Parts::received(const std::shared_ptr<CallerSession> &Session,
                               std::uint64_t Number, CallerRequest Request)
     -> void {
-  const auto Name = std::make_pair(
-      static_cast<const CallerSession *>(Session.get()), Number);
-  auto Flow = std::make_shared<RequestFlow>(Requests, Session, Number,
-                                            std::move(Request),
-                                            [this, Name] { Flows.erase(Name); });
+  const auto Name =
+      std::make_pair(static_cast<const CallerSession *>(Session.get()), Number);
+  auto Flow = std::make_shared<RequestFlow>(
+      Requests, Session, Number, std::move(Request),
+      [this, Name] { Flows.erase(Name); });
   Flows[Name] = Flow;
   Flow->start();
   serveWaiting();
@@ -265,8 +266,8 @@
 }
 
 auto Gateway::Parts::ready() const -> bool {
-  return StopBegan == LongAgo && Requests.Active &&
-         TargetFeed->loaded() && !Targets.all().empty();
+  return StopBegan == LongAgo && Requests.Active && TargetFeed->loaded() &&
+         !Targets.all().empty();
 }
 
 auto Gateway::Parts::waitForSignal() -> void {
@@ -344,8 +345,7 @@
 auto Gateway::create(GatewaySettings Settings, PlatformProtocol Protocol,
                      const StoreFactory &MakeStore)
     -> Result<std::unique_ptr<Gateway>> {
-  auto Made =
-      std::make_unique<Parts>(std::move(Settings), std::move(Protocol));
+  auto Made = std::make_unique<Parts>(std::move(Settings), std::move(Protocol));
   const auto Bound = Made->bind(MakeStore);
   if (!Bound)
     return Bound.error();
--- a/lib/Gateway/GatewayParts.h
+++ b/lib/Gateway/GatewayParts.h
@@ -39,7 +39,7 @@
 
   // Changes in the store.
   auto makeFeeds() -> void;
-  auto makeFeed(std::string Kind, StoreFeed::Handlers Handlers)
+  auto makeFeed(const std::string &Kind, StoreFeed::Handlers Handlers)
       -> std::unique_ptr<StoreFeed>;
   auto configurationChanged(const StoredObject &Object) -> void;
   auto applyConfiguration(Configuration Accepted) -> void;
--- a/lib/Gateway/GatewaySettings.cpp
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -22,17 +22,17 @@
 }
 
 auto readBounds(FieldReader &Fields, FleetBounds &Out) -> void {
-  const auto number = [&Fields](const char *Key, double &Value) {
+  const auto Number = [&Fields](const char *Key, double &Value) {
     Fields.number(Key, Value, 0, LargestCount, Presence::Required);
   };
-  number("retry_ratio", Out.Retries.Ratio);
-  number("retry_slack", Out.Retries.Slack);
+  Number("retry_ratio", Out.Retries.Ratio);
+  Number("retry_slack", Out.Retries.Slack);
   seconds(Fields, "retry_window_s", Out.Retries.Window);
-  number("rate_excess", Out.Rates.Excess);
-  number("rate_slack", Out.Rates.Slack);
+  Number("rate_excess", Out.Rates.Excess);
+  Number("rate_slack", Out.Rates.Slack);
   seconds(Fields, "rate_window_s", Out.Rates.Window);
-  number("cold_excess", Out.ColdExcess);
-  number("cold_slack", Out.ColdSlack);
+  Number("cold_excess", Out.ColdExcess);
+  Number("cold_slack", Out.ColdSlack);
   seconds(Fields, "stop_grace_s", Out.StopGrace);
   seconds(Fields, "longest_hold_s", Out.LongestHold);
 }
--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -39,7 +39,8 @@
 
 } // namespace
 
-auto Gateway::Parts::makeFeed(std::string Kind, StoreFeed::Handlers Handlers)
+auto Gateway::Parts::makeFeed(const std::string &Kind,
+                              StoreFeed::Handlers Handlers)
     -> std::unique_ptr<StoreFeed> {
   StoreFeed::Options Options;
   Options.Kind = Kind;
@@ -61,24 +62,24 @@
        },
        [this](const StoredObject &Object) { configurationChanged(Object); },
        {}});
-  TargetFeed = makeFeed(
-      Protocol.Kinds.Targets,
-      {[this](const Whole &Objects) { targetsWhole(Objects); },
-       [this](const StoredObject &Object) { targetChanged(Object); },
-       {}});
+  TargetFeed =
+      makeFeed(Protocol.Kinds.Targets,
+               {[this](const Whole &Objects) { targetsWhole(Objects); },
+                [this](const StoredObject &Object) { targetChanged(Object); },
+                {}});
   EvacuationFeed =
       makeFeed(Protocol.Kinds.Evacuations,
                {[this](const Whole &) { evacuationsChanged(); },
                 [this](const StoredObject &) { evacuationsChanged(); },
                 {}});
-  OwnFeed = makeFeed(
-      Protocol.Kinds.Own,
-      {[this](const Whole &Objects) {
-         for (const auto &[Name, Object] : Objects)
-           ownChanged(Object);
-       },
-       [this](const StoredObject &Object) { ownChanged(Object); },
-       {}});
+  OwnFeed =
+      makeFeed(Protocol.Kinds.Own,
+               {[this](const Whole &Objects) {
+                  for (const auto &[Name, Object] : Objects)
+                    ownChanged(Object);
+                },
+                [this](const StoredObject &Object) { ownChanged(Object); },
+                {}});
 }
 
 auto Gateway::Parts::contact(const std::string &Kind, bool Connected,
@@ -214,8 +215,7 @@
   RangeView &View = Requests.Ranges[Service];
   if (Object.Revision <= View.Revision)
     return;
-  auto Parsed =
-      RangeRecord::parse(Object.Value, Settings->second.NumberedKeys);
+  auto Parsed = RangeRecord::parse(Object.Value, Settings->second.NumberedKeys);
   if (!Parsed) {
     Events.write(EventLine("ranges-unreadable")
                      .field("service", Service.str())
@@ -290,15 +290,15 @@
 auto Gateway::Parts::takeState(const std::string &Body) -> void {
   try {
     const Json State = Json::parse(Body);
-    const auto take = [&State](const char *Name, StoreFeed &Feed) {
+    const auto Take = [&State](const char *Name, StoreFeed &Feed) {
       const Json &Each = State.at(Name);
       Feed.applyFromPeer(readState(Each),
                          Each.at("revision").get<std::uint64_t>());
     };
-    take("configuration", *ConfigurationFeed);
-    take("targets", *TargetFeed);
-    take("evacuations", *EvacuationFeed);
-    take("own", *OwnFeed);
+    Take("configuration", *ConfigurationFeed);
+    Take("targets", *TargetFeed);
+    Take("evacuations", *EvacuationFeed);
+    Take("own", *OwnFeed);
   } catch (const Json::exception &Failure) {
     Events.write(
         EventLine("peer-state-unreadable").field("reason", Failure.what()));
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -47,8 +47,7 @@
   Members.clear();
   Rates = RateDivider();
   Reserve = RateReserve(Tolerance);
-  Around.Events.write(
-      EventLine("leadership-taken").field("term", Self.Term));
+  Around.Events.write(EventLine("leadership-taken").field("term", Self.Term));
 }
 
 auto Leader::stop() -> void {
@@ -109,8 +108,8 @@
   const auto Parts = Rates.partsOf(From.Instance);
   Reply.RateParts = Parts.ByWorkspace;
   Reply.OtherParts = Parts.Others;
-  Reply.Instances = std::max(Parts.Instances,
-                             static_cast<std::uint32_t>(Members.size()));
+  Reply.Instances =
+      std::max(Parts.Instances, static_cast<std::uint32_t>(Members.size()));
   Reply.InDataCentre = static_cast<std::uint32_t>(
       std::count_if(Members.begin(), Members.end(), [&](const auto &Entry) {
         return Entry.second.DataCentre == From.DataCentre;
@@ -182,9 +181,8 @@
     Recorded = std::move(Parsed).value();
     Revision = Object->second.Revision;
   }
-  auto &Added =
-      Services.emplace(Id, RangeKeeper(Config.NumberedKeys, Times))
-          .first->second;
+  auto &Added = Services.emplace(Id, RangeKeeper(Config.NumberedKeys, Times))
+                    .first->second;
   Added.Keeper.takeOver(std::move(Recorded), Revision, bootNow());
   return &Added;
 }
@@ -282,8 +280,8 @@
           .field("status", StoreStatusNames.name(Answer.Status))
           .field("ranges", Own.Keeper.pendingWrite()->Ranges.size())
           .field("revision", Answer.Object ? Answer.Object->Revision : 0));
-  const bool Same = Answer.Object && Answer.Object->Value ==
-                                         Own.Keeper.pendingWrite()->json();
+  const bool Same = Answer.Object &&
+                    Answer.Object->Value == Own.Keeper.pendingWrite()->json();
   if (Answer.Status == StoreStatus::Done ||
       (Answer.Status == StoreStatus::Conflict && Same)) {
     confirmed(SentAt);
@@ -356,8 +354,7 @@
   else
     --Own.Releasing;
   Own.Keeper.callEnded(Call, Answer, Handover, Now);
-  if (Answer != RangeAnswer::Accepted ||
-      Call.What == RangeCall::Kind::Release)
+  if (Answer != RangeAnswer::Accepted || Call.What == RangeCall::Kind::Release)
     Around.Events.write(EventLine("order-ended")
                             .field("service", Id.str())
                             .field("order", RangeCallNames.name(Call.What))
--- a/lib/Gateway/Leader.h
+++ b/lib/Gateway/Leader.h
@@ -44,8 +44,7 @@
 
   Leader(Surroundings Around, RangeTimes Times, const RateTolerance &Tolerance)
       : Around(std::move(Around)), Times(Times), Tolerance(Tolerance),
-        Reserve(Tolerance),
-        Orders(this->Around.Io, this->Around.Protocol) {}
+        Reserve(Tolerance), Orders(this->Around.Io, this->Around.Protocol) {}
 
   /// Name of the object that holds a service's ranges.
   static auto rangeObject(const ServiceId &Service) -> std::string;
@@ -99,8 +98,7 @@
 
   /// Tells the other instances of the sender's data centre.
   auto addNeighbours(const FleetReport &From, FleetReply &Reply) const -> void;
-  auto serviceOf(const ServiceId &Id, const ServiceConfig &Config)
-      -> Service *;
+  auto serviceOf(const ServiceId &Id, const ServiceConfig &Config) -> Service *;
   auto viewOf(const ServiceId &Id, const Service &Own, TimePoint Now) const
       -> RangeKeeper::View;
   auto usualWorkMs(const Service &Own) const -> double;
--- a/lib/Gateway/OrderSender.cpp
+++ b/lib/Gateway/OrderSender.cpp
@@ -133,8 +133,7 @@
           ended(Current->Target);
         if (End != ExchangeEnd::Answered)
           return finish(Current, RangeAnswer::Unanswered, "");
-        const auto Handover =
-            Answer.Fields.find(Protocol.Orders.HandoverField);
+        const auto Handover = Answer.Fields.find(Protocol.Orders.HandoverField);
         if (Answer.Status == 200)
           return finish(Current, RangeAnswer::Accepted,
                         std::string(Handover.value_or("")));
@@ -156,7 +155,7 @@
   if (!Current->Connection) {
     // Not sent for fear of a restart.
   } else if (Answered && Current->Connection->reusable() &&
-      *Generation == Current->Started) {
+             *Generation == Current->Started) {
     Current->Connection->IdleSince = bootNow();
     Idle[lifeOf(Current->Target)].push_back(Current->Connection);
   } else {
--- a/lib/Gateway/OrderSender.h
+++ b/lib/Gateway/OrderSender.h
@@ -21,8 +21,7 @@
 /// tell so, since they are meant for its earlier life.
 class OrderSender {
 public:
-  using Handler =
-      std::function<void(RangeAnswer, const std::string &Handover)>;
+  using Handler = std::function<void(RangeAnswer, const std::string &Handover)>;
 
   OrderSender(boost::asio::io_context &Context,
               const PlatformProtocol &Protocol)
--- a/lib/Gateway/Protocol.h
+++ b/lib/Gateway/Protocol.h
@@ -86,9 +86,9 @@
 struct ObjectKinds {
   std::string Settings;     ///< Kind of the configuration object.
   std::string SettingsName; ///< Its name.
-  std::string Targets;           ///< Kind of the targets' records.
-  std::string Evacuations; ///< Kind of objects named after data centres.
-  std::string Own;         ///< Kind of the router's own objects.
+  std::string Targets;      ///< Kind of the targets' records.
+  std::string Evacuations;  ///< Kind of objects named after data centres.
+  std::string Own;          ///< Kind of the router's own objects.
 
   std::function<Result<Configuration>(const nlohmann::json &)>
       ReadConfiguration;
--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -75,8 +75,9 @@
 auto RequestFlow::start() -> void {
   const TimePoint Now = bootNow();
   Config = Context.Active;
-  RequestId = std::string(
-      Request.Head.Fields.find(Context.Protocol.Headers.RequestId).value_or(""));
+  RequestId =
+      std::string(Request.Head.Fields.find(Context.Protocol.Headers.RequestId)
+                      .value_or(""));
   EndAt = Now + DefaultDeadline;
   if (!identify())
     return;
@@ -127,8 +128,7 @@
   Priority = Route->Priority;
   if (Route->Open || Config->Config.Workspaces.empty())
     return true;
-  const auto Key =
-      Request.Head.Fields.find(Context.Protocol.Headers.CallerKey);
+  const auto Key = Request.Head.Fields.find(Context.Protocol.Headers.CallerKey);
   const auto *Entry = Key ? Config->Keys.find(*Key) : nullptr;
   if (!Entry) {
     refuse(RefusalReason::UnknownCallerKey);
@@ -142,8 +142,7 @@
 }
 
 auto RequestFlow::readDeadline(TimePoint Now) -> void {
-  const auto Told =
-      Request.Head.Fields.find(Context.Protocol.Headers.Deadline);
+  const auto Told = Request.Head.Fields.find(Context.Protocol.Headers.Deadline);
   const auto Milliseconds = Told ? number(*Told) : std::nullopt;
   CallerDeadline =
       Request.ReceivedAt +
@@ -175,7 +174,8 @@
 
 auto RequestFlow::holdLimit() const -> Duration {
   const Duration Latency = Route->TargetLatency;
-  return std::max(ShortestHold, Latency / (Key ? MoveHoldDivisor : HoldDivisor));
+  return std::max(ShortestHold,
+                  Latency / (Key ? MoveHoldDivisor : HoldDivisor));
 }
 
 auto RequestFlow::place() -> void {
@@ -227,9 +227,9 @@
   if (Ticket != 0)
     return;
   WaitUntil = std::min(EndAt, Now + holdLimit());
-  Ticket = Context.Waiting.add(
-      Service, Priority,
-      [Self = shared_from_this()] { return Self->tryPlace(); });
+  Ticket = Context.Waiting.add(Service, Priority, [Self = shared_from_this()] {
+    return Self->tryPlace();
+  });
   WaitTimer.expires_after(WaitUntil - Now);
   WaitTimer.async_wait(
       [Self = shared_from_this()](const boost::system::error_code &Cancelled) {
@@ -260,18 +260,16 @@
   LastTarget = Target->Record.Id;
   if (!Key)
     Tried.push_back(Target->Record.Id);
-  Context.Pool.acquire(
-      Target->Record, Idempotent ? Duration::max() : FreshIdle,
-      [Self = shared_from_this(), Sent](TargetPool::ConnectionPtr Ready,
-                                        bool Opened) {
-        Self->connected(Sent, std::move(Ready), Opened);
-      });
+  Context.Pool.acquire(Target->Record, Idempotent ? Duration::max() : FreshIdle,
+                       [Self = shared_from_this(),
+                        Sent](TargetPool::ConnectionPtr Ready, bool Opened) {
+                         Self->connected(Sent, std::move(Ready), Opened);
+                       });
 }
 
 auto RequestFlow::connected(const LegPtr &Sent, TargetPool::ConnectionPtr Ready,
                             bool Opened) -> void {
-  const bool Current =
-      std::find(Legs.begin(), Legs.end(), Sent) != Legs.end();
+  const bool Current = std::find(Legs.begin(), Legs.end(), Sent) != Legs.end();
   if (Done || !Current) {
     if (Ready)
       Context.Pool.release(Sent->Target->Record, Ready);
@@ -338,8 +336,8 @@
       HedgeFactor *
       static_cast<double>(
           Context.Targets.expected(*Sent.Target, bootNow()).count());
-  HedgeTimer.expires_after(Duration(static_cast<std::int64_t>(std::clamp(
-      Expected, EarliestHedge * Latency, LatestHedge * Latency))));
+  HedgeTimer.expires_after(Duration(static_cast<std::int64_t>(
+      std::clamp(Expected, EarliestHedge * Latency, LatestHedge * Latency))));
   HedgeTimer.async_wait(
       [Self = shared_from_this()](const boost::system::error_code &Cancelled) {
         if (!Cancelled && !Self->Done && Self->Legs.size() == 1 &&
@@ -390,8 +388,8 @@
   if (End != ExchangeEnd::Answered)
     return lost(Sent, End);
   const TimePoint Now = bootNow();
-  const bool Rejected = Answer.Fields.contains(Names.NotRun) ||
-                        Answer.Status == 421;
+  const bool Rejected =
+      Answer.Fields.contains(Names.NotRun) || Answer.Status == 421;
   const Duration Latency = Now - Sent->SentAt;
   Sent->Target->Load.ended(Rejected ? std::nullopt : std::optional(Latency),
                            Sent->QueueAtSend, Sent->Target->Record.Slots);
@@ -427,8 +425,8 @@
   if (!Legs.empty())
     return;
   if (Rejections >= MaxRejections ||
-      !Context.retries(Service).tryTake(
-          Context.Targets.fleetSize().assumed(), bootNow()))
+      !Context.retries(Service).tryTake(Context.Targets.fleetSize().assumed(),
+                                        bootNow()))
     return refuse(Misdirected ? RefusalReason::NoOwner
                               : RefusalReason::TargetShed);
   Context.Count.add(Misdirected ? RetryReason::RefusedNoLease
@@ -460,15 +458,14 @@
 
 auto RequestFlow::mayRepeat(TimePoint Now) -> bool {
   return committed() < Route->MaxAttempts && Now < EndAt &&
-         Context.retries(Service).tryTake(
-             Context.Targets.fleetSize().assumed(), Now);
+         Context.retries(Service).tryTake(Context.Targets.fleetSize().assumed(),
+                                          Now);
 }
 
 auto RequestFlow::endLeg(const LegPtr &Sent) -> void {
   std::erase(Legs, Sent);
-  const Duration Elapsed = Sent->SentAt == LongAgo
-                               ? Duration(0)
-                               : bootNow() - Sent->SentAt;
+  const Duration Elapsed =
+      Sent->SentAt == LongAgo ? Duration(0) : bootNow() - Sent->SentAt;
   Sent->Target->Load.abandoned(Elapsed, Sent->QueueAtSend,
                                Sent->Target->Record.Slots);
   if (Sent->Connection)
@@ -511,15 +508,14 @@
   Context.Count.add(MayHaveRun ? RequestOutcome::RefusedUnknown
                                : RequestOutcome::RefusedNotRun);
   CallerAnswer Out;
-  Out.Status = refusalStatus(
-      Reason, MayHaveRun ? RunStatus::Unknown : RunStatus::NotRun);
+  Out.Status = refusalStatus(Reason, MayHaveRun ? RunStatus::Unknown
+                                                : RunStatus::NotRun);
   if (!RequestId.empty())
     Out.Fields.add(Context.Protocol.Headers.RequestId, RequestId);
   Out.Fields.add("Btr-Refusal", std::string(RefusalReasonNames.name(Reason)));
   Out.Fields.add("Btr-Run",
-                 std::string(RunStatusNames.name(MayHaveRun
-                                                     ? RunStatus::Unknown
-                                                     : RunStatus::NotRun)));
+                 std::string(RunStatusNames.name(
+                     MayHaveRun ? RunStatus::Unknown : RunStatus::NotRun)));
   if (Out.Status == 503 || Out.Status == 429) {
     const Duration Wait =
         Reason == RefusalReason::OverRate
@@ -587,8 +583,9 @@
         .field("target_cold", Target->cold(Now));
   if (Key) {
     const auto View = Context.Ranges.find(Service);
-    Line.field("key", *Key).field(
-        "ranges", View == Context.Ranges.end() ? 0 : View->second.Revision);
+    Line.field("key", *Key)
+        .field("ranges",
+               View == Context.Ranges.end() ? 0 : View->second.Revision);
   }
   Context.Events.write(Line);
 }
--- a/lib/Gateway/StoreFeed.cpp
+++ b/lib/Gateway/StoreFeed.cpp
@@ -65,9 +65,9 @@
     Callbacks.OnContact(false, StoreStatusNames.name(Status).data());
   const double Factor = std::pow(2.0, std::min(Failures, 5U));
   ++Failures;
-  const auto Delay = std::min(
-      std::chrono::duration_cast<Duration>(FirstBackoff * Factor),
-      LongestBackoff);
+  const auto Delay =
+      std::min(std::chrono::duration_cast<Duration>(FirstBackoff * Factor),
+               LongestBackoff);
   later(std::chrono::duration_cast<Duration>(Delay *
                                              (0.75 + 0.5 * Random.unit())),
         &StoreFeed::list);
@@ -76,9 +76,9 @@
 auto StoreFeed::list() -> void {
   AskedAt = bootNow();
   Store.list(Settings.Kind,
-             [this, Living = Alive](StoreChanges Changes) {
+             [this, Living = Alive](const StoreChanges &Changes) {
                if (*Living)
-                 gotList(std::move(Changes));
+                 gotList(Changes);
              });
 }
 
@@ -93,7 +93,7 @@
   });
 }
 
-auto StoreFeed::gotList(StoreChanges Changes) -> void {
+auto StoreFeed::gotList(const StoreChanges &Changes) -> void {
   if (Changes.Status != StoreStatus::Done)
     return failed(Changes.Status);
   succeeded();
--- a/lib/Gateway/StoreFeed.h
+++ b/lib/Gateway/StoreFeed.h
@@ -68,7 +68,7 @@
 
 private:
   auto list() -> void;
-  auto gotList(StoreChanges Changes) -> void;
+  auto gotList(const StoreChanges &Changes) -> void;
   auto watch() -> void;
   auto gotChanges(const StoreChanges &Changes) -> void;
   auto apply(const StoredObject &Object) -> bool;
--- a/lib/Gateway/TargetConnection.h
+++ b/lib/Gateway/TargetConnection.h
@@ -19,8 +19,8 @@
   Malformed, ///< The target sent something that is no answer.
 };
 
-inline constexpr EnumNames<ExchangeEnd, 3>
-    ExchangeEndNames({"answered", "lost", "malformed"});
+inline constexpr EnumNames<ExchangeEnd, 3> ExchangeEndNames({"answered", "lost",
+                                                             "malformed"});
 
 struct TargetAnswer {
   unsigned Status = 0;
--- a/lib/IO/HttpExchange.cpp
+++ b/lib/IO/HttpExchange.cpp
@@ -95,20 +95,19 @@
 auto HttpExchange::connect() -> void {
   if (Options.ConnectLimit < Options.TimeLimit)
     armTimer(Options.ConnectLimit);
-  Socket.async_connect(Client->Endpoint,
-                       [Self = shared_from_this()](error_code Code) {
-                         if (Self->Finished)
-                           return;
-                         if (Code) {
-                           Self->fail("cannot connect: " + Code.message());
-                           return;
-                         }
-                         detectSilence(Self->Socket, UnacknowledgedLimit);
-                         if (Self->Options.ConnectLimit <
-                             Self->Options.TimeLimit)
-                           Self->armTimer(Self->Options.TimeLimit);
-                         Self->write();
-                       });
+  Socket.async_connect(
+      Client->Endpoint, [Self = shared_from_this()](error_code Code) {
+        if (Self->Finished)
+          return;
+        if (Code) {
+          Self->fail("cannot connect: " + Code.message());
+          return;
+        }
+        detectSilence(Self->Socket, UnacknowledgedLimit);
+        if (Self->Options.ConnectLimit < Self->Options.TimeLimit)
+          Self->armTimer(Self->Options.TimeLimit);
+        Self->write();
+      });
 }
 
 auto HttpExchange::write() -> void {
--- a/tests/support/FakeObjectStore.h
+++ b/tests/support/FakeObjectStore.h
@@ -152,12 +152,12 @@
     }
     auto Timer = std::make_shared<boost::asio::steady_timer>(Context);
     Timer->expires_after(std::chrono::milliseconds(5));
-    Timer->async_wait([this, Timer, Kind, Revision, Until,
-                       Done = std::move(Done)](
-                          const boost::system::error_code &Cancelled) mutable {
-      if (!Cancelled)
-        poll(Kind, Revision, Until, std::move(Done));
-    });
+    Timer->async_wait(
+        [this, Timer, Kind, Revision, Until, Done = std::move(Done)](
+            const boost::system::error_code &Cancelled) mutable {
+          if (!Cancelled)
+            poll(Kind, Revision, Until, std::move(Done));
+        });
   }
 
   boost::asio::io_context &Context;
--- a/tests/support/GatewayPath.cpp
+++ b/tests/support/GatewayPath.cpp
@@ -48,8 +48,8 @@
 GatewayPath::GatewayPath() {
   auto Made = Gateway::create(
       settings(), protocol(),
-      [this](boost::asio::io_context &Context, const std::string &)
-          -> Result<std::unique_ptr<ObjectStore>> {
+      [this](boost::asio::io_context &Context,
+             const std::string &) -> Result<std::unique_ptr<ObjectStore>> {
         return std::unique_ptr<ObjectStore>(
             std::make_unique<FakeObjectStore>(Context, Contents));
       });
@@ -103,8 +103,9 @@
 }
 
 auto GatewayPath::waitUntilServing() -> bool {
-  return eventually(
-      [this] { return exchange("GET", "/safe/ping", "", "", "ping").has(" 200 "); });
+  return eventually([this] {
+    return exchange("GET", "/safe/ping", "", "", "ping").has(" 200 ");
+  });
 }
 
 auto GatewayPath::connect() -> RawCaller {
@@ -116,8 +117,9 @@
 auto GatewayPath::request(const std::string &Method, const std::string &Path,
                           const std::string &Id, const std::string &Fields,
                           const std::string &Body) -> std::string {
-  std::string Text = Method + " " + Path + " HTTP/1.1\r\nHost: h\r\nAttempt-Id: " +
-                     Id + "\r\nDeadline-Ms: 3000\r\nApi-Key: secret\r\n" + Fields;
+  std::string Text = Method + " " + Path +
+                     " HTTP/1.1\r\nHost: h\r\nAttempt-Id: " + Id +
+                     "\r\nDeadline-Ms: 3000\r\nApi-Key: secret\r\n" + Fields;
   if (!Body.empty())
     Text += "Content-Length: " + std::to_string(Body.size()) + "\r\n";
   return Text + "\r\n" + Body;
@@ -148,7 +150,8 @@
 auto GatewayPath::answering(const std::string &Body, const std::string &Fields,
                             int Status) -> ScriptedTarget::Script {
   return [=](ScriptedTarget::Tcp::socket &To, const std::string &Request) {
-    return ScriptedTarget::send(To, answer(idOf(Request), Body, Fields, Status));
+    return ScriptedTarget::send(To,
+                                answer(idOf(Request), Body, Fields, Status));
   };
 }
 
--- a/tests/support/GatewayPath.h
+++ b/tests/support/GatewayPath.h
@@ -23,8 +23,8 @@
 
   auto store() -> StoreContents & { return *Contents; }
   auto addTarget(const std::string &Service, const std::string &Name,
-                 const ScriptedTarget &Target, const std::string &State = "ready",
-                 int Sequence = 1) -> void;
+                 const ScriptedTarget &Target,
+                 const std::string &State = "ready", int Sequence = 1) -> void;
   /// Writes the configuration with a version; \p Service is that of /safe/.
   auto configure(int Version, const std::string &Service = "pay") -> void;
   /// Waits until the instance serves the safe route.
--- a/tests/support/RangeWorld.h
+++ b/tests/support/RangeWorld.h
@@ -15,10 +15,10 @@
 
 /// Faults of one schedule.
 struct RangeFaults {
-  double LostOrder = 0.02;   ///< The order never arrives.
-  double LostAnswer = 0.02;  ///< The order arrives, its answer does not.
-  double LateOrder = 0.02;   ///< Accepted on arrival, takes effect later.
-  double LostWrite = 0.05;   ///< The write's answer is lost.
+  double LostOrder = 0.02;     ///< The order never arrives.
+  double LostAnswer = 0.02;    ///< The order arrives, its answer does not.
+  double LateOrder = 0.02;     ///< Accepted on arrival, takes effect later.
+  double LostWrite = 0.05;     ///< The write's answer is lost.
   double LeaderChange = 0.002; ///< In each step of 10 ms.
   double TargetRestart = 0.002;
   double TargetCut = 0.002; ///< Unreachable for some seconds.
@@ -207,7 +207,7 @@
 
   auto order(Process &Own, const RangeCall &Call) -> void {
     const auto Weak = find(Own);
-    const auto finish = [this, Weak, Call](Duration After, RangeAnswer Answer,
+    const auto Finish = [this, Weak, Call](Duration After, RangeAnswer Answer,
                                            const std::string &Handover) {
       at(After, [this, Weak, Call, Answer, Handover] {
         const auto Own = Weak.lock();
@@ -220,21 +220,21 @@
     };
     const Target &To = Targets.at(Call.Target.str());
     if (To.Life != Call.StartedAt || Now < To.CutUntil)
-      return finish(Timeout, RangeAnswer::NotSent, "");
+      return Finish(Timeout, RangeAnswer::NotSent, "");
     if (Random.chance(Faults.LostOrder))
-      return finish(Timeout, RangeAnswer::Unanswered, "");
+      return Finish(Timeout, RangeAnswer::Unanswered, "");
     const bool AnswerLost = Random.chance(Faults.LostAnswer);
-    const bool Late = Call.What == RangeCall::Kind::Grant &&
-                      Random.chance(Faults.LateOrder);
-    at(delay(), [this, Call, AnswerLost, Late, finish] {
+    const bool Late =
+        Call.What == RangeCall::Kind::Grant && Random.chance(Faults.LateOrder);
+    at(delay(), [this, Call, AnswerLost, Late, Finish] {
       const TimePoint Arrived = Now;
       if (Late) {
         at(std::chrono::milliseconds(500 + Random.below(4000)),
            [this, Call, Arrived] { apply(Call, Arrived); });
-        return finish(Timeout, RangeAnswer::Unanswered, "");
+        return Finish(Timeout, RangeAnswer::Unanswered, "");
       }
       const RangeAnswer Answer = apply(Call, Arrived);
-      finish(AnswerLost ? Timeout : delay(),
+      Finish(AnswerLost ? Timeout : delay(),
              AnswerLost ? RangeAnswer::Unanswered : Answer, "state");
     });
   }
@@ -252,9 +252,8 @@
     for (std::uint32_t Key = Call.From; Key <= Call.To; ++Key)
       if (To.Fences[Key] > Call.Fence)
         return RangeAnswer::Refused;
-    const TimePoint End =
-        Arrived +
-        std::chrono::duration_cast<Duration>(Call.Hold * To.ClockRate);
+    const TimePoint End = Arrived + std::chrono::duration_cast<Duration>(
+                                        Call.Hold * To.ClockRate);
     for (std::uint32_t Key = Call.From; Key <= Call.To; ++Key) {
       To.Fences[Key] = Call.Fence;
       To.HeldUntil[Key] = std::max(To.HeldUntil[Key], End);
@@ -282,9 +281,15 @@
         if (Held == Each.HeldUntil.end() || Held->second <= Now)
           continue;
         if (!Holder.empty())
-          return "key " + std::to_string(Key) + " is held by " + Holder +
-                 " and " + Id + " at " +
-                 std::to_string(Now.time_since_epoch().count() / 1000) + " ms";
+          return std::string("key ")
+              .append(std::to_string(Key))
+              .append(" is held by ")
+              .append(Holder)
+              .append(" and ")
+              .append(Id)
+              .append(" at ")
+              .append(std::to_string(Now.time_since_epoch().count() / 1000))
+              .append(" ms");
         Holder = Id;
       }
     }
--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -92,6 +92,7 @@
 
 auto planTargets(int Count) -> std::vector<PlanTarget> {
   std::vector<PlanTarget> Targets;
+  Targets.reserve(static_cast<std::size_t>(Count));
   for (int Index = 0; Index < Count; ++Index)
     Targets.push_back({TargetId("t" + std::to_string(Index)), 1, 4, true});
   return Targets;
--- a/tests/unit/GatewayTest.cpp
+++ b/tests/unit/GatewayTest.cpp
@@ -13,10 +13,7 @@
 using Socket = ScriptedTarget::Tcp::socket;
 
 auto closing() -> ScriptedTarget::Script {
-  return [](Socket &, const std::string &Request) {
-    // Pings keep the instance serving while the test waits.
-    return false && Request.empty();
-  };
+  return [](Socket &, const std::string &) { return false; };
 }
 
 /// Requests at a target but the pings of waitUntilServing().
@@ -42,14 +39,16 @@
   Path.addTarget("pay", "t1", Target);
   Path.configure(1);
   ASSERT_TRUE(Path.waitUntilServing());
-  const auto View = Path.exchange("GET", "/safe/1?x=2",
-                                  "Tenant: other\r\nExpect-Instance: t9\r\n"
-                                  "Connection: X-Hop\r\nX-Hop: 1\r\nX-Kept: 7\r\n");
+  const auto View =
+      Path.exchange("GET", "/safe/1?x=2",
+                    "Tenant: other\r\nExpect-Instance: t9\r\n"
+                    "Connection: X-Hop\r\nX-Hop: 1\r\nX-Kept: 7\r\n");
   ASSERT_TRUE(View.has("HTTP/1.1 200")) << View.Bytes;
   EXPECT_TRUE(View.has("Response-Signature: s.a1"));
   ASSERT_EQ(requestsAt(Target).size(), 1U);
   const std::string Seen = requestsAt(Target).front();
-  EXPECT_TRUE(Seen.starts_with("GET /safe/1?x=2 HTTP/1.1\r\nHost: h\r\n")) << Seen;
+  EXPECT_TRUE(Seen.starts_with("GET /safe/1?x=2 HTTP/1.1\r\nHost: h\r\n"))
+      << Seen;
   EXPECT_NE(Seen.find("Tenant: acme\r\n"), std::string::npos) << Seen;
   EXPECT_NE(Seen.find("Expect-Instance: t1\r\n"), std::string::npos) << Seen;
   EXPECT_NE(Seen.find("X-Kept: 7\r\n"), std::string::npos) << Seen;
@@ -85,9 +84,8 @@
   Path.addTarget("pay", "t1", First);
   Path.addTarget("pay", "t2", Second);
   Path.configure(1);
-  ASSERT_TRUE(eventually([&] {
-    return !Path.exchange("GET", "/none/1").has("HTTP/1.1 503");
-  }));
+  ASSERT_TRUE(eventually(
+      [&] { return !Path.exchange("GET", "/none/1").has("HTTP/1.1 503"); }));
   const auto View = Path.exchange("POST", "/unsafe/1", "", "body");
   EXPECT_TRUE(View.has("HTTP/1.1 502")) << View.Bytes;
   EXPECT_EQ(requestsAt(First).size() + requestsAt(Second).size(), 1U);
@@ -120,9 +118,8 @@
   Path.addTarget("pay", "t2", Second);
   Path.addTarget("pay", "t3", Third);
   Path.configure(1);
-  ASSERT_TRUE(eventually([&] {
-    return Path.exchange("GET", "/safe/0").has("HTTP/1.1 500");
-  }));
+  ASSERT_TRUE(eventually(
+      [&] { return Path.exchange("GET", "/safe/0").has("HTTP/1.1 500"); }));
   std::map<std::string, int> Runs;
   for (int Count = 0; Count < 20; ++Count)
     Path.exchange("GET", "/safe/1", "", "", "r" + std::to_string(Count));
@@ -138,8 +135,10 @@
   GatewayPath Path;
   Path.addTarget("pay", "t1", Full);
   Path.configure(1);
-  ASSERT_TRUE(eventually([&] { return !Full.requests().empty() ||
-      Path.exchange("POST", "/unsafe/0").has("Btr-Refusal: t"); }));
+  ASSERT_TRUE(eventually([&] {
+    return !Full.requests().empty() ||
+           Path.exchange("POST", "/unsafe/0").has("Btr-Refusal: t");
+  }));
   const auto View = Path.exchange("POST", "/unsafe/1", "", "body");
   EXPECT_TRUE(View.has("HTTP/1.1 503")) << View.Bytes;
   EXPECT_TRUE(View.has("Retry-After: ")) << View.Bytes;
@@ -152,7 +151,8 @@
     // The stray answer arrives together with the next one.
     const std::string Stray =
         Id == "a2" ? GatewayPath::answer("a1", "stray") : "";
-    return ScriptedTarget::send(To, Stray + GatewayPath::answer(Id, "for " + Id));
+    return ScriptedTarget::send(To,
+                                Stray + GatewayPath::answer(Id, "for " + Id));
   });
   GatewayPath Path;
   Path.addTarget("pay", "t1", Target);
@@ -208,7 +208,8 @@
     const std::string Id = GatewayPath::idOf(Request);
     if (Id == "p1")
       std::this_thread::sleep_for(80ms);
-    return ScriptedTarget::send(To, GatewayPath::answer(Id, "body-" + Id + ";"));
+    return ScriptedTarget::send(To,
+                                GatewayPath::answer(Id, "body-" + Id + ";"));
   });
   GatewayPath Path;
   Path.addTarget("pay", "t1", Target);
@@ -278,18 +279,19 @@
   Path.addTarget("other", "t2", Other);
   Path.configure(5);
   ASSERT_TRUE(Path.waitUntilServing());
-  const auto served = [&](const char *Body) {
-    return eventually([&] { return Path.exchange("GET", "/safe/1").has(Body); });
+  const auto Served = [&](const char *Body) {
+    return eventually(
+        [&] { return Path.exchange("GET", "/safe/1").has(Body); });
   };
-  EXPECT_TRUE(served("from pay"));
+  EXPECT_TRUE(Served("from pay"));
   Path.configure(9, "other");
-  EXPECT_TRUE(served("from other"));
+  EXPECT_TRUE(Served("from other"));
   Path.store().set("config", "main", {{"version", "r20"}, {"clusters", 7}});
   Path.configure(8, "pay");
   std::this_thread::sleep_for(400ms);
   EXPECT_TRUE(Path.exchange("GET", "/safe/1").has("from other"));
   Path.configure(21, "pay");
-  EXPECT_TRUE(served("from pay"));
+  EXPECT_TRUE(Served("from pay"));
 }
 
 TEST(GatewayTest, DrainingAndRemovedTargetsGetNoNewRequests) {
@@ -344,8 +346,8 @@
     if (Grants++ == 0)
       RecordedFirst =
           Path.store().value("buckthornring", "ranges.stock").has_value();
-    return ScriptedTarget::send(
-        To, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    return ScriptedTarget::send(To,
+                                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
   });
   Path.addTarget("stock", "o1", Owner);
   Path.configure(1);
@@ -364,7 +366,7 @@
   std::atomic<bool> End = false;
   std::atomic<std::int64_t> EndedAt = 0;
   std::atomic<std::int64_t> NextAt = 0;
-  const auto nowMs = [] {
+  const auto NowMs = [] {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
                std::chrono::steady_clock::now().time_since_epoch())
         .count();
@@ -375,13 +377,13 @@
       return true;
     ++Grants;
     if (EndedAt != 0 && NextAt == 0)
-      NextAt = nowMs();
+      NextAt = NowMs();
     if (End.exchange(false)) {
-      EndedAt = nowMs();
+      EndedAt = NowMs();
       return false;
     }
-    return ScriptedTarget::send(
-        To, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    return ScriptedTarget::send(To,
+                                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
   });
   Path.addTarget("stock", "o1", Owner);
   Path.configure(1);
--- a/tests/unit/PlatformTest.cpp
+++ b/tests/unit/PlatformTest.cpp
@@ -58,13 +58,14 @@
 }
 
 TEST(PlatformTest, ConfigurationWithAnyMistakeIsRefusedAsAWhole) {
-  for (const char *Change :
-       {R"([{"op":"replace","path":"/version","value":"12"}])",
-        R"([{"op":"replace","path":"/version","value":"r"}])",
-        R"([{"op":"remove","path":"/listeners/0/route_rules/0/match"}])",
-        R"([{"op":"replace","path":"/tenants/0/api_keys","value":7}])",
-        R"([{"op":"replace","path":"/listeners/0/route_rules/0/action/timeout_s","value":-1}])",
-        R"([{"op":"remove","path":"/clusters"}])"})
+  for (
+      const char *Change :
+      {R"([{"op":"replace","path":"/version","value":"12"}])",
+       R"([{"op":"replace","path":"/version","value":"r"}])",
+       R"([{"op":"remove","path":"/listeners/0/route_rules/0/match"}])",
+       R"([{"op":"replace","path":"/tenants/0/api_keys","value":7}])",
+       R"([{"op":"replace","path":"/listeners/0/route_rules/0/action/timeout_s","value":-1}])",
+       R"([{"op":"remove","path":"/clusters"}])"})
     EXPECT_FALSE(
         platform::readConfiguration(configuration().patch(Json::parse(Change))))
         << Change;
@@ -94,8 +95,8 @@
       R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,
           "state":"ready","seq":7,"born":17})");
   ASSERT_TRUE(target(Good));
-  for (const char *Field : {"service", "address", "zone", "slots", "state",
-                            "seq"}) {
+  for (const char *Field :
+       {"service", "address", "zone", "slots", "state", "seq"}) {
     Json Missing = Good;
     Missing.erase(Field);
     EXPECT_FALSE(target(Missing)) << Field;
--- a/tests/unit/TargetTableTest.cpp
+++ b/tests/unit/TargetTableTest.cpp
@@ -108,14 +108,14 @@
 }
 
 /// Requests that all instances together send to one cold target in a second.
-auto coldRequests(std::uint32_t Instances, std::uint32_t Near_) -> int {
+auto coldRequests(std::uint32_t Instances, std::uint32_t InNear) -> int {
   int Sent = 0;
   for (std::uint32_t Index = 0; Index < Instances; ++Index) {
     TargetTable::Settings Settings;
     Settings.Instance = InstanceId("i" + std::to_string(Index));
-    Settings.DataCentre = Index < Near_ ? Near : Far;
+    Settings.DataCentre = Index < InNear ? Near : Far;
     TargetTable Table(Settings, Index);
-    Table.setFleetSize({Instances, Index < Near_ ? Near_ : 1});
+    Table.setFleetSize({Instances, Index < InNear ? InNear : 1});
     Table.setColdLimits({{Service, {7.8 * 1.5 + 5, seconds(3)}}});
     auto Cold = record("a", Near);
     Cold.ColdLeft = seconds(3);
