--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -39,8 +39,9 @@
 /// and queue several times a second.
 constexpr Duration LoadInterval = std::chrono::milliseconds(40);
 
-/// Requests asked for at once, so that a busy workspace asks less often.
-constexpr std::uint32_t WantedAtOnce = 2;
+/// Requests asked for at once. Those that an instance does not use soon are
+/// lost to the workspace, and most instances need one at a time.
+constexpr std::uint32_t WantedAtOnce = 1;
 
 /// Time for the leader's answer; it takes a few milliseconds.
 constexpr Duration AnswerLimit = std::chrono::milliseconds(40);
