--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -16,7 +16,12 @@
 
 /// Time after the store's return within which records that lapsed meanwhile
 /// may come back: the platform promises about two seconds.
-constexpr Duration ReturnTime = std::chrono::milliseconds(2300);
+constexpr Duration ReturnTime = std::chrono::milliseconds(2000);
+
+/// Longest pause between calls for the targets' records while the store does
+/// not answer. An instance that was cut off has 3 s after its return to know of
+/// targets that left meanwhile, ReturnTime included.
+constexpr Duration TargetBackoff = std::chrono::milliseconds(500);
 
 constexpr Duration PeerCallLimit = std::chrono::milliseconds(1000);
 
@@ -45,6 +50,8 @@
   StoreFeed::Options Options;
   Options.Kind = Kind;
   Options.Seed = std::hash<std::string>()(Process + Kind);
+  if (Kind == Protocol.Kinds.Targets)
+    Options.LongestBackoff = TargetBackoff;
   Handlers.OnContact = [this, Kind](bool Connected, const char *Reason) {
     contact(Kind, Connected, Reason);
   };
--- a/lib/Gateway/StoreFeed.cpp
+++ b/lib/Gateway/StoreFeed.cpp
@@ -20,7 +20,6 @@
 constexpr Duration ShortestOutage = std::chrono::milliseconds(500);
 
 constexpr Duration FirstBackoff = std::chrono::milliseconds(150);
-constexpr Duration LongestBackoff = std::chrono::milliseconds(1200);
 
 } // namespace
 
@@ -67,7 +66,7 @@
   ++Failures;
   const auto Delay =
       std::min(std::chrono::duration_cast<Duration>(FirstBackoff * Factor),
-               LongestBackoff);
+               Settings.LongestBackoff);
   later(std::chrono::duration_cast<Duration>(Delay *
                                              (0.75 + 0.5 * Random.unit())),
         &StoreFeed::list);
--- a/lib/Gateway/StoreFeed.h
+++ b/lib/Gateway/StoreFeed.h
@@ -22,6 +22,8 @@
     /// Longest wait of one watch; its answer proves contact with the store.
     Duration WatchWait = std::chrono::seconds(25);
     std::uint64_t Seed = 1;
+    /// Longest pause between calls while the store does not answer.
+    Duration LongestBackoff = std::chrono::milliseconds(1200);
   };
   struct Handlers {
     /// All objects as they are now.
--- a/tests/unit/StoreFeedTest.cpp
+++ b/tests/unit/StoreFeedTest.cpp
@@ -42,7 +42,7 @@
 class StoreFeedTest : public testing::Test {
 protected:
   StoreFeedTest()
-      : Feed(Io, Store, {"servers", 1s, 1},
+      : Feed(Io, Store, {"servers", 1s, 1, 1200ms},
              {[this](const auto &Objects) { Whole = Objects.size(); },
               [this](const StoredObject &Object) {
                 Changed.push_back(Object.Name);
@@ -120,6 +120,23 @@
   EXPECT_GE(Pauses.back(), 600ms);
 }
 
+TEST_F(StoreFeedTest, PausesStayWithinTheirLimit) {
+  ManualStore Other;
+  StoreFeed Quick(Io, Other, {"servers", 1s, 1, 200ms},
+                  {[](const auto &) {}, [](const StoredObject &) {},
+                   [](bool, const char *) {}});
+  Quick.start();
+  for (int Count = 0; Count < 5; ++Count) {
+    const TimePoint Refused = bootNow();
+    Other.answer({StoreStatus::Refused, {}, 0});
+    while (Other.Calls.empty()) {
+      Io.restart();
+      Io.run_one();
+    }
+    EXPECT_LE(bootNow() - Refused, 400ms);
+  }
+}
+
 // A cut watch is not an outage: a record that is missing after it is gone.
 TEST_F(StoreFeedTest, CutWatchIsNoOutage) {
   Store.answer(done({object("a", 3)}, 10));
