Wait for the first grant in the test of recorded ownership

Trace: the log shows the record written and the request answered in the same millisecond; the scripted owner serves requests without a grant, so the test looked at its result before the thread with the first grant had set it. The test was wrong; it checks the same as before, after waiting for the grant.

--- a/tests/unit/GatewayTest.cpp
+++ b/tests/unit/GatewayTest.cpp
@@ -343,9 +343,10 @@
     if (!Request.starts_with("POST /v1/grant"))
       return ScriptedTarget::send(
           To, GatewayPath::answer(GatewayPath::idOf(Request), "owned"));
-    if (Grants++ == 0)
+    if (Grants == 0)
       RecordedFirst =
           Path.store().value("buckthornring", "ranges.stock").has_value();
+    ++Grants;
     return ScriptedTarget::send(To,
                                 "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
   });
@@ -354,6 +355,8 @@
   EXPECT_TRUE(eventually([&] {
     return Path.exchange("GET", "/owned/1", "Shard-Key: 4711\r\n").has("owned");
   }));
+  // The scripted owner answers requests without looking at grants.
+  ASSERT_TRUE(eventually([&] { return Grants >= 1; }));
   EXPECT_TRUE(RecordedFirst);
   EXPECT_TRUE(Path.exchange("GET", "/owned/1").has("HTTP/1.1 400"));
   // The grant is renewed while the target lives.
