Remove accessors and state that nothing uses in the gateway

Found by reading the change once more: eight accessors of the gateway and the fleet core without a caller, the time of the last contact that only one of them read, and a cold time that was set and never read. The authority of a leader was checked by two copies of one condition. Datagrams that are no messages were counted but shown nowhere; they are a metric now. No decision changes; the tests keep their assertions (two initialisers lost the unused field).

--- a/lib/Fleet/RangeKeeper.cpp
+++ b/lib/Fleet/RangeKeeper.cpp
@@ -199,9 +199,14 @@
   return false;
 }
 
+auto RangeKeeper::hasAuthority(TimePoint ConfirmedAt, TimePoint Now) const
+    -> bool {
+  return !TakingOver && Now - ConfirmedAt <= Times.Authority;
+}
+
 auto RangeKeeper::nextRelease(const TargetId &Target, TimePoint ConfirmedAt,
                               TimePoint Now) -> std::optional<RangeCall> {
-  if (TakingOver || Now - ConfirmedAt > Times.Authority)
+  if (!hasAuthority(ConfirmedAt, Now))
     return std::nullopt;
   for (std::size_t Index = 0; Index < Current.Ranges.size(); ++Index) {
     const KeyRange &Range = Current.Ranges[Index];
@@ -225,7 +230,7 @@
 
 auto RangeKeeper::nextGrant(const TargetId &Target, TimePoint ConfirmedAt,
                             TimePoint Now) -> std::optional<RangeCall> {
-  if (TakingOver || Now - ConfirmedAt > Times.Authority)
+  if (!hasAuthority(ConfirmedAt, Now))
     return std::nullopt;
   const auto Life = Seen.Lives.find(Target);
   for (std::size_t Index = 0; Index < Current.Ranges.size(); ++Index) {
--- a/lib/Fleet/RangeKeeper.h
+++ b/lib/Fleet/RangeKeeper.h
@@ -148,6 +148,8 @@
   auto stateOf(const RangeRecord &Record, const KeyRange &Range) const -> State;
   /// The record without the donors that can hold nothing any more.
   auto withoutSettledDonors(TimePoint Now) const -> RangeRecord;
+  /// Whether this leader may still give orders.
+  auto hasAuthority(TimePoint ConfirmedAt, TimePoint Now) const -> bool;
   auto proposedAway(const KeyRange &Range) const -> bool;
   auto granted(const RangeCall &Call, RangeAnswer Answer, TimePoint Now)
       -> void;
--- a/lib/Fleet/SlidingCount.h
+++ b/lib/Fleet/SlidingCount.h
@@ -21,9 +21,6 @@
     return Events.size();
   }
 
-  /// Time of the oldest event in the window; count() must not be zero.
-  auto oldest() const -> TimePoint { return Events.front(); }
-
 private:
   Duration Window;
   std::deque<TimePoint> Events;
--- a/lib/Fleet/TargetTable.h
+++ b/lib/Fleet/TargetTable.h
@@ -31,7 +31,6 @@
 /// whole fleet.
 struct ColdLimit {
   double RequestsPerSecond = 0;
-  Duration Lasts{0}; ///< Longest cold time, used when none is told.
 };
 
 /// One target as this instance sees it.
--- a/lib/Gateway/CallerSession.cpp
+++ b/lib/Gateway/CallerSession.cpp
@@ -113,8 +113,6 @@
   readHead();
 }
 
-auto CallerSession::pending() const -> std::size_t { return Io->Slots.size(); }
-
 auto CallerSession::armTimer(Duration Limit) -> void {
   Io->TimedOut = false;
   Io->Timer.expires_after(Limit);
--- a/lib/Gateway/CallerSession.h
+++ b/lib/Gateway/CallerSession.h
@@ -68,8 +68,6 @@
   /// one. An idle connection is closed at once when \p CloseIdle is set.
   auto drain(bool CloseIdle) -> void;
 
-  auto pending() const -> std::size_t;
-
 private:
   struct State;
   std::unique_ptr<State> Io;
--- a/lib/Gateway/FleetMember.h
+++ b/lib/Gateway/FleetMember.h
@@ -56,10 +56,6 @@
   /// Gives up the lead and tells the others.
   auto leave() -> void;
 
-  auto leader() const -> const LeaderInfo & { return Current; }
-  /// When the leader last answered.
-  auto lastReply() const -> TimePoint { return LastReply; }
-
   static constexpr const char *LeaderObject = "leader";
 
 private:
--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -123,8 +123,7 @@
   std::unordered_map<ServiceId, ColdLimit> Cold;
   for (const auto &[Id, Service] : Accepted.Services)
     Cold[Id] = {Service.ColdRequestsPerSecond * Settings.Bounds.ColdExcess +
-                    Settings.Bounds.ColdSlack,
-                Service.ColdStartRamp};
+                Settings.Bounds.ColdSlack};
   Targets.setColdLimits(std::move(Cold));
   Requests.Rates.configure(Accepted, Now);
   Requests.Splits.reset();
@@ -335,6 +334,9 @@
   Text.counterFamily("btr_ignored_records_total",
                      "Target records that could not be used");
   Text.sample({}, BadRecords);
+  Text.counterFamily("btr_malformed_messages_total",
+                     "Datagrams that were no messages of an instance");
+  Text.sample({}, Peers->malformed());
   Text.gaugeFamily("btr_leading", "Whether this instance leads");
   Text.sample({}, std::uint64_t{Lead->leading() ? 1U : 0U});
   Text.gaugeFamily("btr_store_reachable", "Whether the store answers");
--- a/lib/Gateway/Leader.h
+++ b/lib/Gateway/Leader.h
@@ -61,7 +61,6 @@
   auto confirmed(TimePoint At) -> void {
     ConfirmedAt = std::max(ConfirmedAt, At);
   }
-  auto confirmedAt() const -> TimePoint { return ConfirmedAt; }
 
   /// Takes an instance's report and returns the answer.
   auto report(const FleetReport &From, const std::string &Address,
@@ -74,8 +73,6 @@
   /// Plans, writes and orders what is due.
   auto tick(const Configuration &Config) -> void;
 
-  auto instances() const -> std::size_t { return Members.size(); }
-
 private:
   struct Member {
     std::string Address;
--- a/lib/Gateway/StoreFeed.cpp
+++ b/lib/Gateway/StoreFeed.cpp
@@ -47,7 +47,6 @@
 auto StoreFeed::succeeded() -> void {
   if (Loaded && !Connected && AskedAt - LostAt > ShortestOutage)
     OutageEndedAt = AskedAt;
-  LastContact = bootNow();
   KnownAt = std::max(KnownAt, AskedAt);
   Failures = 0;
   if (std::exchange(Connected, true))
--- a/lib/Gateway/StoreFeed.h
+++ b/lib/Gateway/StoreFeed.h
@@ -50,8 +50,6 @@
 
   auto loaded() const -> bool { return Loaded; }
   auto connected() const -> bool { return Connected; }
-  /// When the store was last heard of.
-  auto lastContact() const -> TimePoint { return LastContact; }
   /// What the store held at this time is known: when the last answered call
   /// was sent. The answer itself may have been held up on its way.
   auto knownAt() const -> TimePoint { return KnownAt; }
@@ -88,7 +86,6 @@
   std::map<std::string, StoredObject> Objects;
   std::uint64_t Revision = 0;
   std::uint64_t LastChange = 0;
-  TimePoint LastContact = LongAgo;
   TimePoint LostAt = LongAgo;
   TimePoint OutageEndedAt = LongAgo;
   TimePoint AskedAt = LongAgo;
--- a/lib/Gateway/TargetPool.h
+++ b/lib/Gateway/TargetPool.h
@@ -34,7 +34,6 @@
   /// Closes the kept connections of a target.
   auto forget(const TargetId &Target) -> void;
   auto closeIdle(TimePoint Now) -> void;
-  auto closeAll() -> void { Idle.clear(); }
 
   auto opened() const -> std::uint64_t { return Opened; }
 
--- a/tests/unit/TargetTableTest.cpp
+++ b/tests/unit/TargetTableTest.cpp
@@ -116,7 +116,7 @@
     Settings.DataCentre = Index < InNear ? Near : Far;
     TargetTable Table(Settings, Index);
     Table.setFleetSize({Instances, Index < InNear ? InNear : 1});
-    Table.setColdLimits({{Service, {7.8 * 1.5 + 5, seconds(3)}}});
+    Table.setColdLimits({{Service, {7.8 * 1.5 + 5}}});
     auto Cold = record("a", Near);
     Cold.ColdLeft = seconds(3);
     Table.apply(Cold, Start);
@@ -146,7 +146,7 @@
 // After many instances had restarted at once, each assumed a part of its own.
 TEST(TargetTableTest, ColdTargetGetsNothingFromAnInstanceThatKnowsNoFleet) {
   auto Table = table();
-  Table.setColdLimits({{Service, {7.8 * 1.5 + 5, seconds(3)}}});
+  Table.setColdLimits({{Service, {7.8 * 1.5 + 5}}});
   auto Cold = record("a", Near);
   Cold.ColdLeft = seconds(3);
   Table.apply(Cold, Start);
