Share the check of idle connections and do two pieces of work once

Found by reading the change once more: the peek that tells whether an idle connection can be reused stood three times (HttpExchange, UpstreamConnection, TargetConnection) and is brokenWhileIdle in lib/IO now; a request's head was copied twice when it has a body; a load notice was encoded once per neighbour. The factor of the time for a request's body has a name. No decision changes.

--- a/lib/Gateway/CallerSession.cpp
+++ b/lib/Gateway/CallerSession.cpp
@@ -26,6 +26,10 @@
 /// on when one of them is done.
 constexpr std::size_t MaxPipelined = 16;
 
+/// Time for a request's body, in multiples of the configured time for its head;
+/// the configuration limits the body's size only.
+constexpr int BodyTimeFactor = 4;
+
 /// Time in which a caller has to read an answer.
 constexpr Duration WriteStall = std::chrono::seconds(5);
 
@@ -89,6 +93,7 @@
   boost::beast::flat_buffer Buffer;
   std::optional<Parser> Request;
   std::uint64_t TimerRound = 0;
+  RequestHead Head;
   TimePoint HeadAt;
   std::deque<Slot> Slots;
   std::string Out;
@@ -166,15 +171,15 @@
 
 auto CallerSession::gotHead() -> void {
   Io->HeadAt = bootNow();
-  for (const auto &Field : Io->Request->get())
-    if (sameHeaderName(std::string(Field.name_string()), "Transfer-Encoding") &&
-        !sameHeaderName(std::string(Field.value()), "chunked"))
+  Io->Head = readHeadOf(*Io->Request);
+  for (const auto &[Name, Value] : Io->Head.Fields)
+    if (sameHeaderName(Name, "Transfer-Encoding") &&
+        !sameHeaderName(Value, "chunked"))
       return failRead(400);
   if (Io->Request->is_done())
     return gotRequest();
-  armTimer(Io->Limits.HeadTimeout * 4);
-  if (!readHeadOf(*Io->Request).ExpectsContinue || !Io->Slots.empty() ||
-      Io->Writing)
+  armTimer(Io->Limits.HeadTimeout * BodyTimeFactor);
+  if (!Io->Head.ExpectsContinue || !Io->Slots.empty() || Io->Writing)
     return readBody();
   Io->Out = "HTTP/1.1 100 Continue\r\n\r\n";
   Io->Writing = true;
@@ -210,7 +215,7 @@
 auto CallerSession::gotRequest() -> void {
   disarmTimer();
   CallerRequest Request;
-  Request.Head = readHeadOf(*Io->Request);
+  Request.Head = std::move(Io->Head);
   Request.Body = std::move(Io->Request->get().body());
   Request.ReceivedAt = Io->HeadAt;
   const std::uint64_t Number = ++Io->LastNumber;
--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -159,9 +159,8 @@
 }
 
 auto FleetMember::sendLoads() -> void {
-  const LoadNotice Notice{std::exchange(Around.Requests.LoadsSeen, {})};
-  for (const std::string &Address : Neighbours)
-    Around.Peers.send(Address, Notice);
+  Around.Peers.sendAll(
+      Neighbours, LoadNotice{std::exchange(Around.Requests.LoadsSeen, {})});
 }
 
 auto FleetMember::gotLoads(const LoadNotice &Notice) -> void {
--- a/lib/Gateway/PeerSocket.cpp
+++ b/lib/Gateway/PeerSocket.cpp
@@ -51,15 +51,18 @@
       });
 }
 
-auto PeerSocket::send(const std::string &To, const FleetMessage &Message)
-    -> void {
-  const auto Endpoint = parseEndpoint(To);
-  if (!Endpoint)
-    return;
+auto PeerSocket::sendAll(const std::vector<std::string> &To,
+                         const FleetMessage &Message) -> void {
   const std::string Bytes = encodeFleetMessage(Message);
-  error_code Lost;
-  Socket.send_to(boost::asio::buffer(Bytes),
-                 udp::endpoint(Endpoint->address(), Endpoint->port()), 0, Lost);
+  for (const std::string &Address : To) {
+    const auto Endpoint = parseEndpoint(Address);
+    if (!Endpoint)
+      continue;
+    error_code Lost;
+    Socket.send_to(boost::asio::buffer(Bytes),
+                   udp::endpoint(Endpoint->address(), Endpoint->port()), 0,
+                   Lost);
+  }
 }
 
 } // namespace buckthornring
--- a/lib/Gateway/PeerSocket.h
+++ b/lib/Gateway/PeerSocket.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace buckthornring {
 
@@ -28,7 +29,11 @@
   auto operator=(const PeerSocket &) -> PeerSocket & = delete;
 
   /// Sends without blocking; a message that the kernel refuses is lost.
-  auto send(const std::string &To, const FleetMessage &Message) -> void;
+  auto send(const std::string &To, const FleetMessage &Message) -> void {
+    sendAll({To}, Message);
+  }
+  auto sendAll(const std::vector<std::string> &To, const FleetMessage &Message)
+      -> void;
 
   auto malformed() const -> std::uint64_t { return Malformed; }
 
--- a/lib/Gateway/TargetConnection.cpp
+++ b/lib/Gateway/TargetConnection.cpp
@@ -12,7 +12,6 @@
 
 #include <charconv>
 #include <optional>
-#include <sys/socket.h>
 
 namespace buckthornring {
 
@@ -177,10 +176,7 @@
 }
 
 auto TargetConnection::brokenWhileIdle() const -> bool {
-  char Peeked = 0;
-  const auto Count =
-      ::recv(Io->Socket.native_handle(), &Peeked, 1, MSG_PEEK | MSG_DONTWAIT);
-  return Count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+  return buckthornring::brokenWhileIdle(Io->Socket);
 }
 
 auto TargetConnection::idleLimit() const -> Duration { return Io->IdleLimit; }
--- a/lib/IO/HttpExchange.cpp
+++ b/lib/IO/HttpExchange.cpp
@@ -9,8 +9,6 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 
-#include <sys/socket.h>
-
 namespace buckthornring {
 
 namespace http = boost::beast::http;
@@ -22,15 +20,6 @@
 /// Sent data without acknowledgement for this long means a dead connection.
 constexpr Duration UnacknowledgedLimit = std::chrono::seconds(2);
 
-// A response that waits on an idle connection belongs to no request, and an
-// end of stream means that the server has closed it.
-auto isUsable(tcp::socket &Socket) -> bool {
-  char Byte = 0;
-  const auto Count =
-      ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 } // namespace
 
 auto HttpClientState::takeIdle(Duration MaxAge) -> std::optional<tcp::socket> {
@@ -38,7 +27,7 @@
     auto Last = std::move(Idle.back());
     Idle.pop_back();
     if (std::chrono::steady_clock::now() - Last.Since <= MaxAge &&
-        isUsable(Last.Socket))
+        !brokenWhileIdle(Last.Socket))
       return std::move(Last.Socket);
   }
   return std::nullopt;
--- a/lib/IO/SocketOptions.cpp
+++ b/lib/IO/SocketOptions.cpp
@@ -1,7 +1,9 @@
 #include "IO/SocketOptions.h"
 
+#include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace buckthornring {
 
@@ -31,4 +33,11 @@
             static_cast<int>(Unacknowledged.count() / 1000));
 }
 
+auto brokenWhileIdle(boost::asio::ip::tcp::socket &Socket) -> bool {
+  char Peeked = 0;
+  const auto Count =
+      ::recv(Socket.native_handle(), &Peeked, 1, MSG_PEEK | MSG_DONTWAIT);
+  return Count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 } // namespace buckthornring
--- a/lib/IO/SocketOptions.h
+++ b/lib/IO/SocketOptions.h
@@ -15,4 +15,8 @@
 auto detectSilence(boost::asio::ip::tcp::socket &Socket,
                    Duration Unacknowledged) -> void;
 
+/// Whether the peer has closed an idle connection, or sent bytes that belong to
+/// no request; such a connection must not be reused.
+auto brokenWhileIdle(boost::asio::ip::tcp::socket &Socket) -> bool;
+
 } // namespace buckthornring
--- a/lib/IO/UpstreamConnection.cpp
+++ b/lib/IO/UpstreamConnection.cpp
@@ -1,5 +1,7 @@
 #include "IO/UpstreamConnection.h"
 
+#include "IO/SocketOptions.h"
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -10,7 +12,6 @@
 
 #include <array>
 #include <optional>
-#include <sys/socket.h>
 
 namespace buckthornring {
 
@@ -164,10 +165,7 @@
 }
 
 auto UpstreamConnection::brokenWhileIdle() const -> bool {
-  char Peeked = 0;
-  const auto Count =
-      ::recv(Io->Socket.native_handle(), &Peeked, 1, MSG_PEEK | MSG_DONTWAIT);
-  return Count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+  return buckthornring::brokenWhileIdle(Io->Socket);
 }
 
 auto UpstreamConnection::close() -> void {
