Let instances of the largest size lead, use late answers of the reserve, and let feeds follow each other's contact

Ruled out: rates too small (the parts of small rates are left to the reserve as a whole, RateSharesTest), an empty reserve (its answers come within a millisecond). Change: the settings tell an instance's part of a core; smaller instances wait longer before they claim the lead; an answer has 100 ms, and one that is late is used for the next requests.

--- a/lib/Fleet/FleetMessage.cpp
+++ b/lib/Fleet/FleetMessage.cpp
@@ -66,6 +66,7 @@
           {"h", Report.NeighboursKnown},
           {"c", encodeSeen(Report.Seen)},
           {"m", Report.SpanMs},
+          {"g", Report.Capacity},
           {"w", encodeMap(Report.Demand)},
           {"k", encodeMap(Report.Keys)},
           {"b", encodeMap(Report.WorkMs)}};
@@ -80,6 +81,7 @@
           {"f", Reply.SeenFrom},
           {"n", Reply.Instances},
           {"z", Reply.InDataCentre},
+          {"g", Reply.LargestCapacity},
           {"h", Reply.NeighboursVersion},
           {"a", Reply.Neighbours},
           {"q", Reply.PartsKnown},
@@ -136,6 +138,7 @@
   Report.Leaving = Value.at("x").get<bool>();
   Report.NeighboursKnown = Value.at("h").get<std::uint64_t>();
   Report.Seen = decodeSeen(Value.at("c"));
+  Report.Capacity = Value.at("g").get<double>();
   Report.SpanMs = Value.at("m").get<std::uint32_t>();
   Report.Demand = decodeMap<WorkspaceId, std::uint32_t>(Value.at("w"));
   Report.Keys = decodeMap<ServiceId, std::vector<std::uint32_t>>(Value.at("k"));
@@ -152,6 +155,7 @@
   Reply.SeenFrom = Value.at("f").get<std::string>();
   Reply.Instances = Value.at("n").get<std::uint32_t>();
   Reply.InDataCentre = Value.at("z").get<std::uint32_t>();
+  Reply.LargestCapacity = Value.at("g").get<double>();
   Reply.NeighboursVersion = Value.at("h").get<std::uint64_t>();
   Reply.Neighbours = Value.at("a").get<std::vector<std::string>>();
   Reply.PartsKnown = Value.at("q").get<bool>();
--- a/lib/Fleet/FleetMessage.h
+++ b/lib/Fleet/FleetMessage.h
@@ -42,6 +42,7 @@
   bool Leaving = false;
   std::uint64_t NeighboursKnown = 0; ///< FleetReply::NeighboursVersion.
   SeenChanges Seen;
+  double Capacity = 0;      ///< Part of a core that the sender may use.
   std::uint32_t SpanMs = 0; ///< Time that the counts cover.
   std::map<WorkspaceId, std::uint32_t> Demand;
   std::map<ServiceId, std::vector<std::uint32_t>> Keys;
@@ -59,6 +60,7 @@
   std::string SeenFrom;  ///< Address of an instance that has seen it.
   std::uint32_t Instances = 1;
   std::uint32_t InDataCentre = 1; ///< Of the receiver.
+  double LargestCapacity = 0;     ///< Of all instances.
   /// Changes with the instances of the receiver's data centre.
   std::uint64_t NeighboursVersion = 0;
   /// Addresses of the others there, unless the receiver knows them.
--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -24,6 +24,12 @@
 /// and the others see it.
 constexpr Duration LongestStagger = std::chrono::milliseconds(300);
 
+/// Further wait of an instance that is small against the largest one, so that
+/// instances of the largest size claim first.
+constexpr Duration LongestCapacityDelay = std::chrono::milliseconds(300);
+/// Size of the largest instance that is assumed before a leader has told it.
+constexpr double AssumedCapacity = 0.5;
+
 /// A leader without contact to the store for this long is replaced.
 constexpr Duration StoreLossLimit = std::chrono::milliseconds(800);
 
@@ -43,8 +49,13 @@
 /// lost to the workspace, and most instances need one at a time.
 constexpr std::uint32_t WantedAtOnce = 1;
 
-/// Time for the leader's answer; it takes a few milliseconds.
-constexpr Duration AnswerLimit = std::chrono::milliseconds(40);
+/// Time for the leader's answer. It takes a few milliseconds, but an instance
+/// that has used up its share of the processor stands still for up to 100 ms.
+constexpr Duration AnswerLimit = std::chrono::milliseconds(100);
+
+/// Questions without an answer that are remembered; beyond them the oldest
+/// answers were surely lost.
+constexpr std::size_t MaxUnanswered = 64;
 
 /// Time after an empty reserve in which it is not asked again.
 constexpr Duration EmptyPause = std::chrono::milliseconds(150);
@@ -97,6 +108,7 @@
   Report.Leaving = Leaving;
   Report.NeighboursKnown = NeighboursVersion;
   Report.Seen = Around.Seen();
+  Report.Capacity = Around.Capacity;
   const Duration Span =
       ReportedAt == LongAgo ? ReportInterval : Now - ReportedAt;
   Report.SpanMs = static_cast<std::uint32_t>(Span.count() / 1000);
@@ -192,17 +204,30 @@
   Asked.Timer.expires_after(AnswerLimit);
   Asked.Timer.async_wait([this, Workspace, Number = Asked.Number](
                              const boost::system::error_code &Cancelled) {
-    // The answer may have come while this call was already queued.
     if (!Cancelled)
-      gotAnswer({Workspace, 0, Number});
+      questionTimedOut(Workspace, Number);
   });
 }
 
+auto FleetMember::questionTimedOut(const WorkspaceId &Workspace,
+                                   std::uint64_t Number) -> void {
+  const auto Asked = Questions.find(Workspace);
+  // The answer may have come while this call was already queued.
+  if (Asked == Questions.end() || Asked->second.Number != Number)
+    return;
+  Unanswered.insert(Number);
+  if (Unanswered.size() > MaxUnanswered)
+    Unanswered.erase(Unanswered.begin());
+  endQuestion(Workspace, 0);
+}
+
 auto FleetMember::gotAnswer(const RateAnswer &Answer) -> void {
   const auto Asked = Questions.find(Answer.Workspace);
-  // A late answer's requests are lost rather than used twice.
   if (Asked != Questions.end() && Asked->second.Number == Answer.Number)
-    endQuestion(Answer.Workspace, Answer.Granted);
+    return endQuestion(Answer.Workspace, Answer.Granted);
+  // A late answer's requests are there for the next ones, once.
+  if (Unanswered.erase(Answer.Number) > 0)
+    Around.Requests.Rates.topUp(Answer.Workspace, Answer.Granted, bootNow());
 }
 
 auto FleetMember::endQuestion(const WorkspaceId &Workspace,
@@ -263,6 +288,7 @@
     NeighboursVersion = Reply.NeighboursVersion;
     Neighbours = Reply.Neighbours;
   }
+  LargestCapacity = Reply.LargestCapacity;
   if (!Reply.PartsKnown)
     return;
   Around.Requests.Targets.setFleetSize({Reply.Instances, Reply.InDataCentre});
@@ -357,8 +383,7 @@
     return;
   }
   if (ClaimAt == LongAgo) {
-    const auto Stagger =
-        std::chrono::duration_cast<Duration>(LongestStagger * Random.unit());
+    const Duration Stagger = claimDelay();
     ClaimAt = Now + Stagger;
     // One who knows for certain goes first.
     if (Orphaned)
@@ -374,6 +399,15 @@
     claim();
 }
 
+auto FleetMember::claimDelay() -> Duration {
+  const double Largest = LargestCapacity > 0
+                             ? LargestCapacity
+                             : std::max(AssumedCapacity, Around.Capacity);
+  const double Smaller = 1 - std::min(1.0, Around.Capacity / Largest);
+  return std::chrono::duration_cast<Duration>(LongestStagger * Random.unit() +
+                                              LongestCapacityDelay * Smaller);
+}
+
 auto FleetMember::claim() -> void {
   Claiming = true;
   ClaimedAt = bootNow();
--- a/lib/Gateway/FleetMember.h
+++ b/lib/Gateway/FleetMember.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,7 @@
     PeerSocket &Peers;
     LeaderInfo Self; ///< Without a term.
     DataCentreId DataCentre;
+    double Capacity; ///< Part of a core that the process may use.
     /// This instance leads from now on.
     std::function<void()> Started;
     std::function<SeenChanges()> Seen;
@@ -68,9 +70,14 @@
   auto sendLoads() -> void;
   auto gotLoads(const LoadNotice &Notice) -> void;
   auto gotAnswer(const RateAnswer &Answer) -> void;
+  auto questionTimedOut(const WorkspaceId &Workspace, std::uint64_t Number)
+      -> void;
   auto endQuestion(const WorkspaceId &Workspace, std::uint32_t Granted) -> void;
   auto applyReply(const FleetReply &Reply) -> void;
   auto compareSeen(const SeenChanges &Others, const std::string &From) -> void;
+  /// Wait before a claim. Larger instances go first: the leader's work grows
+  /// with the fleet.
+  auto claimDelay() -> Duration;
   auto considerClaim(TimePoint Now) -> void;
   auto claim() -> void;
   auto follow(LeaderInfo Next) -> void;
@@ -89,6 +96,9 @@
   Surroundings Around;
   std::map<WorkspaceId, Question> Questions;
   std::uint64_t LastQuestion = 0;
+  /// Questions whose answers may still come.
+  std::set<std::uint64_t> Unanswered;
+  double LargestCapacity = 0; ///< Of the fleet, as last told.
   boost::asio::steady_timer Timer;
   boost::asio::steady_timer ClaimTimer;
   boost::asio::steady_timer LoadTimer;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -155,7 +155,7 @@
       FleetMember::Surroundings{
           Requests, *Store, *OwnFeed, *Lead, *Peers,
           LeaderInfo{Settings.Instance, Process, Settings.PeerAddress, 0},
-          Settings.DataCentre,
+          Settings.DataCentre, Settings.ProcessorShare,
           [this] {
             TickTimer.expires_after(Duration(0));
             armTick();
--- a/lib/Gateway/GatewaySettings.cpp
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -13,6 +13,7 @@
 
 constexpr double LongestSeconds = 3600;
 constexpr double LargestCount = 1e6;
+constexpr double LargestShare = 1024; ///< Cores of a large machine.
 
 auto seconds(FieldReader &Fields, const std::string &Key, Duration &Out)
     -> void {
@@ -58,6 +59,8 @@
   Root.address("ready_address", Out.ReadyAddress, 0);
   Root.address("peer_address", Out.PeerAddress, 0);
   Root.address("store_address", Out.StoreAddress, 1);
+  Root.number("processor_share", Out.ProcessorShare, 0.001, LargestShare,
+              Presence::Required);
   if (!Root.has("bounds"))
     Root.report("bounds", "nothing", "an object");
   Root.object("bounds",
--- a/lib/Gateway/GatewaySettings.h
+++ b/lib/Gateway/GatewaySettings.h
@@ -30,6 +30,8 @@
   /// For messages between instances, their state and metrics.
   std::string PeerAddress;
   std::string StoreAddress;
+  /// Part of a core that the process may use. Larger instances lead.
+  double ProcessorShare = 1;
   FleetBounds Bounds;
 
   /// Checks the document and reports all errors at once.
--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -19,9 +19,11 @@
 constexpr Duration ReturnTime = std::chrono::milliseconds(2000);
 
 /// Longest pause between calls for the targets' records while the store does
-/// not answer. An instance that was cut off has 3 s after its return to know of
-/// targets that left meanwhile, ReturnTime included.
-constexpr Duration TargetBackoff = std::chrono::milliseconds(500);
+/// not answer; the feeds of other kinds follow at once. An instance that was
+/// cut off has 3 s after its return to know of targets that left meanwhile,
+/// ReturnTime and a call to an unreachable store included.
+constexpr Duration TargetBackoff = std::chrono::milliseconds(300);
+constexpr Duration OtherBackoff = std::chrono::milliseconds(2400);
 
 constexpr Duration PeerCallLimit = std::chrono::milliseconds(1000);
 
@@ -50,8 +52,8 @@
   StoreFeed::Options Options;
   Options.Kind = Kind;
   Options.Seed = std::hash<std::string>()(Process + Kind);
-  if (Kind == Protocol.Kinds.Targets)
-    Options.LongestBackoff = TargetBackoff;
+  Options.LongestBackoff =
+      Kind == Protocol.Kinds.Targets ? TargetBackoff : OtherBackoff;
   Handlers.OnContact = [this, Kind](bool Connected, const char *Reason) {
     contact(Kind, Connected, Reason);
   };
@@ -95,6 +97,11 @@
       EventLine(Connected ? "store-contact-regained" : "store-contact-lost")
           .field("kind", Kind)
           .field("reason", Reason));
+  if (!Connected)
+    return;
+  for (const auto *Feed :
+       {&ConfigurationFeed, &TargetFeed, &EvacuationFeed, &OwnFeed})
+    (*Feed)->retry();
 }
 
 auto Gateway::Parts::configurationChanged(const StoredObject &Object) -> void {
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -76,7 +76,8 @@
   if (From.Leaving)
     Members.erase(From.Instance);
   else
-    Members[From.Instance] = {Address, From.DataCentre, From.Seen, Now};
+    Members[From.Instance] = {Address, From.DataCentre, From.Capacity,
+                              From.Seen, Now};
   std::erase_if(Members, [Now](const auto &Entry) {
     return Now - Entry.second.At > MemberLifetime;
   });
@@ -116,6 +117,7 @@
       }));
   addNeighbours(From, Reply);
   for (const auto &[Id, Other] : Members) {
+    Reply.LargestCapacity = std::max(Reply.LargestCapacity, Other.Capacity);
     const SeenChanges &Seen = Other.Seen;
     const bool Newer = Seen.Configuration > Reply.Seen.Configuration ||
                        Seen.Targets > Reply.Seen.Targets ||
--- a/lib/Gateway/Leader.h
+++ b/lib/Gateway/Leader.h
@@ -77,6 +77,7 @@
   struct Member {
     std::string Address;
     DataCentreId DataCentre;
+    double Capacity = 0;
     SeenChanges Seen;
     TimePoint At;
   };
--- a/lib/Gateway/StoreFeed.cpp
+++ b/lib/Gateway/StoreFeed.cpp
@@ -19,6 +19,10 @@
 /// by an answer to the next call, sooner than this.
 constexpr Duration ShortestOutage = std::chrono::milliseconds(500);
 
+/// Age of a call without an answer that is repeated once the store is known to
+/// be reachable; it answers in a few milliseconds.
+constexpr Duration CallPatience = std::chrono::milliseconds(100);
+
 constexpr Duration FirstBackoff = std::chrono::milliseconds(150);
 
 } // namespace
@@ -63,6 +67,7 @@
     Callbacks.OnContact(false, StoreStatusNames.name(Status).data());
   const double Factor = std::pow(2.0, std::min(Failures, 5U));
   ++Failures;
+  Pausing = true;
   const auto Delay =
       std::min(std::chrono::duration_cast<Duration>(FirstBackoff * Factor),
                Settings.LongestBackoff);
@@ -73,11 +78,19 @@
 
 auto StoreFeed::list() -> void {
   AskedAt = bootNow();
-  Store.list(Settings.Kind,
-             [this, Living = Alive](const StoreChanges &Changes) {
-               if (*Living)
-                 gotList(Changes);
-             });
+  Pausing = false;
+  Store.list(Settings.Kind, [this, Number = ++CallNumber,
+                             Living = Alive](const StoreChanges &Changes) {
+    if (*Living && Number == CallNumber)
+      gotList(Changes);
+  });
+}
+
+auto StoreFeed::retry() -> void {
+  if (Connected || (!Pausing && bootNow() - AskedAt < CallPatience))
+    return;
+  Timer.cancel();
+  list();
 }
 
 auto StoreFeed::refresh() -> void {
@@ -116,8 +129,9 @@
 auto StoreFeed::watch() -> void {
   AskedAt = bootNow();
   Store.watch(Settings.Kind, Revision, Settings.WatchWait,
-              [this, Living = Alive](const StoreChanges &Changes) {
-                if (*Living)
+              [this, Number = ++CallNumber,
+               Living = Alive](const StoreChanges &Changes) {
+                if (*Living && Number == CallNumber)
                   gotChanges(Changes);
               });
 }
--- a/lib/Gateway/StoreFeed.h
+++ b/lib/Gateway/StoreFeed.h
@@ -45,6 +45,10 @@
   auto applyFromPeer(const std::vector<StoredObject> &Objects,
                      std::uint64_t Revision) -> void;
 
+  /// The store was reached by another feed: asks at once instead of after the
+  /// pause, or instead of waiting for a call that was sent before.
+  auto retry() -> void;
+
   /// Reads all objects once more, beside the watch.
   auto refresh() -> void;
 
@@ -91,6 +95,8 @@
   TimePoint AskedAt = LongAgo;
   TimePoint KnownAt = LongAgo;
   std::uint32_t Failures = 0;
+  std::uint64_t CallNumber = 0; ///< Of the call whose answer counts.
+  bool Pausing = false;         ///< Between a failed call and the next one.
   bool Loaded = false;
   bool Connected = false;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -185,6 +185,7 @@
   "instance": "i1", "data_centre": "dc1",
   "caller_address": "127.0.0.1:80", "ready_address": "127.0.0.1:81",
   "peer_address": "127.0.0.1:82", "store_address": "127.0.0.1:83",
+  "processor_share": 0.2,
   "bounds": {"retry_ratio": 0.2, "retry_slack": 62, "retry_window_s": 10,
              "rate_excess": 0.1, "rate_slack": 20, "rate_window_s": 5,
              "cold_excess": 1.5, "cold_slack": 5, "stop_grace_s": 6,
@@ -196,6 +197,7 @@
   ASSERT_TRUE(Read) << settingsErrorText(Read.Errors);
   EXPECT_EQ(Read.Value->Instance.str(), "i1");
   EXPECT_EQ(Read.Value->PeerAddress, "127.0.0.1:82");
+  EXPECT_EQ(Read.Value->ProcessorShare, 0.2);
   EXPECT_EQ(Read.Value->Bounds.Retries.Slack, 62);
   EXPECT_EQ(Read.Value->Bounds.Rates.Window, seconds(5));
   EXPECT_EQ(Read.Value->Bounds.StopGrace, seconds(6));
@@ -210,7 +212,7 @@
   ASSERT_FALSE(Read);
   const std::string Errors = settingsErrorText(Read.Errors);
   for (const char *Part : {"s.json:2: instance", "s.json:4: store_address",
-                           "s.json:5: bounds/retry_slack"})
+                           "s.json:6: bounds/retry_slack"})
     EXPECT_NE(Errors.find(Part), std::string::npos) << Errors;
 }
 
--- a/tests/unit/StoreFeedTest.cpp
+++ b/tests/unit/StoreFeedTest.cpp
@@ -137,6 +137,32 @@
   }
 }
 
+// Each feed used to wait for the end of its own pause. An instance that was cut
+// off then read the targets' records up to 0.8 s after its first contact and
+// kept records of targets that had left for too long.
+TEST_F(StoreFeedTest, AsksAtOnceWhenTheStoreWasReachedElsewhere) {
+  for (int Count = 0; Count < 4; ++Count) {
+    waitForCall();
+    Store.answer({StoreStatus::Unreachable, {}, 0});
+  }
+  Feed.retry();
+  EXPECT_EQ(Store.Calls.size(), 1U);
+  // A call that has just been sent is not repeated, one that hangs is.
+  Feed.retry();
+  EXPECT_EQ(Store.Calls.size(), 1U);
+  std::this_thread::sleep_for(150ms);
+  Feed.retry();
+  ASSERT_EQ(Store.Calls.size(), 2U);
+  // The answer to the earlier call no longer counts.
+  Store.answer({StoreStatus::Unreachable, {}, 0});
+  Store.answer(done({object("a", 3)}, 10));
+  EXPECT_EQ(Whole, 1U);
+  EXPECT_TRUE(Feed.connected());
+  Feed.retry();
+  waitForCall();
+  EXPECT_TRUE(Store.Calls.front().Watch);
+}
+
 // A cut watch is not an outage: a record that is missing after it is gone.
 TEST_F(StoreFeedTest, CutWatchIsNoOutage) {
   Store.answer(done({object("a", 3)}, 10));
