Do not pass on requests whose callers have already left

The close was already waiting behind the request in the socket. Ruled out: late withdrawal of running work (GatewayTest.WorkOfALeavingCallerIsWithdrawn). Change: before a request is taken, the connection is checked for its end; a connection on which no further request is read is watched for its end too, which it was not.

--- a/lib/Gateway/CallerSession.cpp
+++ b/lib/Gateway/CallerSession.cpp
@@ -214,6 +214,10 @@
 
 auto CallerSession::gotRequest() -> void {
   disarmTimer();
+  // An instance without processor time reads requests after their callers have
+  // given up.
+  if (Io->Buffer.size() == 0 && endedByPeer(Io->Socket))
+    return left();
   CallerRequest Request;
   Request.Head = std::move(Io->Head);
   Request.Body = std::move(Io->Request->get().body());
@@ -225,9 +229,22 @@
   if (!KeepAlive)
     Io->StopReading = true;
   Io->Handler.received(shared_from_this(), Number, std::move(Request));
+  if (!KeepAlive)
+    return watchForLeaving();
   readHead();
 }
 
+auto CallerSession::watchForLeaving() -> void {
+  if (Io->Ended || Io->Buffer.size() > 0)
+    return;
+  Io->Socket.async_wait(asio::ip::tcp::socket::wait_read,
+                        [Self = shared_from_this()](const error_code &Failure) {
+                          if (!Failure && !Self->Io->Ended &&
+                              endedByPeer(Self->Io->Socket))
+                            Self->left();
+                        });
+}
+
 auto CallerSession::failRead(unsigned Status) -> void {
   if (Status == 0)
     return left();
--- a/lib/Gateway/CallerSession.h
+++ b/lib/Gateway/CallerSession.h
@@ -76,6 +76,8 @@
   auto gotHead() -> void;
   auto readBody() -> void;
   auto gotRequest() -> void;
+  /// Notices a caller that leaves after the last request that is read.
+  auto watchForLeaving() -> void;
   auto failRead(unsigned Status) -> void;
   auto armTimer(Duration Limit) -> void;
   auto disarmTimer() -> void;
--- a/lib/IO/SocketOptions.cpp
+++ b/lib/IO/SocketOptions.cpp
@@ -19,6 +19,19 @@
       ::setsockopt(Descriptor, Level, Name, &Value, sizeof(Value)));
 }
 
+/// What the next read from a connection would find.
+enum class Input { None, Bytes, End };
+
+auto peek(boost::asio::ip::tcp::socket &Socket) -> Input {
+  char Peeked = 0;
+  const auto Count =
+      ::recv(Socket.native_handle(), &Peeked, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (Count > 0)
+    return Input::Bytes;
+  const bool Empty = Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return Empty ? Input::None : Input::End;
+}
+
 } // namespace
 
 auto detectSilence(boost::asio::ip::tcp::socket &Socket,
@@ -34,10 +47,11 @@
 }
 
 auto brokenWhileIdle(boost::asio::ip::tcp::socket &Socket) -> bool {
-  char Peeked = 0;
-  const auto Count =
-      ::recv(Socket.native_handle(), &Peeked, 1, MSG_PEEK | MSG_DONTWAIT);
-  return Count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+  return peek(Socket) != Input::None;
+}
+
+auto endedByPeer(boost::asio::ip::tcp::socket &Socket) -> bool {
+  return peek(Socket) == Input::End;
 }
 
 } // namespace buckthornring
--- a/lib/IO/SocketOptions.h
+++ b/lib/IO/SocketOptions.h
@@ -19,4 +19,8 @@
 /// no request; such a connection must not be reused.
 auto brokenWhileIdle(boost::asio::ip::tcp::socket &Socket) -> bool;
 
+/// Whether the peer has closed or reset the connection and all bytes that it
+/// sent before have been read.
+auto endedByPeer(boost::asio::ip::tcp::socket &Socket) -> bool;
+
 } // namespace buckthornring
--- /dev/null
+++ b/tests/unit/CallerSessionTest.cpp
@@ -0,0 +1,97 @@
+#include "Gateway/CallerSession.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+using namespace buckthornring;
+using namespace std::chrono_literals;
+using boost::asio::ip::tcp;
+
+namespace {
+
+/// Counts what a session reports and leaves all requests unanswered.
+class CountingHandler final : public CallerHandler {
+public:
+  auto received(const std::shared_ptr<CallerSession> &, std::uint64_t,
+                CallerRequest) -> void override {
+    ++Received;
+  }
+  auto callerLeft(const CallerSession &, std::uint64_t) -> void override {
+    ++Left;
+  }
+  auto unreadable(unsigned) -> CallerAnswer override { return {}; }
+  auto sessionEnded(const std::shared_ptr<CallerSession> &) -> void override {
+    ++Ended;
+  }
+
+  int Received = 0;
+  int Left = 0;
+  int Ended = 0;
+};
+
+class CallerSessionTest : public testing::Test {
+protected:
+  CallerSessionTest()
+      : Listener(Io, {boost::asio::ip::address_v4::loopback(), 0}), Caller(Io) {
+    Caller.connect(Listener.local_endpoint());
+    Session = std::make_shared<CallerSession>(Listener.accept(), Handler,
+                                              RequestLimits());
+  }
+
+  auto send(const std::string &Bytes) -> void {
+    boost::asio::write(Caller, boost::asio::buffer(Bytes));
+  }
+  /// Runs the session until the condition holds.
+  template <class Condition>
+  auto runUntil(Condition Holds) -> bool {
+    const auto Deadline = std::chrono::steady_clock::now() + 5s;
+    while (!Holds() && std::chrono::steady_clock::now() < Deadline) {
+      Io.restart();
+      Io.run_one_for(100ms);
+    }
+    return Holds();
+  }
+
+  boost::asio::io_context Io;
+  tcp::acceptor Listener;
+  tcp::socket Caller;
+  CountingHandler Handler;
+  std::shared_ptr<CallerSession> Session;
+};
+
+// An instance without processor time reads a request only after its caller has
+// given up. The request used to be sent to a target all the same.
+TEST_F(CallerSessionTest, RequestOfACallerThatHasLeftIsNotPassedOn) {
+  send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  Caller.close();
+  Session->start();
+  EXPECT_TRUE(runUntil([this] { return Handler.Ended == 1; }));
+  EXPECT_EQ(Handler.Received, 0);
+}
+
+// A connection on which no further request is read used not to tell that its
+// caller had left.
+TEST_F(CallerSessionTest, LeavingCallerIsNoticedAfterTheLastRequest) {
+  Session->start();
+  send("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  ASSERT_TRUE(runUntil([this] { return Handler.Received == 1; }));
+  Caller.close();
+  EXPECT_TRUE(runUntil([this] { return Handler.Left == 1; }));
+  EXPECT_EQ(Handler.Ended, 1);
+}
+
+// Bytes behind the last request are not read and do not end it.
+TEST_F(CallerSessionTest, BytesBehindTheLastRequestAreNoDeparture) {
+  Session->start();
+  send("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\nGET /b ");
+  ASSERT_TRUE(runUntil([this] { return Handler.Received == 1; }));
+  send("HTTP/1.1\r\n");
+  Io.restart();
+  Io.run_for(200ms);
+  EXPECT_EQ(Handler.Left, 0);
+  EXPECT_EQ(Handler.Received, 1);
+}
+
+} // namespace
