Use parts of the rates by the recorded size of the fleet until a leader tells them

Each new process assumed a fleet of 16 instances and used a sixteenth of the rate until the new leader had told the parts, 1.5 to 3 s later; sixty or more of them used nearly four times the divided rate. Ruled out: the reserve of the new leader (it starts with 15% of the window's room), parts of instances that go on (none did). Change: the leader keeps the number of instances in an object of the store, written when it grows or halves; a new process uses an equal part by that number, and none while it knows no number.

--- a/lib/Fleet/RateShares.cpp
+++ b/lib/Fleet/RateShares.cpp
@@ -55,7 +55,9 @@
 }
 
 auto dividedPart(double Room, std::uint32_t Instances) -> double {
-  const double Depth = UsedRoom * DividedPart * Room / std::max(1U, Instances);
+  if (Instances == 0)
+    return 0;
+  const double Depth = UsedRoom * DividedPart * Room / Instances;
   return Depth >= SmallestDepth ? DividedPart : 0;
 }
 
@@ -91,15 +93,26 @@
     Own.Room = rateRoom(Workspace, Tolerance);
     Own.Kept = 0;
     if (Added)
-      Own.Part = 1.0 / std::max(1U, Instances);
+      Own.Part = Instances == 0 ? 0 : 1.0 / Instances;
     refill(Own, Now);
   }
 }
 
+auto RateShares::assumeInstances(std::uint32_t Count, TimePoint Now) -> void {
+  if (PartsTold || Count == 0)
+    return;
+  for (auto &[Id, Own] : Buckets) {
+    refill(Own, Now);
+    Own.Part = 1.0 / Count;
+  }
+  Instances = Count;
+}
+
 auto RateShares::setParts(const std::map<WorkspaceId, double> &Parts,
                           double Others, std::uint32_t InstanceCount,
                           TimePoint Now) -> void {
   Instances = std::max(1U, InstanceCount);
+  PartsTold = true;
   for (auto &[Id, Own] : Buckets) {
     refill(Own, Now);
     const auto Told = Parts.find(Id);
--- a/lib/Fleet/RateShares.h
+++ b/lib/Fleet/RateShares.h
@@ -41,6 +41,10 @@
   /// Takes over the rates of a configuration.
   auto configure(const Configuration &Config, TimePoint Now) -> void;
 
+  /// Number of instances by the store's record. Until the divider has told this
+  /// instance its parts, it uses an equal one; without a number, none.
+  auto assumeInstances(std::uint32_t Count, TimePoint Now) -> void;
+
   /// Sets the parts as computed by the divider. A workspace that is not listed
   /// gets \p Others.
   auto setParts(const std::map<WorkspaceId, double> &Parts, double Others,
@@ -84,7 +88,8 @@
   RateTolerance Tolerance;
   std::unordered_map<WorkspaceId, Bucket> Buckets;
   std::map<WorkspaceId, std::uint32_t> Demand;
-  std::uint32_t Instances = 16; ///< Assumed until the divider has told it.
+  std::uint32_t Instances = 0; ///< 0: unknown.
+  bool PartsTold = false;      ///< The divider has told this instance's parts.
 };
 
 /// The part of the workspace rates that the leader hands out on demand.
--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -214,6 +214,14 @@
 auto Gateway::Parts::ownChanged(const StoredObject &Object) -> void {
   if (Object.Name == FleetMember::LeaderObject)
     return Member->leaderChanged(&Object);
+  if (Object.Name == Leader::SizeObject && !Object.Deleted) {
+    const auto Size = Leader::readSize(Object);
+    if (Size)
+      return Requests.Rates.assumeInstances(*Size, bootNow());
+    return Events.write(EventLine("fleet-size-unreadable")
+                            .field("reason", Size.error().message())
+                            .field("revision", Object.Revision));
+  }
   if (!Object.Deleted && Object.Name.starts_with(RangePrefix))
     rangesChanged(ServiceId(Object.Name.substr(RangePrefix.size())), Object);
 }
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -22,6 +22,13 @@
 /// Time after the start in which all instances have reported several times.
 constexpr Duration LearnTime = std::chrono::milliseconds(1000);
 
+/// Interval in which the recorded size of the fleet is compared.
+constexpr Duration SizeInterval = std::chrono::seconds(3);
+
+/// A recorded size is replaced when it is below the size, or above this
+/// multiple of it: parts of a rate computed from too large a number are safe.
+constexpr std::uint32_t LargestSizeFactor = 2;
+
 /// Time without a new target after which the first assignment is made, so that
 /// targets that start together share the keys evenly.
 constexpr Duration RegistrationPause = std::chrono::milliseconds(700);
@@ -43,6 +50,8 @@
   StartedAt = bootNow();
   ConfirmedAt = ProvedAt;
   RecordsKnownAfter = LongAgo;
+  // By then all instances have reported.
+  RecordSizeAt = StartedAt + SizeInterval;
   Services.clear();
   Members.clear();
   Rates = RateDivider();
@@ -230,6 +239,7 @@
   if (!leading() || !Around.Own.loaded())
     return;
   const TimePoint Now = bootNow();
+  recordSize(Now);
   for (const auto &[Id, Settings] : Config.Services) {
     if (Settings.Kind != ServiceKind::Divided || Settings.NumberedKeys == 0)
       continue;
@@ -248,6 +258,36 @@
   }
 }
 
+auto Leader::readSize(const StoredObject &Object) -> Result<std::uint32_t> {
+  const auto Size = Object.Value.find("instances");
+  if (Size == Object.Value.end() || !Size->is_number_unsigned())
+    return Error("no number of instances");
+  return Size->get<std::uint32_t>();
+}
+
+auto Leader::recordSize(TimePoint Now) -> void {
+  if (Now < RecordSizeAt)
+    return;
+  RecordSizeAt = Now + SizeInterval;
+  const auto Size = static_cast<std::uint32_t>(Members.size());
+  const auto Object = Around.Own.objects().find(SizeObject);
+  const bool Known = Object != Around.Own.objects().end();
+  if (Known) {
+    const auto Recorded = readSize(Object->second);
+    if (Recorded && *Recorded >= Size && *Recorded <= LargestSizeFactor * Size)
+      return;
+  }
+  Around.Store.write(
+      Around.Protocol.Kinds.Own, SizeObject,
+      Known ? Object->second.Revision : 0, {{"instances", Size}},
+      [this, Size](const StoreWrite &Answer) {
+        Around.Events.write(
+            EventLine("fleet-size-written")
+                .field("instances", Size)
+                .field("status", StoreStatusNames.name(Answer.Status)));
+      });
+}
+
 auto Leader::allRegistered(const ServiceId &Id, TimePoint Now) -> bool {
   Registration &Last = Registered[Id];
   const std::size_t Count = Around.Targets.ofService(Id).size();
--- a/lib/Gateway/Leader.h
+++ b/lib/Gateway/Leader.h
@@ -46,6 +46,11 @@
       : Around(std::move(Around)), Times(Times), Tolerance(Tolerance),
         Reserve(Tolerance), Orders(this->Around.Io, this->Around.Protocol) {}
 
+  /// Object with the number of instances, for processes that start while
+  /// nobody leads.
+  static constexpr const char *SizeObject = "fleet";
+  static auto readSize(const StoredObject &Object) -> Result<std::uint32_t>;
+
   /// Name of the object that holds a service's ranges.
   static auto rangeObject(const ServiceId &Service) -> std::string;
 
@@ -96,6 +101,7 @@
 
   /// Tells the other instances of the sender's data centre.
   auto addNeighbours(const FleetReport &From, FleetReply &Reply) const -> void;
+  auto recordSize(TimePoint Now) -> void;
   auto serviceOf(const ServiceId &Id, const ServiceConfig &Config) -> Service *;
   auto viewOf(const ServiceId &Id, const Service &Own, TimePoint Now) const
       -> RangeKeeper::View;
@@ -125,6 +131,7 @@
   TimePoint RecordsKnownAfter = LongAgo;
   RateDivider Rates;
   std::map<InstanceId, Member> Members;
+  TimePoint RecordSizeAt = LongAgo; ///< Of the next look at the size.
   std::map<ServiceId, Service> Services;
   struct Registration {
     std::size_t Targets = 0;
--- a/tests/unit/RateSharesTest.cpp
+++ b/tests/unit/RateSharesTest.cpp
@@ -114,6 +114,40 @@
   double Credit = 0;
 };
 
+/// Requests that \p Count instances admit by themselves in \p Seconds, each
+/// asked more often than the whole rate allows.
+auto admittedAlone(std::size_t Count, std::uint32_t Recorded, double Rate,
+                   int Seconds) -> std::size_t {
+  TimePoint Now(std::chrono::seconds(100));
+  std::deque<RateShares> Holders;
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    Holders.emplace_back(RateTolerance());
+    Holders.back().configure(configWith(Rate, Rate), Now);
+    Holders.back().assumeInstances(Recorded, Now);
+  }
+  std::size_t Admitted = 0;
+  for (int Step = 0; Step < Seconds * 100; ++Step) {
+    Now += std::chrono::milliseconds(10);
+    for (RateShares &Holder : Holders)
+      Admitted += Holder.admit(Busy, Now) ? 1 : 0;
+  }
+  return Admitted;
+}
+
+// Processes that start together after all were killed used to assume a fleet
+// of 16: sixty of them admitted nearly four times the divided rate until the
+// new leader had told their parts (QUOTA on trouble-3 of the grown sites).
+TEST(RateSharesTest, FleetThatRestartsWithoutALeaderStaysBelowTheRate) {
+  constexpr double Rate = 500;
+  constexpr int Seconds = 3;
+  EXPECT_LE(admittedAlone(60, 60, Rate, Seconds), Rate * Seconds);
+  EXPECT_GE(admittedAlone(60, 60, Rate, Seconds), 0.4 * Rate * Seconds);
+}
+
+TEST(RateSharesTest, InstanceThatKnowsNoFleetUsesNoPartOfARate) {
+  EXPECT_EQ(admittedAlone(1, 0, 500, 3), 0U);
+}
+
 // The parts used to be computed anew for each report. While the demand rose,
 // each reporter's own demand was newer than that of the others, and the parts
 // added up to more than one.
