Spread busy keys over many targets in one plan, tell demand of divided rates only, read a changed settings file

Cause: with a hundred targets, keys that become busy reached two, then four, then eight owners, one round of about a second each: a plan moved four parts at most, each to a target that then had as much as the donor. RangePlannerTest.BusyKeysReachManyTargetsInOnePlan found 63.8 requests/s at one target after a plan where three times the mean is 13.5; now it holds. Change: a move fills a target up to the mean, and moves, moving ranges and releases under way grow with the number of targets. Reports and answers carry the demand of divided rates only (RateSharesTest.DemandIsToldOfDividedRatesOnly); a changed settings file is read without a signal (GatewayTest.ChangedSettingsFileIsReadWithoutASignal).

--- a/daemons/buckthornringd/Main.cpp
+++ b/daemons/buckthornringd/Main.cpp
@@ -63,12 +63,13 @@
   auto Instance = platform::createGateway(std::move(Settings).value());
   if (!Instance)
     return fail(Instance.error());
-  Instance.value()->setReload([Path]() -> Result<GatewaySettings> {
+  const auto Reload = [Path]() -> Result<GatewaySettings> {
     const auto Changed = readDocument(Path);
     if (!Changed)
       return Changed.error();
     return GatewaySettings::check(*Changed).result();
-  });
+  };
+  Instance.value()->setReload(Reload, Path);
   Instance.value()->run();
   return 0;
 }
--- a/lib/Fleet/RangeKeeper.cpp
+++ b/lib/Fleet/RangeKeeper.cpp
@@ -12,8 +12,10 @@
 /// elsewhere. Longer than the pause after a connection that the target ended.
 constexpr Duration SilenceLimit = std::chrono::milliseconds(1600);
 
-/// Ranges on the move beside which the load may still be evened out.
-constexpr std::ptrdiff_t MaxMoving = 3;
+/// Ranges on the move beside which the load may still be evened out: at least
+/// some, and a part of the number of targets.
+constexpr std::size_t FewestMoving = 3;
+constexpr std::size_t MovingDivisor = 4;
 
 /// Time after the last change at which it is recorded that the moves are over.
 /// A new leader waits for the donors of unfinished moves; recording the end of
@@ -159,7 +161,9 @@
         const State &Known = States[&Range - Current.Ranges.data()];
         return !donorGone(Range, Known, Now) || !Known.Sent;
       });
-  const bool Settled = Moving <= MaxMoving;
+  const std::size_t MaxMoving =
+      std::max(FewestMoving, Seen.Targets.size() / MovingDivisor);
+  const bool Settled = static_cast<std::size_t>(Moving) <= MaxMoving;
   const RangeRecord Base = withoutSettledDonors(Now);
   const auto MovableIn = [&](const KeyRange &Range) {
     const KeyRange *Own = Current.find(Range.From);
--- a/lib/Fleet/RangePlanner.cpp
+++ b/lib/Fleet/RangePlanner.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <map>
 
 namespace buckthornring {
@@ -18,8 +19,10 @@
 /// keys for about one request time, and the measured rates are noisy.
 constexpr double SmallestImbalance = 0.18;
 
-/// Moves of one plan that only even out the load.
-constexpr int MaxMoves = 4;
+/// Moves of one plan that only even out the load: at least some, and a part of
+/// the number of targets, as busy keys may have to reach many of them.
+constexpr std::size_t FewestMoves = 4;
+constexpr std::size_t MovesDivisor = 2;
 
 /// Requests per second that all keys together are assumed to get beside the
 /// measured ones, so that idle keys are spread too.
@@ -66,14 +69,21 @@
   }
 
   auto balance() -> void {
-    for (int Move = 0; Move < MaxMoves; ++Move) {
+    const std::size_t MaxMoves =
+        std::max(FewestMoves, Given.Targets.size() / MovesDivisor);
+    const double Mean = meanRelative();
+    for (std::size_t Move = 0; Move < MaxMoves; ++Move) {
       const PlanTarget *From = mostLoaded();
       const PlanTarget *To = leastLoaded();
       if (!From || !To || From == To || rangesOf(From->Id) >= MaxRanges ||
           rangesOf(To->Id) >= MaxRanges ||
           utilisation(*From) < BusyUtilisation ||
-          utilisation(*From) - utilisation(*To) < SmallestImbalance ||
-          !takePart(*From, *To))
+          utilisation(*From) - utilisation(*To) < SmallestImbalance)
+        return;
+      // A target that is filled up to the mean needs no further move, and the
+      // rest stays where it can go to others at once.
+      const double Room = Mean * To->Capacity - Loads[To->Id];
+      if (!takePart(*From, *To, Room))
         return;
     }
   }
@@ -107,6 +117,16 @@
     return relative(Target) * Given.WorkSeconds;
   }
 
+  auto meanRelative() const -> double {
+    double Load = 0;
+    double Capacity = 0;
+    for (const PlanTarget &Target : Given.Targets) {
+      Load += Loads.at(Target.Id);
+      Capacity += Target.Capacity;
+    }
+    return Load / Capacity;
+  }
+
   auto anyTaker() const -> bool {
     return std::any_of(Given.Targets.begin(), Given.Targets.end(),
                        [](const PlanTarget &T) { return T.TakesNewKeys; });
@@ -205,10 +225,13 @@
     Changed = true;
   }
 
-  /// Moves about half of the difference in load. False when nothing can move.
-  auto takePart(const PlanTarget &From, const PlanTarget &To) -> bool {
+  /// Moves about half of the difference in load, at most \p Most. False when
+  /// nothing can move.
+  auto takePart(const PlanTarget &From, const PlanTarget &To,
+                double Most = std::numeric_limits<double>::infinity()) -> bool {
     const double Share = To.Capacity / (From.Capacity + To.Capacity);
-    const double Wanted = Loads[From.Id] * Share - Loads[To.Id] * (1 - Share);
+    const double Wanted =
+        std::min(Most, Loads[From.Id] * Share - Loads[To.Id] * (1 - Share));
     KeyRange *Busiest = nullptr;
     for (KeyRange &Range : Record.Ranges)
       if (Range.Owner == From.Id && owner(Range) && movable(Range) &&
--- a/lib/Fleet/RateShares.cpp
+++ b/lib/Fleet/RateShares.cpp
@@ -195,6 +195,11 @@
 }
 
 auto RateShares::takeDemand() -> std::map<WorkspaceId, std::uint32_t> {
+  std::erase_if(Demand, [this](const auto &Entry) {
+    const auto Found = Buckets.find(Entry.first);
+    return Found == Buckets.end() ||
+           dividedPart(Found->second.Room, Instances) == 0;
+  });
   return std::exchange(Demand, {});
 }
 
--- a/lib/Fleet/RateShares.h
+++ b/lib/Fleet/RateShares.h
@@ -67,7 +67,8 @@
   /// Time after which the next request is likely to be admitted.
   auto retryAfter(const WorkspaceId &Workspace) const -> Duration;
 
-  /// Returns the requests seen per workspace since the last call.
+  /// Returns the requests seen since the last call, per workspace whose rate is
+  /// divided; the parts of the others need no demand.
   auto takeDemand() -> std::map<WorkspaceId, std::uint32_t>;
 
 private:
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -19,6 +19,9 @@
 /// Interval of an instance's own upkeep.
 constexpr Duration IdleTick = std::chrono::milliseconds(500);
 
+/// Interval of looks at the settings file, which may change without a signal.
+constexpr Duration FileInterval = std::chrono::seconds(1);
+
 /// Wait of the watch on the router's own objects. Its answers tell an instance
 /// that it has contact with the store, and prove to the leader that it leads.
 constexpr Duration OwnWatchWait = std::chrono::seconds(20);
@@ -255,6 +258,7 @@
   if (Targets.dropMissing(Now))
     Waiting.serve();
   Pool.closeIdle(Now);
+  reloadChangedFile(Now);
   serveWaiting();
   Events.flush();
   setOwnWatchWait();
@@ -315,6 +319,19 @@
   Events.write(Line);
 }
 
+auto Gateway::Parts::reloadChangedFile(TimePoint Now) -> void {
+  if (SettingsFile.empty() || Now < LookAt)
+    return;
+  LookAt = Now + FileInterval;
+  std::error_code Missing;
+  const auto Written = std::filesystem::last_write_time(SettingsFile, Missing);
+  // A file that is being replaced is read when it is there again.
+  if (Missing || Written == SettingsTime)
+    return;
+  SettingsTime = Written;
+  reloadSettings("file");
+}
+
 auto Gateway::Parts::beginStop() -> void {
   if (StopBegan != LongAgo)
     return;
@@ -368,8 +385,13 @@
   return std::unique_ptr<Gateway>(new Gateway(std::move(Made)));
 }
 
-auto Gateway::setReload(SettingsReload Reload) -> void {
+auto Gateway::setReload(SettingsReload Reload, std::filesystem::path Path)
+    -> void {
   Io->Reload = std::move(Reload);
+  Io->SettingsFile = std::move(Path);
+  std::error_code Missing;
+  Io->SettingsTime =
+      std::filesystem::last_write_time(Io->SettingsFile, Missing);
 }
 
 auto Gateway::stop() -> void { Io->Io.stop(); }
--- a/lib/Gateway/Gateway.h
+++ b/lib/Gateway/Gateway.h
@@ -35,7 +35,8 @@
 
   /// Called when the settings file has changed or SIGHUP arrived.
   using SettingsReload = std::function<Result<GatewaySettings>()>;
-  auto setReload(SettingsReload Reload) -> void;
+  /// \p Path is the file whose changes are noticed.
+  auto setReload(SettingsReload Reload, std::filesystem::path Path) -> void;
 
   /// Stops at once. May be called from any thread.
   auto stop() -> void;
--- a/lib/Gateway/GatewayParts.h
+++ b/lib/Gateway/GatewayParts.h
@@ -81,6 +81,7 @@
   auto beginStop() -> void;
   auto stopStep() -> void;
   auto reloadSettings(const char *Cause) -> void;
+  auto reloadChangedFile(TimePoint Now) -> void;
   auto ready() const -> bool;
 
   boost::asio::io_context Io{1};
@@ -112,6 +113,9 @@
   boost::asio::steady_timer WaitTimer;
   boost::asio::steady_timer StopTimer;
   SettingsReload Reload;
+  std::filesystem::path SettingsFile;
+  std::filesystem::file_time_type SettingsTime; ///< Of the file last read.
+  TimePoint LookAt = LongAgo; ///< Of the next look at the settings file.
   std::set<std::shared_ptr<CallerSession>> Sessions;
   std::map<std::pair<const CallerSession *, std::uint64_t>,
            std::shared_ptr<RequestFlow>>
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -13,8 +13,9 @@
 /// Wait before a write that was refused or got no answer is repeated.
 constexpr Duration WriteRepeat = std::chrono::milliseconds(400);
 
-/// Releases under way at the same time, over all targets of a service.
-constexpr std::uint32_t MaxReleases = 12;
+/// Releases under way at the same time, over all targets of a service. Each has
+/// a connection of its own.
+constexpr std::uint32_t MaxReleases = 48;
 
 /// An instance without reports for this time is no longer counted.
 constexpr Duration MemberLifetime = std::chrono::seconds(6);
--- a/tests/support/GatewayPath.cpp
+++ b/tests/support/GatewayPath.cpp
@@ -6,6 +6,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <fstream>
+#include <unistd.h>
+
 namespace buckthornring::test {
 
 using Json = nlohmann::json;
@@ -54,12 +57,27 @@
             std::make_unique<FakeObjectStore>(Context, Contents));
       });
   Instance = std::move(Made).value();
+  SettingsFile = std::filesystem::temp_directory_path() /
+                 ("btr-settings-" + std::to_string(::getpid()) + "-" +
+                  Instance->callerAddress());
+  touchSettings();
+  Instance->setReload(
+      [this]() -> Result<GatewaySettings> {
+        ++Reloads;
+        return settings();
+      },
+      SettingsFile);
   Running = std::thread([this] { Instance->run(); });
 }
 
 GatewayPath::~GatewayPath() {
   Instance->stop();
   Running.join();
+  std::filesystem::remove(SettingsFile);
+}
+
+auto GatewayPath::touchSettings() -> void {
+  std::ofstream(SettingsFile) << "{}";
 }
 
 auto GatewayPath::addTarget(const std::string &Service, const std::string &Name,
--- a/tests/support/GatewayPath.h
+++ b/tests/support/GatewayPath.h
@@ -5,6 +5,8 @@
 #include "support/RequestPath.h"
 #include "support/ScriptedTarget.h"
 
+#include <atomic>
+#include <filesystem>
 #include <memory>
 #include <string>
 #include <thread>
@@ -22,6 +24,10 @@
   ~GatewayPath();
 
   auto store() -> StoreContents & { return *Contents; }
+  /// Writes the settings file anew.
+  auto touchSettings() -> void;
+  /// How often the instance has read its settings file.
+  auto reloads() const -> int { return Reloads; }
   auto addTarget(const std::string &Service, const std::string &Name,
                  const ScriptedTarget &Target,
                  const std::string &State = "ready", int Sequence = 1) -> void;
@@ -51,6 +57,8 @@
 
 private:
   std::shared_ptr<StoreContents> Contents = std::make_shared<StoreContents>();
+  std::filesystem::path SettingsFile;
+  std::atomic<int> Reloads = 0;
   std::unique_ptr<Gateway> Instance;
   std::thread Running;
   boost::asio::io_context Io;
--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -9,6 +9,7 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <map>
 #include <unistd.h>
 
@@ -27,6 +28,7 @@
   Report.DataCentre = DataCentreId("dc1");
   Report.Leader = {InstanceId("i2"), "i2-7", "10.0.0.1:7000", 42};
   Report.StoreReachable = true;
+  Report.Capacity = 0.5;
   Report.Seen = {3, 4, 5};
   Report.SpanMs = 400;
   Report.Demand = {{WorkspaceId("w"), 12}};
@@ -38,6 +40,7 @@
   EXPECT_EQ(Copy.Process, Report.Process);
   EXPECT_EQ(Copy.Leader.Term, 42U);
   EXPECT_EQ(Copy.Seen, Report.Seen);
+  EXPECT_EQ(Copy.Capacity, 0.5);
   EXPECT_EQ(Copy.Demand, Report.Demand);
   EXPECT_EQ(Copy.Keys, Report.Keys);
   EXPECT_EQ(Copy.WorkMs, Report.WorkMs);
@@ -139,6 +142,29 @@
     EXPECT_LE(Rate, 0.4 * Total) << Owner.str();
 }
 
+// A plan used to move at most four parts, each to a target that then had as
+// much as the donor, so that keys that become busy took several rounds of moves
+// of about a second each to reach more than a few of a hundred targets.
+TEST(RangePlannerTest, BusyKeysReachManyTargetsInOnePlan) {
+  constexpr int Count = 100;
+  KeyLoad Load;
+  RangeRecord Record = firstRecord(Count);
+  // 150 requests/s for 200 neighbouring keys beside 300/s for all others.
+  RandomSource Random(11);
+  for (int Request = 0; Request < 750; ++Request)
+    Load.add(30'000 + static_cast<std::uint32_t>(Random.below(200)), Start);
+  for (int Request = 0; Request < 1500; ++Request)
+    Load.add(static_cast<std::uint32_t>(Random.below(65'536)), Start);
+  Record = *planned(Record, planTargets(Count), Load);
+  std::map<TargetId, double> Rates;
+  for (const KeyRange &Range : Record.Ranges)
+    Rates[Range.Owner] += Load.rate(Range.From, Range.To);
+  const auto Busiest = std::max_element(
+      Rates.begin(), Rates.end(),
+      [](const auto &L, const auto &R) { return L.second < R.second; });
+  EXPECT_LE(Busiest->second, 3 * 450.0 / Count);
+}
+
 TEST(RangePlannerTest, OnlyTheKeysOfALostTargetMove) {
   const RangeRecord Record = firstRecord(14);
   auto Targets = planTargets(14);
--- a/tests/unit/GatewayTest.cpp
+++ b/tests/unit/GatewayTest.cpp
@@ -33,6 +33,15 @@
   EXPECT_TRUE(View.has("Retry-After: ")) << View.Bytes;
 }
 
+// The platform may change the settings file without a signal.
+TEST(GatewayTest, ChangedSettingsFileIsReadWithoutASignal) {
+  GatewayPath Path;
+  EXPECT_EQ(Path.reloads(), 0);
+  std::this_thread::sleep_for(50ms);
+  Path.touchSettings();
+  EXPECT_TRUE(eventually([&Path] { return Path.reloads() == 1; }));
+}
+
 TEST(GatewayTest, SetsItsOwnFieldsAndStripsForgedOnes) {
   ScriptedTarget Target(GatewayPath::answering());
   GatewayPath Path;
--- a/tests/unit/RateSharesTest.cpp
+++ b/tests/unit/RateSharesTest.cpp
@@ -148,6 +148,24 @@
   EXPECT_EQ(admittedAlone(1, 0, 500, 3), 0U);
 }
 
+// Reports and answers used to carry the demand of all workspaces, also where
+// the rate is left to the reserve.
+TEST(RateSharesTest, DemandIsToldOfDividedRatesOnly) {
+  const TimePoint Now(std::chrono::seconds(100));
+  const WorkspaceId Small("small");
+  Configuration Config = configWith(500, 500);
+  Config.Workspaces[Small] = {10, 10, 1, 64, {}, {}};
+  RateShares Shares{RateTolerance()};
+  Shares.configure(Config, Now);
+  Shares.assumeInstances(60, Now);
+  Shares.admit(Busy, Now);
+  Shares.admit(Small, Now);
+  const auto Demand = Shares.takeDemand();
+  EXPECT_EQ(Demand.size(), 1U);
+  EXPECT_TRUE(Demand.contains(Busy));
+  EXPECT_TRUE(Shares.takeDemand().empty());
+}
+
 // The parts used to be computed anew for each report. While the demand rose,
 // each reporter's own demand was newer than that of the others, and the parts
 // added up to more than one.
