Bound a leader's repeats, stop a replaced one at the first refused grant, and hand the lead to a larger instance

An instance with a tenth of a core took the lead of 585 ranges. Each range of a target without an answer was repeated by itself every 0.3 s with a log line, targets that had accepted its successor's tokens were asked again and again, and for 10 s the instance had no processor time to read the store. Ruled out: the relay of its data centre (the instance read the store directly, as a leader). Change: a target that did not answer gets one order for all its ranges, after 1.6 s one a second; a refused grant makes the leader read the record anew before it sends more; answers to orders of an earlier keeper are told by number (a release could be counted below zero); lines on failed orders are bounded; a larger instance goes first by 0.75 s instead of 0.3 s and is handed the lead of a smaller one. RangeKeeperTest.SilentTargetGetsOneOrderForAllItsRanges failed before and passes; the schedules of RangeKeeperPropertyTest pass.

--- a/lib/Fleet/RangeKeeper.cpp
+++ b/lib/Fleet/RangeKeeper.cpp
@@ -12,6 +12,9 @@
 /// elsewhere. Longer than the pause after a connection that the target ended.
 constexpr Duration SilenceLimit = std::chrono::milliseconds(1600);
 
+/// Wait between orders to a target that has been silent for that time.
+constexpr Duration SilentRepeat = std::chrono::milliseconds(1000);
+
 /// Ranges on the move beside which the load may still be evened out: at least
 /// some, and a part of the number of targets.
 constexpr std::size_t FewestMoving = 3;
@@ -234,7 +237,7 @@
 
 auto RangeKeeper::nextGrant(const TargetId &Target, TimePoint ConfirmedAt,
                             TimePoint Now) -> std::optional<RangeCall> {
-  if (!hasAuthority(ConfirmedAt, Now))
+  if (!hasAuthority(ConfirmedAt, Now) || paused(Target, Now))
     return std::nullopt;
   const auto Life = Seen.Lives.find(Target);
   for (std::size_t Index = 0; Index < Current.Ranges.size(); ++Index) {
@@ -332,6 +335,14 @@
     released(Call, Answer, Handover, Now);
 }
 
+auto RangeKeeper::paused(const TargetId &Target, TimePoint Now) const -> bool {
+  const auto Found = Silent.find(Target);
+  if (Found == Silent.end())
+    return false;
+  const bool Long = Found->second.Last - Found->second.Since > SilenceLimit;
+  return Now - Found->second.Last < (Long ? SilentRepeat : Times.RepeatAfter);
+}
+
 auto RangeKeeper::unresponsive(const TargetId &Target, TimePoint Now) const
     -> bool {
   const auto Found = Silent.find(Target);
--- a/lib/Fleet/RangeKeeper.h
+++ b/lib/Fleet/RangeKeeper.h
@@ -143,6 +143,9 @@
     std::string Handover;
   };
 
+  /// Whether the target has just failed to answer. All its ranges wait, or a
+  /// leader without a way to the targets would send nothing but repeats.
+  auto paused(const TargetId &Target, TimePoint Now) const -> bool;
   auto donorGone(const KeyRange &Range, const State &Known, TimePoint Now) const
       -> bool;
   auto stateOf(const RangeRecord &Record, const KeyRange &Range) const -> State;
--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -26,10 +26,20 @@
 
 /// Further wait of an instance that is small against the largest one, so that
 /// instances of the largest size claim first.
-constexpr Duration LongestCapacityDelay = std::chrono::milliseconds(300);
+/// Longer than the report interval and LongestStagger, by which the claims of
+/// instances differ anyway.
+constexpr Duration LongestCapacityDelay = std::chrono::milliseconds(750);
 /// Size of the largest instance that is assumed before a leader has told it.
 constexpr double AssumedCapacity = 0.5;
 
+/// Factor by which another instance has to be larger to be given the lead, and
+/// the time after the claim in which all instances have reported.
+constexpr double HandoverFactor = 1.9;
+constexpr Duration HandoverAfter = std::chrono::seconds(2);
+
+/// Time for a larger instance to claim before this one may do so again.
+constexpr Duration HandoverPause = std::chrono::milliseconds(1500);
+
 /// A leader without contact to the store for this long is replaced.
 constexpr Duration StoreLossLimit = std::chrono::milliseconds(800);
 
@@ -129,9 +139,10 @@
 
 auto FleetMember::sendReport() -> void {
   const TimePoint Now = bootNow();
-  if (Around.Lead.leading())
-    return applyReply(
-        Around.Lead.report(compose(Now), "", Around.StoreReachable()));
+  if (Around.Lead.leading()) {
+    applyReply(Around.Lead.report(compose(Now), "", Around.StoreReachable()));
+    return considerHandover(Now);
+  }
   if (Current.Term != 0)
     Around.Peers.send(Current.Address, compose(Now));
 }
@@ -400,6 +411,17 @@
     claim();
 }
 
+auto FleetMember::considerHandover(TimePoint Now) -> void {
+  if (Now - ClaimedAt < HandoverAfter ||
+      LargestCapacity < HandoverFactor * Around.Capacity)
+    return;
+  Around.Requests.Events.write(EventLine("lead-handed-over")
+                                   .field("own_capacity", Around.Capacity)
+                                   .field("largest", LargestCapacity));
+  NoClaimBefore = Now + HandoverPause;
+  Around.Lead.resign();
+}
+
 auto FleetMember::claimDelay() -> Duration {
   const double Largest = LargestCapacity > 0
                              ? LargestCapacity
--- a/lib/Gateway/FleetMember.h
+++ b/lib/Gateway/FleetMember.h
@@ -80,6 +80,8 @@
   /// Wait before a claim. Larger instances go first: the leader's work grows
   /// with the fleet.
   auto claimDelay() -> Duration;
+  /// Leaves the lead to a much larger instance, where there is one.
+  auto considerHandover(TimePoint Now) -> void;
   auto considerClaim(TimePoint Now) -> void;
   auto claim() -> void;
   auto follow(LeaderInfo Next) -> void;
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -137,7 +137,8 @@
   Reply.Relay = relayOf(From.DataCentre, Now);
   addNeighbours(From, Reply);
   for (const auto &[Id, Other] : Members) {
-    Reply.LargestCapacity = std::max(Reply.LargestCapacity, Other.Capacity);
+    if (Other.StoreReachable && Now - Other.At < RelaySilence)
+      Reply.LargestCapacity = std::max(Reply.LargestCapacity, Other.Capacity);
     const SeenChanges &Seen = Other.Seen;
     const bool Newer = Seen.Configuration > Reply.Seen.Configuration ||
                        Seen.Targets > Reply.Seen.Targets ||
@@ -224,7 +225,9 @@
     Recorded = std::move(Parsed).value();
     Revision = Object->second.Revision;
   }
-  auto &Added = Services.emplace(Id, RangeKeeper(Config.NumberedKeys, Times))
+  auto &Added = Services
+                    .try_emplace(Id, RangeKeeper(Config.NumberedKeys, Times),
+                                 ++LastService)
                     .first->second;
   Added.Keeper.takeOver(std::move(Recorded), Revision, bootNow());
   return &Added;
@@ -367,10 +370,12 @@
     Own.WriteAt = Now + WriteRepeat;
     return;
   }
-  // Another instance has written. What the store holds now tells whether this
-  // one still leads, and from which record.
-  Services.erase(Found);
-  RecordsKnownAfter = Now;
+  superseded(Id);
+}
+
+auto Leader::superseded(const ServiceId &Id) -> void {
+  Services.erase(Id);
+  RecordsKnownAfter = bootNow();
   Around.Refresh();
 }
 
@@ -402,9 +407,10 @@
 
 auto Leader::order(const ServiceId &Id, const RangeCall &Call) -> void {
   const TargetPtr Target = Around.Targets.find(Call.Target);
-  const auto Ended = [this, Id, Call, Term = Self.Term](
+  const auto Ended = [this, Id, Call, Number = Services.at(Id).Number](
                          RangeAnswer Answer, const std::string &Handover) {
-    if (Self.Term == Term)
+    const auto Found = Services.find(Id);
+    if (Found != Services.end() && Found->second.Number == Number)
       orderEnded(Id, Call, Answer, Handover);
   };
   if (!Target || Target->Record.StartedAtMs != Call.StartedAt) {
@@ -418,30 +424,39 @@
 auto Leader::orderEnded(const ServiceId &Id, const RangeCall &Call,
                         RangeAnswer Answer, const std::string &Handover)
     -> void {
-  const auto Found = Services.find(Id);
-  if (Found == Services.end())
-    return;
-  Service &Own = Found->second;
+  Service &Own = Services.at(Id);
   const TimePoint Now = bootNow();
   if (Call.What == RangeCall::Kind::Grant)
     Own.Granting.erase(Call.Target);
   else
     --Own.Releasing;
   Own.Keeper.callEnded(Call, Answer, Handover, Now);
-  if (Answer != RangeAnswer::Accepted || Call.What == RangeCall::Kind::Release)
-    Around.Events.write(EventLine("order-ended")
-                            .field("service", Id.str())
-                            .field("order", RangeCallNames.name(Call.What))
-                            .field("target", Call.Target.str())
-                            .field("from", Call.From)
-                            .field("to", Call.To)
-                            .field("fence", Call.Fence)
-                            .field("answer", RangeAnswerNames.name(Answer))
-                            .field("handover", !Handover.empty()));
+  logOrder(Id, Call, Answer, !Handover.empty());
+  // The target has accepted a later leader's token.
+  if (Answer == RangeAnswer::Refused)
+    return superseded(Id);
   announce(Id, Own);
   sendOrders(Id, Own, Now);
 }
 
+auto Leader::logOrder(const ServiceId &Id, const RangeCall &Call,
+                      RangeAnswer Answer, bool Handover) -> void {
+  const bool Renewal =
+      Answer == RangeAnswer::Accepted && Call.What == RangeCall::Kind::Grant;
+  // A leader that reaches no target would write nothing else.
+  if (Renewal || !Around.Events.admits(EventClass::Failure, bootNow()))
+    return;
+  Around.Events.write(EventLine("order-ended")
+                          .field("service", Id.str())
+                          .field("order", RangeCallNames.name(Call.What))
+                          .field("target", Call.Target.str())
+                          .field("from", Call.From)
+                          .field("to", Call.To)
+                          .field("fence", Call.Fence)
+                          .field("answer", RangeAnswerNames.name(Answer))
+                          .field("handover", Handover));
+}
+
 auto Leader::announce(const ServiceId &Id, Service &Own) -> void {
   GrantNotice Notice;
   Notice.Term = Self.Term;
--- a/lib/Gateway/Leader.h
+++ b/lib/Gateway/Leader.h
@@ -88,9 +88,12 @@
     TimePoint At;
   };
   struct Service {
-    explicit Service(RangeKeeper Given) : Keeper(std::move(Given)) {}
+    Service(RangeKeeper Given, std::uint64_t Number)
+        : Keeper(std::move(Given)), Number(Number) {}
 
     RangeKeeper Keeper;
+    /// Tells answers to the orders of this keeper from those of earlier ones.
+    std::uint64_t Number;
     KeyLoad Load;
     std::unordered_map<TargetId, double> WorkMs; ///< Moving averages.
     std::set<TargetId> Granting; ///< Targets with a grant under way.
@@ -124,6 +127,11 @@
   auto order(const ServiceId &Id, const RangeCall &Call) -> void;
   auto orderEnded(const ServiceId &Id, const RangeCall &Call,
                   RangeAnswer Answer, const std::string &Handover) -> void;
+  auto logOrder(const ServiceId &Id, const RangeCall &Call, RangeAnswer Answer,
+                bool Handover) -> void;
+  /// Another instance has changed the ranges. What the store holds now tells
+  /// whether this one still leads, and from which record.
+  auto superseded(const ServiceId &Id) -> void;
   auto announce(const ServiceId &Id, Service &Own) -> void;
 
   Surroundings Around;
@@ -140,6 +148,7 @@
   std::map<InstanceId, Member> Members;
   TimePoint RecordSizeAt = LongAgo; ///< Of the next look at the size.
   std::map<ServiceId, Service> Services;
+  std::uint64_t LastService = 0; ///< Service::Number of the newest.
   struct Registration {
     std::size_t Targets = 0;
     TimePoint Since = LongAgo; ///< Of the last change.
--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -1,4 +1,5 @@
 #include "Fleet/FleetMessage.h"
+#include "Fleet/RangeKeeper.h"
 #include "Fleet/RangePlanner.h"
 #include "Fleet/RetryAllowance.h"
 #include "Fleet/SplitBalancer.h"
@@ -194,6 +195,35 @@
   EXPECT_FALSE(planned(firstRecord(14), planTargets(14), KeyLoad()));
 }
 
+// Each range of a target that did not answer used to be repeated by itself. A
+// small leader with 585 ranges then sent nothing but repeats, had no processor
+// time left to learn that it had been replaced, and used targets that had left.
+TEST(RangeKeeperTest, SilentTargetGetsOneOrderForAllItsRanges) {
+  RangeRecord Record;
+  for (std::uint32_t Index = 0; Index < 4; ++Index) {
+    KeyRange Part;
+    Part.From = Index * 16'384;
+    Part.To = Part.From + 16'383;
+    Part.Owner = TargetId("t0");
+    Part.OwnerStartedAt = 1;
+    Part.Fence = Index + 1;
+    Record.Ranges.push_back(Part);
+  }
+  Record.NextFence = 5;
+  RangeKeeper Keeper(65'536, RangeTimes());
+  Keeper.takeOver(Record, 0, Start);
+  TimePoint Now = Start;
+  const auto First = Keeper.nextGrant(TargetId("t0"), Now, Now);
+  ASSERT_TRUE(First);
+  Keeper.callEnded(*First, RangeAnswer::NotSent, "", Now);
+  for (int Step = 0; Step < 29; ++Step) {
+    Now += milliseconds(10);
+    EXPECT_FALSE(Keeper.nextGrant(TargetId("t0"), Now, Now)) << Step;
+  }
+  Now += milliseconds(20);
+  EXPECT_TRUE(Keeper.nextGrant(TargetId("t0"), Now, Now));
+}
+
 TEST(RangeRecordTest, ReadsBackWhatItWroteAndNothingElse) {
   const RangeRecord Record = firstRecord(3);
   const auto Read = RangeRecord::parse(Record.json(), 65'536);
