--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -55,21 +55,6 @@
 /// and queue several times a second.
 constexpr Duration LoadInterval = std::chrono::milliseconds(40);
 
-/// Requests asked for at once. Those that an instance does not use soon are
-/// lost to the workspace, and most instances need one at a time.
-constexpr std::uint32_t WantedAtOnce = 1;
-
-/// Time for the leader's answer. It takes a few milliseconds, but an instance
-/// that has used up its share of the processor stands still for up to 100 ms.
-constexpr Duration AnswerLimit = std::chrono::milliseconds(100);
-
-/// Questions without an answer that are remembered; beyond them the oldest
-/// answers were surely lost.
-constexpr std::size_t MaxUnanswered = 64;
-
-/// Time after an empty reserve in which it is not asked again.
-constexpr Duration EmptyPause = std::chrono::milliseconds(150);
-
 /// Keys told in one report; a datagram has to fit into one packet.
 constexpr std::size_t MaxKeys = 150;
 
@@ -94,8 +79,12 @@
 
 FleetMember::FleetMember(boost::asio::io_context &Context, Surroundings Around,
                          std::uint64_t Seed)
-    : Context(Context), Around(std::move(Around)), Timer(Context),
-      ClaimTimer(Context), LoadTimer(Context), Random(Seed) {}
+    : Around(std::move(Around)),
+      Questions(Context, this->Around.Requests.Rates,
+                [this](const RateQuestion &Question) {
+                  return sendQuestion(Question);
+                }),
+      Timer(Context), ClaimTimer(Context), LoadTimer(Context), Random(Seed) {}
 
 auto FleetMember::scheduleReport() -> void {
   Timer.expires_after(ReportInterval);
@@ -156,7 +145,7 @@
   else if (const auto *Notice = std::get_if<GrantNotice>(&Message))
     gotNotice(*Notice);
   else if (const auto *Answer = std::get_if<RateAnswer>(&Message))
-    gotAnswer(*Answer);
+    Questions.gotAnswer(*Answer);
   else if (const auto *Loads = std::get_if<LoadNotice>(&Message))
     gotLoads(*Loads);
   else if (Around.Requests.Active)
@@ -194,69 +183,15 @@
   Around.Requests.Waiting.serve();
 }
 
-auto FleetMember::askRate(const WorkspaceId &Workspace,
-                          std::function<void(bool)> Done) -> void {
-  RateShares &Rates = Around.Requests.Rates;
-  if (!Rates.mayAsk(Workspace, bootNow()) || Current.Term == 0)
-    return Done(false);
-  const auto Running = Questions.find(Workspace);
-  if (Running != Questions.end()) {
-    Running->second.Waiting.push_back(std::move(Done));
-    return;
-  }
-  Question &Asked =
-      Questions.try_emplace(Workspace, Context, ++LastQuestion).first->second;
-  Asked.Waiting.push_back(std::move(Done));
-  const RateQuestion Message{Workspace, WantedAtOnce, Asked.Number};
+auto FleetMember::sendQuestion(const RateQuestion &Question) -> bool {
+  if (Current.Term == 0)
+    return false;
   if (Around.Lead.leading())
-    return gotAnswer(
-        Around.Lead.takeRate(Message, Around.Requests.Active->Config));
-  Around.Peers.send(Current.Address, Message);
-  Asked.Timer.expires_after(AnswerLimit);
-  Asked.Timer.async_wait([this, Workspace, Number = Asked.Number](
-                             const boost::system::error_code &Cancelled) {
-    if (!Cancelled)
-      questionTimedOut(Workspace, Number);
-  });
-}
-
-auto FleetMember::questionTimedOut(const WorkspaceId &Workspace,
-                                   std::uint64_t Number) -> void {
-  const auto Asked = Questions.find(Workspace);
-  // The answer may have come while this call was already queued.
-  if (Asked == Questions.end() || Asked->second.Number != Number)
-    return;
-  Unanswered.insert(Number);
-  if (Unanswered.size() > MaxUnanswered)
-    Unanswered.erase(Unanswered.begin());
-  endQuestion(Workspace, 0);
-}
-
-auto FleetMember::gotAnswer(const RateAnswer &Answer) -> void {
-  const auto Asked = Questions.find(Answer.Workspace);
-  if (Asked != Questions.end() && Asked->second.Number == Answer.Number)
-    return endQuestion(Answer.Workspace, Answer.Granted);
-  // A late answer's requests are there for the next ones, once.
-  if (Unanswered.erase(Answer.Number) > 0)
-    Around.Requests.Rates.topUp(Answer.Workspace, Answer.Granted, bootNow());
-}
-
-auto FleetMember::endQuestion(const WorkspaceId &Workspace,
-                              std::uint32_t Granted) -> void {
-  RateShares &Rates = Around.Requests.Rates;
-  const auto Asked = Questions.find(Workspace);
-  const auto Waiting = std::move(Asked->second.Waiting);
-  Questions.erase(Asked);
-  const TimePoint Now = bootNow();
-  if (Granted == 0)
-    Rates.reserveEmpty(Workspace, Now + EmptyPause);
-  Rates.topUp(Workspace, Granted, Now);
-  for (const auto &Done : Waiting)
-    if (Granted > 0 && Rates.spend(Workspace))
-      Done(true);
-    else
-      // Those that came while the question was under way ask once more.
-      askRate(Workspace, Done);
+    Questions.gotAnswer(
+        Around.Lead.takeRate(Question, Around.Requests.Active->Config));
+  else
+    Around.Peers.send(Current.Address, Question);
+  return true;
 }
 
 auto FleetMember::gotReport(const FleetReport &Report, const std::string &From)
--- a/lib/Gateway/FleetMember.h
+++ b/lib/Gateway/FleetMember.h
@@ -3,6 +3,7 @@
 #include "Fleet/FleetMessage.h"
 #include "Gateway/Leader.h"
 #include "Gateway/PeerSocket.h"
+#include "Gateway/RateQuestions.h"
 #include "Gateway/RequestContext.h"
 #include "Gateway/StoreFeed.h"
 #include "buckthornring/Common/Random.h"
@@ -10,9 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <functional>
-#include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -53,10 +52,8 @@
   auto received(const FleetMessage &Message, const std::string &From) -> void;
   /// Requests.LoadsSeen has grown; the neighbours are told soon.
   auto loadSeen() -> void;
-  /// Asks the leader's reserve for one request of a workspace. \p Done gets
-  /// whether it may run; called at once, or within the time of an answer.
-  auto askRate(const WorkspaceId &Workspace, std::function<void(bool)> Done)
-      -> void;
+  /// Requests that this instance's parts of the rates do not have.
+  auto rateQuestions() -> RateQuestions & { return Questions; }
   /// Gives up the lead and tells the others.
   auto leave() -> void;
 
@@ -71,10 +68,8 @@
   auto gotNotice(const GrantNotice &Notice) -> void;
   auto sendLoads() -> void;
   auto gotLoads(const LoadNotice &Notice) -> void;
-  auto gotAnswer(const RateAnswer &Answer) -> void;
-  auto questionTimedOut(const WorkspaceId &Workspace, std::uint64_t Number)
-      -> void;
-  auto endQuestion(const WorkspaceId &Workspace, std::uint32_t Granted) -> void;
+  /// Sends a question to the leader's reserve. False: there is no leader.
+  auto sendQuestion(const RateQuestion &Question) -> bool;
   auto applyReply(const FleetReply &Reply) -> void;
   auto compareSeen(const SeenChanges &Others, const std::string &From) -> void;
   /// Wait before a claim. Larger instances go first: the leader's work grows
@@ -86,22 +81,8 @@
   auto claim() -> void;
   auto follow(LeaderInfo Next) -> void;
 
-  /// A question under way and the requests that wait for its answer.
-  struct Question {
-    Question(boost::asio::io_context &Context, std::uint64_t Number)
-        : Timer(Context), Number(Number) {}
-
-    boost::asio::steady_timer Timer;
-    std::uint64_t Number;
-    std::vector<std::function<void(bool)>> Waiting;
-  };
-
-  boost::asio::io_context &Context;
   Surroundings Around;
-  std::map<WorkspaceId, Question> Questions;
-  std::uint64_t LastQuestion = 0;
-  /// Questions whose answers may still come.
-  std::set<std::uint64_t> Unanswered;
+  RateQuestions Questions;
   double LargestCapacity = 0; ///< Of the fleet, as last told.
   boost::asio::steady_timer Timer;
   boost::asio::steady_timer ClaimTimer;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -157,7 +157,7 @@
   Requests.OnLoadSeen = [this] { Member->loadSeen(); };
   Requests.AskRate = [this](const WorkspaceId &Workspace,
                             std::function<void(bool)> Done) {
-    Member->askRate(Workspace, std::move(Done));
+    Member->rateQuestions().ask(Workspace, std::move(Done));
   };
   Member = std::make_unique<FleetMember>(
       Io,
