Let a new leader read its own objects anew, and offer the lead only to an instance that would take it

A new leader went on with the watch of 20 s that it had opened before; that had gone silent, its proofs of contact ended, and after 10 s it renewed no grant. Before, the lead was handed three times to a larger instance that leaves it to others for 8 s after a short lead, and small ones claimed it in between. Ruled out: the store (other instances read it), the owners (they answered), the relay (five instances have none). Change: a new leader reads its own objects at once and then watches with the leader's wait; an instance that leaves the lead to others reports no capacity.

--- a/lib/Fleet/FleetMessage.h
+++ b/lib/Fleet/FleetMessage.h
@@ -42,7 +42,8 @@
   bool Leaving = false;
   std::uint64_t NeighboursKnown = 0; ///< FleetReply::NeighboursVersion.
   SeenChanges Seen;
-  double Capacity = 0;      ///< Part of a core that the sender may use.
+  /// Part of a core that the sender may use; 0: it is not to lead.
+  double Capacity = 0;
   std::uint32_t SpanMs = 0; ///< Time that the counts cover.
   std::map<WorkspaceId, std::uint32_t> Demand;
   std::map<ServiceId, std::vector<std::uint32_t>> Keys;
--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -107,7 +107,8 @@
   Report.Leaving = Leaving;
   Report.NeighboursKnown = NeighboursVersion;
   Report.Seen = Around.Seen();
-  Report.Capacity = Around.Capacity;
+  // An instance that leaves the lead to others must not be offered it.
+  Report.Capacity = Now < NoClaimBefore ? 0 : Around.Capacity;
   const Duration Span =
       ReportedAt == LongAgo ? ReportInterval : Now - ReportedAt;
   Report.SpanMs = static_cast<std::uint32_t>(Span.count() / 1000);
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -166,6 +166,10 @@
           LeaderInfo{Settings.Instance, Process, Settings.PeerAddress, 0},
           Settings.DataCentre, Settings.ProcessorShare,
           [this] {
+            // The watch that is open may be long and silent, and the leader's
+            // authority rests on its answers.
+            setOwnWatchWait();
+            OwnFeed->recheck();
             TickTimer.expires_after(Duration(0));
             armTick();
           },
