Compare a random sample of targets instead of all in large data centres

Cause: between two load notices (500 ms with 49 neighbours) all instances of a data centre know the same loads. Each selected the cheapest of all targets, so they filled the same few, which then reset connections; a request also scanned several hundred targets on a tenth of a core. The reason reported for no target was that of the last one in the list. Ruled out: a shorter notice interval (messages grow with the square of the instances); more jitter (moves work to slow targets also where information is fresh). Change: a request compares 60 targets divided by the instances of the data centre, at least 3, in the own data centre and as many in the others, from a random start. Fleets of a few instances compare all, as before. Busy is reported before cold and unreachable.

--- a/lib/Fleet/TargetTable.cpp
+++ b/lib/Fleet/TargetTable.cpp
@@ -26,6 +26,13 @@
 /// instance knows.
 constexpr double OwnerShareFactor = 2.2;
 
+/// Between two load notices, each neighbour in a data centre selects targets by
+/// the same loads. If all of them compared all targets, they would fill the
+/// same few, so each request compares a random sample of this size divided by
+/// the number of neighbours, or MinSampleSize, in each data centre group.
+constexpr std::uint32_t SampledTargetsOfAllNeighbours = 60;
+constexpr std::uint32_t MinSampleSize = 3;
+
 /// Penalty of targets in other data centres, as a fraction of the target
 /// latency of the request: traffic between data centres is charged by the byte.
 constexpr double CrossDataCentrePenalty = 0.5;
@@ -220,44 +227,74 @@
                                             (1 + Waiting + SlotContention)));
 }
 
+auto TargetTable::sampleSize() const -> std::uint32_t {
+  return std::max(MinSampleSize, SampledTargetsOfAllNeighbours /
+                                     std::max(1U, Fleet.InOwnDataCentre));
+}
+
+auto TargetTable::unavailable(TargetState &Target, const TargetRequest &Request,
+                              TimePoint Now) -> NoTargetReason {
+  const double QueuePerSlot =
+      Request.Idempotent ? IdempotentQueuePerSlot : NonIdempotentQueuePerSlot;
+  if (Now < Target.UnreachableUntil)
+    return NoTargetReason::Down;
+  if (Target.Load.queue(Now) >= QueuePerSlot * Target.Record.Slots)
+    return NoTargetReason::Busy;
+  return coldLimitReached(Target, Now) ? NoTargetReason::Cold
+                                       : NoTargetReason::None;
+}
+
+auto TargetTable::cost(const TargetState &Target, const TargetRequest &Request,
+                       Duration ExpectedTime, TimePoint Now) -> double {
+  const double Latency = static_cast<double>(Request.TargetLatency.count());
+  const double Expected = static_cast<double>(ExpectedTime.count());
+  double Cost = Expected * (1 + Jitter * Random.unit());
+  if (Target.Record.DataCentre != TableSettings.DataCentre)
+    Cost += CrossDataCentrePenalty * Latency;
+  Cost += FailurePenalty * Latency * Target.Load.failureShare();
+  if (Target.cold(Now))
+    Cost += Expected;
+  return Cost;
+}
+
 auto TargetTable::select(const TargetRequest &Request, TimePoint Now)
     -> TargetSelection {
   TargetSelection Best;
   double BestCost = 0;
-  const double Latency = static_cast<double>(Request.TargetLatency.count());
-  const double QueuePerSlot =
-      Request.Idempotent ? IdempotentQueuePerSlot : NonIdempotentQueuePerSlot;
-  for (const TargetPtr &Target : targetsOfService(Request.Service)) {
-    if (!takesRequests(*Target) ||
+  const std::vector<TargetPtr> &Candidates = targetsOfService(Request.Service);
+  // Starts at a random target, so that the sample is a different one each time.
+  const std::size_t First =
+      Candidates.empty()
+          ? 0
+          : static_cast<std::size_t>(Random.unit() *
+                                     static_cast<double>(Candidates.size()));
+  std::uint32_t MissingLocal = sampleSize();
+  std::uint32_t MissingRemote = sampleSize();
+  for (std::size_t Step = 0; Step < Candidates.size(); ++Step) {
+    const TargetPtr &Target = Candidates[(First + Step) % Candidates.size()];
+    std::uint32_t &Missing =
+        Target->Record.DataCentre == TableSettings.DataCentre ? MissingLocal
+                                                              : MissingRemote;
+    if (Missing == 0 || !takesRequests(*Target) ||
         std::find(Request.ExcludedTargets.begin(),
                   Request.ExcludedTargets.end(),
                   Target->Record.Id) != Request.ExcludedTargets.end())
       continue;
-    if (Now < Target->UnreachableUntil) {
-      Best.Reason = std::max(Best.Reason, NoTargetReason::Down);
-      continue;
-    }
-    if (Target->Load.queue(Now) >= QueuePerSlot * Target->Record.Slots) {
-      Best.Reason = NoTargetReason::Busy;
-      continue;
-    }
-    if (coldLimitReached(*Target, Now)) {
-      Best.Reason = NoTargetReason::Cold;
+    const NoTargetReason Reason = unavailable(*Target, Request, Now);
+    if (Reason != NoTargetReason::None) {
+      Best.Reason = std::max(Best.Reason, Reason);
       continue;
     }
+    --Missing;
     const Duration ExpectedTime = expectedTime(*Target, Now);
-    double Cost = static_cast<double>(ExpectedTime.count()) *
-                  (1 + Jitter * Random.unit());
-    if (Target->Record.DataCentre != TableSettings.DataCentre)
-      Cost += CrossDataCentrePenalty * Latency;
-    Cost += FailurePenalty * Latency * Target->Load.failureShare();
-    if (Target->cold(Now))
-      Cost += static_cast<double>(ExpectedTime.count());
+    const double Cost = cost(*Target, Request, ExpectedTime, Now);
     if (!Best.Target || Cost < BestCost) {
       Best.Target = Target;
       Best.Expected = ExpectedTime;
       BestCost = Cost;
     }
+    if (MissingLocal == 0 && MissingRemote == 0)
+      break;
   }
   return Best;
 }
--- a/lib/Fleet/TargetTable.h
+++ b/lib/Fleet/TargetTable.h
@@ -68,9 +68,10 @@
 /// Why no target was selected.
 enum class NoTargetReason {
   None, ///< No target of the service takes requests.
-  Busy, ///< All targets are at their request limit.
-  Cold, ///< Only cold targets at their rate limit are left.
-  Down, ///< All targets are currently unreachable.
+  Down, ///< All targets that take requests are currently unreachable.
+  Cold, ///< Only cold targets at their rate limit and unreachable ones are
+        ///< left.
+  Busy, ///< Some targets are at their request limit; none can take one now.
 };
 
 struct TargetSelection {
@@ -151,6 +152,14 @@
   /// keys.
   auto ownerRequestLimit(const TargetState &Target) const -> std::uint32_t;
   auto coldLimitReached(TargetState &Target, TimePoint Now) -> bool;
+  /// Number of targets that a request compares, in the own data centre and in
+  /// all others.
+  auto sampleSize() const -> std::uint32_t;
+  /// Why the target cannot take the request now, or None.
+  auto unavailable(TargetState &Target, const TargetRequest &Request,
+                   TimePoint Now) -> NoTargetReason;
+  auto cost(const TargetState &Target, const TargetRequest &Request,
+            Duration ExpectedTime, TimePoint Now) -> double;
   /// Whether this instance is in a pseudo-random subset of all instances of
   /// relative size \p Share, chosen for each incarnation of a target.
   auto isChosenSender(const TargetRecord &Target, double Share) const -> bool;
--- a/tests/unit/TargetTableTest.cpp
+++ b/tests/unit/TargetTableTest.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+#include <string>
+
 using namespace buckthornring;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -194,6 +197,56 @@
   }
 }
 
+// Pattern: surge in a large data centre. Between two load notices all instances
+// know the same loads; if each selected the best of all targets, they would
+// fill the few fastest ones, which then reset connections.
+TEST(TargetTableTest, NeighboursWithTheSameLoadsDoNotFillTheSameTargets) {
+  constexpr int Instances = 49;
+  constexpr int TargetCount = 58;
+  constexpr int RequestsEach = 4;
+  constexpr int FastTargets = 6;
+  // Such a target holds four running and 16 waiting requests.
+  constexpr int MostAtOneTarget = 20;
+  std::map<std::string, int> Sent;
+  for (int Instance = 0; Instance < Instances; ++Instance) {
+    TargetTable::Settings Settings;
+    Settings.DataCentre = LocalDataCentre;
+    TargetTable Table(Settings, static_cast<std::uint64_t>(Instance) + 1);
+    Table.setFleetSize({295, Instances});
+    for (int Index = 0; Index < TargetCount; ++Index) {
+      const std::string Id = "t" + std::to_string(Index);
+      Table.apply(record(Id, LocalDataCentre), Start);
+      TargetLoad &Load = Table.find(TargetId(Id))->Load;
+      Load.sent();
+      Load.ended(milliseconds(Index < FastTargets ? 150 : 300), 0, 4);
+      Load.reported({1, 0, 4, 1.0}, Start);
+    }
+    for (int Count = 0; Count < RequestsEach; ++Count) {
+      const std::string Id = selected(Table, Start);
+      ASSERT_NE(Id, "");
+      Table.find(TargetId(Id))->Load.sent();
+      ++Sent[Id];
+    }
+  }
+  for (const auto &[Id, Count] : Sent)
+    EXPECT_LE(Count, MostAtOneTarget) << Id;
+}
+
+TEST(TargetTableTest, BusyTargetsAreReportedBeforeUnreachableOnes) {
+  for (const bool BusyFirst : {true, false}) {
+    auto Table = table();
+    Table.apply(record(BusyFirst ? "busy" : "down", LocalDataCentre), Start);
+    Table.apply(record(BusyFirst ? "down" : "busy", LocalDataCentre), Start);
+    Table.markUnreachable(*Table.find(TargetId("down")), Start);
+    for (int Count = 0; Count < 12; ++Count)
+      Table.find(TargetId("busy"))->Load.sent();
+    const auto Selection =
+        Table.select({Service, true, milliseconds(400), {}}, Start);
+    EXPECT_EQ(Selection.Target, nullptr);
+    EXPECT_EQ(Selection.Reason, NoTargetReason::Busy) << BusyFirst;
+  }
+}
+
 TEST(TargetTableTest, FailingTargetIsAvoidedThoughItIsFast) {
   auto Table = table();
   Table.apply(record("bad", LocalDataCentre), Start);
