Read the store through relays from the start, with a backup, and hold workspace rates at one instance a data centre

Ruled out: stale reads (they lag by seconds); optimistic admission with later accounts (a hot workspace passes its limit within the lag). Change: a new process first reads only the leader object and lets the leader name its relay; each reader has a backup relay, which begins to relay when it is asked; a new relay answers only with what it has read since. The relay of a data centre holds its share of the rates and admits requests for its neighbours, with the leader's reserve behind it; requests that wait are asked for together. Tests: RelayedStoreTest.BackupRelayIsUsedBeforeTheStore, NewRelayAnswersOnlyWithWhatItHasReadSince; RateReserveClientTest.WaitingRequestsAreAskedForTogether; FleetMessageTest.ReplyNamesRelaysAndRateKeeper.

--- a/lib/Fleet/FleetMessage.cpp
+++ b/lib/Fleet/FleetMessage.cpp
@@ -85,6 +85,9 @@
           {"z", Reply.InstancesInDataCentre},
           {"g", Reply.LargestCapacity},
           {"y", Reply.Relay},
+          {"b", Reply.BackupRelay},
+          {"k", Reply.RateKeeper},
+          {"r", Reply.RateHolders},
           {"h", Reply.NeighboursVersion},
           {"a", Reply.Neighbours},
           {"q", Reply.SharesValid},
@@ -159,6 +162,9 @@
   Reply.Instances = Value.at("n").get<std::uint32_t>();
   Reply.InstancesInDataCentre = Value.at("z").get<std::uint32_t>();
   Reply.Relay = Value.at("y").get<std::string>();
+  Reply.BackupRelay = Value.at("b").get<std::string>();
+  Reply.RateKeeper = Value.at("k").get<std::string>();
+  Reply.RateHolders = Value.at("r").get<std::uint32_t>();
   Reply.LargestCapacity = Value.at("g").get<double>();
   Reply.NeighboursVersion = Value.at("h").get<std::uint64_t>();
   Reply.Neighbours = Value.at("a").get<std::vector<std::string>>();
--- a/lib/Fleet/FleetMessage.h
+++ b/lib/Fleet/FleetMessage.h
@@ -66,6 +66,11 @@
   /// Its own address: it reads the store directly and relays the changes;
   /// empty: it reads directly.
   std::string Relay;
+  std::string BackupRelay; ///< Used while Relay does not respond; may be empty.
+  /// Address of the instance that admits requests on behalf of the receiver.
+  /// Empty: the receiver holds shares of the workspace rates itself.
+  std::string RateKeeper;
+  std::uint32_t RateHolders = 1; ///< Instances that hold shares of the rates.
   /// Changes whenever the set of instances in the receiver's data centre
   /// changes.
   std::uint64_t NeighboursVersion = 0;
@@ -85,7 +90,8 @@
   std::map<ServiceId, std::vector<std::uint64_t>> Fences;
 };
 
-/// Requests tokens of a workspace from the leader's reserve.
+/// Requests tokens of a workspace from the sender's rate keeper or from the
+/// leader's reserve.
 struct RateReserveRequest {
   WorkspaceId Workspace;
   std::uint32_t Wanted = 1;
--- a/lib/Fleet/RateShares.cpp
+++ b/lib/Fleet/RateShares.cpp
@@ -195,7 +195,10 @@
   const auto Found = Buckets.find(Workspace);
   if (Found == Buckets.end())
     return Duration(0);
-  const double Rate = std::max(0.1, Found->second.Rate * Found->second.Share);
+  // An instance without a share of its own gets tokens from one that has one.
+  const double Share = Found->second.Share > 0 ? Found->second.Share
+                                               : 1.0 / std::max(1U, Instances);
+  const double Rate = std::max(0.1, Found->second.Rate * Share);
   const double Wait =
       std::clamp((1 - Found->second.Tokens) / Rate, 0.1, LongestSeconds);
   return Duration(static_cast<std::int64_t>(Wait * 1e6));
--- a/lib/Fleet/RateShares.h
+++ b/lib/Fleet/RateShares.h
@@ -133,6 +133,9 @@
   /// keeps its shares until then, since it may still be serving requests.
   auto expire(TimePoint Now) -> void;
 
+  /// Removes an instance that no longer holds shares.
+  auto remove(const InstanceId &Instance) -> void { Reports.erase(Instance); }
+
   struct Shares {
     std::map<WorkspaceId, double> ByWorkspace;
     double DefaultShare = 0; ///< Share of workspaces that are not listed.
--- a/lib/Gateway/ChangeRelay.cpp
+++ b/lib/Gateway/ChangeRelay.cpp
@@ -22,6 +22,10 @@
 /// Upper bound of the wait of one call, whatever wait_ms it requests.
 constexpr std::uint64_t MaxWaitMs = 5000;
 
+/// Time for which an instance without recent contact delays its answer. A relay
+/// that has just been named reads the store within milliseconds.
+constexpr Duration ContactWait = std::chrono::milliseconds(200);
+
 auto queryNumber(const HttpRequest &Request, const char *Name)
     -> std::optional<std::uint64_t> {
   const auto Text = Request.query(Name);
@@ -46,11 +50,27 @@
          bootNow() - ContactFeed.confirmedAt() <= MaxProofAge;
 }
 
+auto ChangeRelay::upToDate(const std::string &Kind) const -> bool {
+  const StoreFeed &Feed = *Feeds.at(Kind);
+  return hasRecentContact() && Feed.connected() &&
+         Feed.confirmedAt() >= BegunAt;
+}
+
+auto ChangeRelay::begin() -> void { BegunAt = bootNow(); }
+
+auto ChangeRelay::hasChanges(const std::string &Kind,
+                             std::optional<std::uint64_t> Since) const -> bool {
+  if (!Since)
+    return true;
+  const auto Changes = Feeds.at(Kind)->changesSince(*Since);
+  return !Changes || !Changes->empty();
+}
+
 auto ChangeRelay::respond(const std::string &Kind,
                           std::optional<std::uint64_t> Since,
                           const HttpResponder &Responder) const -> void {
   const StoreFeed &Feed = *Feeds.at(Kind);
-  if (!hasRecentContact() || !Feed.connected())
+  if (!upToDate(Kind))
     return Responder.respond(statusResponse(503));
   Json Objects = Json::array();
   const auto Add = [&Objects](const StoredObject &Object) {
@@ -79,37 +99,38 @@
 auto ChangeRelay::handleRequest(const HttpRequest &Request,
                                 const HttpResponder &Responder) -> void {
   const std::string Kind = Request.query("kind").value_or("");
-  const auto Found = Feeds.find(Kind);
-  if (Found == Feeds.end())
+  if (!Feeds.contains(Kind))
     return Responder.respond(statusResponse(404));
   const auto Since = queryNumber(Request, "since");
-  const StoreFeed &Feed = *Found->second;
-  const auto Changes = Since ? Feed.changesSince(*Since) : std::nullopt;
-  // There are no changes yet.
-  const bool MustWait = Changes && Changes->empty() && hasRecentContact();
-  if (!MustWait)
+  const bool Confirmed = upToDate(Kind);
+  if (Confirmed && hasChanges(Kind, Since))
     return respond(Kind, Since, Responder);
-  const auto WaitMs =
-      std::min(queryNumber(Request, "wait_ms").value_or(0), MaxWaitMs);
-  auto Call = std::make_shared<PendingCall>(Io, Kind, *Since, Responder);
+  const Duration Wait =
+      Confirmed ? std::chrono::milliseconds(std::min(
+                      queryNumber(Request, "wait_ms").value_or(0), MaxWaitMs))
+                : ContactWait;
+  auto Call = std::make_shared<PendingCall>(Io, Kind, Since, Responder);
   PendingCalls.push_back(Call);
-  Call->Timer.expires_after(std::chrono::milliseconds(WaitMs));
+  Call->Timer.expires_after(Wait);
   Call->Timer.async_wait([this, WeakCall = std::weak_ptr<PendingCall>(Call)](
                              const boost::system::error_code &Cancelled) {
     // The call may have been answered while this handler was already queued.
     const auto DueCall = WeakCall.lock();
-    if (Cancelled || !DueCall)
-      return;
-    respond(DueCall->Kind, DueCall->Since, DueCall->Responder);
-    PendingCalls.remove(DueCall);
+    if (!Cancelled && DueCall)
+      onTimeout(DueCall);
   });
 }
 
-auto ChangeRelay::onFeedAdvanced(const std::string &Kind) -> void {
+auto ChangeRelay::onTimeout(const std::shared_ptr<PendingCall> &Call) -> void {
+  respond(Call->Kind, Call->Since, Call->Responder);
+  PendingCalls.remove(Call);
+}
+
+auto ChangeRelay::onFeedAdvanced() -> void {
   PendingCalls.remove_if([&](const std::shared_ptr<PendingCall> &Call) {
-    if (Call->Kind != Kind)
+    if (!upToDate(Call->Kind) || !hasChanges(Call->Kind, Call->Since))
       return false;
-    respond(Kind, Call->Since, Call->Responder);
+    respond(Call->Kind, Call->Since, Call->Responder);
     return true;
   });
 }
--- a/lib/Gateway/ChangeRelay.h
+++ b/lib/Gateway/ChangeRelay.h
@@ -20,9 +20,10 @@
 ///
 /// Answers GET /changes?kind=K[&since=REVISION&wait_ms=N] from the feed of kind
 /// K: with all objects, or with those changed after a revision as soon as there
-/// are any. Status 404: there is no such kind; 410: the changes since that
-/// revision are no longer kept; 503: this instance has no recent proof that it
-/// reaches the store.
+/// are any. An instance that has just become the relay delays the answer until
+/// it has read the store. Status 404: there is no such kind; 410: the changes
+/// since that revision are no longer kept; 503: this instance has no recent
+/// proof that it reaches the store.
 class ChangeRelay {
 public:
   static constexpr const char *Path = "/changes";
@@ -35,11 +36,13 @@
     Feeds[Kind] = &Feed;
   }
 
+  /// From now on this instance reads the store directly; what its feeds have
+  /// read before may have come late through another relay.
+  auto begin() -> void;
   auto handleRequest(const HttpRequest &Request, const HttpResponder &Responder)
       -> void;
-  /// The feed of the kind has new objects; answers the calls that wait for
-  /// them.
-  auto onFeedAdvanced(const std::string &Kind) -> void;
+  /// A feed has new objects; answers the calls that wait for them.
+  auto onFeedAdvanced() -> void;
   /// Contact with the store was lost; answers all waiting calls with status
   /// 503.
   auto onContactLost() -> void;
@@ -47,23 +50,31 @@
 private:
   struct PendingCall {
     PendingCall(boost::asio::io_context &Io, std::string Kind,
-                std::uint64_t Since, const HttpResponder &Responder)
+                std::optional<std::uint64_t> Since,
+                const HttpResponder &Responder)
         : Timer(Io), Kind(std::move(Kind)), Since(Since), Responder(Responder) {
     }
 
     boost::asio::steady_timer Timer;
     std::string Kind;
-    std::uint64_t Since;
+    std::optional<std::uint64_t> Since; ///< Nothing: all objects.
     HttpResponder Responder;
   };
 
   /// Whether there is a recent proof of contact with the store.
   auto hasRecentContact() const -> bool;
+  /// Whether the feed of the kind is known to be up to date.
+  auto upToDate(const std::string &Kind) const -> bool;
+  /// Whether a call need not wait for changes.
+  auto hasChanges(const std::string &Kind,
+                  std::optional<std::uint64_t> Since) const -> bool;
+  auto onTimeout(const std::shared_ptr<PendingCall> &Call) -> void;
   auto respond(const std::string &Kind, std::optional<std::uint64_t> Since,
                const HttpResponder &Responder) const -> void;
 
   boost::asio::io_context &Io;
   const StoreFeed &ContactFeed;
+  TimePoint BegunAt = LongAgo;
   std::map<std::string, const StoreFeed *> Feeds;
   std::list<std::shared_ptr<PendingCall>> PendingCalls;
 };
--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -54,6 +54,11 @@
 /// store.
 constexpr Duration BehindTimeout = std::chrono::milliseconds(400);
 
+/// Unanswered requests in a row after which the rate keeper is not asked for
+/// RateKeeperDistrustPeriod; the leader names another one after 1.3 s.
+constexpr std::uint32_t MaxRateTimeouts = 2;
+constexpr Duration RateKeeperDistrustPeriod = std::chrono::milliseconds(1500);
+
 /// Interval over which target loads are batched into one notice to the
 /// neighbours. Targets change their speed and queue several times a second.
 constexpr Duration LoadNoticeInterval = std::chrono::milliseconds(40);
@@ -84,10 +89,12 @@
 FleetMember::FleetMember(boost::asio::io_context &Io, FleetContext Context,
                          std::uint64_t Seed)
     : Context(std::move(Context)),
-      RateClient(Io, this->Context.Requests.Rates,
-                 [this](const RateReserveRequest &Request) {
-                   return sendRateRequest(Request);
-                 }),
+      RateClient(
+          Io, this->Context.Requests.Rates,
+          [this](const RateReserveRequest &Request) {
+            return sendRateRequest(Request);
+          },
+          [this] { onRateTimeout(); }),
       ReportTimer(Io), ClaimTimer(Io), LoadTimer(Io), Random(Seed) {}
 
 auto FleetMember::scheduleReport() -> void {
@@ -118,6 +125,8 @@
   Report.CountPeriodMs = static_cast<std::uint32_t>(Span.count() / 1000);
   LastReportAt = Now;
   Report.Demand = Context.Requests.Rates.takeDemand();
+  if (!RateKeeper.empty())
+    Report.Demand.clear(); // Included in that of the rate keeper.
   for (const TargetId &Id :
        std::exchange(Context.Requests.RespondingOwners, {}))
     if (const TargetPtr Target = Context.Requests.Targets.find(Id))
@@ -153,13 +162,11 @@
   else if (const auto *Notice = std::get_if<GrantNotice>(&Message))
     onGrantNotice(*Notice);
   else if (const auto *Answer = std::get_if<RateReserveReply>(&Message))
-    RateClient.onRateReply(*Answer);
+    onRateReply(*Answer);
   else if (const auto *Loads = std::get_if<LoadNotice>(&Message))
     onLoadNotice(*Loads);
-  else if (Context.Requests.CurrentConfig)
-    Context.Peers.send(From, Context.LocalLeader.grantRate(
-                                 std::get<RateReserveRequest>(Message),
-                                 Context.Requests.CurrentConfig->Config));
+  else if (const auto *Request = std::get_if<RateReserveRequest>(&Message))
+    onRateRequest(*Request, From);
 }
 
 auto FleetMember::scheduleLoadNotice() -> void {
@@ -197,11 +204,45 @@
   if (Context.LocalLeader.leading())
     RateClient.onRateReply(Context.LocalLeader.grantRate(
         Request, Context.Requests.CurrentConfig->Config));
+  else if (!RateKeeper.empty() && bootNow() >= RateKeeperDistrustedUntil)
+    Context.Peers.send(RateKeeper, Request);
   else
     Context.Peers.send(CurrentLeader.Address, Request);
   return true;
 }
 
+auto FleetMember::onRateReply(const RateReserveReply &Reply) -> void {
+  RateTimeouts = 0;
+  RateClient.onRateReply(Reply);
+}
+
+auto FleetMember::onRateTimeout() -> void {
+  if (RateKeeper.empty() || ++RateTimeouts < MaxRateTimeouts)
+    return;
+  RateTimeouts = 0;
+  RateKeeperDistrustedUntil = bootNow() + RateKeeperDistrustPeriod;
+}
+
+auto FleetMember::onRateRequest(const RateReserveRequest &Request,
+                                const std::string &From) -> void {
+  if (!Context.Requests.CurrentConfig)
+    return;
+  const TimePoint Now = bootNow();
+  RateReserveReply Reply{Request.Workspace, 0, Request.Number};
+  while (Reply.Granted < Request.Wanted &&
+         Context.Requests.Rates.admit(Request.Workspace, Now))
+    ++Reply.Granted;
+  if (Reply.Granted == 0 && Context.LocalLeader.leading())
+    Reply = Context.LocalLeader.grantRate(
+        Request, Context.Requests.CurrentConfig->Config);
+  if (Reply.Granted > 0 || Context.LocalLeader.leading())
+    return Context.Peers.send(From, Reply);
+  RateClient.ask(Request.Workspace, [this, Reply, From](bool Granted) mutable {
+    Reply.Granted = Granted ? 1 : 0;
+    Context.Peers.send(From, Reply);
+  });
+}
+
 auto FleetMember::onReport(const FleetReport &Report, const std::string &From)
     -> void {
   // The sender may know of a newer leader than this instance, which may be cut
@@ -243,13 +284,16 @@
     Neighbours = Reply.Neighbours;
   }
   LargestCapacity = Reply.LargestCapacity;
+  // A new leader does not know yet whether a data centre needs a relay.
+  if (Reply.SharesValid || !Reply.Relay.empty())
+    Context.UseRelay(Reply.Relay, Reply.BackupRelay);
   if (!Reply.SharesValid)
     return;
-  Context.UseRelay(Reply.Relay);
+  RateKeeper = Reply.RateKeeper;
   Context.Requests.Targets.setFleetSize(
       {Reply.Instances, Reply.InstancesInDataCentre});
   Context.Requests.Rates.setShares(Reply.WorkspaceShares, Reply.DefaultShare,
-                                   Reply.Instances, bootNow());
+                                   Reply.RateHolders, bootNow());
 }
 
 auto FleetMember::onGrantNotice(const GrantNotice &Notice) -> void {
@@ -320,6 +364,9 @@
       NoClaimBefore = Now + ClaimPausePeriod;
     Context.LocalLeader.stop();
   }
+  // A new process learns from the reply through which relay it reads the store.
+  if (Previous.Term == 0)
+    sendReport();
   // The previous leader may be cut off from the store.
   if (!Previous.Address.empty() && Previous.Address != Context.Self.Address)
     Context.Peers.send(Previous.Address, composeReport(Now));
--- a/lib/Gateway/FleetMember.h
+++ b/lib/Gateway/FleetMember.h
@@ -37,8 +37,10 @@
     /// Whether this instance has seen all these changes.
     std::function<bool(const SeenRevisions &)> HasSeen;
     std::function<bool()> StoreReachable;
-    /// Selects the relay through which the store is read: FleetReply::Relay.
-    std::function<void(const std::string &Address)> UseRelay;
+    /// Selects the relays through which the store is read: FleetReply::Relay
+    /// and BackupRelay.
+    std::function<void(const std::string &Relay, const std::string &Backup)>
+        UseRelay;
     /// The instance at the address has seen changes that this instance has not.
     std::function<void(const SeenRevisions &, const std::string &Address)>
         OnBehind;
@@ -55,8 +57,8 @@
   /// Arranges that the neighbours are sent RequestContext::UnsentLoads soon.
   /// Called when loads were added to it.
   auto scheduleLoadNotice() -> void;
-  /// Client of the leader's reserve, for requests beyond this instance's parts
-  /// of the workspace rates.
+  /// Client of the rate keeper and the leader's reserve, for requests beyond
+  /// this instance's parts of the workspace rates.
   auto rateReserveClient() -> RateReserveClient & { return RateClient; }
   /// Announces that this instance stops. A leader resigns.
   auto leave() -> void;
@@ -72,9 +74,15 @@
   auto onGrantNotice(const GrantNotice &Notice) -> void;
   auto sendLoadNotice() -> void;
   auto onLoadNotice(const LoadNotice &Notice) -> void;
-  /// Sends a request to the leader's reserve. Returns false when there is no
-  /// leader.
+  /// Sends a request to the rate keeper, or to the leader's reserve. Returns
+  /// false when there is no leader.
   auto sendRateRequest(const RateReserveRequest &Request) -> bool;
+  /// Answers another instance from the shares held here, or else from the
+  /// leader's reserve.
+  auto onRateRequest(const RateReserveRequest &Request, const std::string &From)
+      -> void;
+  auto onRateReply(const RateReserveReply &Reply) -> void;
+  auto onRateTimeout() -> void;
   auto applyReply(const FleetReply &Reply) -> void;
   auto checkBehind(const SeenRevisions &Others, const std::string &From)
       -> void;
@@ -94,6 +102,9 @@
   boost::asio::steady_timer ClaimTimer;
   boost::asio::steady_timer LoadTimer;
   bool LoadTimerArmed = false;
+  std::string RateKeeper;         ///< FleetReply::RateKeeper.
+  std::uint32_t RateTimeouts = 0; ///< In a row, of requests to RateKeeper.
+  TimePoint RateKeeperDistrustedUntil = LongAgo;
   std::vector<std::string> Neighbours;
   std::uint64_t NeighboursVersion = 0;
   RandomSource Random;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -35,6 +35,13 @@
 /// within 2 s of targets that leave.
 constexpr Duration RelayWatchTimeout = std::chrono::milliseconds(400);
 
+/// Longest time for which a new process waits for the leader to name a relay
+/// before it reads configuration, targets and evacuations from the store
+/// itself. When the whole fleet starts for the first time, a leader has to be
+/// found and to hear from all instances.
+constexpr Duration FirstStartRelayWait = std::chrono::seconds(3);
+constexpr Duration RestartRelayWait = std::chrono::milliseconds(300);
+
 /// Interval at which waiting requests are tried again; responses and store
 /// updates trigger this as well.
 constexpr Duration DispatchRetryInterval = std::chrono::milliseconds(25);
@@ -86,7 +93,7 @@
                                         {},
                                         {}},
       Listener(Io), Signals(Io, SIGTERM, SIGINT, SIGHUP), TickTimer(Io),
-      DispatchTimer(Io), StopTimer(Io) {}
+      DispatchTimer(Io), StopTimer(Io), FeedStartTimer(Io) {}
 
 auto Gateway::Impl::bind(const StoreFactory &MakeStore) -> Result<bool> {
   auto CreatedStore = MakeStore(Io, Settings.StoreAddress);
@@ -175,6 +182,7 @@
           LeaderInfo{Settings.Instance, ProcessName, Settings.PeerAddress, 0},
           Settings.DataCentre, Settings.ProcessorShare,
           [this] {
+            startFeeds();
             // The open watch may have a long time-out on a dead connection, and
             // the leader's authority depends on its responses.
             updateWatchTimeout();
@@ -187,14 +195,20 @@
             return isUpToDateWith(Others);
           },
           [this] { return storeReachable(); },
-          [this](const std::string &Address) { useRelay(Address); },
+          [this](const std::string &Primary, const std::string &Backup) {
+            useRelays(Primary, Backup);
+          },
           [this](const SeenRevisions &Others, const std::string &Address) {
             catchUp(Others, Address);
           }},
       std::hash<std::string>()(ProcessName) + 1);
-  for (const auto *Feed :
-       {&ConfigurationFeed, &TargetFeed, &EvacuationFeed, &RouterObjectsFeed})
-    (*Feed)->start();
+  RouterObjectsFeed->start();
+  FeedStartTimer.expires_after(Settings.FirstStart ? FirstStartRelayWait
+                                                   : RestartRelayWait);
+  FeedStartTimer.async_wait([this](const error_code &Cancelled) {
+    if (!Cancelled)
+      startFeeds();
+  });
   Member->start();
   waitForSignal();
   accept();
@@ -279,7 +293,7 @@
   Events.flush();
   updateWatchTimeout();
   if (LocalLeader->leading()) {
-    Store->useRelay("");
+    Store->useRelays("", "");
     LocalLeader->leadershipConfirmed(RouterObjectsFeed->confirmedAt());
     if (Requests.CurrentConfig)
       LocalLeader->tick(Requests.CurrentConfig->Config);
--- a/lib/Gateway/GatewayImpl.h
+++ b/lib/Gateway/GatewayImpl.h
@@ -68,9 +68,15 @@
   /// Reads the changes in \p Others, which the instance at \p Address has seen
   /// and this one has not.
   auto catchUp(const SeenRevisions &Others, const std::string &Address) -> void;
-  /// Reads the store through the instance at \p Address, or relays the store to
-  /// other instances if \p Address is this instance's own.
-  auto useRelay(const std::string &Address) -> void;
+  /// Starts the feeds other than that of the router's own objects.
+  auto startFeeds() -> void;
+  /// Reads the store through the instance at \p Primary, or through \p Backup
+  /// while that does not respond; relays the store to other instances if \p
+  /// Primary is this instance's own address.
+  auto useRelays(const std::string &Primary, const std::string &Backup) -> void;
+  /// Another instance reads the store through this one. Its choice of the relay
+  /// may be newer than the one that this instance knows.
+  auto onChangesRequested() -> void;
   auto fetchPeerState(const std::string &Address) -> void;
   auto applyPeerState(const std::string &Body) -> void;
   auto handlePeerRequest(const HttpRequest &Request, const HttpResponder &To)
@@ -118,6 +124,7 @@
   boost::asio::steady_timer TickTimer;
   boost::asio::steady_timer DispatchTimer;
   boost::asio::steady_timer StopTimer;
+  boost::asio::steady_timer FeedStartTimer;
   SettingsReload Reload;
   std::filesystem::path SettingsFile;
   std::filesystem::file_time_type
@@ -129,7 +136,9 @@
       Flows;
   TimePoint StopStartedAt = LongAgo; ///< LongAgo: not stopping.
   std::uint64_t IgnoredRecords = 0;
+  TimePoint RelayRequestedUntil = LongAgo;
   bool IsRelay = false; ///< Other instances read the store through this one.
+  bool FeedsStarted = false;
   bool DispatchTimerArmed = false;
   bool FetchingPeerState = false;
 };
--- a/lib/Gateway/GatewaySettings.cpp
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -61,6 +61,7 @@
   Root.address("store_address", Out.StoreAddress, 1);
   Root.number("processor_share", Out.ProcessorShare, 0.001, MaxProcessorShare,
               Presence::Required);
+  Root.boolean("first_start", Out.FirstStart);
   if (!Root.has("bounds"))
     Root.report("bounds", "nothing", "an object");
   Root.object("bounds",
--- a/lib/Gateway/GatewaySettings.h
+++ b/lib/Gateway/GatewaySettings.h
@@ -33,6 +33,7 @@
   /// Share of a core that the process may use. Instances with a larger share
   /// are preferred as leader.
   double ProcessorShare = 1;
+  bool FirstStart = false; ///< The whole fleet starts for the first time.
   ServiceLevelBounds Bounds;
 
   /// Checks the document and reports all errors at once.
--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -28,6 +28,10 @@
 constexpr Duration MaxTargetBackoff = std::chrono::milliseconds(300);
 constexpr Duration MaxOtherBackoff = std::chrono::milliseconds(2400);
 
+/// Time after a call of a reader for which this instance goes on relaying,
+/// whether or not the leader has named it. Readers call at least every 0.8 s.
+constexpr Duration RelayDemandPeriod = std::chrono::seconds(3);
+
 constexpr Duration PeerCallTimeout = std::chrono::milliseconds(1000);
 
 constexpr std::string_view RangeObjectPrefix = "ranges.";
@@ -60,7 +64,7 @@
   Handlers.OnContact = [this, Kind](bool Connected, const char *Reason) {
     onStoreContactChanged(Kind, Connected, Reason);
   };
-  Handlers.OnAdvanced = [this, Kind] { Relay->onFeedAdvanced(Kind); };
+  Handlers.OnAdvanced = [this] { Relay->onFeedAdvanced(); };
   return std::make_unique<StoreFeed>(Io, *Store, std::move(Options),
                                      std::move(Handlers));
 }
@@ -109,6 +113,8 @@
           .field("reason", Reason));
   if (!Connected)
     Relay->onContactLost();
+  if (!FeedsStarted)
+    return;
   for (const auto *Feed :
        {&ConfigurationFeed, &TargetFeed, &EvacuationFeed, &RouterObjectsFeed})
     if (Connected)
@@ -301,6 +307,8 @@
 
 auto Gateway::Impl::catchUp(const SeenRevisions &Others,
                             const std::string &Address) -> void {
+  if (!FeedsStarted)
+    return;
   const std::array<std::pair<StoreFeed *, std::uint64_t>, 3> Feeds = {
       {{ConfigurationFeed.get(), Others.Configuration},
        {TargetFeed.get(), Others.Targets},
@@ -323,15 +331,40 @@
     fetchPeerState(Address);
 }
 
-auto Gateway::Impl::useRelay(const std::string &Address) -> void {
-  const bool SelfIsRelay = Address == Settings.PeerAddress;
-  // The leader has to prove its contact with the store by calls of its own.
-  Store->useRelay(SelfIsRelay || LocalLeader->leading() ? "" : Address);
-  if (std::exchange(IsRelay, SelfIsRelay) == SelfIsRelay)
+auto Gateway::Impl::startFeeds() -> void {
+  if (std::exchange(FeedsStarted, true))
     return;
+  FeedStartTimer.cancel();
+  for (const auto *Feed : {&ConfigurationFeed, &TargetFeed, &EvacuationFeed})
+    (*Feed)->start();
+}
+
+auto Gateway::Impl::useRelays(const std::string &Primary,
+                              const std::string &Backup) -> void {
+  const std::string &Self = Settings.PeerAddress;
+  const bool Relays = Primary == Self || bootNow() < RelayRequestedUntil;
+  // The leader has to prove its contact with the store by calls of its own.
+  if (Relays || LocalLeader->leading())
+    Store->useRelays("", "");
+  else
+    Store->useRelays(Primary, Backup == Self ? "" : Backup);
+  const bool Begins = Relays && !IsRelay;
+  IsRelay = Relays;
   updateWatchTimeout();
-  if (SelfIsRelay)
-    RouterObjectsFeed->recheck();
+  if (!Begins)
+    return startFeeds();
+  Relay->begin();
+  RouterObjectsFeed->reread();
+  if (!FeedsStarted)
+    return startFeeds();
+  for (const auto *Feed : {&ConfigurationFeed, &TargetFeed, &EvacuationFeed})
+    (*Feed)->reread();
+}
+
+auto Gateway::Impl::onChangesRequested() -> void {
+  RelayRequestedUntil = bootNow() + RelayDemandPeriod;
+  if (!IsRelay)
+    useRelays(Settings.PeerAddress, "");
 }
 
 auto Gateway::Impl::fetchPeerState(const std::string &Address) -> void {
@@ -415,8 +448,10 @@
 
 auto Gateway::Impl::handlePeerRequest(const HttpRequest &Request,
                                       const HttpResponder &To) -> void {
-  if (Request.path() == ChangeRelay::Path)
+  if (Request.path() == ChangeRelay::Path) {
+    onChangesRequested();
     return Relay->handleRequest(Request, To);
+  }
   HttpResponse Response;
   if (Request.path() == "/metrics") {
     Response.Headers.set("Content-Type",
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -3,6 +3,7 @@
 #include "IO/BootClock.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace buckthornring {
 
@@ -32,6 +33,10 @@
 /// with changes.
 constexpr std::size_t MinRelayedInstances = 6;
 
+/// Time after the start of a leadership by which each instance has reported
+/// once, and the largest instances of each data centre are known.
+constexpr Duration RelaySelectionDelay = std::chrono::milliseconds(500);
+
 /// A relay that has not reported for this time is replaced.
 constexpr Duration RelayTimeout = std::chrono::milliseconds(1300);
 
@@ -106,8 +111,19 @@
   std::erase_if(Members, [Now](const auto &Entry) {
     return Now - Entry.second.ReportedAt > MemberTimeout;
   });
-  Rates.recordDemand(Report.Instance, Report.Demand,
-                     std::chrono::milliseconds(Report.CountPeriodMs), Now);
+  const RelayPair Relays = selectRelays(Report.DataCentre, Now);
+  // The relay of a data centre also holds its shares of the rates: divided
+  // among hundreds of instances, most rates would leave less than one token to
+  // each.
+  const std::string &SenderAddress =
+      Report.Instance == Self.Instance ? Self.Address : Address;
+  const bool HoldsShares =
+      Relays.Primary.empty() || Relays.Primary == SenderAddress;
+  if (HoldsShares)
+    Rates.recordDemand(Report.Instance, Report.Demand,
+                       std::chrono::milliseconds(Report.CountPeriodMs), Now);
+  else
+    Rates.remove(Report.Instance);
   Rates.expire(Now);
   // The leader reports to itself once per report interval, so the parts are
   // computed once per interval.
@@ -133,16 +149,22 @@
   Reply.Leader = Self;
   Reply.StoreReachable = StoreReachable;
   Reply.SharesValid = Now - StartedAt > InitialReportPeriod;
-  const auto Parts = Rates.sharesOf(Report.Instance);
-  Reply.WorkspaceShares = Parts.ByWorkspace;
-  Reply.DefaultShare = Parts.DefaultShare;
+  Reply.RateHolders = std::max(1U, Rates.instances());
+  if (HoldsShares) {
+    const auto Parts = Rates.sharesOf(Report.Instance);
+    Reply.WorkspaceShares = Parts.ByWorkspace;
+    Reply.DefaultShare = Parts.DefaultShare;
+  } else {
+    Reply.RateKeeper = Relays.Primary;
+  }
   Reply.Instances =
-      std::max(Parts.Instances, static_cast<std::uint32_t>(Members.size()));
+      std::max(Reply.RateHolders, static_cast<std::uint32_t>(Members.size()));
   Reply.InstancesInDataCentre = static_cast<std::uint32_t>(
       std::count_if(Members.begin(), Members.end(), [&](const auto &Entry) {
         return Entry.second.DataCentre == Report.DataCentre;
       }));
-  Reply.Relay = selectRelay(Report.DataCentre, Now);
+  Reply.Relay = Relays.Primary;
+  Reply.BackupRelay = Relays.Backup;
   addNeighbours(Report, Reply);
   for (const auto &[Id, Other] : Members) {
     if (Other.StoreReachable && Now - Other.ReportedAt < RelayTimeout)
@@ -167,22 +189,29 @@
   return Id == Self.Instance ? Self.Address : Instance.Address;
 }
 
-auto Leader::selectRelay(const DataCentreId &DataCentre, TimePoint Now) const
-    -> std::string {
-  const std::pair<const InstanceId, Member> *Best = nullptr;
+auto Leader::selectRelays(const DataCentreId &DataCentre, TimePoint Now) const
+    -> RelayPair {
+  using Entry = std::pair<const InstanceId, Member>;
+  const Entry *Best = nullptr;
+  const Entry *Second = nullptr;
   std::size_t Count = 0;
-  for (const auto &Entry : Members) {
-    const Member &Candidate = Entry.second;
+  for (const Entry &Each : Members) {
+    const Member &Candidate = Each.second;
     if (Candidate.DataCentre != DataCentre)
       continue;
     ++Count;
-    if (Candidate.StoreReachable && Now - Candidate.ReportedAt < RelayTimeout &&
-        (!Best || Candidate.Capacity > Best->second.Capacity))
-      Best = &Entry;
+    if (!Candidate.StoreReachable || Now - Candidate.ReportedAt >= RelayTimeout)
+      continue;
+    if (!Best || Candidate.Capacity > Best->second.Capacity)
+      Second = std::exchange(Best, &Each);
+    else if (!Second || Candidate.Capacity > Second->second.Capacity)
+      Second = &Each;
   }
-  return Best && Count >= MinRelayedInstances
-             ? addressOf(Best->first, Best->second)
-             : "";
+  if (!Best || Count < MinRelayedInstances ||
+      Now - StartedAt < RelaySelectionDelay)
+    return {};
+  return {addressOf(Best->first, Best->second),
+          Second ? addressOf(Second->first, Second->second) : ""};
 }
 
 auto Leader::addNeighbours(const FleetReport &Report, FleetReply &Reply) const
--- a/lib/Gateway/Leader.h
+++ b/lib/Gateway/Leader.h
@@ -111,10 +111,15 @@
 
   auto addressOf(const InstanceId &Id, const Member &Instance) const
       -> const std::string &;
-  /// Returns the address of the instance through which the instances of a data
-  /// centre read the store, or an empty string when each reads directly.
-  auto selectRelay(const DataCentreId &DataCentre, TimePoint Now) const
-      -> std::string;
+  struct RelayPair {
+    std::string Primary;
+    std::string Backup;
+  };
+  /// Selects the instances through which those of a data centre read the store.
+  /// Both addresses are empty when each reads directly, or when this leader
+  /// does not know all instances yet.
+  auto selectRelays(const DataCentreId &DataCentre, TimePoint Now) const
+      -> RelayPair;
   /// Adds the addresses of the other instances of the sender's data centre.
   auto addNeighbours(const FleetReport &Report, FleetReply &Reply) const
       -> void;
--- a/lib/Gateway/RateReserveClient.cpp
+++ b/lib/Gateway/RateReserveClient.cpp
@@ -2,14 +2,13 @@
 
 #include "IO/BootClock.h"
 
+#include <iterator>
+#include <utility>
+
 namespace buckthornring {
 
 namespace {
 
-/// Tokens requested in one call. Tokens that an instance does not use soon are
-/// lost to the workspace, and most instances need one at a time.
-constexpr std::uint32_t RequestsPerCall = 1;
-
 /// Timeout of the leader's reply. The reply takes a few milliseconds, but an
 /// instance that has used up its share of the processor is suspended for up to
 /// 100 ms.
@@ -25,28 +24,33 @@
 } // namespace
 
 auto RateReserveClient::ask(const WorkspaceId &Workspace,
-                            std::function<void(bool)> Done) -> void {
-  if (!Rates.mayRequestTokens(Workspace, bootNow()))
-    return Done(false);
+                            std::vector<Callback> Callbacks) -> void {
+  if (!Rates.mayRequestTokens(Workspace, bootNow())) {
+    for (const Callback &Done : Callbacks)
+      Done(false);
+    return;
+  }
   const auto Existing = PendingRequests.find(Workspace);
   if (Existing != PendingRequests.end()) {
-    Existing->second.WaitingCallbacks.push_back(std::move(Done));
+    std::move(Callbacks.begin(), Callbacks.end(),
+              std::back_inserter(Existing->second.WaitingCallbacks));
     return;
   }
+  const auto Wanted = static_cast<std::uint32_t>(Callbacks.size());
   const std::uint64_t Number = ++LastRequestNumber;
   PendingRequest &Pending =
       PendingRequests.try_emplace(Workspace, Context, Number).first->second;
-  Pending.WaitingCallbacks.push_back(std::move(Done));
+  Pending.WaitingCallbacks = std::move(Callbacks);
   Pending.Timer.expires_after(ReplyTimeout);
   Pending.Timer.async_wait(
       [this, Workspace, Number](const boost::system::error_code &Cancelled) {
         if (!Cancelled)
           onTimeout(Workspace, Number);
       });
-  if (Send({Workspace, RequestsPerCall, Number}))
+  if (Send({Workspace, Wanted, Number}))
     return;
-  for (const auto &OnDone : takeWaitingCallbacks(Workspace))
-    OnDone(false);
+  for (const Callback &Done : takeWaitingCallbacks(Workspace))
+    Done(false);
 }
 
 auto RateReserveClient::onTimeout(const WorkspaceId &Workspace,
@@ -58,6 +62,7 @@
   UnansweredNumbers.insert(Number);
   if (UnansweredNumbers.size() > MaxUnansweredNumbers)
     UnansweredNumbers.erase(UnansweredNumbers.begin());
+  OnTimeout();
   finish(Workspace, 0);
 }
 
@@ -72,7 +77,7 @@
 }
 
 auto RateReserveClient::takeWaitingCallbacks(const WorkspaceId &Workspace)
-    -> std::vector<std::function<void(bool)>> {
+    -> std::vector<Callback> {
   const auto Pending = PendingRequests.find(Workspace);
   auto WaitingCallbacks = std::move(Pending->second.WaitingCallbacks);
   PendingRequests.erase(Pending);
@@ -86,12 +91,15 @@
   if (Granted == 0)
     Rates.onReserveEmpty(Workspace, Now + EmptyReservePause);
   Rates.addReserveTokens(Workspace, Granted, Now);
-  for (const auto &Done : WaitingCallbacks)
+  std::vector<Callback> Unserved;
+  for (const Callback &Done : WaitingCallbacks)
     if (Granted > 0 && Rates.spend(Workspace))
       Done(true);
     else
-      // Requests that arrived while this one was pending ask again.
-      ask(Workspace, Done);
+      Unserved.push_back(Done);
+  // Requests that arrived while this one was pending ask again.
+  if (!Unserved.empty())
+    ask(Workspace, std::move(Unserved));
 }
 
 } // namespace buckthornring
--- a/lib/Gateway/RelayedStore.cpp
+++ b/lib/Gateway/RelayedStore.cpp
@@ -5,6 +5,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <utility>
+
 namespace buckthornring {
 
 using Json = nlohmann::json;
@@ -45,37 +48,66 @@
 
 } // namespace
 
-auto RelayedStore::useRelay(const std::string &Address) -> void {
-  if (Address == Relay)
-    return;
-  Relay = Address;
-  DistrustedUntil = LongAgo;
-  Events.write(EventLine("relay-changed").field("relay", Relay));
-  Client.reset();
-  if (Relay.empty())
+auto RelayedStore::useRelays(const std::string &Primary,
+                             const std::string &Backup) -> void {
+  const std::array<std::string, 2> Addresses = {Primary, Backup};
+  if (Addresses[0] == Relays[0].Address && Addresses[1] == Relays[1].Address)
     return;
-  auto NewClient = HttpClient::create(Io, Relay);
-  if (!NewClient)
-    return distrust(NewClient.error().message().c_str());
-  Client = std::move(NewClient).value();
+  Events.write(EventLine("relay-changed")
+                   .field("relay", Primary)
+                   .field("backup", Backup));
+  std::array<Relay, 2> Previous = std::exchange(Relays, {});
+  for (std::size_t Index = 0; Index < Addresses.size(); ++Index) {
+    const auto Known = std::find_if(
+        Previous.begin(), Previous.end(), [&](const Relay &Candidate) {
+          return Candidate.Address == Addresses[Index];
+        });
+    if (Known != Previous.end())
+      Relays[Index] = *Known;
+    else
+      Relays[Index] = connectTo(Addresses[Index]);
+  }
+}
+
+auto RelayedStore::connectTo(const std::string &Address) const -> Relay {
+  Relay Added;
+  Added.Address = Address;
+  if (Address.empty())
+    return Added;
+  auto Client = HttpClient::create(Io, Address);
+  if (Client)
+    Added.Client = std::move(Client).value();
+  else
+    Events.write(EventLine("relay-distrusted")
+                     .field("relay", Address)
+                     .field("reason", Client.error().message()));
+  return Added;
 }
 
 auto RelayedStore::distrust(const char *Reason) -> void {
+  for (Relay &Each : Relays)
+    distrust(Each, Reason);
+}
+
+auto RelayedStore::distrust(Relay &Failed, const char *Reason) -> void {
   const TimePoint Now = bootNow();
-  if (Relay.empty() || Now < DistrustedUntil)
+  if (!Failed.Client || Now < Failed.DistrustedUntil)
     return;
-  DistrustedUntil = Now + DistrustPeriod;
+  Failed.DistrustedUntil = Now + DistrustPeriod;
   Events.write(EventLine("relay-distrusted")
-                   .field("relay", Relay)
+                   .field("relay", Failed.Address)
                    .field("reason", Reason));
 }
 
-auto RelayedStore::relayUsable() const -> bool {
-  return Client && bootNow() >= DistrustedUntil;
+auto RelayedStore::usableRelay() -> Relay * {
+  for (Relay &Each : Relays)
+    if (Each.Client && bootNow() >= Each.DistrustedUntil)
+      return &Each;
+  return nullptr;
 }
 
-auto RelayedStore::callRelay(const std::string &Query, Duration Timeout,
-                             ChangesHandler OnDone,
+auto RelayedStore::callRelay(Relay &Used, const std::string &Query,
+                             Duration Timeout, ChangesHandler OnDone,
                              std::function<void(ChangesHandler)> Fallback)
     -> void {
   HttpRequest Request;
@@ -84,9 +116,9 @@
   Options.TimeLimit = Timeout;
   Options.ConnectTimeout = RelayReplyTimeout;
   // The call keeps the client alive, since the relay may be replaced meanwhile.
-  Client->request(
+  Used.Client->request(
       std::move(Request), Options,
-      [this, UsedClient = Client, OnDone = std::move(OnDone),
+      [this, UsedClient = Used.Client, OnDone = std::move(OnDone),
        Fallback = std::move(Fallback)](const HttpOutcome &Outcome) mutable {
         if (Outcome.done() && Outcome.Response.Status == 410) {
           StoreChanges HistoryLost;
@@ -98,35 +130,40 @@
           if (Changes.Status == StoreStatus::Done)
             return OnDone(std::move(Changes));
         }
-        if (UsedClient == Client)
-          distrust(!Outcome.done()                  ? "no answer"
-                   : Outcome.Response.Status == 200 ? "unreadable answer"
-                                                    : "no contact");
+        for (Relay &Each : Relays)
+          if (Each.Client == UsedClient)
+            distrust(Each, !Outcome.done() ? "no answer"
+                           : Outcome.Response.Status == 200
+                               ? "unreadable answer"
+                               : "no contact");
         Fallback(std::move(OnDone));
       });
 }
 
 auto RelayedStore::list(const std::string &Kind, ChangesHandler OnDone)
     -> void {
-  if (!relayUsable())
+  Relay *Used = usableRelay();
+  if (!Used)
     return DirectStore->list(Kind, std::move(OnDone));
-  callRelay("kind=" + encodePercent(Kind), RelayReplyTimeout, std::move(OnDone),
-            [this, Kind](ChangesHandler Callback) {
-              DirectStore->list(Kind, std::move(Callback));
+  callRelay(*Used, "kind=" + encodePercent(Kind), RelayReplyTimeout,
+            std::move(OnDone), [this, Kind](ChangesHandler Callback) {
+              list(Kind, std::move(Callback));
             });
 }
 
 auto RelayedStore::watch(const std::string &Kind, std::uint64_t Revision,
                          Duration Wait, ChangesHandler OnDone) -> void {
-  if (!relayUsable())
+  Relay *Used = usableRelay();
+  if (!Used)
     return DirectStore->watch(Kind, Revision, Wait, std::move(OnDone));
   const Duration RelayedWait = std::min(Wait, RelayWatchTimeout);
-  callRelay("kind=" + encodePercent(Kind) +
+  callRelay(*Used,
+            "kind=" + encodePercent(Kind) +
                 "&since=" + std::to_string(Revision) +
                 "&wait_ms=" + milliseconds(RelayedWait),
             RelayedWait + RelayReplyTimeout, std::move(OnDone),
             [this, Kind, Revision, Wait](ChangesHandler Callback) {
-              DirectStore->watch(Kind, Revision, Wait, std::move(Callback));
+              watch(Kind, Revision, Wait, std::move(Callback));
             });
 }
 
--- a/lib/Gateway/RelayedStore.h
+++ b/lib/Gateway/RelayedStore.h
@@ -6,28 +6,28 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <array>
+#include <functional>
 #include <memory>
 #include <string>
 
 namespace buckthornring {
 
-/// Access of an instance to the store. Reads go through the relay, an instance
-/// of the same data centre that serves its own reads to the others, if there is
-/// one. While the relay does not answer or has no contact with the store
-/// itself, reads go to the store directly. Writes always do.
+/// Access of an instance to the store. Reads go through a relay, an instance of
+/// the same data centre that serves its own reads to the others, if there is
+/// one, or else through the backup relay. While neither answers or has contact
+/// with the store itself, reads go to the store directly. Writes always do.
 class RelayedStore final : public ObjectStore {
 public:
   RelayedStore(boost::asio::io_context &Io,
                std::unique_ptr<ObjectStore> DirectStore, EventLog &Events)
       : Io(Io), DirectStore(std::move(DirectStore)), Events(Events) {}
 
-  /// Reads through the instance at \p Address from now on, or directly when it
-  /// is empty.
-  auto useRelay(const std::string &Address) -> void;
-  /// The relay is behind other instances or does not answer: reads go to the
-  /// store for a while.
+  /// Reads through the instance at \p Primary from now on, and through the one
+  /// at \p Backup while the first does not respond. Empty: there is none.
+  auto useRelays(const std::string &Primary, const std::string &Backup) -> void;
+  /// The relays are behind other instances: reads go to the store for a while.
   auto distrust(const char *Reason) -> void;
-  auto relay() const -> const std::string & { return Relay; }
 
   auto list(const std::string &Kind, ChangesHandler OnDone) -> void override;
   auto watch(const std::string &Kind, std::uint64_t Revision, Duration Wait,
@@ -37,19 +37,26 @@
       -> void override;
 
 private:
-  auto relayUsable() const -> bool;
-  /// Calls the relay; calls \p Fallback when it gave no usable answer within \p
+  struct Relay {
+    std::string Address; ///< Empty: none.
+    std::shared_ptr<HttpClient> Client;
+    TimePoint DistrustedUntil = LongAgo;
+  };
+
+  auto connectTo(const std::string &Address) const -> Relay;
+  auto distrust(Relay &Failed, const char *Reason) -> void;
+  /// Returns the first relay that is not distrusted, or null.
+  auto usableRelay() -> Relay *;
+  /// Calls a relay; calls \p Fallback when it gave no usable answer within \p
   /// Timeout.
-  auto callRelay(const std::string &Query, Duration Timeout,
+  auto callRelay(Relay &Used, const std::string &Query, Duration Timeout,
                  ChangesHandler OnDone,
                  std::function<void(ChangesHandler)> Fallback) -> void;
 
   boost::asio::io_context &Io;
   std::unique_ptr<ObjectStore> DirectStore;
   EventLog &Events;
-  std::string Relay; ///< Empty: none.
-  std::shared_ptr<HttpClient> Client;
-  TimePoint DistrustedUntil = LongAgo;
+  std::array<Relay, 2> Relays; ///< Primary and backup.
 };
 
 } // namespace buckthornring
--- a/lib/Gateway/StoreFeed.cpp
+++ b/lib/Gateway/StoreFeed.cpp
@@ -96,13 +96,16 @@
 auto StoreFeed::retry() -> void {
   if (Connected || (!BackingOff && bootNow() - RequestedAt < CallRetryAge))
     return;
-  Timer.cancel();
-  list();
+  reread();
 }
 
 auto StoreFeed::recheck() -> void {
   if (!Connected || bootNow() - RequestedAt < CallRetryAge)
     return;
+  reread();
+}
+
+auto StoreFeed::reread() -> void {
   Timer.cancel();
   list();
 }
--- a/lib/Gateway/StoreFeed.h
+++ b/lib/Gateway/StoreFeed.h
@@ -62,6 +62,9 @@
   /// of the watch.
   auto recheck() -> void;
 
+  /// Lists all objects at once, whatever call is unanswered.
+  auto reread() -> void;
+
   /// Lists all objects once, in addition to the open watch.
   auto refresh() -> void;
 
--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -47,6 +47,21 @@
   EXPECT_EQ(Copy.ProcessingTimeMs, Report.ProcessingTimeMs);
 }
 
+TEST(FleetMessageTest, ReplyNamesRelaysAndRateKeeper) {
+  FleetReply Reply;
+  Reply.Relay = "10.0.0.2:7000";
+  Reply.BackupRelay = "10.0.0.3:7000";
+  Reply.RateKeeper = "10.0.0.4:7000";
+  Reply.RateHolders = 6;
+  const auto Read = decodeFleetMessage(encodeFleetMessage(Reply));
+  ASSERT_TRUE(Read) << Read.error().message();
+  const auto &Copy = std::get<FleetReply>(*Read);
+  EXPECT_EQ(Copy.Relay, Reply.Relay);
+  EXPECT_EQ(Copy.BackupRelay, Reply.BackupRelay);
+  EXPECT_EQ(Copy.RateKeeper, Reply.RateKeeper);
+  EXPECT_EQ(Copy.RateHolders, 6U);
+}
+
 TEST(FleetMessageTest, TruncatedBytesFailAndCorruptBytesDoNotThrow) {
   FleetReply Reply;
   Reply.Leader = {InstanceId("i2"), "i2-7", "10.0.0.1:7000", 42};
--- a/tests/unit/RateReserveClientTest.cpp
+++ b/tests/unit/RateReserveClientTest.cpp
@@ -65,6 +65,24 @@
   EXPECT_FALSE(Rates.spend(Small));
 }
 
+// Pattern: hot workspace at an instance that is short of processor time. One
+// token a round trip would hold back most of its requests.
+TEST_F(RateReserveClientTest, WaitingRequestsAreAskedForTogether) {
+  const auto First = ask();
+  std::vector<std::shared_ptr<std::optional<bool>>> Others;
+  for (int Count = 0; Count < 5; ++Count)
+    Others.push_back(ask());
+  ASSERT_EQ(Sent.size(), 1U);
+  EXPECT_EQ(Sent[0].Wanted, 1U);
+  Client.onRateReply({Small, 1, Sent[0].Number});
+  EXPECT_EQ(*First, true);
+  ASSERT_EQ(Sent.size(), 2U);
+  EXPECT_EQ(Sent[1].Wanted, 5U);
+  Client.onRateReply({Small, 5, Sent[1].Number});
+  for (const auto &Answer : Others)
+    EXPECT_EQ(*Answer, true);
+}
+
 TEST_F(RateReserveClientTest, WaitingRequestsAskTheReserveOneAtATime) {
   const auto First = ask();
   const auto Second = ask();
--- a/tests/unit/RelayedStoreTest.cpp
+++ b/tests/unit/RelayedStoreTest.cpp
@@ -26,7 +26,7 @@
                   if (!Connected)
                     Relay.onContactLost();
                 },
-                [this] { Relay.onFeedAdvanced(Kind); }}),
+                [this] { Relay.onFeedAdvanced(); }}),
         Relay(Io, Source),
         Store(Io, std::make_unique<FakeObjectStore>(Io, DirectContents),
               Events),
@@ -43,7 +43,7 @@
     RelayContents->set(Kind, "a", 1);
     Source.start();
     EXPECT_TRUE(until([this] { return Source.loaded(); }));
-    Store.useRelay("127.0.0.1:" + std::to_string(Server->port()));
+    Store.useRelays("127.0.0.1:" + std::to_string(Server->port()), "");
   }
 
   template <class Condition>
@@ -114,6 +114,30 @@
   EXPECT_LE(bootNow() - Down, 1000ms);
 }
 
+TEST_F(RelayedStoreTest, BackupRelayIsUsedBeforeTheStore) {
+  // Nothing listens at the discard port.
+  Store.useRelays("127.0.0.1:9", "127.0.0.1:" + std::to_string(Server->port()));
+  Follower.start();
+  ASSERT_TRUE(until([this] { return followerHas("a"); }));
+  RelayContents->set(Kind, "b", 2);
+  ASSERT_TRUE(until([this] { return followerHas("b"); }, 2s));
+  EXPECT_EQ(DirectContents->calls(), 0U);
+}
+
+// Guards against an instance that has just become the relay and answers from
+// what it read earlier through another one.
+TEST_F(RelayedStoreTest, NewRelayAnswersOnlyWithWhatItHasReadSince) {
+  RelayContents->setDown(true);
+  ASSERT_TRUE(until([this] { return !Source.connected(); }));
+  Relay.begin();
+  RelayContents->set(Kind, "b", 2);
+  RelayContents->setDown(false);
+  Follower.start();
+  ASSERT_TRUE(until([this] { return Follower.loaded(); }));
+  EXPECT_TRUE(followerHas("b"));
+  EXPECT_GE(Follower.confirmedAt(), Source.confirmedAt() - 2s);
+}
+
 TEST_F(RelayedStoreTest, ReaderBehindTheKeptChangesReadsAllObjects) {
   Follower.start();
   ASSERT_TRUE(until([this] { return Follower.loaded(); }));
