Count an instance as behind only when it fails to reach the same revisions

Change: LagDetector, without network: a lag runs from the time at which certain revisions became known until these have been reached.

--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -95,7 +95,8 @@
             return sendRateRequest(Request);
           },
           [this] { onRateTimeout(); }),
-      ReportTimer(Io), ClaimTimer(Io), LoadTimer(Io), Random(Seed) {}
+      Lag(BehindTimeout), ReportTimer(Io), ClaimTimer(Io), LoadTimer(Io),
+      Random(Seed) {}
 
 auto FleetMember::scheduleReport() -> void {
   ReportTimer.expires_after(ReportInterval);
@@ -309,16 +310,8 @@
 
 auto FleetMember::checkBehind(const SeenRevisions &Others,
                               const std::string &From) -> void {
-  const TimePoint Now = bootNow();
-  if (Context.HasSeen(Others)) {
-    BehindSince = LongAgo;
-    return;
-  }
-  if (BehindSince == LongAgo)
-    BehindSince = Now;
-  if (Now - BehindSince < BehindTimeout || From.empty())
+  if (From.empty() || !Lag.update(Others, Context.HasSeen, bootNow()))
     return;
-  BehindSince = Now;
   Context.OnBehind(Others, From);
 }
 
--- a/lib/Gateway/FleetMember.h
+++ b/lib/Gateway/FleetMember.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Fleet/FleetMessage.h"
+#include "Fleet/LagDetector.h"
 #include "Gateway/Leader.h"
 #include "Gateway/PeerSocket.h"
 #include "Gateway/RateReserveClient.h"
@@ -97,6 +98,7 @@
 
   FleetContext Context;
   RateReserveClient RateClient;
+  LagDetector Lag;
   double LargestCapacity = 0; ///< In the fleet, by the leader's last reply.
   boost::asio::steady_timer ReportTimer;
   boost::asio::steady_timer ClaimTimer;
@@ -117,7 +119,6 @@
   TimePoint ClaimAt = LongAgo;           ///< LongAgo: no claim planned.
   TimePoint NoClaimBefore = LongAgo;
   TimePoint ClaimedAt = LongAgo;
-  TimePoint BehindSince = LongAgo; ///< LongAgo: this instance is up to date.
   bool Claiming = false;
   bool Leaving = false;
 };
