Answer requests that have just arrived when an instance stops

Cause, by reading: at the end of the accept period the listening socket was closed with connections still waiting in its backlog; a connection counted as idle although a request had arrived that was not read yet; the process ended at once after the last response, and closing sockets with unread pipelined requests resets them before the caller has read it. Change: the backlog is accepted before the listener closes; a connection with unread input is not idle; the process waits for the linger time of the last session; requests are abandoned 0.7 s before the end of the grace time instead of 0.4 s, so that their refusals can be read. Tests: CallerSessionTest.DrainAnswersARequestThatWasNotReadYet failed before.

--- a/lib/Gateway/CallerSession.cpp
+++ b/lib/Gateway/CallerSession.cpp
@@ -33,11 +33,6 @@
 /// Time within which a write to a caller has to complete.
 constexpr Duration WriteTimeout = std::chrono::seconds(5);
 
-/// Time for the caller to read the last response before the socket is closed;
-/// closing it with unread input would reset the connection (RFC 9112, section
-/// 9.6).
-constexpr Duration LingerTimeout = std::chrono::milliseconds(500);
-
 /// A caller's connection counts as dead after this time without
 /// acknowledgements.
 constexpr Duration CallerSilenceTimeout = std::chrono::seconds(5);
@@ -339,8 +334,10 @@
 
 auto CallerSession::drain(bool CloseIdle) -> void {
   Pimpl->Draining = true;
-  const bool Idle = Pimpl->PendingResponses.empty() && !Pimpl->Writing &&
-                    !(Pimpl->RequestParser && Pimpl->RequestParser->got_some());
+  const bool Idle =
+      Pimpl->PendingResponses.empty() && !Pimpl->Writing &&
+      !(Pimpl->RequestParser && Pimpl->RequestParser->got_some()) &&
+      !hasUnreadInput(Pimpl->Socket);
   if (CloseIdle && Idle)
     close(false);
 }
--- a/lib/Gateway/CallerSession.h
+++ b/lib/Gateway/CallerSession.h
@@ -62,6 +62,11 @@
   CallerSession(const CallerSession &) = delete;
   auto operator=(const CallerSession &) -> CallerSession & = delete;
 
+  /// Time for the caller to read the last response before the socket is closed;
+  /// closing it with unread input would reset the connection (RFC 9112, section
+  /// 9.6).
+  static constexpr Duration LingerTimeout = std::chrono::milliseconds(500);
+
   auto start() -> void;
 
   /// Sends the response to a request. Ignored once the session has ended.
@@ -69,7 +74,7 @@
 
   /// Closes the connection after the last pending response, which announces
   /// this with "Connection: close". With \p CloseIdle, an idle connection is
-  /// closed at once.
+  /// closed at once, unless a request has arrived on it that was not read yet.
   auto drain(bool CloseIdle) -> void;
 
 private:
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -51,9 +51,11 @@
 /// second.
 constexpr Duration StopAcceptPeriod = std::chrono::milliseconds(2600);
 
-/// Time before the end of the grace period at which the remaining requests are
-/// ended.
-constexpr Duration StopMargin = std::chrono::milliseconds(400);
+/// Time before the end of the grace period at which the process ends, and at
+/// which the remaining requests are ended so that their callers can read the
+/// responses.
+constexpr Duration StopMargin = std::chrono::milliseconds(200);
+constexpr Duration AbandonMargin = StopMargin + CallerSession::LingerTimeout;
 constexpr Duration StopCheckInterval = std::chrono::milliseconds(100);
 
 auto makeProcessName(const InstanceId &Instance) -> std::string {
@@ -219,21 +221,39 @@
   Listener.async_accept([this](const error_code &Failure, tcp::socket Socket) {
     if (Failure == boost::asio::error::operation_aborted || !Listener.is_open())
       return;
-    if (!Failure) {
-      const RequestLimits Limits = Requests.CurrentConfig
-                                       ? Requests.CurrentConfig->Config.Limits
-                                       : RequestLimits();
-      auto Session =
-          std::make_shared<CallerSession>(std::move(Socket), *this, Limits);
-      Sessions.insert(Session);
-      Session->start();
-      if (StopStartedAt != LongAgo)
-        Session->drain(false);
-    }
+    if (!Failure)
+      startSession(std::move(Socket));
     accept();
   });
 }
 
+auto Gateway::Impl::startSession(tcp::socket Socket) -> void {
+  const RequestLimits Limits = Requests.CurrentConfig
+                                   ? Requests.CurrentConfig->Config.Limits
+                                   : RequestLimits();
+  auto Session =
+      std::make_shared<CallerSession>(std::move(Socket), *this, Limits);
+  Sessions.insert(Session);
+  Session->start();
+  if (StopStartedAt != LongAgo)
+    Session->drain(false);
+}
+
+auto Gateway::Impl::stopListening() -> void {
+  if (!Listener.is_open())
+    return;
+  // Closing the socket would reset the connections that wait to be accepted.
+  error_code Failure;
+  Listener.non_blocking(true, Failure);
+  while (!Failure) {
+    tcp::socket Socket(Io);
+    Listener.accept(Socket, Failure);
+    if (!Failure)
+      startSession(std::move(Socket));
+  }
+  Listener.close(Failure);
+}
+
 auto Gateway::Impl::onRequest(const std::shared_ptr<CallerSession> &Session,
                               std::uint64_t RequestNumber,
                               CallerRequest Request) -> void {
@@ -268,6 +288,7 @@
 auto Gateway::Impl::onSessionEnded(
     const std::shared_ptr<CallerSession> &Session) -> void {
   Sessions.erase(Session);
+  LastSessionEndedAt = bootNow();
 }
 
 auto Gateway::Impl::armDispatchTimer() -> void {
@@ -378,23 +399,26 @@
 }
 
 auto Gateway::Impl::continueStop() -> void {
-  const Duration Elapsed = bootNow() - StopStartedAt;
+  const TimePoint Now = bootNow();
+  const Duration Elapsed = Now - StopStartedAt;
   if (Elapsed >= StopAcceptPeriod) {
-    error_code Ignored;
-    Listener.close(Ignored);
+    stopListening();
     const auto OpenSessions = Sessions;
     for (const auto &Session : OpenSessions)
       Session->drain(true);
-    if (Sessions.empty()) {
-      Events.write(EventLine("stop"));
-      return Io.stop();
-    }
   }
-  if (Elapsed >= Settings.Bounds.StopGrace - StopMargin) {
+  if (Elapsed >= Settings.Bounds.StopGrace - AbandonMargin && !Flows.empty()) {
     const auto RunningFlows = Flows;
+    Events.write(
+        EventLine("requests-abandoned").field("requests", Flows.size()));
     for (const auto &[FlowKey, Flow] : RunningFlows)
       Flow->abandon();
-    Events.write(EventLine("stop").field("abandoned", RunningFlows.size()));
+  }
+  // The callers of the last sessions may still be reading their responses.
+  const bool Done = !Listener.is_open() && Sessions.empty() &&
+                    Now - LastSessionEndedAt >= CallerSession::LingerTimeout;
+  if (Done || Elapsed >= Settings.Bounds.StopGrace - StopMargin) {
+    Events.write(EventLine("stop").field("sessions", Sessions.size()));
     return Io.stop();
   }
   StopTimer.expires_after(StopCheckInterval);
--- a/lib/Gateway/GatewayImpl.h
+++ b/lib/Gateway/GatewayImpl.h
@@ -40,6 +40,7 @@
   auto bind(const StoreFactory &MakeStore) -> Result<bool>;
   auto start() -> void;
   auto accept() -> void;
+  auto startSession(boost::asio::ip::tcp::socket Socket) -> void;
 
   // Store updates.
   auto makeFeeds() -> void;
@@ -92,6 +93,7 @@
   auto waitForSignal() -> void;
   auto beginStop() -> void;
   auto continueStop() -> void;
+  auto stopListening() -> void;
   auto reloadSettings(const char *Cause) -> void;
   auto reloadChangedFile(TimePoint Now) -> void;
   auto ready() const -> bool;
@@ -135,6 +137,7 @@
            std::shared_ptr<RequestFlow>>
       Flows;
   TimePoint StopStartedAt = LongAgo; ///< LongAgo: not stopping.
+  TimePoint LastSessionEndedAt = LongAgo;
   std::uint64_t IgnoredRecords = 0;
   TimePoint RelayRequestedUntil = LongAgo;
   bool IsRelay = false; ///< Other instances read the store through this one.
--- a/lib/IO/SocketOptions.cpp
+++ b/lib/IO/SocketOptions.cpp
@@ -51,6 +51,10 @@
   return peek(Socket) != PendingInput::None;
 }
 
+auto hasUnreadInput(boost::asio::ip::tcp::socket &Socket) -> bool {
+  return peek(Socket) == PendingInput::Bytes;
+}
+
 auto endedByPeer(boost::asio::ip::tcp::socket &Socket) -> bool {
   return peek(Socket) == PendingInput::End;
 }
--- a/lib/IO/SocketOptions.h
+++ b/lib/IO/SocketOptions.h
@@ -21,6 +21,9 @@
 /// no request; such a connection must not be reused.
 auto brokenWhileIdle(boost::asio::ip::tcp::socket &Socket) -> bool;
 
+/// Whether bytes from the peer have arrived that were not read yet.
+auto hasUnreadInput(boost::asio::ip::tcp::socket &Socket) -> bool;
+
 /// Whether the peer has closed or reset the connection and all bytes that it
 /// sent before have been read.
 auto endedByPeer(boost::asio::ip::tcp::socket &Socket) -> bool;
--- a/tests/unit/CallerSessionTest.cpp
+++ b/tests/unit/CallerSessionTest.cpp
@@ -96,4 +96,15 @@
   EXPECT_EQ(Handler.Received, 1);
 }
 
+// Guards against a planned stop that closes a connection on which a request
+// has just arrived.
+TEST_F(CallerSessionTest, DrainAnswersARequestThatWasNotReadYet) {
+  Session->start();
+  Io.poll();
+  send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  Session->drain(true);
+  EXPECT_TRUE(runUntil([this] { return Handler.Received == 1; }));
+  EXPECT_EQ(Handler.Ended, 0);
+}
+
 } // namespace
