Bound what a target without end can make an instance hold

Cause, by reading: one response body could take 64 MiB on a machine of 160 MB, however many bodies were received at once; a line that is never complete (chunk extensions, trailer fields) and interim responses had no bound at all. Change: all bodies that are being received share a budget of 48 MiB for the process; at most 128 KiB are held unparsed; after 8 interim responses a target counts as faulty. Reading goes on part by part, so the budget is kept while it comes. Test: TargetConnectionTest.ResponseWithoutEndIsAbandoned (ten kinds of endless bytes, real sockets), BodyBudgetHolds OverAllConnections. The first cannot be built on the code before; not played there. Not covered: callers' uploads have the configuration's limit each, but no common budget.

--- a/lib/Gateway/OrderSender.cpp
+++ b/lib/Gateway/OrderSender.cpp
@@ -28,6 +28,9 @@
 /// heartbeat interval, the store's response time and the delay of the watch.
 constexpr Duration RestartDetectionPeriod = std::chrono::milliseconds(1100);
 
+/// Memory for the bodies of all responses to orders, which are short.
+constexpr std::size_t MaxReplyBytes = 1024UL * 1024;
+
 auto incarnationKey(const TargetRecord &Target) -> std::string {
   return Target.Id.str() + "@" + std::to_string(Target.StartedAtMs);
 }
@@ -51,6 +54,11 @@
   bool Sent = false;
 };
 
+OrderSender::OrderSender(boost::asio::io_context &Context,
+                         const PlatformProtocol &Protocol)
+    : Context(Context), Protocol(Protocol),
+      Budget(std::make_shared<BodyBudget>(MaxReplyBytes)) {}
+
 auto OrderSender::clear() -> void {
   ++*Generation;
   for (auto &[Incarnation, Connections] : IdleConnections)
@@ -93,7 +101,7 @@
   }
   const auto Endpoint = parseEndpoint(Target.Address);
   Pending->Connection =
-      std::make_shared<TargetConnection>(Context.get_executor());
+      std::make_shared<TargetConnection>(Context.get_executor(), Budget);
   Pending->Connection->connect(
       *Endpoint, ConnectTimeout, false,
       [this, Pending](bool Success) { onConnected(Pending, Success); });
--- a/lib/Gateway/OrderSender.h
+++ b/lib/Gateway/OrderSender.h
@@ -36,8 +36,7 @@
       std::function<void(RangeOrderOutcome, const std::string &Handover)>;
 
   OrderSender(boost::asio::io_context &Context,
-              const PlatformProtocol &Protocol)
-      : Context(Context), Protocol(Protocol) {}
+              const PlatformProtocol &Protocol);
 
   auto send(const TargetRecord &Target, const RangeOrder &Order, Handler OnDone)
       -> void;
@@ -61,6 +60,7 @@
 
   boost::asio::io_context &Context;
   const PlatformProtocol &Protocol;
+  std::shared_ptr<BodyBudget> Budget;
   /// Idle connections by incarnationKey().
   std::unordered_map<std::string, std::vector<ConnectionPtr>> IdleConnections;
   /// When a connection to the incarnation was last found lost or broken, by
--- a/lib/Gateway/TargetConnection.cpp
+++ b/lib/Gateway/TargetConnection.cpp
@@ -29,6 +29,13 @@
 constexpr std::uint64_t MaxResponseBodyBytes = 64ULL * 1024 * 1024;
 constexpr std::uint32_t MaxResponseHeadBytes = 64 * 1024;
 
+/// Largest part of a response that is held before it is parsed: a head, or the
+/// extensions and trailer fields of a chunked body.
+constexpr std::size_t MaxUnparsedBytes = 2 * MaxResponseHeadBytes;
+
+/// Interim (1xx) responses after which a target counts as faulty.
+constexpr int MaxInterimResponses = 8;
+
 /// Responses to other requests that are skipped before the connection counts as
 /// out of sync.
 constexpr int MaxSkippedResponses = 4;
@@ -57,12 +64,19 @@
 } // namespace
 
 struct TargetConnection::State {
-  explicit State(const asio::any_io_executor &Executor)
-      : Socket(Executor), Timer(Executor) {}
+  State(const asio::any_io_executor &Executor,
+        std::shared_ptr<BodyBudget> Budget)
+      : Socket(Executor), Timer(Executor), Buffer(MaxUnparsedBytes),
+        Budget(std::move(Budget)) {}
+  ~State() { Budget->resize(BodyBytes, 0); }
+  State(const State &) = delete;
+  auto operator=(const State &) -> State & = delete;
 
   asio::ip::tcp::socket Socket;
   asio::steady_timer Timer;
   boost::beast::flat_buffer Buffer;
+  std::shared_ptr<BodyBudget> Budget;
+  std::size_t BodyBytes = 0; ///< Taken from the budget.
   std::optional<Parser> ResponseParser;
   std::string Output;
   std::string IdField;
@@ -71,6 +85,7 @@
   ResponseHandler Done;
   Duration IdleLimit{0};
   int SkippedResponses = 0;
+  int InterimResponses = 0;
   bool Connecting = false;
   bool HeadOnly = false;
   bool Written = true;
@@ -78,8 +93,9 @@
   bool Closed = false;
 };
 
-TargetConnection::TargetConnection(const asio::any_io_executor &Executor)
-    : Pimpl(std::make_unique<State>(Executor)) {}
+TargetConnection::TargetConnection(const asio::any_io_executor &Executor,
+                                   std::shared_ptr<BodyBudget> Budget)
+    : Pimpl(std::make_unique<State>(Executor, std::move(Budget))) {}
 
 TargetConnection::~TargetConnection() = default;
 
@@ -130,6 +146,7 @@
   Pimpl->HeadOnly = HeadOnly;
   Pimpl->Done = std::move(Done);
   Pimpl->SkippedResponses = 0;
+  Pimpl->InterimResponses = 0;
   Pimpl->Written = false;
   asio::async_write(Pimpl->Socket, asio::buffer(Pimpl->Output),
                     [Self = shared_from_this()](const error_code &Failure,
@@ -153,28 +170,44 @@
   Pimpl->ResponseParser->header_limit(MaxResponseHeadBytes);
   Pimpl->ResponseParser->body_limit(MaxResponseBodyBytes);
   Pimpl->ResponseParser->skip(Pimpl->HeadOnly);
-  http::async_read(
+  readMore();
+}
+
+auto TargetConnection::readMore() -> void {
+  http::async_read_some(
       Pimpl->Socket, Pimpl->Buffer, *Pimpl->ResponseParser,
       [Self = shared_from_this()](const error_code &Failure, std::size_t) {
-        if (Self->Pimpl->Closed || !Self->Pimpl->Done)
+        State &Current = *Self->Pimpl;
+        if (Current.Closed || !Current.Done)
           return;
-        if (!Failure)
+        if (Failure)
+          return Self->onReadFailed(Failure);
+        if (!Current.Budget->resize(
+                Current.BodyBytes, Current.ResponseParser->get().body().size()))
+          return Self->finish(ExchangeResult::Malformed);
+        if (Current.ResponseParser->is_done())
           return Self->onResponse();
-        static const auto &HttpCategory =
-            make_error_code(http::error::bad_method).category();
-        const bool Ended = Failure == http::error::end_of_stream ||
-                           Failure == http::error::partial_message;
-        Self->finish(Failure.category() == HttpCategory && !Ended
-                         ? ExchangeResult::Malformed
-                         : ExchangeResult::Lost);
+        Self->readMore();
       });
 }
 
+auto TargetConnection::onReadFailed(const error_code &Failure) -> void {
+  static const auto &HttpCategory =
+      make_error_code(http::error::bad_method).category();
+  const bool Ended = Failure == http::error::end_of_stream ||
+                     Failure == http::error::partial_message;
+  finish(Failure.category() == HttpCategory && !Ended
+             ? ExchangeResult::Malformed
+             : ExchangeResult::Lost);
+}
+
 auto TargetConnection::onResponse() -> void {
   const auto &Message = Pimpl->ResponseParser->get();
   const unsigned Status = Message.result_int();
   if (Status >= 100 && Status < 200)
-    return Status == 101 ? finish(ExchangeResult::Malformed) : readResponse();
+    return Status == 101 || ++Pimpl->InterimResponses > MaxInterimResponses
+               ? finish(ExchangeResult::Malformed)
+               : readResponse();
   if (!Pimpl->IdField.empty() && Message[Pimpl->IdField] != Pimpl->Id) {
     if (++Pimpl->SkippedResponses > MaxSkippedResponses ||
         !Pimpl->ResponseParser->keep_alive())
@@ -186,6 +219,7 @@
 
 auto TargetConnection::finish(ExchangeResult Outcome) -> void {
   TargetResponse Response;
+  Pimpl->Budget->resize(Pimpl->BodyBytes, 0);
   Pimpl->KeepAlive = false;
   if (Outcome == ExchangeResult::Answered) {
     auto &Message = Pimpl->ResponseParser->get();
@@ -230,6 +264,7 @@
     return;
   Pimpl->Done = nullptr;
   Pimpl->Timer.cancel();
+  Pimpl->Budget->resize(Pimpl->BodyBytes, 0);
   error_code Ignored;
   Pimpl->Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
   Pimpl->Socket.close(Ignored);
--- a/lib/Gateway/TargetConnection.h
+++ b/lib/Gateway/TargetConnection.h
@@ -29,6 +29,27 @@
   std::string Body;
 };
 
+/// Memory for the response bodies that are being received on all connections of
+/// a pool together. A faulty target may send a body without end.
+class BodyBudget {
+public:
+  explicit BodyBudget(std::size_t Limit) : Limit(Limit) {}
+
+  /// Sets the bytes that one connection holds from \p Held to \p Wanted. Leaves
+  /// \p Held unchanged and returns false when that exceeds the limit.
+  auto resize(std::size_t &Held, std::size_t Wanted) -> bool {
+    if (Wanted > Held && Used + (Wanted - Held) > Limit)
+      return false;
+    Used += Wanted - Held;
+    Held = Wanted;
+    return true;
+  }
+
+private:
+  std::size_t Limit;
+  std::size_t Used = 0;
+};
+
 /// One HTTP/1.1 connection to a target. Carries one exchange at a time and
 /// reads each response completely. All methods are called on the executor's
 /// thread; handlers run there too, never after close().
@@ -37,7 +58,8 @@
   using ConnectHandler = std::function<void(bool)>;
   using ResponseHandler = std::function<void(ExchangeResult, TargetResponse)>;
 
-  explicit TargetConnection(const boost::asio::any_io_executor &Executor);
+  TargetConnection(const boost::asio::any_io_executor &Executor,
+                   std::shared_ptr<BodyBudget> Budget);
   ~TargetConnection();
   TargetConnection(const TargetConnection &) = delete;
   auto operator=(const TargetConnection &) -> TargetConnection & = delete;
@@ -82,6 +104,8 @@
       -> void;
   auto onWriteFailed(std::size_t Written) -> void;
   auto readResponse() -> void;
+  auto readMore() -> void;
+  auto onReadFailed(const boost::system::error_code &Failure) -> void;
   auto onResponse() -> void;
   auto finish(ExchangeResult Outcome) -> void;
 };
--- a/lib/Gateway/TargetConnectionPool.cpp
+++ b/lib/Gateway/TargetConnectionPool.cpp
@@ -54,7 +54,7 @@
   if (!Endpoint)
     return Done(nullptr, true);
   ++Opened;
-  auto Fresh = std::make_shared<TargetConnection>(Executor);
+  auto Fresh = std::make_shared<TargetConnection>(Executor, Budget);
   Fresh->connect(*Endpoint, ConnectTimeout, Required.AwaitReset,
                  [Fresh, Done = std::move(Done)](bool Success) {
                    if (!Success)
--- a/lib/Gateway/TargetConnectionPool.h
+++ b/lib/Gateway/TargetConnectionPool.h
@@ -21,7 +21,8 @@
   using Handler = std::function<void(ConnectionPtr, bool Opened)>;
 
   explicit TargetConnectionPool(boost::asio::any_io_executor Executor)
-      : Executor(std::move(Executor)) {}
+      : Executor(std::move(Executor)),
+        Budget(std::make_shared<BodyBudget>(MaxReceivedBodyBytes)) {}
 
   /// Requirements of a request on its connection.
   struct Needs {
@@ -49,9 +50,14 @@
   auto openedConnections() const -> std::uint64_t { return Opened; }
 
 private:
+  /// Memory for response bodies that are being received; the smallest instances
+  /// have 160 MB in all.
+  static constexpr std::size_t MaxReceivedBodyBytes = 48UL * 1024 * 1024;
+
   static auto poolKey(const TargetRecord &Target) -> std::string;
 
   boost::asio::any_io_executor Executor;
+  std::shared_ptr<BodyBudget> Budget;
   std::unordered_map<std::string, std::vector<ConnectionPtr>> Idle;
   std::uint64_t Opened = 0;
 };
--- a/tests/unit/GatewayTest.cpp
+++ b/tests/unit/GatewayTest.cpp
@@ -13,6 +13,8 @@
 #include <csignal>
 #include <map>
 #include <mutex>
+#include <optional>
+#include <string>
 #include <thread>
 #include <unistd.h>
 #include <utility>
@@ -513,7 +515,8 @@
   ResettingTarget Full;
   for (int Count = 0; Count < 20; ++Count) {
     boost::asio::io_context Io;
-    auto Connection = std::make_shared<TargetConnection>(Io.get_executor());
+    auto Connection = std::make_shared<TargetConnection>(
+        Io.get_executor(), std::make_shared<BodyBudget>(1024));
     bool Usable = true;
     Connection->connect(*parseEndpoint(Full.address()), 250ms, true,
                         [&Usable](bool Success) { Usable = Success; });
@@ -523,6 +526,81 @@
   }
 }
 
+/// Sends \p Start and then \p Repeated until the caller closes, and counts the
+/// bytes.
+auto withoutEnd(std::string Start, std::string Repeated,
+                std::atomic<std::size_t> &Sent) -> ScriptedTarget::Script {
+  while (Repeated.size() < 4096)
+    Repeated += Repeated;
+  return [=, &Sent](Socket &To, const std::string &) {
+    if (!ScriptedTarget::send(To, Start))
+      return false;
+    while (ScriptedTarget::send(To, Repeated))
+      Sent += Repeated.size();
+    return false;
+  };
+}
+
+// A server in trouble sends bytes without end, in any part of a response. The
+// exchange ends long before they fill the memory.
+TEST(TargetConnectionTest, ResponseWithoutEndIsAbandoned) {
+  constexpr std::size_t Budget = 1024UL * 1024;
+  // Beyond the budget: the buffers of both sockets.
+  constexpr std::size_t MostSent = 16 * Budget;
+  const std::string Head = "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n";
+  const std::map<std::string, std::pair<std::string, std::string>> Parts = {
+      {"head", {Head, "X-Noise: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n"}},
+      {"field", {Head + "X-Noise: ", "a"}},
+      {"status line", {"HTTP/1.1 200 ", "a"}},
+      {"sized body", {Head + "Content-Length: 60000000\r\n\r\n", "a"}},
+      {"unsized body", {Head + "\r\n", "a"}},
+      {"chunks",
+       {Head + "Transfer-Encoding: chunked\r\n\r\n", "4\r\naaaa\r\n"}},
+      {"chunk extension",
+       {Head + "Transfer-Encoding: chunked\r\n\r\n4;e=", "a"}},
+      {"trailer",
+       {Head + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+        "X-Noise: aaaaaaaaaaaaaaaaaaaaa\r\n"}},
+      {"interim responses", {"", "HTTP/1.1 102 Processing\r\n\r\n"}},
+      {"other responses",
+       {"", "HTTP/1.1 200 OK\r\nAttempt-Id: b\r\nContent-Length: 0\r\n\r\n"}}};
+  for (const auto &[Name, Bytes] : Parts) {
+    SCOPED_TRACE(Name);
+    std::atomic<std::size_t> Sent = 0;
+    ScriptedTarget Target(withoutEnd(Bytes.first, Bytes.second, Sent));
+    boost::asio::io_context Io;
+    auto Connection = std::make_shared<TargetConnection>(
+        Io.get_executor(), std::make_shared<BodyBudget>(Budget));
+    std::optional<ExchangeResult> Outcome;
+    Connection->connect(
+        *parseEndpoint(Target.address()), 250ms, false, [&](bool Success) {
+          ASSERT_TRUE(Success);
+          Connection->exchange(GatewayFixture::request("GET", "/", "a1"),
+                               "Attempt-Id", "a1", false,
+                               [&](ExchangeResult Result, TargetResponse) {
+                                 Outcome = Result;
+                                 Connection->close();
+                               });
+        });
+    Io.run_for(10s);
+    EXPECT_EQ(Outcome, ExchangeResult::Malformed);
+    EXPECT_LE(Sent, MostSent);
+    Connection->close();
+  }
+}
+
+TEST(TargetConnectionTest, BodyBudgetHoldsOverAllConnections) {
+  BodyBudget Budget(100);
+  std::size_t First = 0;
+  std::size_t Second = 0;
+  EXPECT_TRUE(Budget.resize(First, 60));
+  EXPECT_FALSE(Budget.resize(Second, 41));
+  EXPECT_EQ(Second, 0U);
+  EXPECT_TRUE(Budget.resize(Second, 40));
+  EXPECT_TRUE(Budget.resize(First, 0));
+  EXPECT_TRUE(Budget.resize(Second, 100));
+}
+
 // Guards against taking a late second copy of a rejection for the response to
 // the same request when it is sent again: it would be run once more.
 TEST(GatewayTest, SecondCopyOfARejectionIsNotTakenForTheNextResponse) {
@@ -624,11 +702,11 @@
         Caller.connect(Fixture.endpoint(), Failure);
         if (Failure)
           return;
-        boost::asio::write(Caller,
-                           boost::asio::buffer(GatewayFixture::request(
-                               "GET", "/safe/1",
-                               std::to_string(Index * 100'000 + Count))),
-                           Failure);
+        boost::asio::write(
+            Caller,
+            boost::asio::buffer(GatewayFixture::request(
+                "GET", "/safe/1", std::to_string(Index * 100'000 + Count))),
+            Failure);
         std::string Response;
         boost::asio::read(Caller, boost::asio::dynamic_buffer(Response),
                           Failure);
