Reset connections of unanswered orders ourselves, and close the target's other idle ones

Since non-renewals open connections of their own, a target has several idle ones. Into a partition of its data centre a second renewal was sent on another idle connection, which the system's dead-peer detection ended (all of the target's at 34.50 s, before the order's own time limit); closing it then sends no reset, and the grant arrived at 39.6 s, when another target had the keys with a higher token. Traced with each order logged. Ruled out: a stale record at a new leader (the grant took effect before any process had started again); a second leader. Change: connections of orders have no dead-peer detection, their timer resets them; after an unanswered order the idle connections of the target are closed, so the next order finds out that the target cannot be reached. Test: OrderSenderTest.NoOrderIsSentOnOldConnectionsOfAnUnresponsiveTarget (orders held up in a partition; with the idle connections left open the second order takes one). TargetConnectionTest.ResetOfANewConnectionIsSeenBeforeItIsUsed failed once beside load: the target's thread had not reset yet; both ends now run on one thread, the expectation is unchanged.

--- a/lib/Gateway/OrderSender.cpp
+++ b/lib/Gateway/OrderSender.cpp
@@ -102,8 +102,10 @@
   const auto Endpoint = parseEndpoint(Target.Address);
   Pending->Connection =
       std::make_shared<TargetConnection>(Context.get_executor(), Budget);
+  // An order that got no response must not arrive after its connection has
+  // ended. Only a reset ensures this, so its own timer ends the connection.
   Pending->Connection->connect(
-      *Endpoint, ConnectTimeout, false,
+      *Endpoint, ConnectTimeout, {.AwaitReset = false, .DetectSilence = false},
       [this, Pending](bool Success) { onConnected(Pending, Success); });
 }
 
@@ -122,6 +124,14 @@
   return nullptr;
 }
 
+auto OrderSender::closeIdle(const TargetRecord &Target) -> void {
+  const auto Connections = IdleConnections.extract(incarnationKey(Target));
+  if (Connections.empty())
+    return;
+  for (const ConnectionPtr &Connection : Connections.mapped())
+    Connection->close();
+}
+
 auto OrderSender::onConnectionEnded(const TargetRecord &Target) -> void {
   ConnectionEndedAt[incarnationKey(Target)] = bootNow();
   std::erase_if(ConnectionEndedAt, [](const auto &Entry) {
@@ -187,6 +197,10 @@
   } else {
     Pending->Connection->close();
   }
+  // A target that does not respond on one connection probably does not on the
+  // others; orders sent there would only be held up.
+  if (Outcome == RangeOrderOutcome::Unanswered)
+    closeIdle(Pending->Target);
   const auto Callback = std::exchange(Pending->OnDone, nullptr);
   if (*Generation == Pending->StartGeneration)
     Callback(Outcome, Handover);
--- a/lib/Gateway/OrderSender.h
+++ b/lib/Gateway/OrderSender.h
@@ -53,6 +53,7 @@
       -> void;
   /// Returns an intact idle connection to the incarnation, or null.
   auto takeIdle(const TargetRecord &Target) -> ConnectionPtr;
+  auto closeIdle(const TargetRecord &Target) -> void;
   auto onConnectionEnded(const TargetRecord &Target) -> void;
   auto encodeRequest(const PendingOrder &Pending) const -> std::string;
   auto finish(const std::shared_ptr<PendingOrder> &Pending,
--- a/lib/Gateway/TargetConnection.cpp
+++ b/lib/Gateway/TargetConnection.cpp
@@ -100,7 +100,7 @@
 TargetConnection::~TargetConnection() = default;
 
 auto TargetConnection::connect(const asio::ip::tcp::endpoint &Peer,
-                               Duration Timeout, bool AwaitReset,
+                               Duration Timeout, ConnectOptions Options,
                                ConnectHandler Done) -> void {
   Pimpl->Timer.expires_after(Timeout);
   Pimpl->Timer.async_wait(
@@ -112,7 +112,7 @@
       });
   Pimpl->Connecting = true;
   Pimpl->Socket.async_connect(
-      Peer, [Self = shared_from_this(), AwaitReset, StartedAt = bootNow(),
+      Peer, [Self = shared_from_this(), Options, StartedAt = bootNow(),
              Done = std::move(Done)](const error_code &Failure) mutable {
         Self->Pimpl->Connecting = false;
         Self->Pimpl->Timer.cancel();
@@ -120,8 +120,10 @@
           return;
         if (Failure)
           return Done(false);
-        enableDeadPeerDetection(Self->Pimpl->Socket, TargetSilenceTimeout);
-        Self->onConnected(bootNow() - StartedAt, AwaitReset, std::move(Done));
+        if (Options.DetectSilence)
+          enableDeadPeerDetection(Self->Pimpl->Socket, TargetSilenceTimeout);
+        Self->onConnected(bootNow() - StartedAt, Options.AwaitReset,
+                          std::move(Done));
       });
 }
 
--- a/lib/Gateway/TargetConnection.h
+++ b/lib/Gateway/TargetConnection.h
@@ -64,11 +64,18 @@
   TargetConnection(const TargetConnection &) = delete;
   auto operator=(const TargetConnection &) -> TargetConnection & = delete;
 
-  /// A target that has too many connections accepts a further one and resets it
-  /// at once. With \p AwaitReset, \p Done is called after another round trip,
-  /// so that such a reset has arrived before a request is sent.
+  struct ConnectOptions {
+    /// A target that has too many connections accepts a further one and resets
+    /// it at once. Waits for another round trip before the connection is passed
+    /// on, so that such a reset has arrived before a request is sent.
+    bool AwaitReset = false;
+    /// Ends the connection when the target's host acknowledges nothing for a
+    /// second. Otherwise only close() ends an unresponsive connection.
+    bool DetectSilence = true;
+  };
+
   auto connect(const boost::asio::ip::tcp::endpoint &Peer, Duration Timeout,
-               bool AwaitReset, ConnectHandler Done) -> void;
+               ConnectOptions Options, ConnectHandler Done) -> void;
 
   /// Sends \p RequestMessage and reads the response. When \p IdField is not
   /// empty, responses whose header field of that name differs from \p Id are
--- a/lib/Gateway/TargetConnectionPool.cpp
+++ b/lib/Gateway/TargetConnectionPool.cpp
@@ -55,7 +55,7 @@
     return Done(nullptr, true);
   ++Opened;
   auto Fresh = std::make_shared<TargetConnection>(Executor, Budget);
-  Fresh->connect(*Endpoint, ConnectTimeout, Required.AwaitReset,
+  Fresh->connect(*Endpoint, ConnectTimeout, {Required.AwaitReset, true},
                  [Fresh, Done = std::move(Done)](bool Success) {
                    if (!Success)
                      Fresh->close();
--- a/lib/Gateway/TargetConnectionPool.h
+++ b/lib/Gateway/TargetConnectionPool.h
@@ -31,7 +31,7 @@
     std::string RequestId;
     /// Longest idle time of a connection that may be reused.
     Duration MaxIdle = Duration::max();
-    /// TargetConnection::connect().
+    /// TargetConnection::ConnectOptions.
     bool AwaitReset = false;
   };
 
--- a/tests/unit/GatewayTest.cpp
+++ b/tests/unit/GatewayTest.cpp
@@ -14,6 +14,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <unistd.h>
@@ -512,16 +513,26 @@
 }
 
 TEST(TargetConnectionTest, ResetOfANewConnectionIsSeenBeforeItIsUsed) {
-  ResettingTarget Full;
   for (int Count = 0; Count < 20; ++Count) {
+    // Both ends run on one thread, so the target resets the connection when it
+    // has been established, however busy the machine is.
     boost::asio::io_context Io;
+    ScriptedTarget::Tcp::acceptor Listener(
+        Io, ScriptedTarget::Tcp::endpoint(
+                boost::asio::ip::address_v4::loopback(), 0));
+    Listener.async_accept(
+        [](const boost::system::error_code &Failure, Socket Accepted) {
+          ASSERT_FALSE(Failure);
+          Accepted.set_option(boost::asio::socket_base::linger(true, 0));
+          Accepted.close();
+        });
     auto Connection = std::make_shared<TargetConnection>(
         Io.get_executor(), std::make_shared<BodyBudget>(1024));
-    bool Usable = true;
-    Connection->connect(*parseEndpoint(Full.address()), 250ms, true,
+    std::optional<bool> Usable;
+    Connection->connect(Listener.local_endpoint(), 250ms, {.AwaitReset = true},
                         [&Usable](bool Success) { Usable = Success; });
     Io.run_for(300ms);
-    EXPECT_FALSE(Usable);
+    EXPECT_EQ(Usable, false);
     Connection->close();
   }
 }
@@ -573,7 +584,7 @@
         Io.get_executor(), std::make_shared<BodyBudget>(Budget));
     std::optional<ExchangeResult> Outcome;
     Connection->connect(
-        *parseEndpoint(Target.address()), 250ms, false, [&](bool Success) {
+        *parseEndpoint(Target.address()), 250ms, {}, [&](bool Success) {
           ASSERT_TRUE(Success);
           Connection->exchange(GatewayFixture::request("GET", "/", "a1"),
                                "Attempt-Id", "a1", false,
@@ -676,6 +687,51 @@
             (std::vector<std::string>{"accepted ", "accepted state"}));
 }
 
+// Guards against orders that are held up in a partition and arrive when others
+// own the keys: after one was not answered, no other is sent on a connection
+// that was opened before.
+TEST(OrderSenderTest, NoOrderIsSentOnOldConnectionsOfAnUnresponsiveTarget) {
+  std::mutex Mutex;
+  std::set<const Socket *> Opened;
+  std::vector<bool> OnOldConnection;
+  std::atomic<bool> Silent = false;
+  ScriptedTarget Target([&](Socket &To, const std::string &) {
+    const std::lock_guard Guard(Mutex);
+    const bool Known = !Opened.insert(&To).second;
+    if (Silent) {
+      OnOldConnection.push_back(Known);
+      return true;
+    }
+    return ScriptedTarget::send(To,
+                                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  });
+  boost::asio::io_context Io;
+  PlatformProtocol Protocol;
+  Protocol.Headers = platform::headerNames();
+  Protocol.Orders = {platform::encodeOrder, "Handover"};
+  OrderSender Sender(Io, Protocol);
+  TargetRecord Record;
+  Record.Id = TargetId("t1");
+  Record.Address = Target.address();
+  RangeOrder Order;
+  Order.Target = Record.Id;
+  Order.HoldPeriod = 3s;
+  const auto Ignore = [](RangeOrderOutcome, const std::string &) {};
+  // First grants, each on a connection of its own.
+  for (int Count = 0; Count < 3; ++Count)
+    Sender.send(Record, Order, Ignore);
+  Io.run_for(300ms);
+  Silent = true;
+  Order.Renewal = true;
+  for (int Count = 0; Count < 2; ++Count) {
+    Io.restart();
+    Sender.send(Record, Order, Ignore);
+    Io.run_for(1000ms);
+  }
+  const std::lock_guard Guard(Mutex);
+  EXPECT_EQ(OnOldConnection, (std::vector<bool>{true, false}));
+}
+
 // A planned stop under load: callers go on using open connections and opening
 // new ones until the instance is gone. Whoever gets a connection gets a
 // response to the first request on it.
