Send first grants at once while another connection to the target is intact

Orders other than renewals open new connections since, and none may be opened for 1.1 s after one was lost: with lost answers and garbled bytes, grants of moved keys waited. Change: an intact idle connection shows that the target has not restarted, so no pause is needed; the idle connections are closed only when an order timed out, not when its connection was lost. Test: OrderSenderTest.GrantIsSentWhileAnotherConnectionIsIntact.

--- a/lib/Gateway/OrderSender.cpp
+++ b/lib/Gateway/OrderSender.cpp
@@ -79,21 +79,16 @@
   Pending->Timer.async_wait(
       [this, Pending](const boost::system::error_code &Cancelled) {
         if (!Cancelled)
-          finish(Pending,
-                 Pending->Sent ? RangeOrderOutcome::Unanswered
-                               : RangeOrderOutcome::NotSent,
-                 "");
+          onTimeout(Pending);
       });
   if (ConnectionPtr Idle = takeIdle(Target)) {
     if (Order.Renewal) {
       Pending->Connection = std::move(Idle);
       return onConnected(Pending, true);
     }
+    // An intact connection shows that the target has not restarted.
     IdleConnections[incarnationKey(Target)].push_back(std::move(Idle));
-  }
-  const auto LastEnd = ConnectionEndedAt.find(incarnationKey(Target));
-  if (LastEnd != ConnectionEndedAt.end() &&
-      bootNow() - LastEnd->second < RestartDetectionPeriod) {
+  } else if (mayHaveRestarted(Target)) {
     boost::asio::post(Context, [this, Pending] {
       finish(Pending, RangeOrderOutcome::NotSent, "");
     });
@@ -109,6 +104,18 @@
       [this, Pending](bool Success) { onConnected(Pending, Success); });
 }
 
+auto OrderSender::onTimeout(const std::shared_ptr<PendingOrder> &Pending)
+    -> void {
+  // A target that does not respond on one connection probably does not on the
+  // others; orders sent there would only be held up.
+  if (Pending->Sent && Pending->OnDone)
+    closeIdle(Pending->Target);
+  finish(Pending,
+         Pending->Sent ? RangeOrderOutcome::Unanswered
+                       : RangeOrderOutcome::NotSent,
+         "");
+}
+
 auto OrderSender::takeIdle(const TargetRecord &Target) -> ConnectionPtr {
   auto &Connections = IdleConnections[incarnationKey(Target)];
   while (!Connections.empty()) {
@@ -124,6 +131,12 @@
   return nullptr;
 }
 
+auto OrderSender::mayHaveRestarted(const TargetRecord &Target) const -> bool {
+  const auto LastEnd = ConnectionEndedAt.find(incarnationKey(Target));
+  return LastEnd != ConnectionEndedAt.end() &&
+         bootNow() - LastEnd->second < RestartDetectionPeriod;
+}
+
 auto OrderSender::closeIdle(const TargetRecord &Target) -> void {
   const auto Connections = IdleConnections.extract(incarnationKey(Target));
   if (Connections.empty())
@@ -197,10 +210,6 @@
   } else {
     Pending->Connection->close();
   }
-  // A target that does not respond on one connection probably does not on the
-  // others; orders sent there would only be held up.
-  if (Outcome == RangeOrderOutcome::Unanswered)
-    closeIdle(Pending->Target);
   const auto Callback = std::exchange(Pending->OnDone, nullptr);
   if (*Generation == Pending->StartGeneration)
     Callback(Outcome, Handover);
--- a/lib/Gateway/OrderSender.h
+++ b/lib/Gateway/OrderSender.h
@@ -51,8 +51,12 @@
 
   auto onConnected(const std::shared_ptr<PendingOrder> &Pending, bool Success)
       -> void;
+  auto onTimeout(const std::shared_ptr<PendingOrder> &Pending) -> void;
   /// Returns an intact idle connection to the incarnation, or null.
   auto takeIdle(const TargetRecord &Target) -> ConnectionPtr;
+  /// Whether a connection to the incarnation has ended too recently for its
+  /// record to show a restart.
+  auto mayHaveRestarted(const TargetRecord &Target) const -> bool;
   auto closeIdle(const TargetRecord &Target) -> void;
   auto onConnectionEnded(const TargetRecord &Target) -> void;
   auto encodeRequest(const PendingOrder &Pending) const -> std::string;
--- a/tests/unit/GatewayTest.cpp
+++ b/tests/unit/GatewayTest.cpp
@@ -732,6 +732,43 @@
   EXPECT_EQ(OnOldConnection, (std::vector<bool>{true, false}));
 }
 
+// A grant for newly assigned keys opens a connection of its own. It is not
+// delayed after a connection was lost while another one is intact.
+TEST(OrderSenderTest, GrantIsSentWhileAnotherConnectionIsIntact) {
+  std::atomic<bool> CloseNext = false;
+  ScriptedTarget Target([&](Socket &To, const std::string &) {
+    return !CloseNext.exchange(false) &&
+           ScriptedTarget::send(To,
+                                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  });
+  boost::asio::io_context Io;
+  PlatformProtocol Protocol;
+  Protocol.Headers = platform::headerNames();
+  Protocol.Orders = {platform::encodeOrder, "Handover"};
+  OrderSender Sender(Io, Protocol);
+  TargetRecord Record;
+  Record.Id = TargetId("t1");
+  Record.Address = Target.address();
+  RangeOrder Order;
+  Order.Target = Record.Id;
+  Order.HoldPeriod = 3s;
+  std::vector<RangeOrderOutcome> Outcomes;
+  const auto OnDone = [&Outcomes](RangeOrderOutcome Outcome,
+                                  const std::string &) {
+    Outcomes.push_back(Outcome);
+  };
+  for (const bool Lost : {false, true, false}) {
+    CloseNext = Lost;
+    Io.restart();
+    Sender.send(Record, Order, OnDone);
+    Io.run_for(200ms);
+  }
+  EXPECT_EQ(Outcomes,
+            (std::vector<RangeOrderOutcome>{RangeOrderOutcome::Accepted,
+                                            RangeOrderOutcome::Unanswered,
+                                            RangeOrderOutcome::Accepted}));
+}
+
 // A planned stop under load: callers go on using open connections and opening
 // new ones until the instance is gone. Whoever gets a connection gets a
 // response to the first request on it.
