--- a/lib/Gateway/TargetConnection.cpp
+++ b/lib/Gateway/TargetConnection.cpp
@@ -31,7 +31,7 @@
 
 /// Largest part of a response that is held before it is parsed: a head, or the
 /// extensions and trailer fields of a chunked body.
-constexpr std::size_t MaxUnparsedBytes = 2 * MaxResponseHeadBytes;
+constexpr std::size_t MaxUnparsedBytes = 128UL * 1024;
 
 /// Interim (1xx) responses after which a target counts as faulty.
 constexpr int MaxInterimResponses = 8;
