Satisfy the linter in the tests, and give the tests of orders one fixture

The three tests of OrderSender repeated their set-up, two places reset a connection in the same way, and one script kept its state in a static variable, which a repeated run would have found set. All expectations are the same; outcomes are compared by name with the handed-over state.

--- a/tests/unit/GatewayTest.cpp
+++ b/tests/unit/GatewayTest.cpp
@@ -459,6 +459,11 @@
   EXPECT_GE(NextAt - EndedAt, 1000);
 }
 
+auto reset(Socket &Connection) -> void {
+  Connection.set_option(boost::asio::socket_base::linger(true, 0));
+  Connection.close();
+}
+
 /// Accepts connections and resets each one at once, like a target that has too
 /// many of them.
 class ResettingTarget {
@@ -483,8 +488,7 @@
         [this](const boost::system::error_code &Failure, Socket Accepted) {
           if (Failure)
             return;
-          Accepted.set_option(boost::asio::socket_base::linger(true, 0));
-          Accepted.close();
+          reset(Accepted);
           accept();
         });
   }
@@ -530,12 +534,13 @@
   Io.run_for(100ms);
   ASSERT_TRUE(Connected);
   Socket Accepted = Listener.accept();
-  Accepted.set_option(boost::asio::socket_base::linger(true, 0));
-  Accepted.close();
+  reset(Accepted);
   std::optional<ExchangeResult> Outcome;
   Connection->exchange(
       GatewayFixture::request("POST", "/", "a1"), "Attempt-Id", "a1", false,
-      [&Outcome](ExchangeResult Result, TargetResponse) { Outcome = Result; });
+      [&Outcome](ExchangeResult Result, const TargetResponse &) {
+        Outcome = Result;
+      });
   Io.restart();
   Io.run_for(100ms);
   EXPECT_EQ(Outcome, ExchangeResult::NotSent);
@@ -553,8 +558,7 @@
     Listener.async_accept(
         [](const boost::system::error_code &Failure, Socket Accepted) {
           ASSERT_FALSE(Failure);
-          Accepted.set_option(boost::asio::socket_base::linger(true, 0));
-          Accepted.close();
+          reset(Accepted);
         });
     auto Connection = std::make_shared<TargetConnection>(
         Io.get_executor(), std::make_shared<BodyBudget>(1024));
@@ -569,7 +573,7 @@
 
 /// Sends \p Start and then \p Repeated until the caller closes, and counts the
 /// bytes.
-auto withoutEnd(std::string Start, std::string Repeated,
+auto withoutEnd(const std::string &Start, std::string Repeated,
                 std::atomic<std::size_t> &Sent) -> ScriptedTarget::Script {
   while (Repeated.size() < 4096)
     Repeated += Repeated;
@@ -616,12 +620,12 @@
     Connection->connect(
         *parseEndpoint(Target.address()), 250ms, {}, [&](bool Success) {
           ASSERT_TRUE(Success);
-          Connection->exchange(GatewayFixture::request("GET", "/", "a1"),
-                               "Attempt-Id", "a1", false,
-                               [&](ExchangeResult Result, TargetResponse) {
-                                 Outcome = Result;
-                                 Connection->close();
-                               });
+          Connection->exchange(
+              GatewayFixture::request("GET", "/", "a1"), "Attempt-Id", "a1",
+              false, [&](ExchangeResult Result, const TargetResponse &) {
+                Outcome = Result;
+                Connection->close();
+              });
         });
     Io.run_for(10s);
     EXPECT_EQ(Outcome, ExchangeResult::Malformed);
@@ -647,6 +651,7 @@
 TEST(GatewayTest, SecondCopyOfARejectionIsNotTakenForTheNextResponse) {
   std::mutex Mutex;
   std::map<const Socket *, int> RequestsOn;
+  bool Rejected = false;
   std::atomic<int> Runs = 0;
   ScriptedTarget Owner([&](Socket &To, const std::string &Request) {
     if (Request.starts_with("POST /v1/"))
@@ -656,7 +661,6 @@
     const std::string Rejection =
         GatewayFixture::response(Id, "", "Not-Executed: 1\r\n", 421);
     const std::lock_guard Guard(Mutex);
-    static bool Rejected = false;
     if (!std::exchange(Rejected, true)) {
       ++RequestsOn[&To];
       return ScriptedTarget::send(To, Rejection);
@@ -674,10 +678,45 @@
   EXPECT_EQ(Runs, 1);
 }
 
+/// Sends orders to a scripted target and records how they end.
+class OrderSenderTest : public testing::Test {
+protected:
+  static constexpr const char *Granted =
+      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+  OrderSenderTest() {
+    Protocol.Headers = platform::headerNames();
+    Protocol.Orders = {platform::encodeOrder, "Handover"};
+    Order.Target = TargetId("t1");
+    Order.HoldPeriod = 3s;
+  }
+
+  auto send(const ScriptedTarget &Target) -> void {
+    TargetRecord Record;
+    Record.Id = Order.Target;
+    Record.Address = Target.address();
+    Sender.send(Record, Order,
+                [this](RangeOrderOutcome Outcome, const std::string &Handover) {
+                  Outcomes.push_back(
+                      std::string(RangeOrderOutcomeNames.name(Outcome)) + " " +
+                      Handover);
+                });
+  }
+  auto run(Duration Time) -> void {
+    Io.restart();
+    Io.run_for(Time);
+  }
+
+  boost::asio::io_context Io;
+  PlatformProtocol Protocol;
+  OrderSender Sender{Io, Protocol};
+  RangeOrder Order;
+  std::vector<std::string> Outcomes; ///< Outcome and handed-over state.
+};
+
 // Guards against a release that counts as done when a second copy of the
 // response to a grant arrives.
-TEST(OrderSenderTest, SecondCopyOfAGrantResponseIsNoResponseToARelease) {
-  const std::string Granted = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+TEST_F(OrderSenderTest, SecondCopyOfAGrantResponseIsNoResponseToARelease) {
   std::mutex Mutex;
   std::map<const Socket *, int> GrantsOn;
   ScriptedTarget Target([&](Socket &To, const std::string &Request) {
@@ -686,33 +725,16 @@
       ++GrantsOn[&To];
       return ScriptedTarget::send(To, Granted);
     }
-    return ScriptedTarget::send(To, (GrantsOn[&To] > 0 ? Granted : "") +
-                                        "HTTP/1.1 200 OK\r\nHandover: state\r\n"
-                                        "Content-Length: 0\r\n\r\n");
+    return ScriptedTarget::send(To,
+                                (GrantsOn[&To] > 0 ? Granted : std::string()) +
+                                    "HTTP/1.1 200 OK\r\nHandover: state\r\n"
+                                    "Content-Length: 0\r\n\r\n");
   });
-  boost::asio::io_context Io;
-  PlatformProtocol Protocol;
-  Protocol.Headers = platform::headerNames();
-  Protocol.Orders = {platform::encodeOrder, "Handover"};
-  OrderSender Sender(Io, Protocol);
-  TargetRecord Record;
-  Record.Id = TargetId("t1");
-  Record.Address = Target.address();
-  RangeOrder Order;
-  Order.Target = Record.Id;
-  Order.HoldPeriod = 3s;
-  std::vector<std::string> Outcomes;
-  const auto OnDone = [&Outcomes](RangeOrderOutcome Outcome,
-                                  const std::string &Handover) {
-    Outcomes.push_back(std::string(RangeOrderOutcomeNames.name(Outcome)) + " " +
-                       Handover);
-  };
-  Sender.send(Record, Order, OnDone);
-  Io.run_for(200ms);
+  send(Target);
+  run(200ms);
   Order.Type = RangeOrder::Kind::Release;
-  Io.restart();
-  Sender.send(Record, Order, OnDone);
-  Io.run_for(200ms);
+  send(Target);
+  run(200ms);
   EXPECT_EQ(Outcomes,
             (std::vector<std::string>{"accepted ", "accepted state"}));
 }
@@ -720,7 +742,7 @@
 // Guards against orders that are held up in a partition and arrive when others
 // own the keys: after one was not answered, no other is sent on a connection
 // that was opened before.
-TEST(OrderSenderTest, NoOrderIsSentOnOldConnectionsOfAnUnresponsiveTarget) {
+TEST_F(OrderSenderTest, NoOrderIsSentOnOldConnectionsOfAnUnresponsiveTarget) {
   std::mutex Mutex;
   std::set<const Socket *> Opened;
   std::vector<bool> OnOldConnection;
@@ -732,31 +754,17 @@
       OnOldConnection.push_back(Known);
       return true;
     }
-    return ScriptedTarget::send(To,
-                                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    return ScriptedTarget::send(To, Granted);
   });
-  boost::asio::io_context Io;
-  PlatformProtocol Protocol;
-  Protocol.Headers = platform::headerNames();
-  Protocol.Orders = {platform::encodeOrder, "Handover"};
-  OrderSender Sender(Io, Protocol);
-  TargetRecord Record;
-  Record.Id = TargetId("t1");
-  Record.Address = Target.address();
-  RangeOrder Order;
-  Order.Target = Record.Id;
-  Order.HoldPeriod = 3s;
-  const auto Ignore = [](RangeOrderOutcome, const std::string &) {};
   // First grants, each on a connection of its own.
   for (int Count = 0; Count < 3; ++Count)
-    Sender.send(Record, Order, Ignore);
-  Io.run_for(300ms);
+    send(Target);
+  run(300ms);
   Silent = true;
   Order.Renewal = true;
   for (int Count = 0; Count < 2; ++Count) {
-    Io.restart();
-    Sender.send(Record, Order, Ignore);
-    Io.run_for(1000ms);
+    send(Target);
+    run(1000ms);
   }
   const std::lock_guard Guard(Mutex);
   EXPECT_EQ(OnOldConnection, (std::vector<bool>{true, false}));
@@ -764,39 +772,18 @@
 
 // A grant for newly assigned keys opens a connection of its own. It is not
 // delayed after a connection was lost while another one is intact.
-TEST(OrderSenderTest, GrantIsSentWhileAnotherConnectionIsIntact) {
+TEST_F(OrderSenderTest, GrantIsSentWhileAnotherConnectionIsIntact) {
   std::atomic<bool> CloseNext = false;
   ScriptedTarget Target([&](Socket &To, const std::string &) {
-    return !CloseNext.exchange(false) &&
-           ScriptedTarget::send(To,
-                                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    return !CloseNext.exchange(false) && ScriptedTarget::send(To, Granted);
   });
-  boost::asio::io_context Io;
-  PlatformProtocol Protocol;
-  Protocol.Headers = platform::headerNames();
-  Protocol.Orders = {platform::encodeOrder, "Handover"};
-  OrderSender Sender(Io, Protocol);
-  TargetRecord Record;
-  Record.Id = TargetId("t1");
-  Record.Address = Target.address();
-  RangeOrder Order;
-  Order.Target = Record.Id;
-  Order.HoldPeriod = 3s;
-  std::vector<RangeOrderOutcome> Outcomes;
-  const auto OnDone = [&Outcomes](RangeOrderOutcome Outcome,
-                                  const std::string &) {
-    Outcomes.push_back(Outcome);
-  };
   for (const bool Lost : {false, true, false}) {
     CloseNext = Lost;
-    Io.restart();
-    Sender.send(Record, Order, OnDone);
-    Io.run_for(200ms);
+    send(Target);
+    run(200ms);
   }
-  EXPECT_EQ(Outcomes,
-            (std::vector<RangeOrderOutcome>{RangeOrderOutcome::Accepted,
-                                            RangeOrderOutcome::Unanswered,
-                                            RangeOrderOutcome::Accepted}));
+  EXPECT_EQ(Outcomes, (std::vector<std::string>{"accepted ", "unanswered ",
+                                                "accepted "}));
 }
 
 // A planned stop under load: callers go on using open connections and opening
@@ -814,9 +801,11 @@
   ASSERT_TRUE(Fixture.waitUntilServing());
   std::atomic<int> Answered = 0;
   std::atomic<int> CutOff = 0;
+  constexpr int CallerCount = 6;
   std::vector<std::thread> Callers;
+  Callers.reserve(CallerCount);
   ::kill(::getpid(), SIGTERM);
-  for (int Index = 0; Index < 6; ++Index)
+  for (int Index = 0; Index < CallerCount; ++Index)
     Callers.emplace_back([&, Index] {
       for (int Count = 0;; ++Count) {
         boost::asio::io_context Io;
--- a/tests/unit/RateReserveClientTest.cpp
+++ b/tests/unit/RateReserveClientTest.cpp
@@ -70,6 +70,7 @@
 TEST_F(RateReserveClientTest, WaitingRequestsAreAskedForTogether) {
   const auto First = ask();
   std::vector<std::shared_ptr<std::optional<bool>>> Others;
+  Others.reserve(5);
   for (int Count = 0; Count < 5; ++Count)
     Others.push_back(ask());
   ASSERT_EQ(Sent.size(), 1U);
