Give callers a moment for their first request on connections accepted last

Cause, found while reading the stop again: the connections that the end of the accept period takes from the backlog were closed in the same step if their first request had not arrived yet. A caller that had just connected got no response. Change: idle connections are closed from the next check on, 100 ms after the listener was closed. The expectations are unchanged.

--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -56,6 +56,8 @@
 /// responses.
 constexpr Duration StopMargin = std::chrono::milliseconds(200);
 constexpr Duration AbandonMargin = StopMargin + CallerSession::LingerTimeout;
+/// Also the time that a caller has for its first request on a connection that
+/// is accepted last.
 constexpr Duration StopCheckInterval = std::chrono::milliseconds(100);
 
 auto makeProcessName(const InstanceId &Instance) -> std::string {
@@ -240,8 +242,6 @@
 }
 
 auto Gateway::Impl::stopListening() -> void {
-  if (!Listener.is_open())
-    return;
   // Closing the socket would reset the connections that wait to be accepted.
   error_code Failure;
   Listener.non_blocking(true, Failure);
@@ -401,8 +401,10 @@
 auto Gateway::Impl::continueStop() -> void {
   const TimePoint Now = bootNow();
   const Duration Elapsed = Now - StopStartedAt;
-  if (Elapsed >= StopAcceptPeriod) {
+  if (Elapsed >= StopAcceptPeriod && Listener.is_open()) {
     stopListening();
+  } else if (!Listener.is_open()) {
+    // By now, the first request on the last connection has arrived.
     const auto OpenSessions = Sessions;
     for (const auto &Session : OpenSessions)
       Session->drain(true);
--- a/tests/unit/GatewayTest.cpp
+++ b/tests/unit/GatewayTest.cpp
@@ -788,7 +788,8 @@
 
 // A planned stop under load: callers go on using open connections and opening
 // new ones until the instance is gone. Whoever gets a connection gets a
-// response to the first request on it.
+// response to the first request on it, also when that arrives a moment after
+// the connection.
 TEST(GatewayTest, PlannedStopUnderLoadAnswersEveryAcceptedRequest) {
   ScriptedTarget Target([](Socket &To, const std::string &Request) {
     std::this_thread::sleep_for(20ms);
@@ -814,6 +815,8 @@
         Caller.connect(Fixture.endpoint(), Failure);
         if (Failure)
           return;
+        if (Index % 2 == 0)
+          std::this_thread::sleep_for(30ms);
         boost::asio::write(
             Caller,
             boost::asio::buffer(GatewayFixture::request(
