--- a/tests/unit/RelayedStoreTest.cpp
+++ b/tests/unit/RelayedStoreTest.cpp
@@ -3,9 +3,13 @@
 #include "Gateway/ChangeRelay.h"
 #include "IO/BootClock.h"
 #include "support/FakeObjectStore.h"
+#include "support/ScriptedTarget.h"
 
 #include <gtest/gtest.h>
 
+#include <atomic>
+#include <thread>
+
 using namespace buckthornring;
 using namespace buckthornring::test;
 using namespace std::chrono_literals;
@@ -151,6 +155,72 @@
   EXPECT_EQ(DirectContents->calls(), 0U);
 }
 
+/// HTTP response of a relay at revision 7 with these objects.
+auto relayResponse(const nlohmann::json &Objects) -> std::string {
+  const std::string Text = nlohmann::json{
+      {"revision", 7},
+      {"age_us", 0},
+      {"objects", Objects}}.dump();
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Text.size()) +
+         "\r\n\r\n" + Text;
+}
+
+/// Response with one object, of 400 KB.
+auto largeResponse() -> std::string {
+  return relayResponse({{"large", 7, false, std::string(400'000, 'x')}});
+}
+
+/// Sends in 20 parts with pauses, 2 s in all, like a relay behind a link of
+/// 1.6 Mbit/s.
+auto sendSlowly(ScriptedTarget::Tcp::socket &Socket, const std::string &Text)
+    -> bool {
+  constexpr std::size_t Parts = 20;
+  const std::size_t PartSize = Text.size() / Parts + 1;
+  for (std::size_t From = 0; From < Text.size(); From += PartSize) {
+    if (!ScriptedTarget::send(Socket, Text.substr(From, PartSize)))
+      return false;
+    std::this_thread::sleep_for(100ms);
+  }
+  return true;
+}
+
+// Guards against giving up a relay whose response is on its way: instances with
+// slow links began to read a large configuration again and again, and answered
+// 404 for its routes.
+TEST_F(RelayedStoreTest, LargeResponseIsReadToTheEndOverASlowLink) {
+  ScriptedTarget SlowRelay(
+      [](ScriptedTarget::Tcp::socket &Socket, const std::string &) {
+        return sendSlowly(Socket, largeResponse());
+      });
+  Store.useRelays(SlowRelay.address(), "");
+  Follower.start();
+  ASSERT_TRUE(until([this] { return followerHas("large"); }));
+  EXPECT_EQ(SlowRelay.requests().size(), 1U);
+  EXPECT_EQ(DirectContents->calls(), 0U);
+}
+
+// Guards against beginning a read again that is in progress: an instance that
+// heard from others that it was behind never got a large configuration.
+TEST_F(RelayedStoreTest, RecheckLeavesAResponseInProgressAlone) {
+  std::atomic<int> Calls = 0;
+  ScriptedTarget SlowRelay([&Calls](ScriptedTarget::Tcp::socket &Socket,
+                                    const std::string &) {
+    if (Calls++ > 0)
+      return sendSlowly(Socket, largeResponse());
+    return ScriptedTarget::send(Socket, relayResponse(nlohmann::json::array()));
+  });
+  Store.useRelays(SlowRelay.address(), "");
+  Follower.start();
+  ASSERT_TRUE(until([&Calls] { return Calls > 1; }));
+  const TimePoint Begun = bootNow();
+  while (!followerHas("large") && bootNow() < Begun + 5s) {
+    Follower.recheck();
+    until([this] { return followerHas("large"); }, 200ms);
+  }
+  EXPECT_TRUE(followerHas("large"));
+  EXPECT_EQ(Calls, 2);
+}
+
 TEST_F(RelayedStoreTest, WritesGoToTheStore) {
   bool Done = false;
   Store.write(Kind, "w", 0, 1, [&Done](const StoreWriteResult &Answer) {
