Limit the pauses within a response instead of the whole transfer

Callers got 404 for routes of a large configuration that had been in force elsewhere for seconds. A read through a relay was given up 0.3 to 1.1 s after the call, a list at the store after 1.5 s and the state of a peer after 1 s, whether or not the response was arriving. Over a link of 10 Mbit/s that other traffic shares, an object of 0.5 to 1 MB takes longer. Each failure discarded what had arrived, and the next source began again.

A relay that is silent is still given up as early as before.

--- a/include/buckthornring/IO/HttpClient.h
+++ b/include/buckthornring/IO/HttpClient.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace boost::asio {
@@ -52,8 +53,15 @@
 
 /// Limits of one exchange.
 struct HttpCallOptions {
-  /// For the whole exchange, connecting included.
+  /// For the whole exchange, connecting included. With a StallTimeout: until
+  /// the head of the response.
   Duration TimeLimit = std::chrono::seconds(5);
+  /// If set, the body of the response may take TransferLimit in all, as long as
+  /// a part of it arrives in each span of this length.
+  std::optional<Duration> StallTimeout;
+  /// A transfer that has not ended by then is too slow to be of use. It also
+  /// ends a body that never does.
+  Duration TransferLimit = std::chrono::seconds(10);
   /// Limit for opening the connection, included in TimeLimit.
   Duration ConnectTimeout = std::chrono::seconds(5);
   bool NewConnection = false; ///< Do not use a kept-alive connection.
--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -384,6 +384,7 @@
   Request.Target = "/state";
   HttpCallOptions Options;
   Options.TimeLimit = PeerCallTimeout;
+  Options.StallTimeout = PeerCallTimeout;
   PeerClient->request(std::move(Request), Options,
                       [this, Address](const HttpOutcome &Outcome) {
                         FetchingPeerState = false;
--- a/lib/Gateway/RelayedStore.cpp
+++ b/lib/Gateway/RelayedStore.cpp
@@ -15,12 +15,16 @@
 namespace {
 
 /// Longest time that a watch through the relay waits for changes, and the
-/// further time after which the relay counts as failed. Their sum is the time
-/// within which an instance notices the failure; it has 2 s to learn of targets
-/// that leave.
+/// further time after which the relay counts as failed unless its response is
+/// arriving. Their sum is the time within which an instance notices the
+/// failure; it has 2 s to learn of targets that leave.
 constexpr Duration RelayWatchTimeout = std::chrono::milliseconds(800);
 constexpr Duration RelayReplyTimeout = std::chrono::milliseconds(300);
 
+/// Longest pause within a response. Links of relays carry the responses to all
+/// readers at once.
+constexpr Duration RelayStallTimeout = std::chrono::milliseconds(600);
+
 /// Time for which a failed relay is not called again.
 constexpr Duration DistrustPeriod = std::chrono::seconds(5);
 
@@ -115,6 +119,7 @@
   HttpCallOptions Options;
   Options.TimeLimit = Timeout;
   Options.ConnectTimeout = RelayReplyTimeout;
+  Options.StallTimeout = RelayStallTimeout;
   // The call keeps the client alive, since the relay may be replaced meanwhile.
   Used.Client->request(
       std::move(Request), Options,
--- a/lib/IO/HttpExchange.cpp
+++ b/lib/IO/HttpExchange.cpp
@@ -68,6 +68,25 @@
   });
 }
 
+// The timer is not armed again for each part, since parts may be small.
+auto HttpExchange::armStallTimer() -> void {
+  PartArrived = false;
+  const auto TransferEnd = BodyBegunAt + Options.TransferLimit;
+  const auto StallEnd =
+      std::chrono::steady_clock::now() + *Options.StallTimeout;
+  Timer.expires_at(std::min(TransferEnd, StallEnd));
+  Timer.async_wait(
+      [Self = shared_from_this(), TransferEnd](error_code Cancelled) {
+        if (Cancelled || Self->Finished)
+          return;
+        if (Self->PartArrived && std::chrono::steady_clock::now() < TransferEnd)
+          return Self->armStallTimer();
+        Self->Outcome.TimedOut = true;
+        Self->fail(Self->PartArrived ? "transfer limit exceeded"
+                                     : "response stalled");
+      });
+}
+
 auto HttpExchange::cancel() -> void {
   if (Finished)
     return;
@@ -157,6 +176,11 @@
     fail("response has neither a length nor chunked encoding");
     return;
   }
+  if (Options.StallTimeout) {
+    BodyBegunAt = std::chrono::steady_clock::now();
+    armStallTimer();
+    return readBodyPart();
+  }
   http::async_read(Socket, Buffer, *Response,
                    [Self = shared_from_this()](error_code Code, std::size_t) {
                      if (Self->Finished)
@@ -168,6 +192,21 @@
                    });
 }
 
+auto HttpExchange::readBodyPart() -> void {
+  if (Response->is_done())
+    return succeed();
+  http::async_read_some(
+      Socket, Buffer, *Response,
+      [Self = shared_from_this()](error_code Code, std::size_t) {
+        if (Self->Finished)
+          return;
+        if (Code)
+          return Self->fail("response truncated: " + Code.message());
+        Self->PartArrived = true;
+        Self->readBodyPart();
+      });
+}
+
 auto HttpExchange::succeed() -> void {
   auto &Message = Response->get();
   Outcome.Phase = HttpPhase::Done;
--- a/lib/IO/HttpExchange.h
+++ b/lib/IO/HttpExchange.h
@@ -52,11 +52,16 @@
 
   /// Fails the exchange if it has not ended \p SinceStart after its start.
   auto armTimer(Duration SinceStart) -> void;
+  /// Fails the exchange if no part of the body arrives within the stall limit,
+  /// or if the transfer takes too long.
+  auto armStallTimer() -> void;
   auto enterPhase(HttpPhase Phase) -> void;
   auto connect() -> void;
   auto write() -> void;
   auto readHead() -> void;
   auto readBody() -> void;
+  /// Reads the body in parts and notes the arrival of each.
+  auto readBodyPart() -> void;
   auto succeed() -> void;
   auto fail(const std::string &Reason) -> void;
   auto finish() -> void;
@@ -71,6 +76,8 @@
   std::optional<Parser> Response;
   std::string Output;
   std::chrono::steady_clock::time_point StartedAt;
+  std::chrono::steady_clock::time_point BodyBegunAt;
+  bool PartArrived = false; ///< Since the stall timer was armed.
   HttpOutcome Outcome;
   bool Finished = false;
 };
--- a/tests/process/HttpTest.cpp
+++ b/tests/process/HttpTest.cpp
@@ -1,5 +1,6 @@
 #include "buckthornring/IO/HttpClient.h"
 #include "buckthornring/IO/HttpServer.h"
+#include "support/ScriptedTarget.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
@@ -10,7 +11,10 @@
 
 #include <gtest/gtest.h>
 
+#include <thread>
+
 using namespace buckthornring;
+using namespace buckthornring::test;
 using namespace std::chrono_literals;
 
 namespace {
@@ -242,4 +246,44 @@
   EXPECT_FALSE(Next.ReusedConnection);
 }
 
+/// Sends the head of a response with a long body, then a byte of it at a time
+/// until \p Bytes are sent.
+auto trickling(int Bytes) -> ScriptedTarget::Script {
+  return [Bytes](ScriptedTarget::Tcp::socket &Socket, const std::string &) {
+    bool Open = ScriptedTarget::send(
+        Socket, "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n");
+    for (int Sent = 0; Open && Sent < Bytes; ++Sent) {
+      Open = ScriptedTarget::send(Socket, "x");
+      std::this_thread::sleep_for(20ms);
+    }
+    return Open;
+  };
+}
+
+// Guards against waiting for the rest of a response that has stalled.
+TEST_F(HttpTest, StalledResponseIsGivenUp) {
+  ScriptedTarget Peer(trickling(5));
+  Client = HttpClient::create(Context, Peer.address()).value();
+  HttpCallOptions Options;
+  Options.StallTimeout = 200ms;
+  const auto Begun = std::chrono::steady_clock::now();
+  const auto Outcome = call(get("/"), Options);
+  EXPECT_TRUE(Outcome.TimedOut);
+  EXPECT_EQ(Outcome.Reason, "response stalled");
+  EXPECT_LE(std::chrono::steady_clock::now() - Begun, 2s);
+}
+
+// Guards against a response without end that arrives one byte at a time.
+TEST_F(HttpTest, ResponseThatArrivesTooSlowlyIsGivenUp) {
+  ScriptedTarget Peer(trickling(1000));
+  Client = HttpClient::create(Context, Peer.address()).value();
+  HttpCallOptions Options;
+  Options.StallTimeout = 200ms;
+  Options.TransferLimit = 600ms;
+  const auto Begun = std::chrono::steady_clock::now();
+  const auto Outcome = call(get("/"), Options);
+  EXPECT_TRUE(Outcome.TimedOut);
+  EXPECT_LE(std::chrono::steady_clock::now() - Begun, 2s);
+}
+
 } // namespace
