Do not begin a read again whose response is arriving

Callers got 404 for routes of a large configuration for up to 12 s after it was in force elsewhere. An instance that heard from the leader that it was behind listed the configuration again about once a second. The read in progress was ignored but not ended: its bytes kept taking the link, so that each of the reads took longer than the second, and none was used.

A read now has a handle. A feed leaves a read alone whose response is arriving, and ends the open read when it begins another one. A response that stalls ends by itself, so a dead connection is still replaced.

--- a/include/buckthornring/IO/HttpClient.h
+++ b/include/buckthornring/IO/HttpClient.h
@@ -83,6 +83,8 @@
   /// Closes the connection and drops the callback. Has no effect once the
   /// exchange has ended.
   auto cancel() -> void;
+  /// Whether the response is arriving: its head has, its end has not.
+  auto receiving() const -> bool;
 
 private:
   std::weak_ptr<HttpExchange> Exchange;
--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -313,11 +313,16 @@
       {{ConfigurationFeed.get(), Others.Configuration},
        {TargetFeed.get(), Others.Targets},
        {EvacuationFeed.get(), Others.Evacuations}}};
+  std::vector<StoreFeed *> Behind;
+  for (const auto &[Feed, Revision] : Feeds)
+    if (Feed->revision() < Revision && !Feed->receiving())
+      Behind.push_back(Feed);
+  // Otherwise the missing changes are arriving.
+  if (Behind.empty())
+    return;
   Store->distrust("behind peers");
   bool Reachable = true;
-  for (const auto &[Feed, Revision] : Feeds) {
-    if (Feed->revision() >= Revision)
-      continue;
+  for (StoreFeed *Feed : Behind) {
     Reachable = Reachable && Feed->connected();
     Feed->recheck();
   }
--- a/lib/Gateway/Protocol.h
+++ b/lib/Gateway/Protocol.h
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -66,19 +67,37 @@
   std::optional<StoredObject> Object;
 };
 
+/// A read of the store that may be in progress.
+class StoreRead {
+public:
+  StoreRead() = default;
+  StoreRead(const StoreRead &) = delete;
+  auto operator=(const StoreRead &) -> StoreRead & = delete;
+  virtual ~StoreRead() = default;
+
+  /// Whether the response is arriving. A read whose response pauses for long
+  /// ends by itself.
+  virtual auto receiving() const -> bool = 0;
+  /// Ends the read without calling its handler.
+  virtual auto cancel() -> void = 0;
+};
+
 /// Versioned objects by kind and name, with conditional writes and watches.
 class ObjectStore {
 public:
   using ChangesHandler = std::function<void(StoreChanges)>;
   using WriteHandler = std::function<void(StoreWriteResult)>;
+  /// Null: the read can neither be observed nor cancelled.
+  using ReadPtr = std::shared_ptr<StoreRead>;
 
   virtual ~ObjectStore() = default;
 
   /// All objects of a kind.
-  virtual auto list(const std::string &Kind, ChangesHandler Done) -> void = 0;
+  virtual auto list(const std::string &Kind, ChangesHandler Done)
+      -> ReadPtr = 0;
   /// Waits up to \p Wait for changes after \p Revision.
   virtual auto watch(const std::string &Kind, std::uint64_t Revision,
-                     Duration Wait, ChangesHandler Done) -> void = 0;
+                     Duration Wait, ChangesHandler Done) -> ReadPtr = 0;
   /// Replaces the object when it has revision \p Expected; 0 creates it.
   virtual auto write(const std::string &Kind, const std::string &Name,
                      std::uint64_t Expected, nlohmann::json Value,
--- a/lib/Gateway/RelayedStore.cpp
+++ b/lib/Gateway/RelayedStore.cpp
@@ -52,6 +52,25 @@
 
 } // namespace
 
+/// A read and the call that it currently waits for.
+struct RelayedStore::RelayedRead final : StoreRead {
+  auto receiving() const -> bool override {
+    return Call.receiving() || (DirectRead && DirectRead->receiving());
+  }
+  auto cancel() -> void override {
+    Call.cancel();
+    if (DirectRead)
+      DirectRead->cancel();
+  }
+
+  std::string Query;
+  Duration Timeout{0}; ///< Until a relay begins to answer.
+  ChangesHandler OnDone;
+  std::function<ReadPtr(ChangesHandler)> ReadDirectly;
+  HttpCall Call;
+  ReadPtr DirectRead;
+};
+
 auto RelayedStore::useRelays(const std::string &Primary,
                              const std::string &Backup) -> void {
   const std::array<std::string, 2> Addresses = {Primary, Backup};
@@ -110,66 +129,74 @@
   return nullptr;
 }
 
-auto RelayedStore::callRelay(Relay &Used, const std::string &Query,
-                             Duration Timeout, ChangesHandler OnDone,
-                             std::function<void(ChangesHandler)> Fallback)
-    -> void {
+auto RelayedStore::send(const std::shared_ptr<RelayedRead> &Read) -> void {
+  const Relay *Used = usableRelay();
+  if (!Used) {
+    Read->DirectRead = Read->ReadDirectly(Read->OnDone);
+    return;
+  }
   HttpRequest Request;
-  Request.Target = std::string(ChangeRelay::Path) + "?" + Query;
+  Request.Target = std::string(ChangeRelay::Path) + "?" + Read->Query;
   HttpCallOptions Options;
-  Options.TimeLimit = Timeout;
+  Options.TimeLimit = Read->Timeout;
   Options.ConnectTimeout = RelayReplyTimeout;
   Options.StallTimeout = RelayStallTimeout;
   // The call keeps the client alive, since the relay may be replaced meanwhile.
-  Used.Client->request(
+  Read->Call = Used->Client->request(
       std::move(Request), Options,
-      [this, UsedClient = Used.Client, OnDone = std::move(OnDone),
-       Fallback = std::move(Fallback)](const HttpOutcome &Outcome) mutable {
-        if (Outcome.done() && Outcome.Response.Status == 410) {
-          StoreChanges HistoryLost;
-          HistoryLost.Status = StoreStatus::HistoryLost;
-          return OnDone(std::move(HistoryLost));
-        }
-        if (Outcome.done() && Outcome.Response.Status == 200) {
-          auto Changes = readChanges(Outcome.Response.Body);
-          if (Changes.Status == StoreStatus::Done)
-            return OnDone(std::move(Changes));
-        }
-        for (Relay &Each : Relays)
-          if (Each.Client == UsedClient)
-            distrust(Each, !Outcome.done() ? "no answer"
-                           : Outcome.Response.Status == 200
-                               ? "unreadable answer"
-                               : "no contact");
-        Fallback(std::move(OnDone));
+      [this, Read, UsedClient = Used->Client](const HttpOutcome &Outcome) {
+        onAnswer(Read, UsedClient.get(), Outcome);
       });
 }
 
+auto RelayedStore::onAnswer(const std::shared_ptr<RelayedRead> &Read,
+                            const HttpClient *UsedClient,
+                            const HttpOutcome &Outcome) -> void {
+  if (Outcome.done() && Outcome.Response.Status == 410) {
+    StoreChanges HistoryLost;
+    HistoryLost.Status = StoreStatus::HistoryLost;
+    return Read->OnDone(std::move(HistoryLost));
+  }
+  if (Outcome.done() && Outcome.Response.Status == 200) {
+    auto Changes = readChanges(Outcome.Response.Body);
+    if (Changes.Status == StoreStatus::Done)
+      return Read->OnDone(std::move(Changes));
+  }
+  for (Relay &Each : Relays)
+    if (Each.Client.get() == UsedClient)
+      distrust(Each, !Outcome.done()                  ? "no answer"
+                     : Outcome.Response.Status == 200 ? "unreadable answer"
+                                                      : "no contact");
+  send(Read);
+}
+
 auto RelayedStore::list(const std::string &Kind, ChangesHandler OnDone)
-    -> void {
-  Relay *Used = usableRelay();
-  if (!Used)
-    return DirectStore->list(Kind, std::move(OnDone));
-  callRelay(*Used, "kind=" + encodePercent(Kind), RelayReplyTimeout,
-            std::move(OnDone), [this, Kind](ChangesHandler Callback) {
-              list(Kind, std::move(Callback));
-            });
+    -> ReadPtr {
+  const auto Read = std::make_shared<RelayedRead>();
+  Read->Query = "kind=" + encodePercent(Kind);
+  Read->Timeout = RelayReplyTimeout;
+  Read->OnDone = std::move(OnDone);
+  Read->ReadDirectly = [this, Kind](ChangesHandler Callback) {
+    return DirectStore->list(Kind, std::move(Callback));
+  };
+  send(Read);
+  return Read;
 }
 
 auto RelayedStore::watch(const std::string &Kind, std::uint64_t Revision,
-                         Duration Wait, ChangesHandler OnDone) -> void {
-  Relay *Used = usableRelay();
-  if (!Used)
-    return DirectStore->watch(Kind, Revision, Wait, std::move(OnDone));
+                         Duration Wait, ChangesHandler OnDone) -> ReadPtr {
   const Duration RelayedWait = std::min(Wait, RelayWatchTimeout);
-  callRelay(*Used,
-            "kind=" + encodePercent(Kind) +
+  const auto Read = std::make_shared<RelayedRead>();
+  Read->Query = "kind=" + encodePercent(Kind) +
                 "&since=" + std::to_string(Revision) +
-                "&wait_ms=" + milliseconds(RelayedWait),
-            RelayedWait + RelayReplyTimeout, std::move(OnDone),
-            [this, Kind, Revision, Wait](ChangesHandler Callback) {
-              watch(Kind, Revision, Wait, std::move(Callback));
-            });
+                "&wait_ms=" + milliseconds(RelayedWait);
+  Read->Timeout = RelayedWait + RelayReplyTimeout;
+  Read->OnDone = std::move(OnDone);
+  Read->ReadDirectly = [this, Kind, Revision, Wait](ChangesHandler Callback) {
+    return DirectStore->watch(Kind, Revision, Wait, std::move(Callback));
+  };
+  send(Read);
+  return Read;
 }
 
 auto RelayedStore::write(const std::string &Kind, const std::string &Name,
--- a/lib/Gateway/RelayedStore.h
+++ b/lib/Gateway/RelayedStore.h
@@ -29,14 +29,15 @@
   /// The relays are behind other instances: reads go to the store for a while.
   auto distrust(const char *Reason) -> void;
 
-  auto list(const std::string &Kind, ChangesHandler OnDone) -> void override;
+  auto list(const std::string &Kind, ChangesHandler OnDone) -> ReadPtr override;
   auto watch(const std::string &Kind, std::uint64_t Revision, Duration Wait,
-             ChangesHandler OnDone) -> void override;
+             ChangesHandler OnDone) -> ReadPtr override;
   auto write(const std::string &Kind, const std::string &Name,
              std::uint64_t Expected, nlohmann::json Value, WriteHandler OnDone)
       -> void override;
 
 private:
+  struct RelayedRead;
   struct Relay {
     std::string Address; ///< Empty: none.
     std::shared_ptr<HttpClient> Client;
@@ -47,11 +48,12 @@
   auto distrust(Relay &Failed, const char *Reason) -> void;
   /// Returns the first relay that is not distrusted, or null.
   auto usableRelay() -> Relay *;
-  /// Calls a relay; calls \p Fallback when it gave no usable answer within \p
-  /// Timeout.
-  auto callRelay(Relay &Used, const std::string &Query, Duration Timeout,
-                 ChangesHandler OnDone,
-                 std::function<void(ChangesHandler)> Fallback) -> void;
+  /// Sends the read to the first usable relay, then to the next one if that
+  /// gives no usable answer, and at last to the store.
+  auto send(const std::shared_ptr<RelayedRead> &Read) -> void;
+  auto onAnswer(const std::shared_ptr<RelayedRead> &Read,
+                const HttpClient *UsedClient, const HttpOutcome &Outcome)
+      -> void;
 
   boost::asio::io_context &Io;
   std::unique_ptr<ObjectStore> DirectStore;
--- a/lib/Gateway/StoreFeed.cpp
+++ b/lib/Gateway/StoreFeed.cpp
@@ -83,29 +83,40 @@
            &StoreFeed::list);
 }
 
+auto StoreFeed::cancelOpenRead() -> void {
+  if (const auto Read = std::exchange(OpenRead, nullptr))
+    Read->cancel();
+}
+
 auto StoreFeed::list() -> void {
+  cancelOpenRead();
   RequestedAt = bootNow();
   BackingOff = false;
-  Store.list(Settings.Kind, [this, Number = ++CallNumber,
-                             AliveFlag = Alive](const StoreChanges &Changes) {
-    if (*AliveFlag && Number == CallNumber)
-      onList(Changes);
-  });
+  OpenRead = Store.list(Settings.Kind,
+                        [this, Number = ++CallNumber,
+                         AliveFlag = Alive](const StoreChanges &Changes) {
+                          if (*AliveFlag && Number == CallNumber)
+                            onList(Changes);
+                        });
 }
 
 auto StoreFeed::retry() -> void {
-  if (Connected || (!BackingOff && bootNow() - RequestedAt < CallRetryAge))
+  if (Connected || receiving() ||
+      (!BackingOff && bootNow() - RequestedAt < CallRetryAge))
     return;
   reread();
 }
 
 auto StoreFeed::recheck() -> void {
-  if (!Connected || bootNow() - RequestedAt < CallRetryAge)
+  if (!Connected || receiving() || bootNow() - RequestedAt < CallRetryAge)
     return;
   reread();
 }
 
 auto StoreFeed::reread() -> void {
+  ListNext = receiving();
+  if (ListNext)
+    return;
   Timer.cancel();
   list();
 }
@@ -126,7 +137,7 @@
     return onFailure(Changes.Status);
   onSuccess(Changes.Age);
   applySnapshot(Changes.Objects, Changes.Revision);
-  watch();
+  continueAfter(Duration(0));
 }
 
 auto StoreFeed::applySnapshot(const std::vector<StoredObject> &Snapshot,
@@ -181,13 +192,14 @@
 }
 
 auto StoreFeed::watch() -> void {
+  cancelOpenRead();
   RequestedAt = bootNow();
-  Store.watch(Settings.Kind, Revision, Settings.WatchTimeout,
-              [this, Number = ++CallNumber,
-               AliveFlag = Alive](const StoreChanges &Changes) {
-                if (*AliveFlag && Number == CallNumber)
-                  onChanges(Changes);
-              });
+  OpenRead = Store.watch(Settings.Kind, Revision, Settings.WatchTimeout,
+                         [this, Number = ++CallNumber,
+                          AliveFlag = Alive](const StoreChanges &Changes) {
+                           if (*AliveFlag && Number == CallNumber)
+                             onChanges(Changes);
+                         });
 }
 
 auto StoreFeed::onChanges(const StoreChanges &Changes) -> void {
@@ -205,8 +217,14 @@
   // Without this delay, a store that answers at once without changes would be
   // called in a busy loop.
   const bool AnsweredEarly = bootNow() - RequestedAt < BatchInterval;
-  if (Changed || AnsweredEarly)
-    return schedule(BatchInterval, &StoreFeed::watch);
+  continueAfter(Changed || AnsweredEarly ? BatchInterval : Duration(0));
+}
+
+auto StoreFeed::continueAfter(Duration Delay) -> void {
+  if (std::exchange(ListNext, false))
+    return list();
+  if (Delay > Duration(0))
+    return schedule(Delay, &StoreFeed::watch);
   watch();
 }
 
--- a/lib/Gateway/StoreFeed.h
+++ b/lib/Gateway/StoreFeed.h
@@ -55,19 +55,22 @@
                          std::uint64_t Revision) -> void;
 
   /// Another feed has reached the store: retries at once instead of waiting for
-  /// the end of the back-off or for a call that is still unanswered.
+  /// the end of the back-off or for a call to which no response is arriving.
   auto retry() -> void;
 
   /// The connection of the open watch may be dead: lists all objects in place
-  /// of the watch.
+  /// of the watch, unless its response is arriving.
   auto recheck() -> void;
 
-  /// Lists all objects at once, whatever call is unanswered.
+  /// Lists all objects at once, whatever call is unanswered, or after the
+  /// response that is arriving.
   auto reread() -> void;
 
   /// Lists all objects once, in addition to the open watch.
   auto refresh() -> void;
 
+  /// Whether the response to the open call is arriving.
+  auto receiving() const -> bool { return OpenRead && OpenRead->receiving(); }
   auto loaded() const -> bool { return Loaded; }
   auto connected() const -> bool { return Connected; }
   /// Time at which the last answered call was sent. The state of the store at
@@ -96,9 +99,14 @@
   }
 
 private:
+  /// Ends the open call, which would otherwise take its share of the link.
+  auto cancelOpenRead() -> void;
   auto list() -> void;
   auto onList(const StoreChanges &Changes) -> void;
   auto watch() -> void;
+  /// Makes the next call after an answered one, \p Delay later if it is a
+  /// watch.
+  auto continueAfter(Duration Delay) -> void;
   auto onChanges(const StoreChanges &Changes) -> void;
   auto apply(const StoredObject &Object) -> bool;
   auto recordChange(StoredObject Object) -> void;
@@ -128,8 +136,10 @@
   TimePoint RequestedAt = LongAgo;
   TimePoint ConfirmedAt = LongAgo;
   std::uint32_t Failures = 0;
-  std::uint64_t CallNumber = 0; ///< Number of the call whose answer is used.
-  bool BackingOff = false;      ///< A call failed; the next one is scheduled.
+  std::uint64_t CallNumber = 0;  ///< Number of the call whose answer is used.
+  ObjectStore::ReadPtr OpenRead; ///< The call of that number.
+  bool ListNext = false;         ///< The call after the open one is a list.
+  bool BackingOff = false;       ///< A call failed; the next one is scheduled.
   bool Loaded = false;
   bool Connected = false;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
--- a/lib/IO/HttpClient.cpp
+++ b/lib/IO/HttpClient.cpp
@@ -41,6 +41,11 @@
     Running->cancel();
 }
 
+auto HttpCall::receiving() const -> bool {
+  const auto Running = Exchange.lock();
+  return Running && Running->receiving();
+}
+
 auto HttpClient::create(boost::asio::io_context &Context,
                         const std::string &Address, HttpClientOptions Options)
     -> Result<std::unique_ptr<HttpClient>> {
--- a/lib/IO/HttpExchange.h
+++ b/lib/IO/HttpExchange.h
@@ -45,6 +45,9 @@
 
   auto start() -> void;
   auto cancel() -> void;
+  auto receiving() const -> bool {
+    return !Finished && Outcome.Phase == HttpPhase::Receiving;
+  }
 
 private:
   using Parser =
--- a/tests/support/FakeObjectStore.h
+++ b/tests/support/FakeObjectStore.h
@@ -82,7 +82,7 @@
                   std::shared_ptr<StoreContents> Contents)
       : Context(Context), Contents(std::move(Contents)) {}
 
-  auto list(const std::string &Kind, ChangesHandler Done) -> void override {
+  auto list(const std::string &Kind, ChangesHandler Done) -> ReadPtr override {
     StoreChanges Changes;
     const std::lock_guard Guard(Contents->Mutex);
     ++Contents->Calls;
@@ -94,16 +94,18 @@
           Changes.Objects.push_back(Object);
     }
     postAnswer(std::move(Done), std::move(Changes));
+    return nullptr;
   }
 
   auto watch(const std::string &Kind, std::uint64_t Revision, Duration Wait,
-             ChangesHandler Done) -> void override {
+             ChangesHandler Done) -> ReadPtr override {
     {
       const std::lock_guard Guard(Contents->Mutex);
       ++Contents->Calls;
     }
     poll(Kind, Revision, std::chrono::steady_clock::now() + Wait,
          std::move(Done));
+    return nullptr;
   }
 
   auto write(const std::string &Kind, const std::string &Name,
--- a/tests/unit/StoreFeedTest.cpp
+++ b/tests/unit/StoreFeedTest.cpp
@@ -20,12 +20,14 @@
     ChangesHandler Done;
   };
 
-  auto list(const std::string &, ChangesHandler Done) -> void override {
+  auto list(const std::string &, ChangesHandler Done) -> ReadPtr override {
     Calls.push_back({false, 0, std::move(Done)});
+    return nullptr;
   }
   auto watch(const std::string &, std::uint64_t Revision, Duration,
-             ChangesHandler Done) -> void override {
+             ChangesHandler Done) -> ReadPtr override {
     Calls.push_back({true, Revision, std::move(Done)});
+    return nullptr;
   }
   auto write(const std::string &, const std::string &, std::uint64_t,
              nlohmann::json, WriteHandler) -> void override {}
