--- a/tests/unit/RelayedStoreTest.cpp
+++ b/tests/unit/RelayedStoreTest.cpp
@@ -221,6 +221,37 @@
   EXPECT_EQ(Calls, 2);
 }
 
+// Guards against a relay that fills its link with copies of a large
+// configuration for all instances of its data centre.
+TEST_F(RelayedStoreTest, LargeObjectsAreCompressedForReadersThatAcceptIt) {
+  std::string Text;
+  for (int Count = 0; Count < 2000; ++Count)
+    Text.append("route ").append(std::to_string(Count)).append(" of a host, ");
+  RelayContents->set(Kind, "large", Text);
+  ASSERT_TRUE(until([this] { return Source.objects().contains("large"); }));
+  std::map<std::string, std::size_t> Sizes;
+  auto Client =
+      HttpClient::create(Io, "127.0.0.1:" + std::to_string(Server->port()))
+          .value();
+  for (const std::string Coding : {"deflate", "identity"}) {
+    HttpRequest Request;
+    Request.Target = std::string(ChangeRelay::Path) + "?kind=" + Kind;
+    Request.Headers.add("Accept-Encoding", Coding);
+    Client->request(std::move(Request), {},
+                    [&Sizes, Coding](const HttpOutcome &Outcome) {
+                      Sizes[Coding] = Outcome.Response.Body.size();
+                    });
+    ASSERT_TRUE(until([&] { return Sizes.contains(Coding); }));
+  }
+  EXPECT_GE(Sizes["identity"], Text.size());
+  EXPECT_LE(Sizes["deflate"], Text.size() / 4);
+  Follower.start();
+  ASSERT_TRUE(until([this] { return followerHas("large"); }));
+  EXPECT_EQ(Follower.objects().at("large").Value, Text);
+  EXPECT_LE(Follower.confirmedAt(), Source.confirmedAt() + 5ms);
+  EXPECT_EQ(DirectContents->calls(), 0U);
+}
+
 TEST_F(RelayedStoreTest, WritesGoToTheStore) {
   bool Done = false;
   Store.write(Kind, "w", 0, 1, [&Done](const StoreWriteResult &Answer) {
