Compress large lists that a relay sends, once for all readers

While a large configuration spread, most requests of the data centre were late: a relay sent each of its readers a whole copy and encoded it anew for each, and the copy took the readers' links of 10 Mbit/s for about a second. With 49 readers at 120 Mbit/s the copies alone would take longer than a change may.

The relay now keeps the last encoded list of each kind and compresses it when it is large and the reader accepts that. A compressed response has its revision and age in header fields, so that its body is the same for all readers. Readers refuse a response that inflates to more than 32 MB. Instances of the earlier build get and send the uncompressed form.

--- a/lib/Gateway/ChangeRelay.cpp
+++ b/lib/Gateway/ChangeRelay.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/ChangeRelay.h"
 
 #include "IO/BootClock.h"
+#include "IO/Deflate.h"
 
 #include <nlohmann/json.hpp>
 
@@ -26,6 +27,9 @@
 /// that has just been named reads the store within milliseconds.
 constexpr Duration ContactWait = std::chrono::milliseconds(200);
 
+/// Size from which a list is worth the time that compressing it takes.
+constexpr std::size_t MinCompressedBytes = 8192;
+
 auto queryNumber(const HttpRequest &Request, const char *Name)
     -> std::optional<std::uint64_t> {
   const auto Text = Request.query(Name);
@@ -58,58 +62,86 @@
 
 auto ChangeRelay::begin() -> void { BegunAt = bootNow(); }
 
-auto ChangeRelay::hasChanges(const std::string &Kind,
-                             std::optional<std::uint64_t> Since) const -> bool {
-  if (!Since)
+auto ChangeRelay::hasChanges(const Query &Asked) const -> bool {
+  if (!Asked.Since)
     return true;
-  const auto Changes = Feeds.at(Kind)->changesSince(*Since);
+  const auto Changes = Feeds.at(Asked.Kind)->changesSince(*Asked.Since);
   return !Changes || !Changes->empty();
 }
 
-auto ChangeRelay::respond(const std::string &Kind,
-                          std::optional<std::uint64_t> Since,
-                          const HttpResponder &Responder) const -> void {
-  const StoreFeed &Feed = *Feeds.at(Kind);
-  if (!upToDate(Kind))
-    return Responder.respond(statusResponse(503));
+auto ChangeRelay::encodeObjects(const Query &Asked) -> const EncodedObjects * {
+  const StoreFeed &Feed = *Feeds.at(Asked.Kind);
+  EncodedObjects &Last = LastEncoded[Asked.Kind];
+  if (Last.Asked == Asked && Last.ChangeCount == Feed.changeCount())
+    return &Last;
   Json Objects = Json::array();
   const auto Add = [&Objects](const StoredObject &Object) {
     Objects.push_back(Json::array(
         {Object.Name, Object.Revision, Object.Deleted, Object.Value}));
   };
-  if (Since) {
-    const auto Changes = Feed.changesSince(*Since);
+  if (Asked.Since) {
+    const auto Changes = Feed.changesSince(*Asked.Since);
     if (!Changes)
-      return Responder.respond(statusResponse(410));
+      return nullptr;
     std::for_each(Changes->begin(), Changes->end(), Add);
   } else {
     for (const auto &[Name, Object] : Feed.objects())
       Add(Object);
   }
+  Last = {Asked, Feed.changeCount(), Objects.dump(), false};
+  Last.Compressed =
+      Asked.AcceptsDeflate && Last.Text.size() >= MinCompressedBytes;
+  if (Last.Compressed)
+    Last.Text = deflateText(Last.Text);
+  return &Last;
+}
+
+auto ChangeRelay::respond(const Query &Asked, const HttpResponder &Responder)
+    -> void {
+  if (!upToDate(Asked.Kind))
+    return Responder.respond(statusResponse(503));
+  const EncodedObjects *Objects = encodeObjects(Asked);
+  if (!Objects)
+    return Responder.respond(statusResponse(410));
+  const auto Revision = std::to_string(
+      std::max(Feeds.at(Asked.Kind)->revision(), Asked.Since.value_or(0)));
+  const auto Age =
+      std::to_string((bootNow() - ContactFeed.confirmedAt()).count());
   HttpResponse Response;
   Response.Headers.set("Content-Type", "application/json");
-  Response.Body =
-      Json{{"revision", std::max(Feed.revision(), Since.value_or(0))},
-           {"age_us", (bootNow() - ContactFeed.confirmedAt()).count()},
-           {"objects", std::move(Objects)}}
-          .dump();
+  if (Objects->Compressed) {
+    Response.Headers.set("Content-Encoding", "deflate");
+    Response.Headers.set(RevisionField, Revision);
+    Response.Headers.set(AgeField, Age);
+    Response.Body = Objects->Text;
+  } else {
+    Response.Body.append("{\"revision\":")
+        .append(Revision)
+        .append(",\"age_us\":")
+        .append(Age)
+        .append(",\"objects\":")
+        .append(Objects->Text)
+        .append("}");
+  }
   Responder.respond(std::move(Response));
 }
 
 auto ChangeRelay::handleRequest(const HttpRequest &Request,
                                 const HttpResponder &Responder) -> void {
-  const std::string Kind = Request.query("kind").value_or("");
-  if (!Feeds.contains(Kind))
+  Query Asked;
+  Asked.Kind = Request.query("kind").value_or("");
+  if (!Feeds.contains(Asked.Kind))
     return Responder.respond(statusResponse(404));
-  const auto Since = queryNumber(Request, "since");
-  const bool Confirmed = upToDate(Kind);
-  if (Confirmed && hasChanges(Kind, Since))
-    return respond(Kind, Since, Responder);
+  Asked.Since = queryNumber(Request, "since");
+  Asked.AcceptsDeflate = Request.Headers.find("Accept-Encoding") == "deflate";
+  const bool Confirmed = upToDate(Asked.Kind);
+  if (Confirmed && hasChanges(Asked))
+    return respond(Asked, Responder);
   const Duration Wait =
       Confirmed ? std::chrono::milliseconds(std::min(
                       queryNumber(Request, "wait_ms").value_or(0), MaxWaitMs))
                 : ContactWait;
-  auto Call = std::make_shared<PendingCall>(Io, Kind, Since, Responder);
+  auto Call = std::make_shared<PendingCall>(Io, std::move(Asked), Responder);
   PendingCalls.push_back(Call);
   Call->Timer.expires_after(Wait);
   Call->Timer.async_wait([this, WeakCall = std::weak_ptr<PendingCall>(Call)](
@@ -122,15 +154,15 @@
 }
 
 auto ChangeRelay::onTimeout(const std::shared_ptr<PendingCall> &Call) -> void {
-  respond(Call->Kind, Call->Since, Call->Responder);
+  respond(Call->Asked, Call->Responder);
   PendingCalls.remove(Call);
 }
 
 auto ChangeRelay::onFeedAdvanced() -> void {
   PendingCalls.remove_if([&](const std::shared_ptr<PendingCall> &Call) {
-    if (!upToDate(Call->Kind) || !hasChanges(Call->Kind, Call->Since))
+    if (!upToDate(Call->Asked.Kind) || !hasChanges(Call->Asked))
       return false;
-    respond(Call->Kind, Call->Since, Call->Responder);
+    respond(Call->Asked, Call->Responder);
     return true;
   });
 }
--- a/lib/Gateway/ChangeRelay.h
+++ b/lib/Gateway/ChangeRelay.h
@@ -21,9 +21,10 @@
 /// Answers GET /changes?kind=K[&since=REVISION&wait_ms=N] from the feed of kind
 /// K: with all objects, or with those changed after a revision as soon as there
 /// are any. An instance that has just become the relay delays the answer until
-/// it has read the store. Status 404: there is no such kind; 410: the changes
-/// since that revision are no longer kept; 503: this instance has no recent
-/// proof that it reaches the store.
+/// it has read the store. Large lists are compressed for readers that accept
+/// the content coding "deflate". Status 404: there is no such kind; 410: the
+/// changes since that revision are no longer kept; 503: this instance has no
+/// recent proof that it reaches the store.
 class ChangeRelay {
 public:
   static constexpr const char *Path = "/changes";
@@ -47,35 +48,54 @@
   /// 503.
   auto onContactLost() -> void;
 
+  /// Fields of a compressed response. Its body is the list of objects alone, so
+  /// that it is the same for all readers of a change.
+  static constexpr const char *RevisionField = "Btr-Revision";
+  static constexpr const char *AgeField = "Btr-Age-Us";
+
 private:
+  struct Query {
+    std::string Kind;
+    std::optional<std::uint64_t> Since; ///< Nothing: all objects.
+    bool AcceptsDeflate = false;
+
+    friend auto operator==(const Query &, const Query &) -> bool = default;
+  };
   struct PendingCall {
-    PendingCall(boost::asio::io_context &Io, std::string Kind,
-                std::optional<std::uint64_t> Since,
+    PendingCall(boost::asio::io_context &Io, Query Asked,
                 const HttpResponder &Responder)
-        : Timer(Io), Kind(std::move(Kind)), Since(Since), Responder(Responder) {
-    }
+        : Timer(Io), Asked(std::move(Asked)), Responder(Responder) {}
 
     boost::asio::steady_timer Timer;
-    std::string Kind;
-    std::optional<std::uint64_t> Since; ///< Nothing: all objects.
+    Query Asked;
     HttpResponder Responder;
   };
+  /// A list of objects as it is sent.
+  struct EncodedObjects {
+    Query Asked;
+    std::uint64_t ChangeCount = 0; ///< StoreFeed::changeCount().
+    std::string Text;
+    bool Compressed = false;
+  };
 
   /// Whether there is a recent proof of contact with the store.
   auto hasRecentContact() const -> bool;
   /// Whether the feed of the kind is known to be up to date.
   auto upToDate(const std::string &Kind) const -> bool;
   /// Whether a call need not wait for changes.
-  auto hasChanges(const std::string &Kind,
-                  std::optional<std::uint64_t> Since) const -> bool;
+  auto hasChanges(const Query &Asked) const -> bool;
   auto onTimeout(const std::shared_ptr<PendingCall> &Call) -> void;
-  auto respond(const std::string &Kind, std::optional<std::uint64_t> Since,
-               const HttpResponder &Responder) const -> void;
+  auto respond(const Query &Asked, const HttpResponder &Responder) -> void;
+  /// Returns null when the changes that are asked for are no longer kept.
+  auto encodeObjects(const Query &Asked) -> const EncodedObjects *;
 
   boost::asio::io_context &Io;
   const StoreFeed &ContactFeed;
   TimePoint BegunAt = LongAgo;
   std::map<std::string, const StoreFeed *> Feeds;
+  /// The last list of each kind: readers that wait for a change ask for the
+  /// same one.
+  std::map<std::string, EncodedObjects> LastEncoded;
   std::list<std::shared_ptr<PendingCall>> PendingCalls;
 };
 
--- a/lib/Gateway/RelayedStore.cpp
+++ b/lib/Gateway/RelayedStore.cpp
@@ -2,10 +2,12 @@
 
 #include "Gateway/ChangeRelay.h"
 #include "IO/BootClock.h"
+#include "IO/Deflate.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace buckthornring {
@@ -25,6 +27,9 @@
 /// readers at once.
 constexpr Duration RelayStallTimeout = std::chrono::milliseconds(600);
 
+/// Largest list of objects that a relay may send, uncompressed.
+constexpr std::size_t MaxInflatedBytes = std::size_t{32} << 20;
+
 /// Time for which a failed relay is not called again.
 constexpr Duration DistrustPeriod = std::chrono::seconds(5);
 
@@ -32,10 +37,35 @@
   return std::to_string(Span.count() / 1000);
 }
 
-auto readChanges(const std::string &Body) -> StoreChanges {
+auto readNumber(const HttpResponse &Response, const char *Name)
+    -> std::optional<std::int64_t> {
+  const auto Text = Response.Headers.find(Name);
+  std::int64_t Value = 0;
+  if (!Text ||
+      std::from_chars(Text->data(), Text->data() + Text->size(), Value).ec !=
+          std::errc())
+    return std::nullopt;
+  return Value;
+}
+
+/// Returns the response in its uncompressed form.
+auto readBody(const HttpResponse &Response) -> Json {
+  if (!Response.Headers.contains("Content-Encoding"))
+    return Json::parse(Response.Body);
+  const auto Revision = readNumber(Response, ChangeRelay::RevisionField);
+  const auto Age = readNumber(Response, ChangeRelay::AgeField);
+  const auto Objects = inflateText(Response.Body, MaxInflatedBytes);
+  if (!Revision || !Age || !Objects)
+    return Json();
+  return {{"revision", *Revision},
+          {"age_us", *Age},
+          {"objects", Json::parse(*Objects)}};
+}
+
+auto readChanges(const HttpResponse &Response) -> StoreChanges {
   StoreChanges Changes;
   try {
-    const Json Value = Json::parse(Body);
+    const Json Value = readBody(Response);
     Changes.Revision = Value.at("revision").get<std::uint64_t>();
     Changes.Age = Duration(Value.at("age_us").get<std::int64_t>());
     for (const Json &Object : Value.at("objects"))
@@ -137,6 +167,7 @@
   }
   HttpRequest Request;
   Request.Target = std::string(ChangeRelay::Path) + "?" + Read->Query;
+  Request.Headers.set("Accept-Encoding", "deflate");
   HttpCallOptions Options;
   Options.TimeLimit = Read->Timeout;
   Options.ConnectTimeout = RelayReplyTimeout;
@@ -158,7 +189,7 @@
     return Read->OnDone(std::move(HistoryLost));
   }
   if (Outcome.done() && Outcome.Response.Status == 200) {
-    auto Changes = readChanges(Outcome.Response.Body);
+    auto Changes = readChanges(Outcome.Response);
     if (Changes.Status == StoreStatus::Done)
       return Read->OnDone(std::move(Changes));
   }
--- a/lib/Gateway/StoreFeed.cpp
+++ b/lib/Gateway/StoreFeed.cpp
@@ -144,6 +144,7 @@
                               std::uint64_t SnapshotRevision) -> void {
   if (Loaded && SnapshotRevision < Revision)
     return;
+  ++ChangeCount;
   recordDifferences(Snapshot, SnapshotRevision);
   Objects.clear();
   for (const StoredObject &Object : Snapshot) {
@@ -232,6 +233,7 @@
   const auto Existing = Objects.find(Object.Name);
   if (Existing != Objects.end() && Existing->second.Revision > Object.Revision)
     return false;
+  ++ChangeCount;
   LastChangeRevision = std::max(LastChangeRevision, Object.Revision);
   recordChange(Object);
   if (Object.Deleted) {
--- a/lib/Gateway/StoreFeed.h
+++ b/lib/Gateway/StoreFeed.h
@@ -89,6 +89,8 @@
     return LastChangeRevision;
   }
   auto revision() const -> std::uint64_t { return Revision; }
+  /// Rises whenever objects() or changesSince() may return something else.
+  auto changeCount() const -> std::uint64_t { return ChangeCount; }
   /// Returns the objects that changed after \p Since in the order of the
   /// changes, deleted ones included, or nothing when not all of these changes
   /// are kept any more.
@@ -131,6 +133,7 @@
   std::uint64_t RecentAfterRevision = 0;
   std::uint64_t Revision = 0;
   std::uint64_t LastChangeRevision = 0;
+  std::uint64_t ChangeCount = 0;
   TimePoint LostAt = LongAgo;
   TimePoint OutageEndedAt = LongAgo;
   TimePoint RequestedAt = LongAgo;
