Answer 503 instead of 404 or 401 while others have a newer configuration

Callers got 404 for routes that had been added seconds before, from instances that had already heard from the leader that the others had read a newer configuration. A 404 or 401 is final for a caller, while the instance could know that its own configuration was no longer the one to decide by.

Until it has read up to the newest revision that the leader reports, a request whose route or key is unknown is refused as stale-configuration: 503, not run, with the time to come back. Requests that the configuration knows are served as before. This holds for an instance that is cut off from the store as well.

UnknownRoutesAndKeysAreToBeRetriedMeanwhile failed before and passes now.

--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -280,6 +280,7 @@
 }
 
 auto FleetMember::applyReply(const FleetReply &Reply) -> void {
+  SeenByFleet = Reply.Seen;
   if (Reply.NeighboursVersion != NeighboursVersion) {
     NeighboursVersion = Reply.NeighboursVersion;
     Neighbours = Reply.Neighbours;
--- a/lib/Gateway/FleetMember.h
+++ b/lib/Gateway/FleetMember.h
@@ -63,6 +63,9 @@
   auto rateReserveClient() -> RateReserveClient & { return RateClient; }
   /// Announces that this instance stops. A leader resigns.
   auto leave() -> void;
+  /// Store revisions of the newest changes that any instance has seen, as the
+  /// leader last told.
+  auto seenByFleet() const -> const SeenRevisions & { return SeenByFleet; }
 
   static constexpr const char *LeaderObjectName = "leader";
 
@@ -99,6 +102,7 @@
   FleetContext Context;
   RateReserveClient RateClient;
   LagDetector Lag;
+  SeenRevisions SeenByFleet;  ///< As the leader last told.
   double LargestCapacity = 0; ///< In the fleet, by the leader's last reply.
   boost::asio::steady_timer ReportTimer;
   boost::asio::steady_timer ClaimTimer;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -206,6 +206,9 @@
             catchUp(Others, Address);
           }},
       std::hash<std::string>()(ProcessName) + 1);
+  Requests.ConfigurationOutdated = [this] {
+    return ConfigurationFeed->revision() < Member->seenByFleet().Configuration;
+  };
   RouterObjectsFeed->start();
   FeedStartTimer.expires_after(Settings.FirstStart ? FirstStartRelayWait
                                                    : RestartRelayWait);
--- a/lib/Gateway/RequestContext.h
+++ b/lib/Gateway/RequestContext.h
@@ -79,6 +79,9 @@
   std::function<void(const WorkspaceId &, std::function<void(bool)>)>
       RequestRateFromReserve;
 
+  /// Whether another instance has read a newer configuration than this one.
+  std::function<bool()> ConfigurationOutdated = [] { return false; };
+
   auto retries(const ServiceId &Service) -> RetryAllowance & {
     return Retries.try_emplace(Service, RetryBounds).first->second;
   }
--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -129,7 +129,7 @@
   Route = Config->Routes.match(Target.substr(0, Target.find('?')),
                                requestHost(Request.Head.Fields));
   if (!Route) {
-    refuse(RefusalReason::UnknownRoute);
+    refuseUnknown(RefusalReason::UnknownRoute);
     return false;
   }
   Idempotent = Route->Idempotent.value_or(true);
@@ -139,7 +139,7 @@
   const auto Key = Request.Head.Fields.find(Context.Protocol.Headers.CallerKey);
   const auto *Entry = Key ? Config->Keys.find(*Key) : nullptr;
   if (!Entry) {
-    refuse(RefusalReason::UnknownCallerKey);
+    refuseUnknown(RefusalReason::UnknownCallerKey);
     return false;
   }
   Workspace = Entry->Workspace;
@@ -149,6 +149,13 @@
   return true;
 }
 
+// What is unknown here may be known by the newer configuration, and callers do
+// not retry a request that was refused for good.
+auto RequestFlow::refuseUnknown(RefusalReason Reason) -> void {
+  refuse(Context.ConfigurationOutdated() ? RefusalReason::StaleConfiguration
+                                         : Reason);
+}
+
 auto RequestFlow::readDeadline(TimePoint Now) -> void {
   const auto Header =
       Request.Head.Fields.find(Context.Protocol.Headers.Deadline);
--- a/lib/Gateway/RequestFlow.h
+++ b/lib/Gateway/RequestFlow.h
@@ -45,6 +45,8 @@
 
   // Before the first send.
   auto resolveRoute() -> bool;
+  /// Refuses a request whose route or caller key is not in the configuration.
+  auto refuseUnknown(RefusalReason Reason) -> void;
   auto readDeadline(TimePoint Now) -> void;
   auto readKey() -> bool;
 
