Destroy the callback of a cancelled call after the call has finished

The callback of a read through a relay holds the relay's client; when it was the last to do so, clearing it destroyed the client, which cancelled the same exchange again and cleared the callback a second time.

The exchange now finishes before its callback is destroyed, so the second cancel finds it finished. CallThatKeepsItsClientAliveCanBeCancelled aborted before and passes now.

--- a/lib/IO/HttpExchange.cpp
+++ b/lib/IO/HttpExchange.cpp
@@ -90,7 +90,9 @@
 auto HttpExchange::cancel() -> void {
   if (Finished)
     return;
-  OnOutcome = nullptr;
+  // The callback may hold the client, whose end cancels its exchanges: it is
+  // destroyed only after this one has finished.
+  const auto Dropped = std::exchange(OnOutcome, nullptr);
   fail("cancelled");
 }
 
--- a/tests/process/HttpTest.cpp
+++ b/tests/process/HttpTest.cpp
@@ -231,6 +231,21 @@
   runUntil([&Disconnected] { return Disconnected; });
 }
 
+// Guards against freeing the callback twice when its call is cancelled and it
+// holds the last reference to the client.
+TEST_F(HttpTest, CallThatKeepsItsClientAliveCanBeCancelled) {
+  serve([](const HttpRequest &, const HttpResponder &) {});
+  std::shared_ptr<HttpClient> Shared = std::move(Client);
+  const std::weak_ptr<HttpClient> Observed = Shared;
+  HttpClient &Used = *Shared;
+  auto Call = Used.request(
+      get("/"), {},
+      [Held = std::exchange(Shared, nullptr)](const HttpOutcome &) { FAIL(); });
+  EXPECT_FALSE(Observed.expired());
+  Call.cancel();
+  EXPECT_TRUE(Observed.expired());
+}
+
 // Guards against a silent connection that prevents new ones.
 TEST_F(HttpTest, NewConnectionsWorkBesideSilentOnes) {
   serve([](const HttpRequest &, const HttpResponder &Responder) {
