Let the tests' store be restored from a copy

StoreContents::copy and restore put objects, history and revision back and raise the era. The revisions that its clients see combine the era and the number. As in the adapter, a watch from another era ends as HistoryLost and a conditional write of an era below the newest known one is a conflict that is not sent; one that is sent compares the number alone. A conditional write of an object that the store does not have ends as Absent instead of reading past the end of the map.

--- a/tests/support/FakeObjectStore.h
+++ b/tests/support/FakeObjectStore.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "Fleet/StoreRevision.h"
 #include "Gateway/Protocol.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -19,7 +21,13 @@
 /// store.
 class StoreContents {
 public:
-  using Key = std::pair<std::string, std::string>;
+  /// What a copy of the store holds. Revisions are the store's own numbers.
+  struct Copy {
+    std::map<std::pair<std::string, std::string>, StoredObject> Objects;
+    std::vector<std::pair<std::string, StoredObject>> History;
+    std::uint64_t Revision = 1;
+    std::uint64_t OldestKeptRevision = 0;
+  };
 
   auto set(const std::string &Kind, const std::string &Name,
            nlohmann::json Value) -> void {
@@ -28,8 +36,23 @@
   }
   auto remove(const std::string &Kind, const std::string &Name) -> void {
     const std::lock_guard Guard(Mutex);
-    History.push_back({Kind, {Name, ++Revision, true, {}}});
-    Objects.erase({Kind, Name});
+    Held.History.push_back({Kind, {Name, ++Held.Revision, true, {}}});
+    Held.Objects.erase({Kind, Name});
+  }
+  auto copy() const -> Copy {
+    const std::lock_guard Guard(Mutex);
+    return Held;
+  }
+  /// Puts the objects, the history and the revision of \p Earlier back and
+  /// raises the era. Down or not stays as it is.
+  auto restore(Copy Earlier) -> void {
+    const std::lock_guard Guard(Mutex);
+    Held = std::move(Earlier);
+    ++Era;
+  }
+  auto era() const -> std::uint64_t {
+    const std::lock_guard Guard(Mutex);
+    return Era;
   }
   /// While down, reads end as StoreStatus::Unreachable and writes as
   /// StoreStatus::Unknown.
@@ -39,14 +62,14 @@
   }
   auto dropHistory() -> void {
     const std::lock_guard Guard(Mutex);
-    OldestKeptRevision = Revision + 1;
-    History.clear();
+    Held.OldestKeptRevision = Held.Revision + 1;
+    Held.History.clear();
   }
   auto value(const std::string &Kind, const std::string &Name) const
       -> std::optional<nlohmann::json> {
     const std::lock_guard Guard(Mutex);
-    const auto Found = Objects.find({Kind, Name});
-    if (Found == Objects.end())
+    const auto Found = Held.Objects.find({Kind, Name});
+    if (Found == Held.Objects.end())
       return std::nullopt;
     return Found->second.Value;
   }
@@ -60,22 +83,29 @@
 
   auto put(const std::string &Kind, const std::string &Name,
            nlohmann::json Value) -> StoredObject {
-    StoredObject Object{Name, ++Revision, false, std::move(Value)};
-    Objects[{Kind, Name}] = Object;
-    History.push_back({Kind, Object});
+    StoredObject Object{Name, ++Held.Revision, false, std::move(Value)};
+    Held.Objects[{Kind, Name}] = Object;
+    Held.History.push_back({Kind, Object});
+    return Object;
+  }
+  auto currentRevision() const -> std::uint64_t {
+    return makeRevision(Era, Held.Revision);
+  }
+  /// The object with the revision that clients see.
+  auto numbered(StoredObject Object) const -> StoredObject {
+    Object.Revision = makeRevision(Era, Object.Revision);
     return Object;
   }
 
   mutable std::mutex Mutex;
-  std::map<Key, StoredObject> Objects;
-  std::vector<std::pair<std::string, StoredObject>> History;
-  std::uint64_t Revision = 1;
-  std::uint64_t OldestKeptRevision = 0;
+  Copy Held;
+  std::uint64_t Era = 0;
   std::size_t Calls = 0;
   bool Down = false;
 };
 
-/// One instance's client of the contents.
+/// One instance's client of the contents. Like the platform's adapter it
+/// combines the era and the store's numbers into revisions.
 class FakeObjectStore final : public ObjectStore {
 public:
   FakeObjectStore(boost::asio::io_context &Context,
@@ -87,11 +117,12 @@
     const std::lock_guard Guard(Contents->Mutex);
     ++Contents->Calls;
     if (!Contents->Down) {
+      noteEra();
       Changes.Status = StoreStatus::Done;
-      Changes.Revision = Contents->Revision;
-      for (const auto &[Key, Object] : Contents->Objects)
+      Changes.Revision = Contents->currentRevision();
+      for (const auto &[Key, Object] : Contents->Held.Objects)
         if (Key.first == Kind)
-          Changes.Objects.push_back(Object);
+          Changes.Objects.push_back(Contents->numbered(Object));
     }
     postAnswer(std::move(Done), std::move(Changes));
     return nullptr;
@@ -101,6 +132,12 @@
              ChangesHandler Done) -> ReadPtr override {
     {
       const std::lock_guard Guard(Contents->Mutex);
+      if (eraOf(Revision) < NewestEra) {
+        StoreChanges Lost;
+        Lost.Status = StoreStatus::HistoryLost;
+        postAnswer(std::move(Done), std::move(Lost));
+        return nullptr;
+      }
       ++Contents->Calls;
     }
     poll(Kind, Revision, std::chrono::steady_clock::now() + Wait,
@@ -113,16 +150,12 @@
       -> void override {
     StoreWriteResult Write;
     const std::lock_guard Guard(Contents->Mutex);
-    ++Contents->Calls;
-    if (!Contents->Down) {
-      const auto Found = Contents->Objects.find({Kind, Name});
-      const std::uint64_t CurrentRevision =
-          Found == Contents->Objects.end() ? 0 : Found->second.Revision;
-      Write.Status = CurrentRevision == Expected ? StoreStatus::Done
-                                                 : StoreStatus::Conflict;
-      Write.Object = CurrentRevision == Expected
-                         ? Contents->put(Kind, Name, std::move(Value))
-                         : Found->second;
+    if (Expected != 0 && eraOf(Expected) < NewestEra) {
+      Write.Status = StoreStatus::Conflict;
+    } else {
+      ++Contents->Calls;
+      if (!Contents->Down)
+        Write = replace(Kind, Name, numberOf(Expected), std::move(Value));
     }
     postAnswer(std::move(Done), std::move(Write));
   }
@@ -134,24 +167,54 @@
                                 Result = std::move(Result)] { Done(Result); });
   }
 
+  /// As in the store, the condition is a number without an era. It may hold by
+  /// coincidence after a restoration.
+  auto replace(const std::string &Kind, const std::string &Name,
+               std::uint64_t ExpectedNumber, nlohmann::json Value)
+      -> StoreWriteResult {
+    noteEra();
+    const auto &Objects = Contents->Held.Objects;
+    const auto Found = Objects.find({Kind, Name});
+    const bool Exists = Found != Objects.end();
+    if (!Exists && ExpectedNumber != 0)
+      return {StoreStatus::Absent, std::nullopt};
+    if ((Exists ? Found->second.Revision : 0) != ExpectedNumber)
+      return {StoreStatus::Conflict, Contents->numbered(Found->second)};
+    return {StoreStatus::Done,
+            Contents->numbered(Contents->put(Kind, Name, std::move(Value)))};
+  }
+
+  auto noteEra() -> void { NewestEra = std::max(NewestEra, Contents->Era); }
+
+  auto changesSince(const std::string &Kind, std::uint64_t Revision)
+      -> StoreChanges {
+    noteEra();
+    StoreChanges Changes;
+    Changes.Status = StoreStatus::HistoryLost;
+    const std::uint64_t Number = numberOf(Revision);
+    if (eraOf(Revision) != Contents->Era ||
+        Number + 1 < Contents->Held.OldestKeptRevision)
+      return Changes;
+    Changes.Status = StoreStatus::Done;
+    Changes.Revision = Contents->currentRevision();
+    for (const auto &[EntryKind, Object] : Contents->Held.History)
+      if (EntryKind == Kind && Object.Revision > Number)
+        Changes.Objects.push_back(Contents->numbered(Object));
+    return Changes;
+  }
+
   auto poll(const std::string &Kind, std::uint64_t Revision,
             std::chrono::steady_clock::time_point Until, ChangesHandler Done)
       -> void {
     StoreChanges Changes;
     {
       const std::lock_guard Guard(Contents->Mutex);
-      if (!Contents->Down && Revision + 1 < Contents->OldestKeptRevision)
-        Changes.Status = StoreStatus::HistoryLost;
-      else if (!Contents->Down)
-        for (const auto &[EntryKind, Object] : Contents->History)
-          if (EntryKind == Kind && Object.Revision > Revision)
-            Changes.Objects.push_back(Object);
+      if (!Contents->Down)
+        Changes = changesSince(Kind, Revision);
       const bool TimedOut = std::chrono::steady_clock::now() >= Until;
-      if (!Changes.Objects.empty() || (TimedOut && !Contents->Down)) {
-        Changes.Status = StoreStatus::Done;
-        Changes.Revision = Contents->Revision;
-      }
-      if (Changes.Status != StoreStatus::Unreachable || Contents->Down)
+      if (Contents->Down || TimedOut ||
+          Changes.Status == StoreStatus::HistoryLost ||
+          !Changes.Objects.empty())
         return postAnswer(std::move(Done), std::move(Changes));
     }
     auto Timer = std::make_shared<boost::asio::steady_timer>(Context);
@@ -166,6 +229,7 @@
 
   boost::asio::io_context &Context;
   std::shared_ptr<StoreContents> Contents;
+  std::uint64_t NewestEra = 0; ///< Guarded by the mutex of the contents.
 };
 
 } // namespace buckthornring::test
