Add a failing test of watches that outlast the era of the store

A watch that waits at a store which is restored meanwhile may never get a response. It waits up to its time limit, 25 s for the configuration, although other calls have been answered in the new era.

StoreEraTest.OpenWatchesEndWhenAnotherCallTellsALaterEra fails.

--- a/tests/unit/StoreEraTest.cpp
+++ b/tests/unit/StoreEraTest.cpp
@@ -267,6 +267,32 @@
   EXPECT_FALSE(LateWrite->Object);
 }
 
+// Guards against a watch that waits to its end for the changes of an era that
+// is over, while other calls have been answered in the next one.
+TEST_F(StoreEraTest, OpenWatchesEndWhenAnotherCallTellsALaterEra) {
+  see("1");
+  Reply Waiting = events("1", 40, Json::array());
+  Waiting.Delay = 1s;
+  reply(Waiting);
+  reply(Waiting);
+  std::optional<StoreChanges> Watched;
+  bool CancelledIsCalled = false;
+  Store->watch("things", makeRevision(1, 40), 5s,
+               [&Watched](StoreChanges Changes) { Watched = Changes; });
+  const auto Cancelled =
+      Store->watch("things", makeRevision(1, 40), 5s,
+                   [&](const StoreChanges &) { CancelledIsCalled = true; });
+  Io.restart();
+  Io.run_for(100ms);
+  Cancelled->cancel();
+  see("2");
+  Io.restart();
+  Io.run_for(100ms);
+  ASSERT_TRUE(Watched);
+  EXPECT_EQ(Watched->Status, StoreStatus::HistoryLost);
+  EXPECT_FALSE(CancelledIsCalled);
+}
+
 // Guards against a list made of two eras, whose objects never existed together.
 TEST_F(StoreEraTest, ListStartsAgainWhenTheEraChangesBetweenPages) {
   reply(listing("1", 90, {object("a", 80)}, true));
