--- a/tests/unit/StoreEraTest.cpp
+++ b/tests/unit/StoreEraTest.cpp
@@ -278,7 +278,7 @@
   std::optional<StoreChanges> Watched;
   bool CancelledIsCalled = false;
   Store->watch("things", makeRevision(1, 40), 5s,
-               [&Watched](StoreChanges Changes) { Watched = Changes; });
+               [&Watched](const StoreChanges &Changes) { Watched = Changes; });
   const auto Cancelled =
       Store->watch("things", makeRevision(1, 40), 5s,
                    [&](const StoreChanges &) { CancelledIsCalled = true; });
