Add failing tests of a feed whose store comes back from a copy

A store that is restored from a copy lacks its latest objects and rises by an era. The feed notices neither: no outage ends, changes of the new era are applied to the objects of the earlier one, and readers of a relay are told that everything that the copy lacks was removed.

--- a/tests/unit/StoreFeedTest.cpp
+++ b/tests/unit/StoreFeedTest.cpp
@@ -1,4 +1,6 @@
 #include "Gateway/StoreFeed.h"
+
+#include "Fleet/StoreRevision.h"
 #include "IO/BootClock.h"
 
 #include <gtest/gtest.h>
@@ -221,4 +223,46 @@
   EXPECT_EQ(Feed.outageEndedAt(), Ended);
 }
 
+// Guards against dropping records that are missing from a copy from which the
+// store was restored, although the interruption was too short for an outage.
+TEST_F(StoreFeedTest, RestorationFromACopyCountsAsAnOutage) {
+  Store.answer(done({object("a", 3), object("b", 9)}, 10));
+  waitForCall();
+  Store.answer({StoreStatus::HistoryLost, {}, 0});
+  waitForCall();
+  const TimePoint Listed = bootNow();
+  Store.answer(done({object("a", makeRevision(1, 3))}, makeRevision(1, 5)));
+  EXPECT_GE(Feed.outageEndedAt(), Listed);
+}
+
+// Guards against missing what the copy lacks when a watch is answered in the
+// new era: its events do not tell it.
+TEST_F(StoreFeedTest, ChangesOfANewEraAreReadAsAWhole) {
+  Store.answer(done({object("a", 3), object("b", 9)}, 10));
+  waitForCall();
+  Store.answer(done({object("c", makeRevision(1, 6))}, makeRevision(1, 6)));
+  waitForCall();
+  EXPECT_FALSE(Store.Calls.front().Watch);
+  EXPECT_TRUE(Changed.empty());
+  Store.answer(done({object("c", makeRevision(1, 6))}, makeRevision(1, 6)));
+  EXPECT_EQ(Feed.objects().size(), 1U);
+  EXPECT_NE(Feed.outageEndedAt(), LongAgo);
+}
+
+// Guards against readers of a relay that take what a copy lacks for removed:
+// they have to list the objects as the relay had to.
+TEST_F(StoreFeedTest, NoChangesAreReportedAcrossARestoration) {
+  Store.answer(done({object("a", 3), object("b", 9)}, 10));
+  waitForCall();
+  Store.answer({StoreStatus::HistoryLost, {}, 0});
+  waitForCall();
+  Store.answer(done({object("a", makeRevision(1, 3))}, makeRevision(1, 5)));
+  EXPECT_FALSE(Feed.changesSince(10));
+  waitForCall();
+  Store.answer(done({object("b", makeRevision(1, 6))}, makeRevision(1, 6)));
+  const auto Changes = Feed.changesSince(makeRevision(1, 5));
+  ASSERT_TRUE(Changes);
+  EXPECT_EQ(Changes->size(), 1U);
+}
+
 } // namespace
