Count a restoration of the store from a copy as the end of an outage

Callers saw requests refused because targets were missing: when the store is away for a moment and comes back from a copy some seconds old, the copy lacks the records of targets that have registered since. They write them again within moments, but every instance dropped these targets with its first list.

Cause: a missing record is kept only after 0.5 s without contact, and revisions were compared as if the history were one. A list of a later era now ends an outage, however short it was. Changes of a later era are not applied to the objects of the earlier one, since they don't tell what the copy lacks; the objects are listed instead. A relay reports no changes across a restoration, so its readers list the objects too and keep what is missing.

--- a/lib/Gateway/StoreFeed.cpp
+++ b/lib/Gateway/StoreFeed.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/StoreFeed.h"
 
+#include "Fleet/StoreRevision.h"
 #include "IO/BootClock.h"
 
 #include <algorithm>
@@ -144,7 +145,10 @@
                               std::uint64_t SnapshotRevision) -> void {
   if (Loaded && SnapshotRevision < Revision)
     return;
-  recordDifferences(Snapshot, SnapshotRevision);
+  if (Loaded && eraOf(SnapshotRevision) > eraOf(Revision))
+    onRestored(SnapshotRevision);
+  else
+    recordDifferences(Snapshot, SnapshotRevision);
   Objects.clear();
   for (const StoredObject &Object : Snapshot) {
     Objects[Object.Name] = Object;
@@ -156,6 +160,14 @@
   Callbacks.OnAdvanced();
 }
 
+// The copy may lack any of the objects, whether or not the store was away for
+// long.
+auto StoreFeed::onRestored(std::uint64_t SnapshotRevision) -> void {
+  OutageEndedAt = bootNow();
+  RecentChanges.clear();
+  RecentAfterRevision = SnapshotRevision;
+}
+
 auto StoreFeed::recordChange(StoredObject Object) -> void {
   RecentChanges.push_back(std::move(Object));
   if (RecentChanges.size() <= MaxRecentChanges)
@@ -207,6 +219,9 @@
     return list();
   if (Changes.Status != StoreStatus::Done)
     return onFailure(Changes.Status);
+  // The changes do not tell what the copy lacks.
+  if (eraOf(Changes.Revision) > eraOf(Revision))
+    return list();
   onSuccess(Changes.Age);
   bool Changed = false;
   for (const StoredObject &Object : Changes.Objects)
--- a/lib/Gateway/StoreFeed.h
+++ b/lib/Gateway/StoreFeed.h
@@ -18,7 +18,7 @@
 
 /// Follows all objects of one kind in the store: lists them once, then watches
 /// for changes, and lists them again when the store no longer keeps the history
-/// since the last known revision.
+/// since the last known revision or was restored from a copy.
 class StoreFeed {
 public:
   struct Options {
@@ -80,7 +80,7 @@
     Settings.WatchTimeout = Timeout;
   }
   /// When the store answered again after the last outage that was long enough
-  /// for records to expire.
+  /// for records to expire, or after its last restoration from a copy.
   auto outageEndedAt() const -> TimePoint { return OutageEndedAt; }
   /// Whether there has been no contact for long enough for records to expire.
   auto inOutage() const -> bool;
@@ -91,7 +91,7 @@
   auto revision() const -> std::uint64_t { return Revision; }
   /// Returns the objects that changed after \p Since in the order of the
   /// changes, deleted ones included, or nothing when not all of these changes
-  /// are kept any more.
+  /// are kept any more or the store was restored from a copy since.
   auto changesSince(std::uint64_t Since) const
       -> std::optional<std::vector<StoredObject>>;
   auto objects() const -> const std::map<std::string, StoredObject> & {
@@ -116,6 +116,9 @@
                          std::uint64_t SnapshotRevision) -> void;
   auto applySnapshot(const std::vector<StoredObject> &Snapshot,
                      std::uint64_t SnapshotRevision) -> void;
+  /// The store was restored from a copy, whose objects are about to replace the
+  /// known ones.
+  auto onRestored(std::uint64_t SnapshotRevision) -> void;
   auto onSuccess(Duration Age) -> void;
   auto onFailure(StoreStatus Status) -> void;
   auto schedule(Duration Delay, void (StoreFeed::*Next)()) -> void;
