Add failing tests of the configuration that is handed on after a restoration

The fixture of instances can now be asked as a peer, for which the gateway tells the bound address of that listener.

--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -462,6 +462,12 @@
   return Failure ? "" : endpointText(Endpoint);
 }
 
+auto Gateway::peerAddress() const -> std::string {
+  auto Endpoint = *parseEndpoint(Pimpl->Settings.PeerAddress);
+  Endpoint.port(Pimpl->PeerServer->port());
+  return endpointText(Endpoint);
+}
+
 auto Gateway::run() -> void {
   Pimpl->start();
   Pimpl->Io.run();
--- a/lib/Gateway/Gateway.h
+++ b/lib/Gateway/Gateway.h
@@ -45,6 +45,9 @@
   /// IP address and bound port of the listener for callers.
   auto callerAddress() const -> std::string;
 
+  /// IP address and bound port of the listener for other instances and metrics.
+  auto peerAddress() const -> std::string;
+
 private:
   struct Impl;
   explicit Gateway(std::unique_ptr<Impl> Created);
--- a/tests/support/GatewayFixture.cpp
+++ b/tests/support/GatewayFixture.cpp
@@ -167,6 +167,17 @@
   return Caller.readAll();
 }
 
+auto GatewayFixture::askAsPeer(const std::string &Path) -> std::string {
+  boost::asio::ip::tcp::socket Peer(Io);
+  Peer.connect(*parseEndpoint(Instance->peerAddress()));
+  RawCaller Caller(std::move(Peer));
+  Caller.send("GET " + Path +
+              " HTTP/1.1\r\nHost: peer\r\nConnection: close\r\n\r\n");
+  const std::string Response = Caller.readAll().Bytes;
+  const auto Body = Response.find("\r\n\r\n");
+  return Body == std::string::npos ? "" : Response.substr(Body + 4);
+}
+
 auto GatewayFixture::requestId(const std::string &Request) -> std::string {
   const std::string Name = "Attempt-Id: ";
   const std::size_t Start = Request.find(Name) + Name.size();
--- a/tests/support/GatewayFixture.h
+++ b/tests/support/GatewayFixture.h
@@ -48,6 +48,9 @@
                 const std::string &Fields = "", const std::string &Body = "",
                 const std::string &Id = "a1") -> CallerView;
 
+  /// Body of the instance's response to GET \p Path from another instance.
+  auto askAsPeer(const std::string &Path) -> std::string;
+
   static auto request(const std::string &Method, const std::string &Path,
                       const std::string &Id, const std::string &Fields = "",
                       const std::string &Body = "") -> std::string;
--- /dev/null
+++ b/tests/unit/RestoredStateTest.cpp
@@ -0,0 +1,107 @@
+// What an instance does with the state that it has read when the store comes
+// back from a copy that is some seconds old.
+
+#include "support/GatewayFixture.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <thread>
+
+using namespace buckthornring;
+using namespace buckthornring::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Time for which records that are missing from the copy are kept, and some
+/// time for the instance to read the store.
+constexpr auto RecordReturnPeriod = 2000ms;
+constexpr auto ReadTime = 500ms;
+
+class RestoredStateTest : public testing::Test {
+protected:
+  auto serves(const std::string &Body) -> bool {
+    return Fixture.exchange("GET", "/safe/1").has(Body);
+  }
+  auto servesEventually(const std::string &Body) -> bool {
+    return eventually([&] { return serves(Body); });
+  }
+  auto restore(StoreContents::Copy Earlier) -> void {
+    Fixture.store().restore(std::move(Earlier));
+    std::this_thread::sleep_for(ReadTime);
+  }
+
+  ScriptedTarget First{GatewayFixture::answering("from first")};
+  ScriptedTarget Second{GatewayFixture::answering("from second")};
+  GatewayFixture Fixture;
+};
+
+// Guards against refusing requests because the copy lacks the record of a
+// target that has registered since.
+TEST_F(RestoredStateTest, TargetMissingFromTheCopyIsKeptUntilItsRecordReturns) {
+  Fixture.configure(1);
+  const auto Copy = Fixture.store().copy();
+  Fixture.addTarget("pay", "t1", First);
+  ASSERT_TRUE(Fixture.waitUntilServing());
+  restore(Copy);
+  EXPECT_TRUE(serves("from first"));
+  Fixture.addTarget("pay", "t1", First, "ready", 2);
+  std::this_thread::sleep_for(RecordReturnPeriod);
+  EXPECT_TRUE(serves("from first"));
+}
+
+TEST_F(RestoredStateTest, TargetWhoseRecordDoesNotReturnIsDropped) {
+  Fixture.configure(1);
+  const auto Copy = Fixture.store().copy();
+  Fixture.addTarget("pay", "t1", First);
+  ASSERT_TRUE(Fixture.waitUntilServing());
+  restore(Copy);
+  std::this_thread::sleep_for(RecordReturnPeriod);
+  EXPECT_TRUE(serves("HTTP/1.1 503"));
+}
+
+// Guards against an instance that serves the newest configuration and hands the
+// older one of the copy to others.
+TEST_F(RestoredStateTest, PeersAndReadersGetTheNewestConfiguration) {
+  Fixture.addTarget("pay", "t1", First);
+  Fixture.addTarget("other", "t2", Second);
+  Fixture.configure(1, "pay");
+  ASSERT_TRUE(servesEventually("from first"));
+  const auto Copy = Fixture.store().copy();
+  Fixture.configure(2, "other");
+  ASSERT_TRUE(servesEventually("from second"));
+  restore(Copy);
+  const auto Version = [](int Number) {
+    return "\"version\":\"r" + std::to_string(Number) + "\"";
+  };
+  const auto Told = [&](int Number) {
+    return Fixture.askAsPeer("/state").find(Version(Number)) !=
+               std::string::npos &&
+           Fixture.askAsPeer("/changes?kind=config").find(Version(Number)) !=
+               std::string::npos;
+  };
+  EXPECT_TRUE(Told(2));
+  EXPECT_TRUE(serves("from second"));
+  // The operator writes the lost versions again, one after the other.
+  Fixture.configure(1, "pay");
+  std::this_thread::sleep_for(ReadTime);
+  EXPECT_TRUE(Told(2));
+  Fixture.configure(3, "pay");
+  EXPECT_TRUE(servesEventually("from first"));
+  EXPECT_TRUE(Told(3));
+}
+
+// Guards against handing on no configuration when the copy is older than the
+// first one.
+TEST_F(RestoredStateTest, PeersGetAConfigurationThatTheCopyLacks) {
+  const auto Copy = Fixture.store().copy();
+  Fixture.addTarget("pay", "t1", First);
+  Fixture.configure(1);
+  ASSERT_TRUE(Fixture.waitUntilServing());
+  restore(Copy);
+  EXPECT_NE(Fixture.askAsPeer("/state").find("\"version\":\"r1\""),
+            std::string::npos);
+}
+
+} // namespace
