Hand on the newest configuration while the store holds an older copy of it

Callers of an instance that had just started could get 404 for routes that were in force elsewhere: after a restoration the store holds an older configuration until the operator writes the newest again. Instances in service never go back to it, but their feed did, so /state and /changes handed the older one to the instances that start or read through a relay at that moment.

A feed now keeps a known object that is newer than the one that the store holds, with the revision that the store gives it. For the configuration that is the one in force, if its generation is above that of the store's; a rejected one is never kept, which a further test guards.

--- a/lib/Gateway/GatewayImpl.h
+++ b/lib/Gateway/GatewayImpl.h
@@ -47,6 +47,10 @@
   auto makeFeed(const std::string &Kind, StoreFeed::Handlers Handlers)
       -> std::unique_ptr<StoreFeed>;
   auto onConfigurationChanged(const StoredObject &Object) -> void;
+  /// Whether \p Known is the configuration in force and newer than the one that
+  /// the store holds (null: none).
+  auto isNewerConfiguration(const StoredObject &Known,
+                            const StoredObject *Held) const -> bool;
   auto applyConfiguration(Configuration Accepted) -> void;
   auto onTargetsListed(const std::map<std::string, StoredObject> &Objects)
       -> void;
--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -61,6 +61,11 @@
   Options.Seed = std::hash<std::string>()(ProcessName + Kind);
   Options.MaxBackoff =
       Kind == Protocol.Kinds.Targets ? MaxTargetBackoff : MaxOtherBackoff;
+  if (Kind == Protocol.Kinds.Settings)
+    Options.IsNewer = [this](const StoredObject &Known,
+                             const StoredObject *Held) {
+      return isNewerConfiguration(Known, Held);
+    };
   Handlers.OnContact = [this, Kind](bool Connected, const char *Reason) {
     onStoreContactChanged(Kind, Connected, Reason);
   };
@@ -142,6 +147,17 @@
   applyConfiguration(std::move(Accepted).value());
 }
 
+auto Gateway::Impl::isNewerConfiguration(const StoredObject &Known,
+                                         const StoredObject *Held) const
+    -> bool {
+  if (Known.Name != Protocol.Kinds.SettingsName || !Requests.CurrentConfig)
+    return false;
+  // One that was rejected gives way to whatever the store holds.
+  const auto Generation = Protocol.Kinds.ReadGeneration(Known.Value);
+  return Generation == Requests.CurrentConfig->Config.Generation &&
+         (!Held || Generation > Protocol.Kinds.ReadGeneration(Held->Value));
+}
+
 auto Gateway::Impl::applyConfiguration(Configuration Accepted) -> void {
   const TimePoint Now = bootNow();
   Events.write(EventLine("configuration-in-force")
--- a/lib/Gateway/Protocol.h
+++ b/lib/Gateway/Protocol.h
@@ -114,6 +114,9 @@
 
   std::function<Result<Configuration>(const nlohmann::json &)>
       ReadConfiguration;
+  /// Generation of a configuration object, or nothing if it has none.
+  std::function<std::optional<std::uint64_t>(const nlohmann::json &)>
+      ReadGeneration;
   std::function<Result<TargetRecord>(const StoredObject &)> ReadTarget;
 };
 
--- a/lib/Gateway/StoreFeed.cpp
+++ b/lib/Gateway/StoreFeed.cpp
@@ -6,8 +6,6 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
-#include <set>
-#include <string_view>
 
 namespace buckthornring {
 
@@ -145,15 +143,17 @@
                               std::uint64_t SnapshotRevision) -> void {
   if (Loaded && SnapshotRevision < Revision)
     return;
+  ObjectMap Listed;
+  for (const StoredObject &Object : Snapshot)
+    Listed[Object.Name] = Object;
+  keepNewer(Listed, SnapshotRevision);
   if (Loaded && eraOf(SnapshotRevision) > eraOf(Revision))
     onRestored(SnapshotRevision);
   else
-    recordDifferences(Snapshot, SnapshotRevision);
-  Objects.clear();
-  for (const StoredObject &Object : Snapshot) {
-    Objects[Object.Name] = Object;
+    recordDifferences(Listed, SnapshotRevision);
+  Objects = std::move(Listed);
+  for (const auto &[Name, Object] : Objects)
     LastChangeRevision = std::max(LastChangeRevision, Object.Revision);
-  }
   Revision = SnapshotRevision;
   Loaded = true;
   Callbacks.OnSnapshot(Objects);
@@ -176,17 +176,31 @@
   RecentChanges.pop_front();
 }
 
-auto StoreFeed::recordDifferences(const std::vector<StoredObject> &Snapshot,
+auto StoreFeed::keepNewer(ObjectMap &Listed,
+                          std::uint64_t SnapshotRevision) const -> void {
+  for (const auto &[Name, Known] : Objects) {
+    const auto Found = Listed.find(Name);
+    const StoredObject *Held = Found == Listed.end() ? nullptr : &Found->second;
+    if (!isNewer(Known, Held))
+      continue;
+    // An object that the store lacks counts as changed once.
+    const bool KnownInEra = eraOf(Known.Revision) == eraOf(SnapshotRevision);
+    const std::uint64_t KeptRevision = Held         ? Held->Revision
+                                       : KnownInEra ? Known.Revision
+                                                    : SnapshotRevision;
+    Listed[Name] = {Name, KeptRevision, false, Known.Value};
+  }
+}
+
+auto StoreFeed::recordDifferences(const ObjectMap &Listed,
                                   std::uint64_t SnapshotRevision) -> void {
   if (!Loaded) {
     RecentAfterRevision = SnapshotRevision;
     return;
   }
   std::vector<StoredObject> Changed;
-  std::set<std::string_view> Listed;
-  for (const StoredObject &Object : Snapshot) {
-    Listed.insert(Object.Name);
-    const auto Existing = Objects.find(Object.Name);
+  for (const auto &[Name, Object] : Listed) {
+    const auto Existing = Objects.find(Name);
     if (Existing == Objects.end() ||
         Existing->second.Revision < Object.Revision)
       Changed.push_back(Object);
@@ -243,10 +257,13 @@
   watch();
 }
 
-auto StoreFeed::apply(const StoredObject &Object) -> bool {
+auto StoreFeed::apply(StoredObject Object) -> bool {
   const auto Existing = Objects.find(Object.Name);
   if (Existing != Objects.end() && Existing->second.Revision > Object.Revision)
     return false;
+  if (Existing != Objects.end() && !Object.Deleted &&
+      isNewer(Existing->second, &Object))
+    Object.Value = Existing->second.Value;
   LastChangeRevision = std::max(LastChangeRevision, Object.Revision);
   recordChange(Object);
   if (Object.Deleted) {
--- a/lib/Gateway/StoreFeed.h
+++ b/lib/Gateway/StoreFeed.h
@@ -21,6 +21,8 @@
 /// since the last known revision or was restored from a copy.
 class StoreFeed {
 public:
+  using ObjectMap = std::map<std::string, StoredObject>;
+
   struct Options {
     std::string Kind;
     /// Longest time that one watch waits for a change. Its answer proves
@@ -30,10 +32,15 @@
     /// Upper bound of the back-off between calls while the store does not
     /// answer.
     Duration MaxBackoff = std::chrono::milliseconds(1200);
+    /// Whether a known object is newer than the one that the store holds (null:
+    /// none) since it was restored from a copy. The known one is then kept, and
+    /// handed on, with the store's revision.
+    std::function<bool(const StoredObject &Known, const StoredObject *Held)>
+        IsNewer = {};
   };
   struct Handlers {
     /// All objects have been read; they replace the earlier ones.
-    std::function<void(const std::map<std::string, StoredObject> &)> OnSnapshot;
+    std::function<void(const ObjectMap &)> OnSnapshot;
     std::function<void(const StoredObject &)> OnChange;
     /// Contact with the store was lost or regained.
     std::function<void(bool Connected, const char *Reason)> OnContact;
@@ -94,9 +101,7 @@
   /// are kept any more or the store was restored from a copy since.
   auto changesSince(std::uint64_t Since) const
       -> std::optional<std::vector<StoredObject>>;
-  auto objects() const -> const std::map<std::string, StoredObject> & {
-    return Objects;
-  }
+  auto objects() const -> const ObjectMap & { return Objects; }
 
 private:
   /// Ends the open call, which would otherwise take its share of the link.
@@ -108,12 +113,19 @@
   /// watch.
   auto continueAfter(Duration Delay) -> void;
   auto onChanges(const StoreChanges &Changes) -> void;
-  auto apply(const StoredObject &Object) -> bool;
+  auto apply(StoredObject Object) -> bool;
   auto recordChange(StoredObject Object) -> void;
-  /// Records the differences between the known objects and \p Snapshot as
+  /// Records the differences between the known objects and \p Listed as
   /// changes.
-  auto recordDifferences(const std::vector<StoredObject> &Snapshot,
+  auto recordDifferences(const ObjectMap &Listed,
                          std::uint64_t SnapshotRevision) -> void;
+  /// Puts known objects in place of older ones in \p Listed.
+  auto keepNewer(ObjectMap &Listed, std::uint64_t SnapshotRevision) const
+      -> void;
+  auto isNewer(const StoredObject &Known, const StoredObject *Held) const
+      -> bool {
+    return Settings.IsNewer && Settings.IsNewer(Known, Held);
+  }
   auto applySnapshot(const std::vector<StoredObject> &Snapshot,
                      std::uint64_t SnapshotRevision) -> void;
   /// The store was restored from a copy, whose objects are about to replace the
@@ -128,7 +140,7 @@
   Handlers Callbacks;
   boost::asio::steady_timer Timer;
   RandomSource Random;
-  std::map<std::string, StoredObject> Objects;
+  ObjectMap Objects;
   std::deque<StoredObject> RecentChanges; ///< Newest last.
   /// RecentChanges holds all changes after this revision.
   std::uint64_t RecentAfterRevision = 0;
--- a/tests/unit/RestoredStateTest.cpp
+++ b/tests/unit/RestoredStateTest.cpp
@@ -92,6 +92,20 @@
   EXPECT_TRUE(Told(3));
 }
 
+// Guards against keeping a rejected configuration for its high generation.
+TEST_F(RestoredStateTest, RejectedConfigurationGivesWayToAnAcceptableOne) {
+  Fixture.addTarget("pay", "t1", First);
+  Fixture.addTarget("other", "t2", Second);
+  Fixture.configure(1, "pay");
+  ASSERT_TRUE(servesEventually("from first"));
+  const auto Copy = Fixture.store().copy();
+  Fixture.store().set("config", "main", {{"version", "r20"}, {"clusters", 7}});
+  std::this_thread::sleep_for(ReadTime);
+  restore(Copy);
+  Fixture.configure(2, "other");
+  EXPECT_TRUE(servesEventually("from second"));
+}
+
 // Guards against handing on no configuration when the copy is older than the
 // first one.
 TEST_F(RestoredStateTest, PeersGetAConfigurationThatTheCopyLacks) {
