Add failing tests of targets that had left when an older record comes back

A copy of the store holds records of targets that have left since. DrainingTargetIsNotUsedAgain and DeparturesAreForgottenAfterSomeTime pass and guard what has to stay.

--- a/tests/unit/RestoredStateTest.cpp
+++ b/tests/unit/RestoredStateTest.cpp
@@ -118,4 +118,31 @@
             std::string::npos);
 }
 
+// Guards against sending requests again to a target that has left, because the
+// copy still has its record.
+TEST_F(RestoredStateTest, TargetThatHadLeftIsNotUsedAgain) {
+  Fixture.addTarget("pay", "t1", First);
+  Fixture.configure(1);
+  ASSERT_TRUE(Fixture.waitUntilServing());
+  const auto Copy = Fixture.store().copy();
+  Fixture.store().remove("servers", "t1");
+  ASSERT_TRUE(servesEventually("HTTP/1.1 503"));
+  restore(Copy);
+  EXPECT_TRUE(serves("HTTP/1.1 503"));
+  Fixture.addTarget("pay", "t1", First, "ready", 2);
+  EXPECT_TRUE(servesEventually("from first"));
+}
+
+// Guards against sending requests again to a target that is about to leave.
+TEST_F(RestoredStateTest, DrainingTargetIsNotUsedAgain) {
+  Fixture.addTarget("pay", "t1", First);
+  Fixture.configure(1);
+  ASSERT_TRUE(Fixture.waitUntilServing());
+  const auto Copy = Fixture.store().copy();
+  Fixture.addTarget("pay", "t1", First, "draining", 2);
+  ASSERT_TRUE(servesEventually("HTTP/1.1 503"));
+  restore(Copy);
+  EXPECT_TRUE(serves("HTTP/1.1 503"));
+}
+
 } // namespace
--- a/tests/unit/TargetTableTest.cpp
+++ b/tests/unit/TargetTableTest.cpp
@@ -65,6 +65,58 @@
   EXPECT_EQ(selected(Table, Start), "b");
 }
 
+// Guards against using a target that has left again for a record of it that is
+// no newer than the last one, such as one from a copy of the store.
+TEST(TargetTableTest, DepartedTargetReturnsOnlyWithANewerRecord) {
+  auto Table = table();
+  const TargetId Id("a");
+  const auto Depart = [&] {
+    Table.remove(Id, LongAgo, Start);
+    EXPECT_FALSE(Table.find(Id));
+  };
+  Table.apply(record("a", LocalDataCentre, 5, 9), Start);
+  Depart();
+  EXPECT_FALSE(Table.apply(record("a", LocalDataCentre, 5, 9), Start));
+  EXPECT_FALSE(Table.apply(record("a", LocalDataCentre, 4, 20), Start));
+  Table.replace({record("a", LocalDataCentre, 5, 8)}, LongAgo, Start);
+  EXPECT_FALSE(Table.find(Id));
+  EXPECT_TRUE(Table.apply(record("a", LocalDataCentre, 5, 10), Start));
+  Depart();
+  EXPECT_TRUE(Table.apply(record("a", LocalDataCentre, 6, 1), Start));
+}
+
+// A target that expired in an outage has left as well.
+TEST(TargetTableTest, TargetDroppedAfterAnOutageReturnsOnlyWithANewerRecord) {
+  auto Table = table();
+  const auto Record = record("a", LocalDataCentre, 5, 9);
+  Table.apply(Record, Start);
+  Table.replace({}, Start + seconds(2), Start);
+  EXPECT_TRUE(Table.dropMissing(Start + seconds(2)));
+  EXPECT_FALSE(Table.apply(Record, Start + seconds(3)));
+  EXPECT_FALSE(Table.find(Record.Id));
+}
+
+// Targets come and go for as long as an instance runs.
+TEST(TargetTableTest, DeparturesAreForgottenAfterSomeTime) {
+  auto Table = table();
+  const auto Record = record("a", LocalDataCentre, 5, 9);
+  Table.apply(Record, Start);
+  Table.remove(Record.Id, LongAgo, Start);
+  EXPECT_TRUE(Table.apply(Record, Start + seconds(200)));
+}
+
+TEST(TargetTableTest, RememberedDeparturesAreLimitedInNumber) {
+  auto Table = table();
+  for (int Number = 0; Number < 2000; ++Number) {
+    const auto Record = record(std::to_string(Number), LocalDataCentre);
+    Table.apply(Record, Start + milliseconds(Number));
+    Table.remove(Record.Id, LongAgo, Start + milliseconds(Number));
+  }
+  EXPECT_TRUE(Table.apply(record("0", LocalDataCentre), Start + seconds(2)));
+  EXPECT_FALSE(
+      Table.apply(record("1999", LocalDataCentre), Start + seconds(2)));
+}
+
 // Records may be written late, after newer records of the same target.
 TEST(TargetTableTest, OlderRecordOfTheSameTargetIsIgnored) {
   auto Table = table();
