Use a target that has left again only for a newer record of it

Callers could get failures and late answers from targets that had left: a copy of the store brings their older records back, and every instance used them again until the records were removed once more.

Cause: the table forgot a target with its record. It now remembers the incarnations that have left, for 120 s and at most 1024 of them, and uses a record of them only if it is newer than the last one: a later start, or a higher number of the same start. Since a directory need not show records that differ in their number alone, a record that stays for longer than one that is not renewed is used as well; a target that was only away is not lost. The lines target-changed and targets-read tell what is not used.

--- a/lib/Fleet/TargetTable.cpp
+++ b/lib/Fleet/TargetTable.cpp
@@ -55,6 +55,15 @@
 
 constexpr double ProcessingTimeWeight = 0.02; ///< About the last 50 responses.
 
+/// Time for which a target that has left is remembered. It is longer than the
+/// age of a copy from which the directory may be restored.
+constexpr Duration DepartureMemory = std::chrono::seconds(120);
+constexpr std::size_t MaxDepartures = 1024;
+
+/// Time after which a record that is not renewed has certainly expired: three
+/// heartbeat intervals of the targets and the delay of the store.
+constexpr Duration RecordLifetime = std::chrono::seconds(5);
+
 /// Whether \p Record was written before \p Existing by the same target.
 auto outdated(const TargetRecord &Record, const TargetRecord &Existing)
     -> bool {
@@ -71,6 +80,8 @@
     Existing->MissingUntil.reset();
     return false;
   }
+  if (!Existing && hasDeparted(Record, Now))
+    return false;
   const bool NewIncarnation =
       !Existing || Existing->Record.StartedAtMs != Record.StartedAtMs ||
       Existing->Record.Service != Record.Service ||
@@ -96,10 +107,13 @@
 auto TargetTable::remove(const TargetId &Id, TimePoint KeepUntil, TimePoint Now)
     -> void {
   const auto Existing = find(Id);
+  const auto Departed = Departures.find(Id);
+  if (Departed != Departures.end())
+    forgetReturned(Departed->second, Now);
   if (!Existing)
     return;
   if (Now >= KeepUntil)
-    return erase(Id);
+    return depart(Id, Now);
   if (!Existing->MissingUntil)
     Existing->MissingUntil = KeepUntil;
 }
@@ -117,6 +131,9 @@
       MissingIds.push_back(Id);
   for (const TargetId &Id : MissingIds)
     remove(Id, KeepUntil, Now);
+  for (auto &[Id, Departed] : Departures)
+    if (!Listed.contains(Id))
+      forgetReturned(Departed, Now);
 }
 
 auto TargetTable::dropMissing(TimePoint Now) -> bool {
@@ -125,10 +142,57 @@
     if (State->MissingUntil && Now >= *State->MissingUntil)
       ExpiredIds.push_back(Id);
   for (const TargetId &Id : ExpiredIds)
-    erase(Id);
+    depart(Id, Now);
   return !ExpiredIds.empty();
 }
 
+auto TargetTable::depart(const TargetId &Id, TimePoint Now) -> void {
+  if (Departures.size() >= MaxDepartures)
+    Departures.erase(std::min_element(
+        Departures.begin(), Departures.end(),
+        [](const auto &First, const auto &Second) {
+          return First.second.ForgetAt < Second.second.ForgetAt;
+        }));
+  Departures[Id] = {Targets.at(Id)->Record, Now + DepartureMemory, {}};
+  erase(Id);
+}
+
+auto TargetTable::hasDeparted(const TargetRecord &Record, TimePoint Now)
+    -> bool {
+  const auto Found = Departures.find(Record.Id);
+  if (Found == Departures.end())
+    return false;
+  Departure &Departed = Found->second;
+  if (Now >= Departed.ForgetAt || outdated(Departed.Last, Record)) {
+    Departures.erase(Found);
+    return false;
+  }
+  if (!Departed.Returned)
+    Departed.ForgetAt = Now + RecordLifetime;
+  Departed.Returned = Record;
+  return true;
+}
+
+auto TargetTable::forgetReturned(Departure &Departed, TimePoint Now) -> void {
+  if (!Departed.Returned)
+    return;
+  Departed.Returned.reset();
+  Departed.ForgetAt = Now + DepartureMemory;
+}
+
+auto TargetTable::readmitDeparted(TimePoint Now) -> bool {
+  std::vector<TargetRecord> Readmitted;
+  for (const auto &[Id, Departed] : Departures)
+    if (Departed.Returned && Now >= Departed.ForgetAt)
+      Readmitted.push_back(*Departed.Returned);
+  std::erase_if(Departures, [Now](const auto &Entry) {
+    return Now >= Entry.second.ForgetAt;
+  });
+  for (const TargetRecord &Record : Readmitted)
+    apply(Record, Now);
+  return !Readmitted.empty();
+}
+
 auto TargetTable::erase(const TargetId &Id) -> void {
   const auto Existing = Targets.find(Id);
   if (Existing == Targets.end())
--- a/lib/Fleet/TargetTable.h
+++ b/lib/Fleet/TargetTable.h
@@ -98,7 +98,8 @@
   // Directory.
 
   /// Adds or replaces a record. Returns whether it belongs to a new incarnation
-  /// of the target.
+  /// of the target. A record of a target that has left is not used if it is no
+  /// newer than the last one.
   auto apply(const TargetRecord &Record, TimePoint Now) -> bool;
   /// Handles the removal of a record. The target is kept until \p KeepUntil,
   /// since the record may return.
@@ -109,6 +110,10 @@
   /// Removes targets whose records have not returned in time. Returns whether
   /// any target was removed.
   auto dropMissing(TimePoint Now) -> bool;
+  /// Uses targets that had left and whose records have stayed in the directory
+  /// since for longer than a record that is not renewed. Returns whether any
+  /// target was added.
+  auto readmitDeparted(TimePoint Now) -> bool;
 
   auto setEvacuated(std::set<DataCentreId> DataCentres, TimePoint Now) -> void;
   auto evacuated() const -> const std::set<DataCentreId> & { return Evacuated; }
@@ -148,6 +153,14 @@
   auto markReachable(TargetState &Target) -> void;
 
 private:
+  /// A target that has left. The directory may bring back a record of it.
+  struct Departure {
+    TargetRecord Last;
+    TimePoint ForgetAt;
+    /// The record that came back; it is used at ForgetAt.
+    std::optional<TargetRecord> Returned;
+  };
+
   /// Number of requests that this instance may have in flight at an owner of
   /// keys.
   auto ownerRequestLimit(const TargetState &Target) const -> std::uint32_t;
@@ -164,6 +177,12 @@
   /// relative size \p Share, chosen for each incarnation of a target.
   auto isChosenSender(const TargetRecord &Target, double Share) const -> bool;
   auto erase(const TargetId &Id) -> void;
+  /// Erases the target and remembers that it has left.
+  auto depart(const TargetId &Id, TimePoint Now) -> void;
+  /// Whether the record is no news of a target that has left.
+  auto hasDeparted(const TargetRecord &Record, TimePoint Now) -> bool;
+  /// The directory has no record of the target that had left.
+  auto forgetReturned(Departure &Departed, TimePoint Now) -> void;
   auto typicalProcessingTime(const ServiceId &Service) const -> Duration;
 
   Settings TableSettings;
@@ -172,6 +191,7 @@
   std::set<DataCentreId> Evacuated;
   std::unordered_map<ServiceId, ColdLimit> ColdLimits;
   std::unordered_map<TargetId, TargetPtr> Targets;
+  std::unordered_map<TargetId, Departure> Departures;
   std::unordered_map<ServiceId, std::vector<TargetPtr>> ByService;
   std::unordered_map<ServiceId, double> ProcessingTimeUs; ///< Moving average.
 };
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -306,7 +306,8 @@
 
 auto Gateway::Impl::tick() -> void {
   const TimePoint Now = bootNow();
-  if (Targets.dropMissing(Now))
+  const bool Dropped = Targets.dropMissing(Now);
+  if (Targets.readmitDeparted(Now) || Dropped)
     WaitingRequests.dispatch();
   Pool.closeExpired(Now);
   reloadChangedFile(Now);
--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -198,8 +198,12 @@
                        .field("reason", Record.error().message()));
   }
   Targets.replace(Records, missingRecordExpiry(), bootNow());
+  const auto Departed = std::count_if(
+      Records.begin(), Records.end(),
+      [this](const TargetRecord &Record) { return !Targets.find(Record.Id); });
   Events.write(EventLine("targets-read")
                    .field("targets", Records.size())
+                   .field("departed", Departed)
                    .field("revision", TargetFeed->revision()));
   WaitingRequests.dispatch();
 }
@@ -231,6 +235,7 @@
                    .field("draining", Record->Draining)
                    .field("cold_ms", Record->RemainingColdTime)
                    .field("new_life", NewIncarnation)
+                   .field("departed", !Targets.find(Record->Id))
                    .field("revision", Object.Revision));
   WaitingRequests.dispatch();
 }
--- a/tests/unit/TargetTableTest.cpp
+++ b/tests/unit/TargetTableTest.cpp
@@ -85,6 +85,27 @@
   EXPECT_TRUE(Table.apply(record("a", LocalDataCentre, 6, 1), Start));
 }
 
+// A target that was only away from the directory may write the same record
+// again, and a directory need not show later ones that are alike. A record that
+// outlasts its time to live was renewed.
+TEST(TargetTableTest, DepartedTargetReturnsWhenItsRecordStays) {
+  auto Table = table();
+  const auto Record = record("a", LocalDataCentre, 5, 9);
+  Table.apply(Record, Start);
+  Table.remove(Record.Id, LongAgo, Start);
+  Table.apply(Record, Start + seconds(1));
+  Table.readmitDeparted(Start + seconds(3));
+  EXPECT_FALSE(Table.find(Record.Id));
+  EXPECT_TRUE(Table.readmitDeparted(Start + seconds(7)));
+  EXPECT_TRUE(Table.find(Record.Id));
+  // A record that was removed meanwhile does not return.
+  Table.remove(Record.Id, LongAgo, Start + seconds(8));
+  Table.apply(Record, Start + seconds(9));
+  Table.replace({}, LongAgo, Start + seconds(10));
+  Table.readmitDeparted(Start + seconds(20));
+  EXPECT_FALSE(Table.find(Record.Id));
+}
+
 // A target that expired in an outage has left as well.
 TEST(TargetTableTest, TargetDroppedAfterAnOutageReturnsOnlyWithANewerRecord) {
   auto Table = table();
