--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -466,6 +466,9 @@
   Text.counterFamily("btr_malformed_messages_total",
                      "Datagrams that were no messages of an instance");
   Text.sample({}, Peers->malformed());
+  Text.gaugeFamily("btr_evacuated_data_centres",
+                   "Data centres that get no requests");
+  Text.sample({}, std::uint64_t{Targets.evacuated().size()});
   Text.gaugeFamily("btr_leading", "Whether this instance leads");
   Text.sample({}, std::uint64_t{LocalLeader->leading() ? 1U : 0U});
   Text.gaugeFamily("btr_store_reachable", "Whether the store answers");
--- a/tests/unit/RestoredStateTest.cpp
+++ b/tests/unit/RestoredStateTest.cpp
@@ -4,6 +4,7 @@
 #include "support/GatewayFixture.h"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 #include <string>
 #include <thread>
@@ -14,6 +15,8 @@
 
 namespace {
 
+using Json = nlohmann::json;
+
 /// Time for which records that are missing from the copy are kept, and some
 /// time for the instance to read the store.
 constexpr auto RecordReturnPeriod = 2000ms;
@@ -145,4 +148,59 @@
   EXPECT_TRUE(serves("HTTP/1.1 503"));
 }
 
+class RestoredEvacuationTest : public RestoredStateTest {
+protected:
+  /// Restores the store from a copy that lacks the evacuation of dc1.
+  auto restoreWithoutEvacuation() -> void {
+    Fixture.addTarget("pay", "t1", First);
+    Fixture.configure(1);
+    ASSERT_TRUE(Fixture.waitUntilServing());
+    const auto Copy = Fixture.store().copy();
+    evacuate();
+    ASSERT_TRUE(eventually([this] { return evacuated(); }));
+    restore(Copy);
+  }
+  auto evacuate() -> void {
+    Fixture.store().set("evacuations", "dc1", Json::object());
+  }
+  /// Targets of a data centre that has just returned count as cold, so
+  /// responses do not tell.
+  auto evacuated() -> bool {
+    return Fixture.askAsPeer("/metrics")
+               .find("\nbtr_evacuated_data_centres 1\n") != std::string::npos;
+  }
+};
+
+// Guards against sending requests to an evacuated data centre because the copy
+// lacks the evacuation.
+TEST_F(RestoredEvacuationTest,
+       EvacuationMissingFromTheCopyIsKeptUntilItReturns) {
+  restoreWithoutEvacuation();
+  EXPECT_TRUE(evacuated());
+  EXPECT_TRUE(serves("HTTP/1.1 503"));
+  evacuate();
+  std::this_thread::sleep_for(RecordReturnPeriod);
+  EXPECT_TRUE(evacuated());
+  EXPECT_TRUE(serves("HTTP/1.1 503"));
+}
+
+TEST_F(RestoredEvacuationTest, EvacuationThatDoesNotReturnIsTakenBack) {
+  restoreWithoutEvacuation();
+  std::this_thread::sleep_for(RecordReturnPeriod);
+  EXPECT_FALSE(evacuated());
+  EXPECT_TRUE(servesEventually("from first"));
+}
+
+// Guards against keeping an evacuation that the operator wrote again and then
+// took back.
+TEST_F(RestoredEvacuationTest, ReturnedEvacuationIsTakenBackAtOnce) {
+  restoreWithoutEvacuation();
+  evacuate();
+  std::this_thread::sleep_for(ReadTime);
+  EXPECT_TRUE(evacuated());
+  Fixture.store().remove("evacuations", "dc1");
+  std::this_thread::sleep_for(ReadTime);
+  EXPECT_FALSE(evacuated());
+}
+
 } // namespace
