Keep evacuations that a copy of the store lacks until they are written again

Callers' requests went to an evacuated data centre: an evacuation that the operator has just begun is missing from the copy, and every instance took it back with its first list, until the operator had written it again.

Once the store has shown one again, its removal takes effect at once; one that has not returned counts as taken back.

--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -306,6 +306,7 @@
 
 auto Gateway::Impl::tick() -> void {
   const TimePoint Now = bootNow();
+  dropMissingEvacuations(Now);
   const bool Dropped = Targets.dropMissing(Now);
   if (Targets.readmitDeparted(Now) || Dropped)
     WaitingRequests.dispatch();
--- a/lib/Gateway/GatewayImpl.h
+++ b/lib/Gateway/GatewayImpl.h
@@ -56,6 +56,10 @@
       -> void;
   auto onTargetChanged(const StoredObject &Object) -> void;
   auto onEvacuationsChanged() -> void;
+  auto onStoreRestored(const std::string &Kind, std::uint64_t EraBefore,
+                       std::uint64_t EraAfter) -> void;
+  /// Takes evacuations back that the store has not had again in time.
+  auto dropMissingEvacuations(TimePoint Now) -> void;
   auto onRouterObjectChanged(const StoredObject &Object) -> void;
   auto onRangesChanged(const ServiceId &Service, const StoredObject &Object)
       -> void;
@@ -143,6 +147,9 @@
   TimePoint StopStartedAt = LongAgo; ///< LongAgo: not stopping.
   TimePoint LastSessionEndedAt = LongAgo;
   std::uint64_t IgnoredRecords = 0;
+  /// Evacuations that may be missing from a copy from which the store was
+  /// restored, and the time until which they are kept.
+  std::map<DataCentreId, TimePoint> UnconfirmedEvacuations;
   TimePoint RelayRequestedUntil = LongAgo;
   bool IsRelay = false; ///< Other instances read the store through this one.
   bool FeedsStarted = false;
--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -70,6 +70,10 @@
     onStoreContactChanged(Kind, Connected, Reason);
   };
   Handlers.OnAdvanced = [this] { Relay->onFeedAdvanced(); };
+  Handlers.OnRestored = [this, Kind](std::uint64_t Before,
+                                     std::uint64_t After) {
+    onStoreRestored(Kind, Before, After);
+  };
   return std::make_unique<StoreFeed>(Io, *Store, std::move(Options),
                                      std::move(Handlers));
 }
@@ -91,8 +95,15 @@
                 {}});
   EvacuationFeed =
       makeFeed(Protocol.Kinds.Evacuations,
-               {[this](const ObjectMap &) { onEvacuationsChanged(); },
-                [this](const StoredObject &) { onEvacuationsChanged(); },
+               {[this](const ObjectMap &Objects) {
+                  for (const auto &[Name, Object] : Objects)
+                    UnconfirmedEvacuations.erase(DataCentreId(Name));
+                  onEvacuationsChanged();
+                },
+                [this](const StoredObject &Object) {
+                  UnconfirmedEvacuations.erase(DataCentreId(Object.Name));
+                  onEvacuationsChanged();
+                },
                 {}});
   RouterObjectsFeed = makeFeed(
       Protocol.Kinds.Own,
@@ -244,6 +255,8 @@
   std::set<DataCentreId> Evacuated;
   for (const auto &[Name, Object] : EvacuationFeed->objects())
     Evacuated.insert(DataCentreId(Name));
+  for (const auto &[DataCentre, KeepUntil] : UnconfirmedEvacuations)
+    Evacuated.insert(DataCentre);
   if (Evacuated == Targets.evacuated())
     return;
   std::string Names;
@@ -255,6 +268,21 @@
   Targets.setEvacuated(std::move(Evacuated), bootNow());
 }
 
+auto Gateway::Impl::onStoreRestored(const std::string &Kind, std::uint64_t,
+                                    std::uint64_t) -> void {
+  if (Kind != Protocol.Kinds.Evacuations)
+    return;
+  for (const auto &[Name, Object] : EvacuationFeed->objects())
+    UnconfirmedEvacuations[DataCentreId(Name)] = bootNow() + RecordReturnPeriod;
+}
+
+auto Gateway::Impl::dropMissingEvacuations(TimePoint Now) -> void {
+  if (std::erase_if(UnconfirmedEvacuations, [Now](const auto &Entry) {
+        return Now >= Entry.second;
+      }) > 0)
+    onEvacuationsChanged();
+}
+
 auto Gateway::Impl::onRouterObjectChanged(const StoredObject &Object) -> void {
   if (Object.Name == FleetMember::LeaderObjectName)
     return Member->onLeaderObjectChanged(&Object);
--- a/lib/Gateway/StoreFeed.h
+++ b/lib/Gateway/StoreFeed.h
@@ -46,6 +46,10 @@
     std::function<void(bool Connected, const char *Reason)> OnContact;
     /// New objects have been read. Called after the handlers above.
     std::function<void()> OnAdvanced = [] {};
+    /// The store was restored from a copy. Called while objects() are still the
+    /// earlier ones; OnSnapshot follows.
+    std::function<void(std::uint64_t EraBefore, std::uint64_t EraAfter)>
+        OnRestored = [](std::uint64_t, std::uint64_t) {};
   };
 
   StoreFeed(boost::asio::io_context &Context, ObjectStore &Store,
