--- a/tests/unit/RestoredStateTest.cpp
+++ b/tests/unit/RestoredStateTest.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <sstream>
 #include <string>
 #include <thread>
 
@@ -22,6 +23,17 @@
 constexpr auto RecordReturnPeriod = 2000ms;
 constexpr auto ReadTime = 500ms;
 
+/// Number of lines on restorations that contain \p Fields.
+auto linesWith(const std::string &Log, const std::string &Fields) -> int {
+  std::istringstream Lines(Log);
+  int Count = 0;
+  for (std::string Line; std::getline(Lines, Line);)
+    if (Line.find("\"store-restored\"") != std::string::npos &&
+        Line.find(Fields) != std::string::npos)
+      ++Count;
+  return Count;
+}
+
 class RestoredStateTest : public testing::Test {
 protected:
   auto serves(const std::string &Body) -> bool {
@@ -148,6 +160,30 @@
   EXPECT_TRUE(serves("HTTP/1.1 503"));
 }
 
+// Guards against restorations that neither the log nor the metrics show.
+TEST_F(RestoredStateTest, RestorationIsLoggedForEachKindAndCounted) {
+  Fixture.addTarget("pay", "t1", First);
+  Fixture.configure(1);
+  ASSERT_TRUE(Fixture.waitUntilServing());
+  const auto Counted = [this](int Count) {
+    return Fixture.askAsPeer("/metrics")
+               .find("\nbtr_store_restorations_total " + std::to_string(Count) +
+                     "\n") != std::string::npos;
+  };
+  EXPECT_TRUE(Counted(0));
+  testing::internal::CaptureStdout();
+  restore(Fixture.store().copy());
+  const std::string Log = testing::internal::GetCapturedStdout();
+  EXPECT_TRUE(Counted(1));
+  for (const char *Kind : {"config", "servers", "evacuations", "buckthornring"})
+    EXPECT_EQ(linesWith(Log, std::string("\"kind\":\"") + Kind +
+                                 "\",\"era_before\":0,\"era_after\":1,"),
+              1)
+        << Kind;
+  restore(Fixture.store().copy());
+  EXPECT_TRUE(Counted(2));
+}
+
 class RestoredEvacuationTest : public RestoredStateTest {
 protected:
   /// Restores the store from a copy that lacks the evacuation of dc1.
