--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -309,7 +309,9 @@
 
 auto Gateway::Impl::tick() -> void {
   const TimePoint Now = bootNow();
-  if (Targets.dropMissing(Now))
+  dropMissingEvacuations(Now);
+  const bool Dropped = Targets.dropMissing(Now);
+  if (Targets.readmitDeparted(Now) || Dropped)
     WaitingRequests.dispatch();
   Pool.closeExpired(Now);
   reloadChangedFile(Now);
@@ -465,6 +467,12 @@
   return Failure ? "" : endpointText(Endpoint);
 }
 
+auto Gateway::peerAddress() const -> std::string {
+  auto Endpoint = *parseEndpoint(Pimpl->Settings.PeerAddress);
+  Endpoint.port(Pimpl->PeerServer->port());
+  return endpointText(Endpoint);
+}
+
 auto Gateway::run() -> void {
   Pimpl->start();
   Pimpl->Io.run();
--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -61,10 +61,19 @@
   Options.Seed = std::hash<std::string>()(ProcessName + Kind);
   Options.MaxBackoff =
       Kind == Protocol.Kinds.Targets ? MaxTargetBackoff : MaxOtherBackoff;
+  if (Kind == Protocol.Kinds.Settings)
+    Options.IsNewer = [this](const StoredObject &Known,
+                             const StoredObject *Held) {
+      return isNewerConfiguration(Known, Held);
+    };
   Handlers.OnContact = [this, Kind](bool Connected, const char *Reason) {
     onStoreContactChanged(Kind, Connected, Reason);
   };
   Handlers.OnAdvanced = [this] { Relay->onFeedAdvanced(); };
+  Handlers.OnRestored = [this, Kind](std::uint64_t Before,
+                                     std::uint64_t After) {
+    onStoreRestored(Kind, Before, After);
+  };
   return std::make_unique<StoreFeed>(Io, *Store, std::move(Options),
                                      std::move(Handlers));
 }
@@ -86,8 +95,15 @@
                 {}});
   EvacuationFeed =
       makeFeed(Protocol.Kinds.Evacuations,
-               {[this](const ObjectMap &) { onEvacuationsChanged(); },
-                [this](const StoredObject &) { onEvacuationsChanged(); },
+               {[this](const ObjectMap &Objects) {
+                  for (const auto &[Name, Object] : Objects)
+                    UnconfirmedEvacuations.erase(DataCentreId(Name));
+                  onEvacuationsChanged();
+                },
+                [this](const StoredObject &Object) {
+                  UnconfirmedEvacuations.erase(DataCentreId(Object.Name));
+                  onEvacuationsChanged();
+                },
                 {}});
   RouterObjectsFeed = makeFeed(
       Protocol.Kinds.Own,
@@ -142,6 +158,17 @@
   applyConfiguration(std::move(Accepted).value());
 }
 
+auto Gateway::Impl::isNewerConfiguration(const StoredObject &Known,
+                                         const StoredObject *Held) const
+    -> bool {
+  if (Known.Name != Protocol.Kinds.SettingsName || !Requests.CurrentConfig)
+    return false;
+  // One that was rejected gives way to whatever the store holds.
+  const auto Generation = Protocol.Kinds.ReadGeneration(Known.Value);
+  return Generation == Requests.CurrentConfig->Config.Generation &&
+         (!Held || Generation > Protocol.Kinds.ReadGeneration(Held->Value));
+}
+
 auto Gateway::Impl::applyConfiguration(Configuration Accepted) -> void {
   const TimePoint Now = bootNow();
   Events.write(EventLine("configuration-in-force")
@@ -182,8 +209,12 @@
                        .field("reason", Record.error().message()));
   }
   Targets.replace(Records, missingRecordExpiry(), bootNow());
+  const auto Departed = std::count_if(
+      Records.begin(), Records.end(),
+      [this](const TargetRecord &Record) { return !Targets.find(Record.Id); });
   Events.write(EventLine("targets-read")
                    .field("targets", Records.size())
+                   .field("departed", Departed)
                    .field("revision", TargetFeed->revision()));
   WaitingRequests.dispatch();
 }
@@ -215,6 +246,7 @@
                    .field("draining", Record->Draining)
                    .field("cold_ms", Record->RemainingColdTime)
                    .field("new_life", NewIncarnation)
+                   .field("departed", !Targets.find(Record->Id))
                    .field("revision", Object.Revision));
   WaitingRequests.dispatch();
 }
@@ -223,6 +255,8 @@
   std::set<DataCentreId> Evacuated;
   for (const auto &[Name, Object] : EvacuationFeed->objects())
     Evacuated.insert(DataCentreId(Name));
+  for (const auto &[DataCentre, KeepUntil] : UnconfirmedEvacuations)
+    Evacuated.insert(DataCentre);
   if (Evacuated == Targets.evacuated())
     return;
   std::string Names;
@@ -234,6 +268,21 @@
   Targets.setEvacuated(std::move(Evacuated), bootNow());
 }
 
+auto Gateway::Impl::onStoreRestored(const std::string &Kind, std::uint64_t,
+                                    std::uint64_t) -> void {
+  if (Kind != Protocol.Kinds.Evacuations)
+    return;
+  for (const auto &[Name, Object] : EvacuationFeed->objects())
+    UnconfirmedEvacuations[DataCentreId(Name)] = bootNow() + RecordReturnPeriod;
+}
+
+auto Gateway::Impl::dropMissingEvacuations(TimePoint Now) -> void {
+  if (std::erase_if(UnconfirmedEvacuations, [Now](const auto &Entry) {
+        return Now >= Entry.second;
+      }) > 0)
+    onEvacuationsChanged();
+}
+
 auto Gateway::Impl::onRouterObjectChanged(const StoredObject &Object) -> void {
   if (Object.Name == FleetMember::LeaderObjectName)
     return Member->onLeaderObjectChanged(&Object);
@@ -445,6 +494,9 @@
   Text.counterFamily("btr_malformed_messages_total",
                      "Datagrams that were no messages of an instance");
   Text.sample({}, Peers->malformed());
+  Text.gaugeFamily("btr_evacuated_data_centres",
+                   "Data centres that get no requests");
+  Text.sample({}, std::uint64_t{Targets.evacuated().size()});
   Text.gaugeFamily("btr_leading", "Whether this instance leads");
   Text.sample({}, std::uint64_t{LocalLeader->leading() ? 1U : 0U});
   Text.gaugeFamily("btr_store_reachable", "Whether the store answers");
--- a/lib/Gateway/StoreFeed.cpp
+++ b/lib/Gateway/StoreFeed.cpp
@@ -1,12 +1,11 @@
 #include "Gateway/StoreFeed.h"
 
+#include "Fleet/StoreRevision.h"
 #include "IO/BootClock.h"
 
 #include <algorithm>
 #include <cmath>
 #include <iterator>
-#include <set>
-#include <string_view>
 
 namespace buckthornring {
 
@@ -145,18 +144,32 @@
   if (Loaded && SnapshotRevision < Revision)
     return;
   ++ChangeCount;
-  recordDifferences(Snapshot, SnapshotRevision);
-  Objects.clear();
-  for (const StoredObject &Object : Snapshot) {
-    Objects[Object.Name] = Object;
+  ObjectMap Listed;
+  for (const StoredObject &Object : Snapshot)
+    Listed[Object.Name] = Object;
+  keepNewer(Listed, SnapshotRevision);
+  if (Loaded && eraOf(SnapshotRevision) > eraOf(Revision))
+    onRestored(SnapshotRevision);
+  else
+    recordDifferences(Listed, SnapshotRevision);
+  Objects = std::move(Listed);
+  for (const auto &[Name, Object] : Objects)
     LastChangeRevision = std::max(LastChangeRevision, Object.Revision);
-  }
   Revision = SnapshotRevision;
   Loaded = true;
   Callbacks.OnSnapshot(Objects);
   Callbacks.OnAdvanced();
 }
 
+// The copy may lack any of the objects, whether or not the store was away for
+// long.
+auto StoreFeed::onRestored(std::uint64_t SnapshotRevision) -> void {
+  OutageEndedAt = bootNow();
+  RecentChanges.clear();
+  RecentAfterRevision = SnapshotRevision;
+  Callbacks.OnRestored(eraOf(Revision), eraOf(SnapshotRevision));
+}
+
 auto StoreFeed::recordChange(StoredObject Object) -> void {
   RecentChanges.push_back(std::move(Object));
   if (RecentChanges.size() <= MaxRecentChanges)
@@ -165,17 +178,31 @@
   RecentChanges.pop_front();
 }
 
-auto StoreFeed::recordDifferences(const std::vector<StoredObject> &Snapshot,
+auto StoreFeed::keepNewer(ObjectMap &Listed,
+                          std::uint64_t SnapshotRevision) const -> void {
+  for (const auto &[Name, Known] : Objects) {
+    const auto Found = Listed.find(Name);
+    const StoredObject *Held = Found == Listed.end() ? nullptr : &Found->second;
+    if (!isNewer(Known, Held))
+      continue;
+    // An object that the store lacks counts as changed once.
+    const bool KnownInEra = eraOf(Known.Revision) == eraOf(SnapshotRevision);
+    const std::uint64_t KeptRevision = Held         ? Held->Revision
+                                       : KnownInEra ? Known.Revision
+                                                    : SnapshotRevision;
+    Listed[Name] = {Name, KeptRevision, false, Known.Value};
+  }
+}
+
+auto StoreFeed::recordDifferences(const ObjectMap &Listed,
                                   std::uint64_t SnapshotRevision) -> void {
   if (!Loaded) {
     RecentAfterRevision = SnapshotRevision;
     return;
   }
   std::vector<StoredObject> Changed;
-  std::set<std::string_view> Listed;
-  for (const StoredObject &Object : Snapshot) {
-    Listed.insert(Object.Name);
-    const auto Existing = Objects.find(Object.Name);
+  for (const auto &[Name, Object] : Listed) {
+    const auto Existing = Objects.find(Name);
     if (Existing == Objects.end() ||
         Existing->second.Revision < Object.Revision)
       Changed.push_back(Object);
@@ -208,6 +235,9 @@
     return list();
   if (Changes.Status != StoreStatus::Done)
     return onFailure(Changes.Status);
+  // The changes do not tell what the copy lacks.
+  if (eraOf(Changes.Revision) > eraOf(Revision))
+    return list();
   onSuccess(Changes.Age);
   bool Changed = false;
   for (const StoredObject &Object : Changes.Objects)
@@ -229,10 +259,13 @@
   watch();
 }
 
-auto StoreFeed::apply(const StoredObject &Object) -> bool {
+auto StoreFeed::apply(StoredObject Object) -> bool {
   const auto Existing = Objects.find(Object.Name);
   if (Existing != Objects.end() && Existing->second.Revision > Object.Revision)
     return false;
+  if (Existing != Objects.end() && !Object.Deleted &&
+      isNewer(Existing->second, &Object))
+    Object.Value = Existing->second.Value;
   ++ChangeCount;
   LastChangeRevision = std::max(LastChangeRevision, Object.Revision);
   recordChange(Object);
