Add failing tests of key ranges whose record comes from a copy

The simulation of range assigners restores the store to an earlier record; then the leader claims again or another instance becomes the leader.

--- a/tests/property/RangeAssignerPropertyTest.cpp
+++ b/tests/property/RangeAssignerPropertyTest.cpp
@@ -43,4 +43,18 @@
       });
 }
 
+// Guards against grants from a restored record: a key was granted to a second
+// target, with a lower fencing token than its holder's.
+TEST(RangeAssignerPropertyTest, NoKeyHasTwoHoldersWhenTheStoreIsRestored) {
+  test::forEachSeed(
+      "RangeAssignerPropertyTest.NoKeyHasTwoHoldersWhenTheStoreIsRestored", 60,
+      [](std::uint64_t Seed) {
+        RangeFaults Faults;
+        Faults.StoreRestored = 0.002;
+        RangeSimulation Simulation(Seed, Faults);
+        const auto Violation = Simulation.run(6000);
+        EXPECT_FALSE(Violation) << *Violation;
+      });
+}
+
 } // namespace
--- a/tests/support/RangeSimulation.h
+++ b/tests/support/RangeSimulation.h
@@ -1,8 +1,11 @@
 #pragma once
 
 #include "Fleet/RangeAssigner.h"
+#include "Fleet/StoreRevision.h"
 #include "buckthornring/Common/Random.h"
 
+#include <nlohmann/json.hpp>
+
 #include <deque>
 #include <functional>
 #include <map>
@@ -23,6 +26,7 @@
   double TargetRestart = 0.002;
   double TargetUnreachable = 0.002; ///< Unreachable for some seconds.
   double TargetDrain = 0.001;
+  double StoreRestored = 0; ///< The store comes back from an earlier state.
 };
 
 /// Simulates the range assigners of several leaders, targets that hold keys,
@@ -59,7 +63,7 @@
 
   /// Stops all faults, so that the assignment becomes stable.
   auto stopFaults() -> void {
-    Faults = {0, 0, 0, 0, 0, 0, 0, 0};
+    Faults = {0, 0, 0, 0, 0, 0, 0, 0, 0};
     for (auto &[Id, Each] : Targets) {
       Each.UnreachableUntil = LongAgo;
       Each.Draining = false;
@@ -87,10 +91,12 @@
 
     RangeAssigner Assigner;
     KeyLoad Load;
+    std::uint64_t Era = 0; ///< In which it became the leader.
     TimePoint ConfirmedAt;
     TimePoint PlanAt = LongAgo;
     std::set<TargetId> Granting;
     bool Writing = false;
+    std::uint64_t WriteNumber = 0; ///< Of the write whose answer is used.
     bool Stopped = false;
     bool Superseded = false; ///< Replaced by a new leader, without knowing it.
     TimePoint SupersededAt = LongAgo;
@@ -105,14 +111,45 @@
     if (Leaders.size() > 2)
       Leaders.pop_front();
     auto Next = std::make_shared<LeaderProcess>(Times);
+    Next->Era = eraOf(Revision);
     Next->ConfirmedAt = Now;
     Next->Assigner.takeOver(Recorded, Revision, Now);
     Leaders.push_back(std::move(Next));
   }
 
+  /// Loses some of the last writes. Then the leader claims again in the new
+  /// era, or another instance becomes the leader.
+  auto restoreStore() -> void {
+    for (auto Lost = Random.below(6); Lost > 0 && History.size() > 1; --Lost)
+      History.pop_back();
+    const std::uint64_t Era = eraOf(Revision) + 1;
+    Recorded = History.back().second;
+    Revision = makeRevision(Era, History.back().first);
+    const bool LeaderLives = Random.chance(0.6);
+    schedule(std::chrono::milliseconds(
+                 Random.below(Random.chance(0.7) ? 3000 : 14'000)),
+             [this, Era, LeaderLives] {
+               if (eraOf(Revision) != Era || Leaders.back()->Era == Era)
+                 return;
+               if (LeaderLives)
+                 claimAgain(*Leaders.back());
+               else
+                 changeLeader();
+             });
+  }
+  auto claimAgain(LeaderProcess &Leader) -> void {
+    Leader.Era = eraOf(Revision);
+    Leader.ConfirmedAt = Now;
+    Leader.Writing = false;
+    ++Leader.WriteNumber;
+    Leader.Assigner.takeOver(Recorded, Revision, Now);
+  }
+
   auto injectFaults() -> void {
     if (Random.chance(Faults.LeaderChange))
       changeLeader();
+    if (Faults.StoreRestored > 0 && Random.chance(Faults.StoreRestored))
+      restoreStore();
     for (auto &[Id, Each] : Targets) {
       if (Random.chance(Faults.TargetRestart)) {
         const std::int64_t Incarnation = Each.Incarnation + 1;
@@ -134,7 +171,7 @@
   auto runLeader(LeaderProcess &Leader) -> void {
     if (Leader.Stopped)
       return;
-    if (!Leader.Superseded) {
+    if (!Leader.Superseded && Leader.Era == eraOf(Revision)) {
       Leader.ConfirmedAt = Now;
       // The last write of a superseded leader may have been applied after the
       // takeover.
@@ -182,24 +219,29 @@
     const RangeRecord Wanted = *Leader.Assigner.pendingWrite();
     const std::uint64_t Expected = Leader.Assigner.revision();
     const auto WeakLeader = weakReference(Leader);
-    schedule(delay(), [this, WeakLeader, Wanted, Expected] {
-      const bool Same = Recorded.Ranges == Wanted.Ranges &&
-                        Recorded.NextFence == Wanted.NextFence;
-      const bool Holds = Expected == Revision;
+    const std::uint64_t WriteNumber = Leader.WriteNumber;
+    schedule(delay(), [this, WeakLeader, Wanted, Expected, WriteNumber] {
+      const bool Same = Recorded.json() == Wanted.json();
+      // The store numbers its revisions again after it was restored, so an
+      // earlier number may match.
+      const bool Holds = numberOf(Expected) == numberOf(Revision);
       if (Holds) {
         Recorded = Wanted;
         ++Revision;
+        History.emplace_back(numberOf(Revision), Recorded);
       }
-      const bool Done = Holds || Same;
+      const bool SameEra = eraOf(Expected) == eraOf(Revision);
+      const bool Done = (Holds || Same) && SameEra;
       const std::uint64_t NewRevision = Revision;
       const bool Lost = Random.chance(Faults.LostWrite);
       const RangeRecord Stored = Recorded;
-      schedule(delay(), [this, WeakLeader, Done, NewRevision, Lost, Stored] {
+      schedule(delay(), [this, WeakLeader, WriteNumber, Done, SameEra,
+                         NewRevision, Lost, Stored] {
         const auto Leader = WeakLeader.lock();
-        if (!Leader)
+        if (!Leader || Leader->WriteNumber != WriteNumber)
           return;
         Leader->Writing = false;
-        if (Lost)
+        if (Lost || (!SameEra && !Leader->Superseded))
           return;
         if (Done)
           Leader->Assigner.writeDone(NewRevision, Now);
@@ -352,6 +394,8 @@
   std::multimap<TimePoint, std::function<void()>> Events;
   RangeRecord Recorded;
   std::uint64_t Revision = 0;
+  /// All records with the store's numbers of their revisions.
+  std::vector<std::pair<std::uint64_t, RangeRecord>> History = {{0, {}}};
   std::map<std::uint32_t, std::uint64_t> HighestFence;
   std::map<std::uint32_t, std::string> LastHolder;
   std::optional<std::string> Violation;
--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -3,6 +3,7 @@
 #include "Fleet/RangePlanner.h"
 #include "Fleet/RetryAllowance.h"
 #include "Fleet/SplitBalancer.h"
+#include "Fleet/StoreRevision.h"
 #include "Gateway/GatewaySettings.h"
 #include "IO/EventLog.h"
 #include "buckthornring/Common/Random.h"
@@ -271,6 +272,25 @@
   EXPECT_TRUE(Assigner.nextGrant(TargetId("t0"), Now, Now));
 }
 
+// Guards against fencing tokens that are given out again after the store has
+// lost the records of their grants.
+TEST(RangeAssignerTest, TokensOfARestoredStoreAreAboveAllEarlierOnes) {
+  constexpr std::uint64_t TokensPerEra = std::uint64_t{1} << 32;
+  const RangeRecord Copy = firstRecord(3);
+  for (std::uint64_t Era = 1; Era < 4; ++Era) {
+    RangeAssigner Assigner(65'536, RangeTimes());
+    Assigner.takeOver(Copy, makeRevision(Era, 7), Start);
+    for (TimePoint Now = Start; Now < Start + std::chrono::seconds(20);
+         Now += milliseconds(250))
+      Assigner.plan({}, KeyLoad(), Now);
+    ASSERT_TRUE(Assigner.pendingWrite());
+    for (const KeyRange &Range : Assigner.pendingWrite()->Ranges) {
+      EXPECT_GT(Range.Fence, Era * TokensPerEra);
+      EXPECT_LT(Range.Fence, (Era + 1) * TokensPerEra);
+    }
+  }
+}
+
 TEST(RangeRecordTest, ParsesItsOwnJsonAndRejectsInvalidRecords) {
   const RangeRecord Record = firstRecord(3);
   const auto Read = RangeRecord::parse(Record.json(), 65'536);
