Give fencing tokens above all that lost records may hold

Callers' keys had two holders: after the store had come back from a copy, the leader took its next token from the copy, and a key was granted to a second target with a lower token than its holder's.

Cause: the next token was known from the record alone. The record now carries the era of the store in which its writer knew it, and the tokens of an era start above era * 2^32, more than an era gives out.

RangeAssignerPropertyTest.NoKeyHasTwoHoldersWhenTheStoreIsRestored still fails for its other cause, the owners that the copy lacks.

--- a/lib/Fleet/KeyRanges.cpp
+++ b/lib/Fleet/KeyRanges.cpp
@@ -8,6 +8,13 @@
 
 using Json = nlohmann::json;
 
+namespace {
+
+/// Fencing tokens of each era, far more than an era needs.
+constexpr std::uint64_t TokensPerEra = std::uint64_t{1} << 32;
+
+} // namespace
+
 auto RangeRecord::find(std::uint32_t Key) const -> const KeyRange * {
   const auto Found =
       std::lower_bound(Ranges.begin(), Ranges.end(), Key,
@@ -17,6 +24,11 @@
   return Found == Ranges.end() || Found->From > Key ? nullptr : &*Found;
 }
 
+auto RangeRecord::enterEra(std::uint64_t NewEra) -> void {
+  Era = NewEra;
+  NextFence = std::max(NextFence, NewEra * TokensPerEra + 1);
+}
+
 auto RangeRecord::json() const -> Json {
   Json List = Json::array();
   for (const KeyRange &Range : Ranges) {
@@ -32,13 +44,14 @@
     }
     List.push_back(std::move(Entry));
   }
-  return {{"next_fence", NextFence}, {"ranges", std::move(List)}};
+  return {{"era", Era}, {"next_fence", NextFence}, {"ranges", std::move(List)}};
 }
 
 auto RangeRecord::parse(const Json &Value, std::uint32_t Keys)
     -> Result<RangeRecord> {
   RangeRecord Record;
   try {
+    Record.Era = Value.value("era", std::uint64_t{0});
     Record.NextFence = Value.at("next_fence").get<std::uint64_t>();
     for (const Json &Entry : Value.at("ranges")) {
       KeyRange Range;
--- a/lib/Fleet/KeyRanges.h
+++ b/lib/Fleet/KeyRanges.h
@@ -32,11 +32,19 @@
 struct RangeRecord {
   /// Higher than every fencing token recorded so far.
   std::uint64_t NextFence = 1;
+  /// Era of the store (see StoreRevision.h) in which its writer knew the store.
+  /// A record of an earlier era than its revision's comes from a copy and may
+  /// lack the last owners.
+  std::uint64_t Era = 0;
   std::vector<KeyRange> Ranges;
 
   /// Returns the range of \p Key, or null when there is none.
   auto find(std::uint32_t Key) const -> const KeyRange *;
 
+  /// Continues the record in a later era: its next fencing tokens are above all
+  /// that lost records of earlier eras may hold.
+  auto enterEra(std::uint64_t NewEra) -> void;
+
   auto json() const -> nlohmann::json;
   /// Fails with the reason when the value is not a valid record for \p Keys
   /// keys.
--- a/lib/Fleet/RangeAssigner.cpp
+++ b/lib/Fleet/RangeAssigner.cpp
@@ -1,5 +1,6 @@
 #include "Fleet/RangeAssigner.h"
 
+#include "Fleet/StoreRevision.h"
 #include "buckthornring/Common/Invariant.h"
 
 #include <algorithm>
@@ -38,6 +39,7 @@
 auto withNewFences(const RangeRecord &Old) -> RangeRecord {
   RangeRecord Next;
   Next.NextFence = Old.NextFence;
+  Next.Era = Old.Era;
   for (const KeyRange &Range : Old.Ranges) {
     KeyRange *Previous = Next.Ranges.empty() ? nullptr : &Next.Ranges.back();
     if (Previous && Previous->Owner == Range.Owner &&
@@ -65,6 +67,7 @@
     Recorded.Ranges = {All};
   }
   Current = std::move(Recorded);
+  Current.enterEra(eraOf(AtRevision));
   // An earlier leader may renew grants until its authority ends, at owners and
   // at previous owners.
   State Unknown;
@@ -78,7 +81,7 @@
     if (Current.Ranges[Index].Owner.empty())
       States[Index] = State();
   Proposed.reset();
-  TakingOver = AtRevision != 0;
+  TakingOver = numberOf(AtRevision) != 0;
   if (TakingOver)
     Proposed = withNewFences(Current);
 }
--- a/lib/Fleet/RangeAssigner.h
+++ b/lib/Fleet/RangeAssigner.h
@@ -82,8 +82,8 @@
   RangeAssigner(std::uint32_t Keys, RangeTimes Times)
       : Keys(Keys), Times(Times) {}
 
-  /// Starts leading with the recorded state; \p Revision 0: nothing is
-  /// recorded.
+  /// Starts leading with the recorded state. The number of \p Revision is 0
+  /// when nothing is recorded in its era.
   auto takeOver(RangeRecord Recorded, std::uint64_t Revision, TimePoint Now)
       -> void;
 
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/Leader.h"
 
+#include "Fleet/StoreRevision.h"
 #include "IO/BootClock.h"
 
 #include <algorithm>
@@ -248,7 +249,8 @@
     return nullptr;
   Services.erase(Id);
   RangeRecord Recorded;
-  std::uint64_t Revision = 0;
+  std::uint64_t Revision =
+      makeRevision(eraOf(Context.RouterObjectsFeed.revision()), 0);
   const auto Object =
       Context.RouterObjectsFeed.objects().find(rangeObjectName(Id));
   if (Object != Context.RouterObjectsFeed.objects().end()) {
@@ -322,7 +324,7 @@
     ServiceState *State = findOrLoadService(Id, Settings);
     if (!State)
       continue;
-    if (State->Keeper.revision() == 0 && !allRegistered(Id, Now))
+    if (numberOf(State->Keeper.revision()) == 0 && !allRegistered(Id, Now))
       continue;
     if (Now >= State->NextPlanAt && !State->WritePending) {
       State->NextPlanAt = Now + PlanInterval;
@@ -379,8 +381,10 @@
 auto Leader::writeRanges(const ServiceId &Id, ServiceState &State) -> void {
   State.WritePending = true;
   const TimePoint SentAt = bootNow();
+  const std::uint64_t Recorded = State.Keeper.revision();
   Context.Store.write(
-      Context.Protocol.Kinds.Own, rangeObjectName(Id), State.Keeper.revision(),
+      Context.Protocol.Kinds.Own, rangeObjectName(Id),
+      numberOf(Recorded) == 0 ? 0 : Recorded,
       State.Keeper.pendingWrite()->json(),
       [this, Id, SentAt, Term = Self.Term](const StoreWriteResult &Answer) {
         if (Self.Term == Term)
