Wait for owners that a restored record of key ranges may lack

Callers' keys had two holders: after the store had come back from a copy, a leader moved keys of the owners in the copy, while the last owners, recorded since, still held grants.

Cause: a record was taken for complete whichever era it was written in. A record of an earlier era than its revision's is now void: the leader writes and grants nothing before the authority of earlier leaders and their grants have certainly ended (10 s + hold). It does not write before either, so a leader that follows it finds the record void too and waits as long.

--- a/lib/Fleet/RangeAssigner.cpp
+++ b/lib/Fleet/RangeAssigner.cpp
@@ -67,11 +67,15 @@
     Recorded.Ranges = {All};
   }
   Current = std::move(Recorded);
-  Current.enterEra(eraOf(AtRevision));
+  const std::uint64_t Era = eraOf(AtRevision);
+  // Earlier owners that the copy lacks may hold keys until then.
+  WaitingForEarlierOwners = Current.Era != Era;
+  EarlierOwnersUntil = Now + Times.AuthorityPeriod + Times.maxHoldPeriod();
+  Current.enterEra(Era);
   // An earlier leader may renew grants until its authority ends, at owners and
   // at previous owners.
   State Unknown;
-  Unknown.HoldEnd = Now + Times.AuthorityPeriod + Times.maxHoldPeriod();
+  Unknown.HoldEnd = EarlierOwnersUntil;
   Unknown.UnansweredHoldEnd = Unknown.HoldEnd;
   Unknown.PreviousHoldEnd = Unknown.HoldEnd;
   Unknown.PreviousUnansweredHoldEnd = Unknown.HoldEnd;
@@ -81,8 +85,8 @@
     if (Current.Ranges[Index].Owner.empty())
       States[Index] = State();
   Proposed.reset();
-  TakingOver = numberOf(AtRevision) != 0;
-  if (TakingOver)
+  TakingOver = numberOf(AtRevision) != 0 || WaitingForEarlierOwners;
+  if (TakingOver && !WaitingForEarlierOwners)
     Proposed = withNewFences(Current);
 }
 
@@ -169,8 +173,12 @@
 auto RangeAssigner::plan(View NewView, const KeyLoad &Load, TimePoint Now)
     -> void {
   CurrentView = std::move(NewView);
-  if (Proposed)
+  if (Proposed || (WaitingForEarlierOwners && Now <= EarlierOwnersUntil))
     return;
+  if (std::exchange(WaitingForEarlierOwners, false)) {
+    Proposed = withNewFences(Current);
+    return;
+  }
   std::erase_if(CurrentView.Targets, [&](const PlanTarget &Target) {
     return unresponsive(Target.Id, Now);
   });
--- a/lib/Fleet/RangeAssigner.h
+++ b/lib/Fleet/RangeAssigner.h
@@ -83,7 +83,10 @@
       : Keys(Keys), Times(Times) {}
 
   /// Starts leading with the recorded state. The number of \p Revision is 0
-  /// when nothing is recorded in its era.
+  /// when nothing is recorded in its era. A record of an earlier era than the
+  /// revision's may lack the last owners: nothing is granted before all grants
+  /// of earlier leaders have certainly ended. Nothing is written either, so
+  /// that another leader that takes over meanwhile waits as well.
   auto takeOver(RangeRecord Recorded, std::uint64_t Revision, TimePoint Now)
       -> void;
 
@@ -187,6 +190,9 @@
   std::uint64_t Revision = 0;
   std::optional<RangeRecord> Proposed;
   bool TakingOver = false;
+  /// The record may lack owners; their grants last until EarlierOwnersUntil.
+  bool WaitingForEarlierOwners = false;
+  TimePoint EarlierOwnersUntil = LongAgo;
   TimePoint ChangedAt = LongAgo;
   View CurrentView;
   struct NoResponsePeriod {
--- a/tests/property/RangeAssignerPropertyTest.cpp
+++ b/tests/property/RangeAssignerPropertyTest.cpp
@@ -32,6 +32,23 @@
       });
 }
 
+TEST(RangeAssignerPropertyTest, AllKeysAreHeldAgainAfterRestorations) {
+  test::forEachSeed(
+      "RangeAssignerPropertyTest.AllKeysAreHeldAgainAfterRestorations", 30,
+      [](std::uint64_t Seed) {
+        RangeFaults Faults;
+        Faults.StoreRestored = 0.002;
+        RangeSimulation Simulation(Seed, Faults);
+        ASSERT_FALSE(Simulation.run(1500));
+        Simulation.stopFaults();
+        // The leader may notice the last restoration 14 s later, and waits for
+        // the authority and the grants of earlier ones.
+        const auto Violation = Simulation.run(3500);
+        ASSERT_FALSE(Violation) << *Violation;
+        EXPECT_EQ(Simulation.servedNow(), 1.0);
+      });
+}
+
 TEST(RangeAssignerPropertyTest, KeysAreHeldMostOfTheTimeWithOneLostTarget) {
   test::forEachSeed(
       "RangeAssignerPropertyTest.KeysAreHeldMostOfTheTimeWithOneLostTarget", 20,
