--- /dev/null
+++ b/tests/unit/RestoredStoreTest.cpp
@@ -0,0 +1,280 @@
+#include "support/GatewayFixture.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+using namespace buckthornring;
+using namespace buckthornring::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using Json = nlohmann::json;
+
+constexpr const char *Own = "buckthornring";
+
+/// A target of the divided service that accepts all orders and records its
+/// grants.
+class Owner {
+public:
+  struct Grant {
+    Clock::time_point At;
+    std::uint64_t From;
+    std::uint64_t To;
+    std::uint64_t Fence;
+  };
+
+  Owner()
+      : Target([this](ScriptedTarget::Tcp::socket &To,
+                      const std::string &Request) {
+          record(Request);
+          return ScriptedTarget::send(
+              To, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        }) {}
+
+  auto target() -> ScriptedTarget & { return Target; }
+  auto grants() const -> std::vector<Grant> {
+    const std::lock_guard Guard(Mutex);
+    return Grants;
+  }
+  auto grantsAfter(Clock::time_point Start) const -> std::vector<Grant> {
+    auto All = grants();
+    std::erase_if(All, [&](const Grant &Each) { return Each.At < Start; });
+    return All;
+  }
+  /// Longest time without a grant since \p Start.
+  auto longestGap(Clock::time_point Start) const -> Clock::duration {
+    Clock::duration Longest{0};
+    Clock::time_point Last = Start;
+    for (const Grant &Each : grantsAfter(Start)) {
+      Longest = std::max(Longest, Each.At - Last);
+      Last = Each.At;
+    }
+    return std::max(Longest, Clock::now() - Last);
+  }
+
+private:
+  auto record(const std::string &Request) -> void {
+    if (!Request.starts_with("POST /v1/grant"))
+      return;
+    const Json Body = Json::parse(Request.substr(Request.find("\r\n\r\n") + 4));
+    const std::lock_guard Guard(Mutex);
+    Grants.push_back({Clock::now(), Body.at("from").get<std::uint64_t>(),
+                      Body.at("to").get<std::uint64_t>(),
+                      Body.at("fence").get<std::uint64_t>()});
+  }
+
+  mutable std::mutex Mutex;
+  std::vector<Grant> Grants;
+  ScriptedTarget Target;
+};
+
+class RestoredStoreTest : public testing::Test {
+protected:
+  auto leader() -> Json {
+    return Fixture.store().value(Own, "leader").value_or(Json::object());
+  }
+  auto ranges() -> Json {
+    return Fixture.store().value(Own, "ranges.stock").value_or(Json::object());
+  }
+  static auto setLeader(StoreContents::Copy &Copy, const std::string &Instance)
+      -> void {
+    StoredObject &Object = Copy.Objects[{Own, "leader"}];
+    Object.Name = "leader";
+    Object.Revision = std::max<std::uint64_t>(Object.Revision, 1);
+    Object.Value = {{"instance", Instance},
+                    {"process", Instance + "-1"},
+                    {"address", "127.0.0.1:1"}};
+  }
+  /// Restores the store after it was away for a moment, as the copies that
+  /// targets and operators write again are in it already.
+  auto restore(StoreContents::Copy Copy) -> void {
+    Fixture.store().setDown(true);
+    std::this_thread::sleep_for(500ms);
+    Fixture.store().restore(std::move(Copy));
+    RestoredAt = Clock::now();
+    Fixture.store().setDown(false);
+  }
+  /// Both owners have grants, and the store has the records of both.
+  auto startWithTwoOwners() -> bool {
+    Fixture.addTarget("stock", "o1", First.target());
+    Fixture.configure(1);
+    if (!eventually([&] { return !First.grants().empty(); }))
+      return false;
+    Early = Fixture.store().copy();
+    Fixture.addTarget("stock", "o2", Second.target());
+    return eventually([&] { return !Second.grants().empty(); });
+  }
+  /// The early copy with the targets that have registered again since.
+  auto earlyCopyWithTargets() -> StoreContents::Copy {
+    StoreContents::Copy Copy = Early;
+    const auto Latest = Fixture.store().copy();
+    for (const auto &[Key, Object] : Latest.Objects)
+      if (Key.first == "servers") {
+        Copy.Objects[Key] = Object;
+        Copy.Objects[Key].Revision = Copy.Revision;
+      }
+    return Copy;
+  }
+
+  Owner First;
+  Owner Second;
+  GatewayFixture Fixture;
+  StoreContents::Copy Early;
+  Clock::time_point RestoredAt;
+};
+
+// Guards against a leader that continues from the copy's key ranges: it granted
+// keys to earlier owners, or left them without a grant.
+TEST_F(RestoredStoreTest, LeaderKeepsItsRangesAndRenewsThemThroughout) {
+  ASSERT_TRUE(startWithTwoOwners());
+  const Json Before = ranges();
+  restore(earlyCopyWithTargets());
+  EXPECT_TRUE(eventually([&] {
+    return leader().value("era", 0) == 1 && ranges().value("era", 0) == 1;
+  }));
+  EXPECT_EQ(leader().value("instance", ""), "i1");
+  std::map<std::string, int> Owners;
+  for (const Json &Range : ranges().value("ranges", Json::array()))
+    ++Owners[Range.at("owner").get<std::string>()];
+  EXPECT_EQ(Owners["o1"] > 0, true);
+  EXPECT_EQ(Owners["o2"] > 0, true) << ranges() << " before: " << Before;
+  std::this_thread::sleep_for(4s);
+  // A grant lasts 3 s.
+  EXPECT_LT(First.longestGap(RestoredAt), 2500ms);
+  EXPECT_LT(Second.longestGap(RestoredAt), 2500ms);
+}
+
+// Guards against fencing tokens of the copy: the new owner of a key had a lower
+// one than the previous owner.
+TEST_F(RestoredStoreTest, TokensOfMovesAfterwardsAreAboveAllEarlierOnes) {
+  ASSERT_TRUE(startWithTwoOwners());
+  restore(earlyCopyWithTargets());
+  ASSERT_TRUE(eventually([&] { return ranges().value("era", 0) == 1; }));
+  std::uint64_t Highest = 0;
+  for (const Owner *Each : {&First, &Second})
+    for (const auto &Grant : Each->grants())
+      Highest = std::max(Highest, Grant.Fence);
+  Owner Third;
+  Fixture.addTarget("stock", "o3", Third.target());
+  ASSERT_TRUE(eventually([&] { return !Third.grants().empty(); }));
+  for (const auto &Grant : Third.grants())
+    EXPECT_GT(Grant.Fence, std::max(Highest, std::uint64_t{1} << 32));
+}
+
+// Guards against following the leader that the copy names.
+TEST_F(RestoredStoreTest, LeaderNamedByTheCopyIsNotFollowed) {
+  ASSERT_TRUE(startWithTwoOwners());
+  auto Copy = earlyCopyWithTargets();
+  setLeader(Copy, "other");
+  restore(std::move(Copy));
+  EXPECT_TRUE(eventually([&] { return leader().value("era", 0) == 1; }));
+  EXPECT_EQ(leader().value("instance", ""), "i1");
+  std::this_thread::sleep_for(3s);
+  EXPECT_LT(First.longestGap(RestoredAt), 2500ms);
+}
+
+// Guards against claims that are conditional on a revision which the restored
+// store does not have: nobody could lead any more.
+TEST_F(RestoredStoreTest, LeaderIsRecordedAgainWhenTheCopyHasNone) {
+  ASSERT_TRUE(startWithTwoOwners());
+  auto Copy = earlyCopyWithTargets();
+  Copy.Objects.erase({Own, "leader"});
+  Copy.Objects.erase({Own, "ranges.stock"});
+  Copy.Objects.erase({Own, "fleet"});
+  restore(std::move(Copy));
+  EXPECT_TRUE(eventually([&] {
+    return leader().value("era", 0) == 1 && ranges().value("era", 0) == 1;
+  }));
+  EXPECT_TRUE(eventually(
+      [&] { return Fixture.store().value(Own, "fleet").has_value(); }));
+  std::this_thread::sleep_for(2s);
+  EXPECT_LT(First.longestGap(RestoredAt), 2500ms);
+  EXPECT_LT(Second.longestGap(RestoredAt), 2500ms);
+}
+
+// Guards against a second restoration that finds the leader's state changed by
+// the first.
+TEST_F(RestoredStoreTest, LeaderKeepsItsRangesThroughTwoRestorations) {
+  ASSERT_TRUE(startWithTwoOwners());
+  restore(earlyCopyWithTargets());
+  const auto Start = RestoredAt;
+  std::this_thread::sleep_for(300ms);
+  restore(earlyCopyWithTargets());
+  EXPECT_TRUE(eventually([&] {
+    return leader().value("era", 0) == 2 && ranges().value("era", 0) == 2;
+  }));
+  std::this_thread::sleep_for(3s);
+  EXPECT_LT(First.longestGap(Start), 2500ms);
+  EXPECT_LT(Second.longestGap(Start), 2500ms);
+}
+
+// Guards against a write of an earlier era that meets its condition by a
+// coincidence of revisions.
+TEST_F(RestoredStoreTest, LateClaimOfAnEarlierEraIsReplaced) {
+  ASSERT_TRUE(startWithTwoOwners());
+  restore(earlyCopyWithTargets());
+  ASSERT_TRUE(eventually([&] { return leader().value("era", 0) == 1; }));
+  Fixture.store().set(Own, "leader",
+                      {{"instance", "other"},
+                       {"process", "other-1"},
+                       {"address", "127.0.0.1:1"},
+                       {"era", 0}});
+  Fixture.store().set(Own, "ranges.stock",
+                      Early.Objects[{Own, "ranges.stock"}].Value);
+  EXPECT_TRUE(eventually([&] {
+    return leader().value("instance", "") == "i1" &&
+           ranges().value("era", 0) == 1;
+  }));
+  std::this_thread::sleep_for(3s);
+  EXPECT_LT(First.longestGap(RestoredAt), 2500ms);
+  EXPECT_LT(Second.longestGap(RestoredAt), 2500ms);
+}
+
+// Guards against a claim that takes the leadership from a leader that is about
+// to claim again.
+TEST_F(RestoredStoreTest, OthersGiveTheLeaderTimeAndThenClaim) {
+  setLeader(Early, "other");
+  Early.Revision = 2;
+  Fixture.store().set(Own, "leader", Early.Objects[{Own, "leader"}].Value);
+  std::this_thread::sleep_for(300ms);
+  Fixture.store().restore(Early);
+  const auto Start = Clock::now();
+  ASSERT_TRUE(
+      eventually([&] { return leader().value("instance", "") == "i1"; }));
+  EXPECT_GE(Clock::now() - Start, 2500ms);
+  EXPECT_EQ(leader().value("era", 0), 1);
+}
+
+// Guards against grants by a leader that does not know the last owners.
+TEST_F(RestoredStoreTest, NewLeaderGrantsNothingBeforeEarlierGrantsHaveEnded) {
+  Fixture.addTarget("stock", "o1", First.target());
+  Fixture.configure(1);
+  setLeader(Early, "other");
+  Early = [&, Leader = Early.Objects[{Own, "leader"}]] {
+    auto Copy = Fixture.store().copy();
+    Copy.Objects[{Own, "leader"}] = Leader;
+    return Copy;
+  }();
+  Fixture.store().restore(Early);
+  const auto Start = Clock::now();
+  ASSERT_TRUE(
+      eventually([&] { return leader().value("instance", "") == "i1"; }));
+  EXPECT_TRUE(First.grants().empty());
+  const auto Claimed = Clock::now();
+  while (First.grants().empty() && Clock::now() - Start < 25s)
+    std::this_thread::sleep_for(50ms);
+  ASSERT_FALSE(First.grants().empty());
+  EXPECT_GE(First.grants().front().At - Claimed, 12'900ms);
+  EXPECT_GT(First.grants().front().Fence, std::uint64_t{1} << 32);
+}
+
+} // namespace
