--- a/tests/unit/RestoredStoreTest.cpp
+++ b/tests/unit/RestoredStoreTest.cpp
@@ -254,6 +254,41 @@
   EXPECT_EQ(leader().value("era", 0), 1);
 }
 
+// Guards against requests that are sent to the owners in the copy until the
+// leader has written the ranges again.
+TEST_F(RestoredStoreTest, RequestsGoToTheLastKnownOwnersNotToThoseOfTheCopy) {
+  ScriptedTarget Earlier(GatewayFixture::answering("from the earlier owner"));
+  ScriptedTarget Last(GatewayFixture::answering("from the last owner"));
+  setLeader(Early, "other");
+  Fixture.store().set(Own, "leader", Early.Objects[{Own, "leader"}].Value);
+  Fixture.addTarget("stock", "o1", Earlier);
+  Fixture.addTarget("stock", "o2", Last);
+  Fixture.configure(1);
+  const auto Record = [](const char *Owner, int Fence) {
+    return Json{{"next_fence", Fence + 1},
+                {"ranges", Json::array({{{"from", 0},
+                                         {"to", 65'535},
+                                         {"owner", Owner},
+                                         {"owner_started_at", 1000},
+                                         {"fence", Fence}}})}};
+  };
+  const auto Answered = [this](const char *Body) {
+    return eventually([&] {
+      return Fixture.exchange("GET", "/owned/1", "Shard-Key: 7\r\n").has(Body);
+    });
+  };
+  Fixture.store().set(Own, "ranges.stock", Record("o1", 1));
+  ASSERT_TRUE(Answered("from the earlier owner"));
+  const auto Copy = Fixture.store().copy();
+  Fixture.store().set(Own, "ranges.stock", Record("o2", 2));
+  ASSERT_TRUE(Answered("from the last owner"));
+  Fixture.store().restore(Copy);
+  const auto Start = Clock::now();
+  while (Clock::now() - Start < 1s)
+    ASSERT_TRUE(Fixture.exchange("GET", "/owned/1", "Shard-Key: 7\r\n")
+                    .has("from the last owner"));
+}
+
 // Guards against grants by a leader that does not know the last owners.
 TEST_F(RestoredStoreTest, NewLeaderGrantsNothingBeforeEarlierGrantsHaveEnded) {
   Fixture.addTarget("stock", "o1", First.target());
