Write the leader's key ranges again over those of a restored store

Callers found no owner for their keys for 13 s after the store had come back from a copy: the leader dropped what it knew and waited for the owners in the copy, although it had recorded every owner itself.

Cause: a record with a later revision always replaced the leader's own one. Now a leader that goes on in the era writes its record again, if that of the store was written in an earlier era, and owners keep their tokens, so renewals go on meanwhile. No keys are moved from an owner that has not accepted its earlier token again: one that a lost leader has given a later token refuses it.

--- a/lib/Fleet/RangeAssigner.cpp
+++ b/lib/Fleet/RangeAssigner.cpp
@@ -30,6 +30,10 @@
 /// would still wait for them; removing each at once would double the writes.
 constexpr Duration SettlePeriod = std::chrono::milliseconds(800);
 
+/// Time after a restoration of the store within which the owners should have
+/// accepted their grants again. No keys are moved from those that have not.
+constexpr Duration ReacceptancePeriod = std::chrono::milliseconds(2000);
+
 /// Time after the last failed order until an unresponsive target is tried
 /// again.
 constexpr Duration UnresponsivePeriod = std::chrono::seconds(4);
@@ -90,6 +94,32 @@
     Proposed = withNewFences(Current);
 }
 
+auto RangeAssigner::restored(std::uint64_t AtRevision, TimePoint Now) -> void {
+  if (WaitingForEarlierOwners) {
+    Revision = AtRevision;
+    return Current.enterEra(eraOf(AtRevision));
+  }
+  // A change of an earlier leader may have taken effect and be lost.
+  if (TakingOver)
+    return takeOver(std::move(Current), AtRevision, Now);
+  Revision = AtRevision;
+  Current.enterEra(eraOf(AtRevision));
+  Proposed = Current;
+  ChangedAt = Now;
+  // An owner that accepts its earlier token has not seen those of a leader
+  // whose claim is lost. Without such an answer it may have released its keys.
+  const TimePoint Latest = Now + Times.AuthorityPeriod + Times.maxHoldPeriod();
+  for (std::size_t Index = 0; Index < States.size(); ++Index) {
+    if (!States[Index].GrantSent)
+      continue;
+    States[Index].HoldEnd = Latest;
+    States[Index].UnansweredHoldEnd = Latest;
+    States[Index].GrantAccepted = false;
+    States[Index].NextGrantAt = LongAgo;
+    States[Index].MovableFrom = Now + ReacceptancePeriod;
+  }
+}
+
 auto RangeAssigner::stateOf(const RangeRecord &Record,
                             const KeyRange &Range) const -> State {
   for (std::size_t Index = 0; Index < Record.Ranges.size(); ++Index) {
@@ -185,7 +215,8 @@
   const auto Movable = [&](const KeyRange &Range) {
     for (std::size_t Index = 0; Index < Current.Ranges.size(); ++Index)
       if (Current.Ranges[Index] == Range)
-        return previousOwnerGone(Range, States[Index], Now);
+        return Now >= States[Index].MovableFrom &&
+               previousOwnerGone(Range, States[Index], Now);
     return false;
   };
   const auto MovingRanges = std::count_if(
@@ -330,6 +361,7 @@
       // of this leader count.
       UnansweredEnd = RangeState.OwnUnansweredHoldEnd;
       End = UnansweredEnd;
+      RangeState.MovableFrom = LongAgo;
     }
     if (Outcome == RangeOrderOutcome::Accepted ||
         Outcome == RangeOrderOutcome::Unanswered)
--- a/lib/Fleet/RangeAssigner.h
+++ b/lib/Fleet/RangeAssigner.h
@@ -90,6 +90,12 @@
   auto takeOver(RangeRecord Recorded, std::uint64_t Revision, TimePoint Now)
       -> void;
 
+  /// Goes on leading after the store was restored, or after a late write of an
+  /// earlier era has replaced the record: the known state is written again.
+  /// Owners keep their fencing tokens, so their grants go on meanwhile. \p
+  /// Revision is that of the object in the store.
+  auto restored(std::uint64_t Revision, TimePoint Now) -> void;
+
   struct View {
     std::vector<PlanTarget> Targets;
     double ProcessingSeconds = 0; ///< RangePlanner::Input::ProcessingSeconds.
@@ -152,6 +158,8 @@
     TimePoint PreviousHoldEnd = LongAgo;
     TimePoint PreviousUnansweredHoldEnd = LongAgo;
     TimePoint NextGrantAt = LongAgo;
+    /// The range is not moved before.
+    TimePoint MovableFrom = LongAgo;
     TimePoint NextReleaseAt = LongAgo;
     bool GrantInFlight = false;         ///< A grant to the owner is in flight.
     bool PreviousGrantInFlight = false; ///< The same for the previous owner.
--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -348,7 +348,7 @@
           .field("term", CurrentLeader.Term)
           .field("self", SelfLeads));
   if (SelfLeads && !Leaving) {
-    Context.LocalLeader.start(CurrentLeader, ClaimedAt);
+    Context.LocalLeader.start(CurrentLeader, ClaimedAt, false);
     return Context.OnLeadershipTaken();
   }
   considerClaim(Now);
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -166,6 +166,11 @@
   LocalLeader = std::make_unique<Leader>(
       Leader::FleetContext{
           Io, *Store, Protocol, Targets, Events, *RouterObjectsFeed,
+          [this](const ServiceId &Service) -> const RangeRecord * {
+            const auto View = Requests.Ranges.find(Service);
+            return View == Requests.Ranges.end() ? nullptr
+                                                 : &View->second.Record;
+          },
           [this] { RouterObjectsFeed->refresh(); },
           [this](const std::string &To, const FleetMessage &Message) {
             Peers->send(To, Message);
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/Leader.h"
 
 #include "Fleet/StoreRevision.h"
+#include "Gateway/ObjectEra.h"
 #include "IO/BootClock.h"
 
 #include <algorithm>
@@ -66,9 +67,11 @@
   return "ranges." + Service.str();
 }
 
-auto Leader::start(LeaderInfo NewSelf, TimePoint ClaimSentAt) -> void {
+auto Leader::start(LeaderInfo NewSelf, TimePoint ClaimSentAt,
+                   bool StoreRestored) -> void {
   Self = std::move(NewSelf);
   StartedAt = bootNow();
+  MayLackRecords = StoreRestored;
   ConfirmedAt = ClaimSentAt;
   RecordsStaleBefore = LongAgo;
   // All instances have reported by then.
@@ -80,6 +83,29 @@
   Context.Events.write(EventLine("leadership-taken").field("term", Self.Term));
 }
 
+auto Leader::continueAs(LeaderInfo NewSelf, TimePoint ClaimSentAt) -> void {
+  const TimePoint Now = bootNow();
+  // Another leader may have granted keys, and its records may be lost.
+  const bool Lapsed = Now - ConfirmedAt > Times.AuthorityPeriod;
+  Self = std::move(NewSelf);
+  Context.Events.write(EventLine("leadership-continued")
+                           .field("term", Self.Term)
+                           .field("era", eraOf(Self.Term))
+                           .field("services_kept", !Lapsed));
+  if (Lapsed) {
+    Orders.clear();
+    Services.clear();
+    MayLackRecords = true;
+  }
+  ConfirmedAt = std::max(ConfirmedAt, ClaimSentAt);
+  NextSizeCheckAt = Now;
+  // Answers to writes of the earlier term are ignored.
+  for (auto &[Id, State] : Services) {
+    State.WritePending = false;
+    State.NextWriteAt = Now;
+  }
+}
+
 auto Leader::stop() -> void {
   if (!leading())
     return;
@@ -239,37 +265,97 @@
   return Reply;
 }
 
+auto Leader::inOwnEra() const -> bool {
+  return eraOf(Context.RouterObjectsFeed.revision()) == eraOf(Self.Term);
+}
+
+auto Leader::recordOf(const ServiceId &Id) const -> const StoredObject * {
+  const auto &Objects = Context.RouterObjectsFeed.objects();
+  const auto Found = Objects.find(rangeObjectName(Id));
+  return Found == Objects.end() ? nullptr : &Found->second;
+}
+
+auto Leader::keepRecord(const ServiceId &Id, ServiceState &State) -> bool {
+  const StoredObject *Object = recordOf(Id);
+  const bool NewEra = eraOf(State.Keeper.revision()) != eraOf(Self.Term);
+  // The last write of a replaced leader may take effect after the takeover.
+  const bool Overwritten = recordOverwritten(Id, State);
+  if (!NewEra && !Overwritten)
+    return true;
+  if (Object && !fromEarlierEra(*Object))
+    return false;
+  const std::uint64_t Revision =
+      Object ? Object->Revision : makeRevision(eraOf(Self.Term), 0);
+  rewriteRanges(Id, State, Revision);
+  return true;
+}
+
+auto Leader::rewriteRanges(const ServiceId &Id, ServiceState &State,
+                           std::uint64_t Revision) -> void {
+  Context.Events.write(EventLine("ranges-rewritten")
+                           .field("service", Id.str())
+                           .field("era", eraOf(Revision))
+                           .field("revision", Revision)
+                           .field("reason", numberOf(Revision) == 0
+                                                ? "no record in the store"
+                                                : "earlier record in it"));
+  State.Keeper.restored(Revision, bootNow());
+}
+
+auto Leader::recordToContinue(const ServiceId &Id, const ServiceConfig &Config)
+    -> std::optional<RangeRecord> {
+  const std::uint64_t Era = eraOf(Self.Term);
+  const StoredObject *Object = recordOf(Id);
+  Result<RangeRecord> Parsed =
+      Object ? RangeRecord::parse(Object->Value, Config.NumberedKeys)
+             : Result<RangeRecord>(RangeRecord());
+  if (!Parsed)
+    Context.Events.write(EventLine("ranges-unreadable")
+                             .field("service", Id.str())
+                             .field("reason", Parsed.error().message()));
+  if (Object && !fromEarlierEra(*Object)) {
+    // Without the recorded fencing tokens no safe grant can be made.
+    return Parsed ? std::optional(std::move(Parsed).value()) : std::nullopt;
+  }
+  RangeRecord Newest = Parsed ? std::move(Parsed).value() : RangeRecord();
+  const RangeRecord *Known = Context.NewestRanges(Id);
+  if (Known && Known->valid(Config.NumberedKeys))
+    Newest = *Known;
+  if (!Object && !MayLackRecords && Newest.Ranges.empty()) {
+    Newest.Era = Era;
+    return Newest;
+  }
+  Context.Events.write(EventLine("ranges-incomplete")
+                           .field("service", Id.str())
+                           .field("written_in_era", Newest.Era)
+                           .field("era", Era)
+                           .field("reason", "the store may lack changes"));
+  // The last record of this era may have been overwritten before it was read.
+  if (Newest.Era == Era)
+    Newest.Era = 0;
+  return Newest;
+}
+
 auto Leader::findOrLoadService(const ServiceId &Id, const ServiceConfig &Config)
     -> ServiceState * {
+  const TimePoint Now = bootNow();
   const auto Existing = Services.find(Id);
-  // The last write of a replaced leader may take effect after the takeover.
-  if (Existing != Services.end() && !recordOverwritten(Id, Existing->second))
+  if (Existing != Services.end() && keepRecord(Id, Existing->second))
     return &Existing->second;
   if (Context.RouterObjectsFeed.confirmedAt() <= RecordsStaleBefore)
     return nullptr;
   Services.erase(Id);
-  RangeRecord Recorded;
-  std::uint64_t Revision =
-      makeRevision(eraOf(Context.RouterObjectsFeed.revision()), 0);
-  const auto Object =
-      Context.RouterObjectsFeed.objects().find(rangeObjectName(Id));
-  if (Object != Context.RouterObjectsFeed.objects().end()) {
-    auto Parsed = RangeRecord::parse(Object->second.Value, Config.NumberedKeys);
-    if (!Parsed) {
-      // Without the recorded fencing tokens no safe grant can be made.
-      Context.Events.write(EventLine("ranges-unreadable")
-                               .field("service", Id.str())
-                               .field("reason", Parsed.error().message()));
-      return nullptr;
-    }
-    Recorded = std::move(Parsed).value();
-    Revision = Object->second.Revision;
-  }
+  auto Recorded = recordToContinue(Id, Config);
+  if (!Recorded)
+    return nullptr;
+  const StoredObject *Object = recordOf(Id);
   auto &Added = Services
                     .try_emplace(Id, RangeAssigner(Config.NumberedKeys, Times),
                                  ++LastGeneration)
                     .first->second;
-  Added.Keeper.takeOver(std::move(Recorded), Revision, bootNow());
+  Added.Keeper.takeOver(
+      std::move(*Recorded),
+      Object ? Object->Revision : makeRevision(eraOf(Self.Term), 0), Now);
   return &Added;
 }
 
@@ -317,6 +403,12 @@
   if (!leading() || !Context.RouterObjectsFeed.loaded())
     return;
   const TimePoint Now = bootNow();
+  if (!inOwnEra()) {
+    // Owners keep their grants until this instance has claimed again.
+    for (auto &[Id, State] : Services)
+      sendOrders(Id, State, Now);
+    return;
+  }
   recordFleetSize(Now);
   for (const auto &[Id, Settings] : Config.Services) {
     if (Settings.Kind != ServiceKind::Divided || Settings.NumberedKeys == 0)
@@ -410,17 +502,32 @@
   const bool SameContents =
       Answer.Object &&
       Answer.Object->Value == State.Keeper.pendingWrite()->json();
-  if (Answer.Status == StoreStatus::Done ||
-      (Answer.Status == StoreStatus::Conflict && SameContents)) {
+  const bool SameEra =
+      Answer.Object && eraOf(Answer.Object->Revision) == eraOf(Self.Term);
+  if (SameEra && (Answer.Status == StoreStatus::Done ||
+                  (Answer.Status == StoreStatus::Conflict && SameContents))) {
     leadershipConfirmed(SentAt);
     State.Keeper.writeDone(Answer.Object->Revision, Now);
     return sendOrders(Id, State, Now);
   }
-  if (Answer.Status != StoreStatus::Conflict) {
-    // The write may have taken effect; repeating it shows whether it did.
-    State.NextWriteAt = Now + WriteRetryDelay;
+  onRangesNotWritten(Id, State, Answer);
+}
+
+auto Leader::onRangesNotWritten(const ServiceId &Id, ServiceState &State,
+                                const StoreWriteResult &Answer) -> void {
+  const TimePoint Now = bootNow();
+  // The write may have taken effect; repeating it shows whether it did.
+  State.NextWriteAt = Now + WriteRetryDelay;
+  const bool Answered = Answer.Status == StoreStatus::Done ||
+                        Answer.Status == StoreStatus::Conflict ||
+                        Answer.Status == StoreStatus::Absent;
+  if (!Answered)
     return;
-  }
+  if (!Answer.Object || eraOf(Answer.Object->Revision) != eraOf(Self.Term))
+    // The store was restored. Its objects tell how to continue.
+    return Context.RefreshOwnFeed();
+  if (fromEarlierEra(*Answer.Object))
+    return rewriteRanges(Id, State, Answer.Object->Revision);
   onSuperseded(Id);
 }
 
--- a/lib/Gateway/Leader.h
+++ b/lib/Gateway/Leader.h
@@ -34,6 +34,9 @@
     EventLog &Events;
     /// Feed of the router's own objects: ranges, leader, fleet size.
     const StoreFeed &RouterObjectsFeed;
+    /// Newest record of a service's key ranges that this instance has read;
+    /// null: none.
+    std::function<const RangeRecord *(const ServiceId &)> NewestRanges;
     /// Reads the router's own objects again, in addition to the open watch.
     std::function<void()> RefreshOwnFeed;
     /// Sends a message to the instance at an address.
@@ -57,7 +60,12 @@
 
   /// Starts leading. \p ClaimSentAt is the time at which the write of the
   /// leader object was sent that made this instance the leader.
-  auto start(LeaderInfo Self, TimePoint ClaimSentAt) -> void;
+  /// \p StoreRestored tells that the store may lack records of key ranges.
+  auto start(LeaderInfo Self, TimePoint ClaimSentAt, bool StoreRestored)
+      -> void;
+  /// Goes on leading by a later claim. Ranges and members stay known, unless
+  /// the authority has lapsed meanwhile.
+  auto continueAs(LeaderInfo NewSelf, TimePoint ClaimSentAt) -> void;
   auto stop() -> void;
   /// Tells the other instances to take over, then stops leading.
   auto resign() -> void;
@@ -124,6 +132,17 @@
   auto addNeighbours(const FleetReport &Report, FleetReply &Reply) const
       -> void;
   auto recordFleetSize(TimePoint Now) -> void;
+  /// Whether the store has the era in which this instance became the leader.
+  auto inOwnEra() const -> bool;
+  auto recordOf(const ServiceId &Id) const -> const StoredObject *;
+  /// Writes the ranges of a service again if the store lacks them since it was
+  /// restored. Returns whether the state of the service is in force.
+  auto keepRecord(const ServiceId &Id, ServiceState &State) -> bool;
+  auto rewriteRanges(const ServiceId &Id, ServiceState &State,
+                     std::uint64_t Revision) -> void;
+  /// Returns the record from which a service is to be led, or nothing.
+  auto recordToContinue(const ServiceId &Id, const ServiceConfig &Config)
+      -> std::optional<RangeRecord>;
   auto findOrLoadService(const ServiceId &Id, const ServiceConfig &Config)
       -> ServiceState *;
   auto buildView(const ServiceId &Id, const ServiceState &State,
@@ -133,6 +152,10 @@
   /// has appeared for RegistrationQuietPeriod.
   auto allRegistered(const ServiceId &Id, TimePoint Now) -> bool;
   auto writeRanges(const ServiceId &Id, ServiceState &State) -> void;
+  /// Handles a write that was refused or that took effect in a later era than
+  /// this leader's.
+  auto onRangesNotWritten(const ServiceId &Id, ServiceState &State,
+                          const StoreWriteResult &Answer) -> void;
   auto onRangesWritten(const ServiceId &Id, const StoreWriteResult &Answer,
                        TimePoint SentAt) -> void;
   /// Whether the store holds a later record than the one that this leader has
@@ -166,6 +189,7 @@
   TimePoint RecordsStaleBefore = LongAgo;
   RateDivider Rates;
   std::map<InstanceId, Member> Members;
+  bool MayLackRecords = false; ///< The store was restored before the start.
   TimePoint NextSizeCheckAt = LongAgo;
   std::map<ServiceId, ServiceState> Services;
   std::uint64_t LastGeneration = 0; ///< Last ServiceState::Generation.
--- a/tests/support/RangeSimulation.h
+++ b/tests/support/RangeSimulation.h
@@ -138,11 +138,22 @@
              });
   }
   auto claimAgain(LeaderProcess &Leader) -> void {
+    const bool Lapsed = Now - Leader.ConfirmedAt > Times.AuthorityPeriod;
     Leader.Era = eraOf(Revision);
     Leader.ConfirmedAt = Now;
     Leader.Writing = false;
     ++Leader.WriteNumber;
-    Leader.Assigner.takeOver(Recorded, Revision, Now);
+    if (Lapsed)
+      Leader.Assigner.takeOver(Recorded, Revision, Now);
+    else
+      continueFrom(Leader, Recorded, Revision);
+  }
+  auto continueFrom(LeaderProcess &Leader, const RangeRecord &Stored,
+                    std::uint64_t AtRevision) -> void {
+    if (Stored.Era == eraOf(AtRevision) && numberOf(AtRevision) != 0)
+      Leader.Assigner.takeOver(Stored, AtRevision, Now);
+    else
+      Leader.Assigner.restored(AtRevision, Now);
   }
 
   auto injectFaults() -> void {
@@ -176,7 +187,7 @@
       // The last write of a superseded leader may have been applied after the
       // takeover.
       if (!Leader.Writing && Revision > Leader.Assigner.revision())
-        Leader.Assigner.takeOver(Recorded, Revision, Now);
+        continueFrom(Leader, Recorded, Revision);
     }
     if (Now >= Leader.PlanAt) {
       Leader.PlanAt = Now + std::chrono::milliseconds(250);
@@ -248,7 +259,7 @@
         else if (Leader->Superseded)
           Leader->Stopped = true; // The leader record names another leader.
         else
-          Leader->Assigner.takeOver(Stored, NewRevision, Now);
+          continueFrom(*Leader, Stored, NewRevision);
       });
     });
   }
