Confirm the leader's authority only by the era of its claim

A leader could send orders for 10 s after any answer of the store, also one of a later era, which does not hold its claim: another instance may claim there and cannot tell when the authority ends. No test brings this about at the gateway alone; the simulation of range assigners confirms by the same rule.

--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/GatewayImpl.h"
 
+#include "Fleet/StoreRevision.h"
 #include "Gateway/RefusalTable.h"
 #include "IO/BootClock.h"
 #include "IO/Endpoint.h"
@@ -320,7 +321,9 @@
   updateWatchTimeout();
   if (LocalLeader->leading()) {
     Store->useRelays("", "");
-    LocalLeader->leadershipConfirmed(RouterObjectsFeed->confirmedAt());
+    // A store of a later era does not hold the claim.
+    if (eraOf(RouterObjectsFeed->revision()) == eraOf(LocalLeader->self().Term))
+      LocalLeader->leadershipConfirmed(RouterObjectsFeed->confirmedAt());
     if (Requests.CurrentConfig)
       LocalLeader->tick(Requests.CurrentConfig->Config);
   }
