Claim the leadership again in a restored store, and follow no leader of its copy

Callers found no owner for their keys after the store had come back from a copy: instances followed the leader that the copy names, though another one lived, and claims were conditional on a term that the store does not have any more, so nobody led.

Cause: the leader object counted whichever era it was written in, and its revision was taken for the term that is followed. The object now holds the era of its writer and is void in another era (a copy, or a late write whose condition held by coincidence). A claim is conditional on the object that is in the store. The leader claims again as soon as it has read the new era and keeps its members and ranges; others give it 3 s, longer than its back-off.

--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/FleetMember.h"
 
+#include "Gateway/ObjectEra.h"
 #include "IO/BootClock.h"
 
 #include <nlohmann/json.hpp>
@@ -50,6 +51,11 @@
 constexpr Duration ShortLeadershipLimit = std::chrono::seconds(10);
 constexpr Duration ClaimPausePeriod = std::chrono::seconds(8);
 
+/// Time after a restoration of the store in which its leader claims again
+/// before others do. It covers the leader's back-off between calls to a store
+/// that does not answer.
+constexpr Duration RestoredClaimDelay = std::chrono::seconds(3);
+
 /// Time by which a change that another instance has seen should arrive from the
 /// store.
 constexpr Duration BehindTimeout = std::chrono::milliseconds(400);
@@ -67,10 +73,11 @@
 /// has to fit into one packet.
 constexpr std::size_t MaxReportedKeys = 150;
 
-auto leaderToJson(const LeaderInfo &Leader) -> Json {
+auto leaderToJson(const LeaderInfo &Leader, std::uint64_t Era) -> Json {
   return {{"instance", Leader.Instance.str()},
           {"process", Leader.Process},
-          {"address", Leader.Address}};
+          {"address", Leader.Address},
+          {"era", Era}};
 }
 
 auto parseLeader(const StoredObject &Object) -> Result<LeaderInfo> {
@@ -317,6 +324,10 @@
 
 auto FleetMember::onLeaderObjectChanged(const StoredObject *Object) -> void {
   if (!Object || Object->Deleted) {
+    // A copy that lacks the leader's claim does not end its leadership.
+    if (Object && (Object->Revision < CurrentLeader.Term ||
+                   eraOf(Object->Revision) != eraOf(CurrentLeader.Term)))
+      return;
     if (Context.LocalLeader.leading())
       Context.LocalLeader.stop();
     CurrentLeader = LeaderInfo();
@@ -329,10 +340,61 @@
                                       .field("revision", Object->Revision));
     return;
   }
+  if (fromEarlierEra(*Object))
+    return onVoidLeaderObject(*Object, *Parsed);
   if (Parsed->Term > CurrentLeader.Term)
     followLeader(std::move(Parsed).value());
 }
 
+auto FleetMember::onVoidLeaderObject(const StoredObject &Object,
+                                     const LeaderInfo &Claimant) -> void {
+  if (Object.Revision <= VoidLeaderRevision)
+    return;
+  VoidLeaderRevision = Object.Revision;
+  // A process that has just started learns from it of the restoration.
+  if (CurrentLeader.Term == 0 && RestoredAt == LongAgo)
+    RestoredAt = bootNow();
+  Context.Requests.Events.write(
+      EventLine("leader-void")
+          .field("leader", Claimant.Instance.str())
+          .field("written_in_era", writtenInEra(Object))
+          .field("era", eraOf(Object.Revision))
+          .field("revision", Object.Revision)
+          .field("reason", "written before the store was restored"));
+}
+
+auto FleetMember::onRouterObjectsRead() -> void {
+  const std::uint64_t Era = storeEra();
+  const bool Rose = std::exchange(EraKnown, true) && Era > KnownEra;
+  KnownEra = Era;
+  const TimePoint Now = bootNow();
+  if (Rose)
+    RestoredAt = Now;
+  if (Context.LocalLeader.leading())
+    considerClaim(Now);
+}
+
+auto FleetMember::claimLost() const -> bool {
+  return eraOf(CurrentLeader.Term) < storeEra() ||
+         VoidLeaderRevision > CurrentLeader.Term;
+}
+
+auto FleetMember::leaderMayClaimAgain(TimePoint Now) const -> bool {
+  return RestoredAt != LongAgo && Now - RestoredAt < RestoredClaimDelay &&
+         eraOf(CurrentLeader.Term) < storeEra();
+}
+
+auto FleetMember::claimCondition() const -> std::uint64_t {
+  const auto &Objects = Context.RouterObjectsFeed.objects();
+  const auto Found = Objects.find(LeaderObjectName);
+  const std::uint64_t Recorded =
+      Found == Objects.end() ? 0 : Found->second.Revision;
+  // Another instance may have told of a later leader than this one has read.
+  return eraOf(CurrentLeader.Term) == storeEra()
+             ? std::max(Recorded, CurrentLeader.Term)
+             : Recorded;
+}
+
 auto FleetMember::followLeader(LeaderInfo Next) -> void {
   const TimePoint Now = bootNow();
   const LeaderInfo Previous = std::exchange(CurrentLeader, std::move(Next));
@@ -348,7 +410,11 @@
           .field("term", CurrentLeader.Term)
           .field("self", SelfLeads));
   if (SelfLeads && !Leaving) {
-    Context.LocalLeader.start(CurrentLeader, ClaimedAt, false);
+    if (Context.LocalLeader.leading())
+      Context.LocalLeader.continueAs(CurrentLeader, ClaimedAt);
+    else
+      Context.LocalLeader.start(CurrentLeader, ClaimedAt,
+                                RestoredAt != LongAgo);
     return Context.OnLeadershipTaken();
   }
   considerClaim(Now);
@@ -366,9 +432,13 @@
 }
 
 auto FleetMember::considerClaim(TimePoint Now) -> void {
-  if (Context.LocalLeader.leading() || Leaving || Claiming ||
-      !Context.RouterObjectsFeed.loaded())
+  if (Leaving || Claiming || !Context.RouterObjectsFeed.loaded())
     return;
+  if (Context.LocalLeader.leading()) {
+    if (claimLost() && Context.StoreReachable())
+      claimLeadership();
+    return;
+  }
   if (!Context.StoreReachable()) {
     // A failure that cuts an instance off from the store may also cut it off
     // from the leader, so the leader's silence is counted from the return of
@@ -391,6 +461,10 @@
     ClaimAt = LongAgo;
     return;
   }
+  if (leaderMayClaimAgain(Now) && !LeaderResigned && !LedByEarlierProcess) {
+    ClaimAt = LongAgo;
+    return;
+  }
   if (ClaimAt == LongAgo) {
     const Duration Stagger = claimDelay();
     ClaimAt = Now + Stagger;
@@ -434,12 +508,18 @@
   Claiming = true;
   ClaimedAt = bootNow();
   ClaimAt = LongAgo;
+  const std::uint64_t Condition = claimCondition();
+  const char *Reason =
+      Context.LocalLeader.leading() ? "own claim lost" : "no leader";
   Context.Store.write(
-      Context.Requests.Protocol.Kinds.Own, LeaderObjectName, CurrentLeader.Term,
-      leaderToJson(Context.Self), [this](const StoreWriteResult &Answer) {
+      Context.Requests.Protocol.Kinds.Own, LeaderObjectName, Condition,
+      leaderToJson(Context.Self, storeEra()),
+      [this, Condition, Reason](const StoreWriteResult &Answer) {
         Claiming = false;
         Context.Requests.Events.write(
             EventLine("lead-claimed")
+                .field("reason", Reason)
+                .field("condition", Condition)
                 .field("status", StoreStatusNames.name(Answer.Status))
                 .field("revision",
                        Answer.Object ? Answer.Object->Revision : 0));
--- a/lib/Gateway/FleetMember.h
+++ b/lib/Gateway/FleetMember.h
@@ -2,6 +2,7 @@
 
 #include "Fleet/FleetMessage.h"
 #include "Fleet/LagDetector.h"
+#include "Fleet/StoreRevision.h"
 #include "Gateway/Leader.h"
 #include "Gateway/PeerSocket.h"
 #include "Gateway/RateReserveClient.h"
@@ -54,6 +55,8 @@
 
   /// The leader object has changed; null: it does not exist.
   auto onLeaderObjectChanged(const StoredObject *Object) -> void;
+  /// All of the router's own objects have been read again.
+  auto onRouterObjectsRead() -> void;
   auto received(const FleetMessage &Message, const std::string &From) -> void;
   /// Arranges that the neighbours are sent RequestContext::UnsentLoads soon.
   /// Called when loads were added to it.
@@ -93,6 +96,20 @@
   /// Resigns when another instance has much more capacity.
   auto considerHandover(TimePoint Now) -> void;
   auto considerClaim(TimePoint Now) -> void;
+  /// Era of the store, as far as this instance has read it.
+  auto storeEra() const -> std::uint64_t {
+    return eraOf(Context.RouterObjectsFeed.revision());
+  }
+  auto onVoidLeaderObject(const StoredObject &Object,
+                          const LeaderInfo &Claimant) -> void;
+  /// Whether this instance leads by a claim that the store does not hold any
+  /// more.
+  auto claimLost() const -> bool;
+  /// Whether the store was restored recently and its leader may still claim
+  /// again.
+  auto leaderMayClaimAgain(TimePoint Now) const -> bool;
+  /// Revision that the leader object has to have for a claim; 0: none.
+  auto claimCondition() const -> std::uint64_t;
   auto claimLeadership() -> void;
   auto followLeader(LeaderInfo Next) -> void;
 
@@ -119,6 +136,12 @@
   TimePoint ClaimAt = LongAgo;           ///< LongAgo: no claim planned.
   TimePoint NoClaimBefore = LongAgo;
   TimePoint ClaimedAt = LongAgo;
+  std::uint64_t KnownEra = 0; ///< Of the router's own objects last read.
+  bool EraKnown = false;
+  /// When a restoration of the store was noticed; LongAgo: never.
+  TimePoint RestoredAt = LongAgo;
+  /// Revision of the last leader object of an earlier era.
+  std::uint64_t VoidLeaderRevision = 0;
   bool Claiming = false;
   bool Leaving = false;
 };
--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -94,6 +94,7 @@
       {[this](const ObjectMap &Objects) {
          for (const auto &[Name, Object] : Objects)
            onRouterObjectChanged(Object);
+         Member->onRouterObjectsRead();
        },
        [this](const StoredObject &Object) { onRouterObjectChanged(Object); },
        {}});
