Route by the last known key ranges, not by those of a restored store

Requests for keys went to the owners in the copy, which refuse them, until the leader had written its ranges again.

Cause: a record replaced the known one because its revision was later. One that was written in an earlier era than its revision's now replaces it only if its content is newer (era, next fencing token).

Evidence: RestoredStoreTest.RequestsGoToTheLastKnownOwnersNotToThoseOfTheCopy failed before and passes.

--- a/lib/Gateway/GatewayImpl.h
+++ b/lib/Gateway/GatewayImpl.h
@@ -55,6 +55,10 @@
   auto onRouterObjectChanged(const StoredObject &Object) -> void;
   auto onRangesChanged(const ServiceId &Service, const StoredObject &Object)
       -> void;
+  /// Whether a record of key ranges that was written in an earlier era of the
+  /// store is the newest one known, so that requests are best sent by it.
+  auto useVoidRanges(const ServiceId &Service, const StoredObject &Object,
+                     const RangeRecord &Record, RangeView &View) -> bool;
   /// Time until which target records that are missing from the store are kept,
   /// because they may reappear.
   auto missingRecordExpiry() const -> TimePoint;
--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -2,6 +2,7 @@
 // instances, and its HTTP endpoint for peers and metrics.
 
 #include "Gateway/GatewayImpl.h"
+#include "Gateway/ObjectEra.h"
 #include "IO/BootClock.h"
 #include "buckthornring/Observe/PrometheusText.h"
 
@@ -251,6 +252,25 @@
                     Object);
 }
 
+auto Gateway::Impl::useVoidRanges(const ServiceId &Service,
+                                  const StoredObject &Object,
+                                  const RangeRecord &Record, RangeView &View)
+    -> bool {
+  const bool Newer = View.Revision == 0 ||
+                     std::pair(Record.Era, Record.NextFence) >
+                         std::pair(View.Record.Era, View.Record.NextFence);
+  if (Object.Revision > View.VoidRevision)
+    Events.write(EventLine("ranges-void")
+                     .field("service", Service.str())
+                     .field("written_in_era", Record.Era)
+                     .field("era", eraOf(Object.Revision))
+                     .field("revision", Object.Revision)
+                     .field("used", Newer)
+                     .field("reason", "written before the store was restored"));
+  View.VoidRevision = std::max(View.VoidRevision, Object.Revision);
+  return Newer;
+}
+
 auto Gateway::Impl::onRangesChanged(const ServiceId &Service,
                                     const StoredObject &Object) -> void {
   if (!Requests.CurrentConfig)
@@ -268,6 +288,8 @@
                      .field("reason", Parsed.error().message()));
     return;
   }
+  if (fromEarlierEra(Object) && !useVoidRanges(Service, Object, *Parsed, View))
+    return;
   const TimePoint Now = bootNow();
   std::unordered_map<std::uint64_t, TimePoint> MovingSince;
   for (const KeyRange &Range : Parsed->Ranges) {
--- a/lib/Gateway/RequestContext.h
+++ b/lib/Gateway/RequestContext.h
@@ -42,6 +42,8 @@
 struct RangeView {
   RangeRecord Record;
   std::uint64_t Revision = 0;
+  /// Revision of the last record that was written in an earlier era.
+  std::uint64_t VoidRevision = 0;
   /// Fencing tokens of key ranges whose new owners may not have their grants
   /// yet, with the time at which this instance read the change.
   std::unordered_map<std::uint64_t, TimePoint> MovingSince;
