Log and count restorations of the store from a copy

After a restoration an instance keeps and refuses objects against what the store holds; nothing in its output said why. Each feed that notices the rise of the era writes a line store-restored with both eras and its revision, and btr_store_restorations_total counts the restorations.

--- a/lib/Gateway/GatewayImpl.h
+++ b/lib/Gateway/GatewayImpl.h
@@ -56,8 +56,8 @@
       -> void;
   auto onTargetChanged(const StoredObject &Object) -> void;
   auto onEvacuationsChanged() -> void;
-  auto onStoreRestored(const std::string &Kind, std::uint64_t EraBefore,
-                       std::uint64_t EraAfter) -> void;
+  auto onStoreRestored(const std::string &Kind, std::uint64_t RevisionBefore,
+                       std::uint64_t RevisionAfter) -> void;
   /// Takes evacuations back that the store has not had again in time.
   auto dropMissingEvacuations(TimePoint Now) -> void;
   auto onRouterObjectChanged(const StoredObject &Object) -> void;
@@ -147,6 +147,8 @@
   TimePoint StopStartedAt = LongAgo; ///< LongAgo: not stopping.
   TimePoint LastSessionEndedAt = LongAgo;
   std::uint64_t IgnoredRecords = 0;
+  std::uint64_t StoreRestorations = 0;
+  std::uint64_t RestoredEra = 0; ///< Era after the last of them.
   /// Evacuations that may be missing from a copy from which the store was
   /// restored, and the time until which they are kept.
   std::map<DataCentreId, TimePoint> UnconfirmedEvacuations;
--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -1,6 +1,7 @@
 // The parts of an instance that follow the store and catch up from other
 // instances, and its HTTP endpoint for peers and metrics.
 
+#include "Fleet/StoreRevision.h"
 #include "Gateway/GatewayImpl.h"
 #include "IO/BootClock.h"
 #include "buckthornring/Observe/PrometheusText.h"
@@ -70,9 +71,9 @@
     onStoreContactChanged(Kind, Connected, Reason);
   };
   Handlers.OnAdvanced = [this] { Relay->onFeedAdvanced(); };
-  Handlers.OnRestored = [this, Kind](std::uint64_t Before,
-                                     std::uint64_t After) {
-    onStoreRestored(Kind, Before, After);
+  Handlers.OnRestored = [this, Kind](std::uint64_t RevisionBefore,
+                                     std::uint64_t RevisionAfter) {
+    onStoreRestored(Kind, RevisionBefore, RevisionAfter);
   };
   return std::make_unique<StoreFeed>(Io, *Store, std::move(Options),
                                      std::move(Handlers));
@@ -268,8 +269,19 @@
   Targets.setEvacuated(std::move(Evacuated), bootNow());
 }
 
-auto Gateway::Impl::onStoreRestored(const std::string &Kind, std::uint64_t,
-                                    std::uint64_t) -> void {
+auto Gateway::Impl::onStoreRestored(const std::string &Kind,
+                                    std::uint64_t RevisionBefore,
+                                    std::uint64_t RevisionAfter) -> void {
+  Events.write(EventLine("store-restored")
+                   .field("kind", Kind)
+                   .field("era_before", eraOf(RevisionBefore))
+                   .field("era_after", eraOf(RevisionAfter))
+                   .field("revision", RevisionAfter));
+  // The feeds notice one after the other.
+  if (eraOf(RevisionAfter) > RestoredEra) {
+    RestoredEra = eraOf(RevisionAfter);
+    ++StoreRestorations;
+  }
   if (Kind != Protocol.Kinds.Evacuations)
     return;
   for (const auto &[Name, Object] : EvacuationFeed->objects())
@@ -501,6 +513,9 @@
   Text.sample({}, std::uint64_t{LocalLeader->leading() ? 1U : 0U});
   Text.gaugeFamily("btr_store_reachable", "Whether the store answers");
   Text.sample({}, std::uint64_t{storeReachable() ? 1U : 0U});
+  Text.counterFamily("btr_store_restorations_total",
+                     "Restorations of the store from a copy");
+  Text.sample({}, StoreRestorations);
   return Text.text();
 }
 
--- a/lib/Gateway/StoreFeed.cpp
+++ b/lib/Gateway/StoreFeed.cpp
@@ -166,7 +166,7 @@
   OutageEndedAt = bootNow();
   RecentChanges.clear();
   RecentAfterRevision = SnapshotRevision;
-  Callbacks.OnRestored(eraOf(Revision), eraOf(SnapshotRevision));
+  Callbacks.OnRestored(Revision, SnapshotRevision);
 }
 
 auto StoreFeed::recordChange(StoredObject Object) -> void {
--- a/lib/Gateway/StoreFeed.h
+++ b/lib/Gateway/StoreFeed.h
@@ -48,7 +48,8 @@
     std::function<void()> OnAdvanced = [] {};
     /// The store was restored from a copy. Called while objects() are still the
     /// earlier ones; OnSnapshot follows.
-    std::function<void(std::uint64_t EraBefore, std::uint64_t EraAfter)>
+    std::function<void(std::uint64_t RevisionBefore,
+                       std::uint64_t RevisionAfter)>
         OnRestored = [](std::uint64_t, std::uint64_t) {};
   };
 
