--- a/tests/unit/RelayedStoreTest.cpp
+++ b/tests/unit/RelayedStoreTest.cpp
@@ -230,4 +230,19 @@
   EXPECT_TRUE(DirectContents->value(Kind, "w").has_value());
 }
 
+// Guards against readers of a relay that take what a copy lacks for removed: to
+// them, too, the restoration has to be visible.
+TEST_F(RelayedStoreTest, ReadersOfARelayNoticeThatTheStoreWasRestored) {
+  const auto Copy = RelayContents->copy();
+  RelayContents->set(Kind, "b", 2);
+  Follower.start();
+  ASSERT_TRUE(until([this] { return followerHas("b"); }));
+  const TimePoint Restored = bootNow();
+  RelayContents->restore(Copy);
+  ASSERT_TRUE(until([this] { return !followerHas("b"); }, 2s));
+  EXPECT_GE(Follower.outageEndedAt(), Restored);
+  EXPECT_TRUE(followerHas("a"));
+  EXPECT_EQ(DirectContents->calls(), 0U);
+}
+
 } // namespace
