--- a/tests/unit/StoreEraTest.cpp
+++ b/tests/unit/StoreEraTest.cpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <chrono>
 #include <deque>
 #include <mutex>
@@ -24,7 +25,7 @@
   std::string Era; ///< Text of the header; empty: there is none.
   unsigned Status = 200;
   Json Body;
-  Duration Delay{0};
+  bool Held = false; ///< Sent after the release.
 };
 
 auto object(const std::string &Name, std::uint64_t Number) -> Json {
@@ -48,6 +49,8 @@
 /// Store that gives scripted replies to its calls in their order of arrival.
 class StoreEraTest : public testing::Test {
 protected:
+  ~StoreEraTest() override { Released = true; }
+
   auto reply(Reply Next) -> void {
     const std::lock_guard Guard(Mutex);
     Replies.push_back(std::move(Next));
@@ -72,22 +75,35 @@
     ASSERT_EQ(list().Status, StoreStatus::Done);
   }
 
+  template <class Predicate>
+  auto runUntil(const Predicate &Reached) -> bool {
+    const auto Until = std::chrono::steady_clock::now() + 4s;
+    while (!Reached() && std::chrono::steady_clock::now() < Until) {
+      Io.restart();
+      Io.run_for(2ms);
+    }
+    return Reached();
+  }
+  /// Runs until the calls that were made have reached the store.
+  auto runUntilSent() -> bool {
+    return runUntil([this] {
+      const std::lock_guard Guard(Mutex);
+      return Replies.empty();
+    });
+  }
   /// Starts a call and runs until its handler was called.
   template <class Answer, class Call>
   auto waitFor(const Call &Start) -> Answer {
     std::optional<Answer> Received;
     Start([&Received](Answer Result) { Received = std::move(Result); });
     EXPECT_FALSE(Received) << "called from within the call";
-    const auto Until = std::chrono::steady_clock::now() + 4s;
-    Io.restart();
-    while (!Received && std::chrono::steady_clock::now() < Until)
-      Io.run_for(2ms);
-    EXPECT_TRUE(Received) << "not called";
+    EXPECT_TRUE(runUntil([&] { return Received.has_value(); })) << "not called";
     return Received.value_or(Answer());
   }
 
   std::mutex Mutex;
   std::deque<Reply> Replies;
+  std::atomic<bool> Released = false;
   ScriptedTarget Server{[this](ScriptedTarget::Tcp::socket &Socket,
                                const std::string &) { return answer(Socket); }};
   boost::asio::io_context Io;
@@ -104,7 +120,8 @@
       Next = std::move(Replies.front());
       Replies.pop_front();
     }
-    std::this_thread::sleep_for(Next.Delay);
+    while (Next.Held && !Released)
+      std::this_thread::sleep_for(1ms);
     const std::string Text = Next.Body.dump();
     const std::string EraField =
         Next.Era.empty() ? "" : "Store-Era: " + Next.Era + "\r\n";
@@ -235,17 +252,16 @@
 TEST_F(StoreEraTest, LateReadEndsAsUnreachable) {
   see("1");
   Reply Late = listing("1", 90, {object("main", 80)});
-  Late.Delay = 300ms;
+  Late.Held = true;
   reply(Late);
   std::optional<StoreChanges> LateRead;
   Store->list("others", [&LateRead](StoreChanges Changes) {
     LateRead = std::move(Changes);
   });
-  Io.restart();
-  Io.run_for(100ms);
+  ASSERT_TRUE(runUntilSent());
   see("2");
-  Io.run_for(1s);
-  ASSERT_TRUE(LateRead);
+  Released = true;
+  ASSERT_TRUE(runUntil([&] { return LateRead.has_value(); }));
   EXPECT_EQ(LateRead->Status, StoreStatus::Unreachable);
   EXPECT_TRUE(LateRead->Objects.empty());
 }
@@ -253,16 +269,15 @@
 // Guards against a write that counts as done although the copy lacks it.
 TEST_F(StoreEraTest, LateWriteEndsAsUnknown) {
   see("1");
-  reply({"1", 200, object("main", 91), 300ms});
+  reply({"1", 200, object("main", 91), true});
   std::optional<StoreWriteResult> LateWrite;
   Store->write(
       "things", "main", makeRevision(1, 90), {},
       [&LateWrite](StoreWriteResult Write) { LateWrite = std::move(Write); });
-  Io.restart();
-  Io.run_for(100ms);
+  ASSERT_TRUE(runUntilSent());
   see("2");
-  Io.run_for(1s);
-  ASSERT_TRUE(LateWrite);
+  Released = true;
+  ASSERT_TRUE(runUntil([&] { return LateWrite.has_value(); }));
   EXPECT_EQ(LateWrite->Status, StoreStatus::Unknown);
   EXPECT_FALSE(LateWrite->Object);
 }
@@ -272,7 +287,7 @@
 TEST_F(StoreEraTest, OpenWatchesEndWhenAnotherCallTellsALaterEra) {
   see("1");
   Reply Waiting = events("1", 40, Json::array());
-  Waiting.Delay = 1s;
+  Waiting.Held = true;
   reply(Waiting);
   reply(Waiting);
   std::optional<StoreChanges> Watched;
@@ -282,13 +297,11 @@
   const auto Cancelled =
       Store->watch("things", makeRevision(1, 40), 5s,
                    [&](const StoreChanges &) { CancelledIsCalled = true; });
-  Io.restart();
-  Io.run_for(100ms);
+  ASSERT_TRUE(runUntilSent());
   Cancelled->cancel();
   see("2");
-  Io.restart();
-  Io.run_for(100ms);
-  ASSERT_TRUE(Watched);
+  // The store never responds to the watches.
+  ASSERT_TRUE(runUntil([&] { return Watched.has_value(); }));
   EXPECT_EQ(Watched->Status, StoreStatus::HistoryLost);
   EXPECT_FALSE(CancelledIsCalled);
 }
