--- a/lib/Gateway/StoreFeed.cpp
+++ b/lib/Gateway/StoreFeed.cpp
@@ -143,6 +143,7 @@
                               std::uint64_t SnapshotRevision) -> void {
   if (Loaded && SnapshotRevision < Revision)
     return;
+  ++ChangeCount;
   ObjectMap Listed;
   for (const StoredObject &Object : Snapshot)
     Listed[Object.Name] = Object;
@@ -265,6 +266,7 @@
   if (Existing != Objects.end() && !Object.Deleted &&
       isNewer(Existing->second, &Object))
     Object.Value = Existing->second.Value;
+  ++ChangeCount;
   LastChangeRevision = std::max(LastChangeRevision, Object.Revision);
   recordChange(Object);
   if (Object.Deleted) {
