--- a/tests/support/GatewayFixture.cpp
+++ b/tests/support/GatewayFixture.cpp
@@ -48,7 +48,9 @@
 
 } // namespace
 
-GatewayFixture::GatewayFixture() {
+GatewayFixture::GatewayFixture(int Restorations) {
+  for (int Count = 0; Count < Restorations; ++Count)
+    Contents->restore(Contents->copy());
   auto Created = Gateway::create(
       settings(), protocol(),
       [this](boost::asio::io_context &Context,
--- a/tests/support/GatewayFixture.h
+++ b/tests/support/GatewayFixture.h
@@ -20,7 +20,8 @@
 /// to the divided service "stock" and the open route /open/, all of host "h".
 class GatewayFixture {
 public:
-  GatewayFixture();
+  /// The store has been restored \p Restorations times before the start.
+  explicit GatewayFixture(int Restorations = 0);
   ~GatewayFixture();
 
   auto store() -> StoreContents & { return *Contents; }
--- a/tests/unit/RestoredStoreTest.cpp
+++ b/tests/unit/RestoredStoreTest.cpp
@@ -312,4 +312,19 @@
   EXPECT_GT(First.grants().front().Fence, std::uint64_t{1} << 32);
 }
 
+// Guards against first grants by a process that has started after a restoration
+// which lost all key ranges, while their owners still hold them.
+TEST(RestoredBeforeTheStartTest, NothingIsGrantedBeforeEarlierGrantsHaveEnded) {
+  Owner Only;
+  GatewayFixture Fixture(1);
+  Fixture.addTarget("stock", "o1", Only.target());
+  Fixture.configure(1);
+  const auto Start = Clock::now();
+  std::this_thread::sleep_for(13s);
+  EXPECT_TRUE(Only.grants().empty());
+  EXPECT_TRUE(Fixture.store().value(Own, "leader"));
+  EXPECT_TRUE(eventually([&] { return !Only.grants().empty(); }));
+  EXPECT_LT(Clock::now() - Start, 18s);
+}
+
 } // namespace
