Wait before the first grants of a process that starts after a restoration

A key could be granted while its owner still held it: a process that has started after the store lost all records found nothing recorded, and granted at once, as if no keys had ever been granted.

Cause: only a process that has seen the era rise knew of the restoration. One that reads an era above 0 now waits too, unless the whole fleet starts for the first time with it.

Evidence: RestoredBeforeTheStartTest.NothingIsGrantedBeforeEarlierGrantsHaveEnded failed before and passes.

--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -384,6 +384,11 @@
          eraOf(CurrentLeader.Term) < storeEra();
 }
 
+auto FleetMember::mayLackRecords() const -> bool {
+  const bool RestoredBeforeTheStart = storeEra() > 0 && !Context.FirstStart;
+  return RestoredAt != LongAgo || RestoredBeforeTheStart;
+}
+
 auto FleetMember::claimCondition() const -> std::uint64_t {
   const auto &Objects = Context.RouterObjectsFeed.objects();
   const auto Found = Objects.find(LeaderObjectName);
@@ -413,8 +418,7 @@
     if (Context.LocalLeader.leading())
       Context.LocalLeader.continueAs(CurrentLeader, ClaimedAt);
     else
-      Context.LocalLeader.start(CurrentLeader, ClaimedAt,
-                                RestoredAt != LongAgo);
+      Context.LocalLeader.start(CurrentLeader, ClaimedAt, mayLackRecords());
     return Context.OnLeadershipTaken();
   }
   considerClaim(Now);
--- a/lib/Gateway/FleetMember.h
+++ b/lib/Gateway/FleetMember.h
@@ -32,6 +32,9 @@
     PeerSocket &Peers;
     LeaderInfo Self; ///< Term is not set.
     DataCentreId DataCentre;
+    /// The whole fleet started for the first time with this process, so no
+    /// earlier leader has recorded anything before.
+    bool FirstStart;
     double Capacity; ///< Part of a processor core that the process may use.
     /// This instance has become the leader.
     std::function<void()> OnLeadershipTaken;
@@ -108,6 +111,8 @@
   /// Whether the store was restored recently and its leader may still claim
   /// again.
   auto leaderMayClaimAgain(TimePoint Now) const -> bool;
+  /// Whether a record that the store does not hold may have been lost.
+  auto mayLackRecords() const -> bool;
   /// Revision that the leader object has to have for a claim; 0: none.
   auto claimCondition() const -> std::uint64_t;
   auto claimLeadership() -> void;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -190,7 +190,7 @@
       FleetMember::FleetContext{
           Requests, *Store, *RouterObjectsFeed, *LocalLeader, *Peers,
           LeaderInfo{Settings.Instance, ProcessName, Settings.PeerAddress, 0},
-          Settings.DataCentre, Settings.ProcessorShare,
+          Settings.DataCentre, Settings.FirstStart, Settings.ProcessorShare,
           [this] {
             startFeeds();
             // The open watch may have a long time-out on a dead connection, and
