Add failing tests of state that is forgotten around a restoration of the store

Found by a review of the changes: an evacuation that the copy lacks is forgotten after 2 s even if the store is away or restored again meanwhile; a target that had left is used after 5 s without contact; a new leader that knows less makes an outdated instance answer 404 again.

--- a/tests/unit/OutdatedConfigurationTest.cpp
+++ b/tests/unit/OutdatedConfigurationTest.cpp
@@ -76,7 +76,7 @@
   ASSERT_TRUE(eventually([&] { return Leader.replies() > 1; }));
   EXPECT_TRUE(Fixture.exchange("GET", "/new/1").has(" 404 "));
 
-  constexpr std::uint64_t NewerRevision = 1'000'000;
+  constexpr std::uint64_t NewerRevision = 40;
   Leader.setSeenConfiguration(NewerRevision);
   ASSERT_TRUE(eventually([&] { return Leader.replies() > 1; }));
   const CallerView NoRoute = Fixture.exchange("GET", "/new/1");
@@ -88,9 +88,16 @@
   EXPECT_TRUE(Caller.readAll().has(" 503 "));
   EXPECT_TRUE(Fixture.exchange("GET", "/safe/1").has(" 200 "));
 
+  // A new leader may know less at first.
   Leader.setSeenConfiguration(1);
   ASSERT_TRUE(eventually([&] { return Leader.replies() > 1; }));
-  EXPECT_TRUE(Fixture.exchange("GET", "/new/1").has(" 404 "));
+  EXPECT_TRUE(Fixture.exchange("GET", "/new/1").has(" 503 "));
+
+  for (int Version = 6; Version < 6 + static_cast<int>(NewerRevision);
+       ++Version)
+    Fixture.configure(Version);
+  EXPECT_TRUE(eventually(
+      [&] { return Fixture.exchange("GET", "/new/1").has(" 404 "); }));
 }
 
 } // namespace
--- a/tests/unit/RestoredStateTest.cpp
+++ b/tests/unit/RestoredStateTest.cpp
@@ -135,6 +135,19 @@
 
 // Guards against sending requests again to a target that has left, because the
 // copy still has its record.
+TEST_F(RestoredStateTest, TargetThatHadLeftIsNotUsedAgainWhileTheStoreIsAway) {
+  Fixture.addTarget("pay", "t1", First);
+  Fixture.configure(1);
+  ASSERT_TRUE(Fixture.waitUntilServing());
+  const auto Copy = Fixture.store().copy();
+  Fixture.store().remove("servers", "t1");
+  ASSERT_TRUE(servesEventually("HTTP/1.1 503"));
+  restore(Copy);
+  Fixture.store().setDown(true);
+  std::this_thread::sleep_for(6s);
+  EXPECT_TRUE(serves("HTTP/1.1 503"));
+}
+
 TEST_F(RestoredStateTest, TargetThatHadLeftIsNotUsedAgain) {
   Fixture.addTarget("pay", "t1", First);
   Fixture.configure(1);
@@ -220,6 +233,25 @@
   EXPECT_TRUE(serves("HTTP/1.1 503"));
 }
 
+// Guards against forgetting an evacuation when the store is restored again
+// before it has been written again.
+TEST_F(RestoredEvacuationTest, EvacuationIsKeptOverASecondRestoration) {
+  const auto Copy = Fixture.store().copy();
+  restoreWithoutEvacuation();
+  std::this_thread::sleep_for(1000ms);
+  restore(Copy);
+  std::this_thread::sleep_for(1000ms);
+  EXPECT_TRUE(evacuated());
+}
+
+// Guards against forgetting an evacuation while nobody can write it again.
+TEST_F(RestoredEvacuationTest, EvacuationIsKeptWhileTheStoreIsAway) {
+  restoreWithoutEvacuation();
+  Fixture.store().setDown(true);
+  std::this_thread::sleep_for(RecordReturnPeriod + 700ms);
+  EXPECT_TRUE(evacuated());
+}
+
 TEST_F(RestoredEvacuationTest, EvacuationThatDoesNotReturnIsTakenBack) {
   restoreWithoutEvacuation();
   std::this_thread::sleep_for(RecordReturnPeriod);
