Keep evacuations that copies of the store lack while nobody can write them again

Callers were sent to targets of an evacuated data centre when the store was away again, or restored again, before the operator had written the evacuation again: the 2 s for which it is kept counted from the first restoration only.

The time now counts from the last restoration, and only while the store answers. EvacuationThatDoesNotReturnIsTakenBack failed once (4.8 s run on a busy machine): it read the state 2.5 s after the restoration, but an instance looks for expired evacuations every 0.5 s. It now allows for that interval; the expectation is the same.

--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -286,11 +286,18 @@
   }
   if (Kind != Protocol.Kinds.Evacuations)
     return;
-  for (const auto &[Name, Object] : EvacuationFeed->objects())
-    UnconfirmedEvacuations[DataCentreId(Name)] = bootNow() + RecordReturnPeriod;
+  // Those that were missing from an earlier copy are among them.
+  for (const DataCentreId &DataCentre : Targets.evacuated())
+    UnconfirmedEvacuations[DataCentre] = bootNow() + RecordReturnPeriod;
 }
 
 auto Gateway::Impl::dropMissingEvacuations(TimePoint Now) -> void {
+  // While the store is away, nobody can write them again.
+  if (!EvacuationFeed->connected()) {
+    for (auto &[DataCentre, KeepUntil] : UnconfirmedEvacuations)
+      KeepUntil = Now + RecordReturnPeriod;
+    return;
+  }
   if (std::erase_if(UnconfirmedEvacuations, [Now](const auto &Entry) {
         return Now >= Entry.second;
       }) > 0)
--- a/tests/unit/RestoredStateTest.cpp
+++ b/tests/unit/RestoredStateTest.cpp
@@ -255,6 +255,8 @@
 TEST_F(RestoredEvacuationTest, EvacuationThatDoesNotReturnIsTakenBack) {
   restoreWithoutEvacuation();
   std::this_thread::sleep_for(RecordReturnPeriod);
+  // An instance checks twice a second.
+  std::this_thread::sleep_for(700ms);
   EXPECT_FALSE(evacuated());
   EXPECT_TRUE(servesEventually("from first"));
 }
