Use no target again that had left while the store is away

Callers were sent to a target that had left when a copy of the store brought its record back and the store was then away for 5 s: a record that stays that long counts as renewed, but without contact its removal could not be seen.

Such records are used only while the store answers. The first answer after an outage is a list, so a record that is gone by then is dropped before.

TargetThatHadLeftIsNotUsedAgainWhileTheStoreIsAway failed before and passes now.

--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -317,7 +317,10 @@
   const TimePoint Now = bootNow();
   dropMissingEvacuations(Now);
   const bool Dropped = Targets.dropMissing(Now);
-  if (Targets.readmitDeparted(Now) || Dropped)
+  // Without contact, a removal of the record would not be seen.
+  const bool Readmitted =
+      TargetFeed->connected() && Targets.readmitDeparted(Now);
+  if (Readmitted || Dropped)
     WaitingRequests.dispatch();
   Pool.closeExpired(Now);
   reloadChangedFile(Now);
