Tell the leader's own record of key ranges from another leader's equal one

A key was held by two targets: two leaders that start within milliseconds, with nothing recorded, plan the same ranges with the same tokens. The one whose write was refused found the same contents in the store, took them for its own write and moved keys, while the other renewed grants with the same tokens.

Cause: a refused write counts as done when the store holds its contents, since the answer to an earlier copy of the write may have been lost. The record now holds the term of its writer, so contents of another leader differ. The simulation writes it likewise; its checks are the same.

--- a/lib/Fleet/KeyRanges.cpp
+++ b/lib/Fleet/KeyRanges.cpp
@@ -44,7 +44,10 @@
     }
     List.push_back(std::move(Entry));
   }
-  return {{"era", Era}, {"next_fence", NextFence}, {"ranges", std::move(List)}};
+  return {{"era", Era},
+          {"term", WriterTerm},
+          {"next_fence", NextFence},
+          {"ranges", std::move(List)}};
 }
 
 auto RangeRecord::parse(const Json &Value, std::uint32_t Keys)
@@ -52,6 +55,7 @@
   RangeRecord Record;
   try {
     Record.Era = Value.value("era", std::uint64_t{0});
+    Record.WriterTerm = Value.value("term", std::uint64_t{0});
     Record.NextFence = Value.at("next_fence").get<std::uint64_t>();
     for (const Json &Entry : Value.at("ranges")) {
       KeyRange Range;
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -470,14 +470,19 @@
   return Count > 0 && Now - Previous.ChangedAt > RegistrationQuietPeriod;
 }
 
+auto Leader::recordToWrite(const ServiceState &State) const -> nlohmann::json {
+  RangeRecord Record = *State.Keeper.pendingWrite();
+  Record.WriterTerm = Self.Term;
+  return Record.json();
+}
+
 auto Leader::writeRanges(const ServiceId &Id, ServiceState &State) -> void {
   State.WritePending = true;
   const TimePoint SentAt = bootNow();
   const std::uint64_t Recorded = State.Keeper.revision();
   Context.Store.write(
       Context.Protocol.Kinds.Own, rangeObjectName(Id),
-      numberOf(Recorded) == 0 ? 0 : Recorded,
-      State.Keeper.pendingWrite()->json(),
+      numberOf(Recorded) == 0 ? 0 : Recorded, recordToWrite(State),
       [this, Id, SentAt, Term = Self.Term](const StoreWriteResult &Answer) {
         if (Self.Term == Term)
           onRangesWritten(Id, Answer, SentAt);
@@ -500,8 +505,7 @@
           .field("ranges", State.Keeper.pendingWrite()->Ranges.size())
           .field("revision", Answer.Object ? Answer.Object->Revision : 0));
   const bool SameContents =
-      Answer.Object &&
-      Answer.Object->Value == State.Keeper.pendingWrite()->json();
+      Answer.Object && Answer.Object->Value == recordToWrite(State);
   const bool SameEra =
       Answer.Object && eraOf(Answer.Object->Revision) == eraOf(Self.Term);
   if (SameEra && (Answer.Status == StoreStatus::Done ||
--- a/lib/Gateway/Leader.h
+++ b/lib/Gateway/Leader.h
@@ -151,6 +151,8 @@
   /// Whether the targets of a service have probably all registered: no new one
   /// has appeared for RegistrationQuietPeriod.
   auto allRegistered(const ServiceId &Id, TimePoint Now) -> bool;
+  /// Returns the pending record with this leader as its writer.
+  auto recordToWrite(const ServiceState &State) const -> nlohmann::json;
   auto writeRanges(const ServiceId &Id, ServiceState &State) -> void;
   /// Handles a write that was refused or that took effect in a later era than
   /// this leader's.
--- a/tests/support/RangeSimulation.h
+++ b/tests/support/RangeSimulation.h
@@ -91,6 +91,7 @@
 
     RangeAssigner Assigner;
     KeyLoad Load;
+    std::uint64_t Term = 0;
     std::uint64_t Era = 0; ///< In which it became the leader.
     TimePoint ConfirmedAt;
     TimePoint PlanAt = LongAgo;
@@ -111,6 +112,7 @@
     if (Leaders.size() > 2)
       Leaders.pop_front();
     auto Next = std::make_shared<LeaderProcess>(Times);
+    Next->Term = ++LastTerm;
     Next->Era = eraOf(Revision);
     Next->ConfirmedAt = Now;
     Next->Assigner.takeOver(Recorded, Revision, Now);
@@ -227,7 +229,8 @@
     // learns that it was superseded, or loses its connection.
     if (Leader.Superseded && Now - Leader.SupersededAt > SupersededWriteLimit)
       return;
-    const RangeRecord Wanted = *Leader.Assigner.pendingWrite();
+    RangeRecord Wanted = *Leader.Assigner.pendingWrite();
+    Wanted.WriterTerm = Leader.Term;
     const std::uint64_t Expected = Leader.Assigner.revision();
     const auto WeakLeader = weakReference(Leader);
     const std::uint64_t WriteNumber = Leader.WriteNumber;
@@ -404,6 +407,7 @@
   std::deque<LeaderPtr> Leaders;
   std::multimap<TimePoint, std::function<void()>> Events;
   RangeRecord Recorded;
+  std::uint64_t LastTerm = 0;
   std::uint64_t Revision = 0;
   /// All records with the store's numbers of their revisions.
   std::vector<std::pair<std::uint64_t, RangeRecord>> History = {{0, {}}};
