Remember a newer configuration over a change of the leader

Callers got 404 again from an instance that knew that its configuration was out of date, when a new leader replied that had not heard from the others yet: the revision that the fleet had seen was replaced by a lower one.

Revisions only rise, so the highest that was told counts.

--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -287,7 +287,9 @@
 }
 
 auto FleetMember::applyReply(const FleetReply &Reply) -> void {
-  SeenByFleet = Reply.Seen;
+  // A new leader has not heard from all instances yet.
+  NewestConfigurationSeen =
+      std::max(NewestConfigurationSeen, Reply.Seen.Configuration);
   if (Reply.NeighboursVersion != NeighboursVersion) {
     NeighboursVersion = Reply.NeighboursVersion;
     Neighbours = Reply.Neighbours;
--- a/lib/Gateway/FleetMember.h
+++ b/lib/Gateway/FleetMember.h
@@ -69,9 +69,11 @@
   auto rateReserveClient() -> RateReserveClient & { return RateClient; }
   /// Announces that this instance stops. A leader resigns.
   auto leave() -> void;
-  /// Store revisions of the newest changes that any instance has seen, as the
-  /// leader last told.
-  auto seenByFleet() const -> const SeenRevisions & { return SeenByFleet; }
+  /// Store revision of the newest configuration that any instance has seen, as
+  /// far as a leader has told.
+  auto newestConfigurationSeen() const -> std::uint64_t {
+    return NewestConfigurationSeen;
+  }
 
   static constexpr const char *LeaderObjectName = "leader";
 
@@ -124,7 +126,7 @@
   FleetContext Context;
   RateReserveClient RateClient;
   LagDetector Lag;
-  SeenRevisions SeenByFleet;  ///< As the leader last told.
+  std::uint64_t NewestConfigurationSeen = 0;
   double LargestCapacity = 0; ///< In the fleet, by the leader's last reply.
   boost::asio::steady_timer ReportTimer;
   boost::asio::steady_timer ClaimTimer;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -213,7 +213,7 @@
           }},
       std::hash<std::string>()(ProcessName) + 1);
   Requests.ConfigurationOutdated = [this] {
-    return ConfigurationFeed->revision() < Member->seenByFleet().Configuration;
+    return ConfigurationFeed->revision() < Member->newestConfigurationSeen();
   };
   RouterObjectsFeed->start();
   FeedStartTimer.expires_after(Settings.FirstStart ? FirstStartRelayWait
