Give a relay up that is slower than its readers may wait

A relay whose link lets a little through at a time held its readers for up to 10 s: while a response arrives, they neither read elsewhere nor begin again. They have 2 s to learn of targets that leave. A transfer through a relay may now take 2.5 s; the next source is the backup relay or the store.

RelayThatSendsLittleAtATimeIsAbandoned failed with the limit of 10 s and passes now.

--- a/lib/Gateway/RelayedStore.cpp
+++ b/lib/Gateway/RelayedStore.cpp
@@ -30,6 +30,10 @@
 /// Largest list of objects that a relay may send, uncompressed.
 constexpr std::size_t MaxInflatedBytes = std::size_t{32} << 20;
 
+/// Longest transfer through a relay. An instance has 2 s to learn of targets
+/// that leave, so it reads the store itself if its relay is slower.
+constexpr Duration RelayTransferLimit = std::chrono::milliseconds(2500);
+
 /// Time for which a failed relay is not called again.
 constexpr Duration DistrustPeriod = std::chrono::seconds(5);
 
@@ -172,6 +176,7 @@
   Options.TimeLimit = Read->Timeout;
   Options.ConnectTimeout = RelayReplyTimeout;
   Options.StallTimeout = RelayStallTimeout;
+  Options.TransferLimit = RelayTransferLimit;
   // The call keeps the client alive, since the relay may be replaced meanwhile.
   Read->Call = Used->Client->request(
       std::move(Request), Options,
--- a/lib/IO/HttpExchange.cpp
+++ b/lib/IO/HttpExchange.cpp
@@ -9,6 +9,9 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <algorithm>
+#include <utility>
+
 namespace buckthornring {
 
 namespace http = boost::beast::http;
--- a/tests/unit/RelayedStoreTest.cpp
+++ b/tests/unit/RelayedStoreTest.cpp
@@ -199,6 +199,26 @@
   EXPECT_EQ(DirectContents->calls(), 0U);
 }
 
+// Guards against a relay that holds its readers by sending little at a time.
+TEST_F(RelayedStoreTest, RelayThatSendsLittleAtATimeIsAbandoned) {
+  ScriptedTarget Trickling(
+      [](ScriptedTarget::Tcp::socket &Socket, const std::string &) {
+        bool Open = ScriptedTarget::send(
+            Socket, "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n");
+        while (Open) {
+          Open = ScriptedTarget::send(Socket, " ");
+          std::this_thread::sleep_for(100ms);
+        }
+        return false;
+      });
+  DirectContents->set(Kind, "direct", 1);
+  Store.useRelays(Trickling.address(), "");
+  const TimePoint Begun = bootNow();
+  Follower.start();
+  ASSERT_TRUE(until([this] { return followerHas("direct"); }));
+  EXPECT_LE(bootNow() - Begun, 3500ms);
+}
+
 // Guards against beginning a read again that is in progress: an instance that
 // heard from others that it was behind never got a large configuration.
 TEST_F(RelayedStoreTest, RecheckLeavesAResponseInProgressAlone) {
