--- a/bench/soak/targets.py
+++ b/bench/soak/targets.py
@@ -58,11 +58,16 @@
             "slots": SLOTS, "state": "draining" if self.draining else "ready",
             "warmup_left_s": 0, "seq": self.sequence, "born": self.started_ms})
 
+    def recorded_sequence(self):
+        record = self.soak.store.objects.get(("servers", self.id))
+        return record and record["spec"]["born"] == self.started_ms and \
+            record["spec"]["seq"]
+
     async def heartbeat(self):
         while self.up:
-            record = self.soak.store.objects.get(("servers", self.id))
-            # Registers again when the store has lost the record.
-            if self.registered and not self.soak.store.mode and not record:
+            # Registers again when the store has lost the latest record.
+            if self.registered and self.soak.store.available() and \
+                    self.recorded_sequence() != self.sequence:
                 self.register()
             await asyncio.sleep(HEARTBEAT)
 
--- a/bench/soak/wire.py
+++ b/bench/soak/wire.py
@@ -38,9 +38,9 @@
     return message(f"HTTP/1.1 {status} Status", fields or {}, body)
 
 
-def json_response(status, value):
-    return response(status, {"Content-Type": "application/json"},
-                    json.dumps(value).encode())
+def json_response(status, value, fields=None):
+    return response(status, {"Content-Type": "application/json",
+                             **(fields or {})}, json.dumps(value).encode())
 
 
 def reset(writer):
