Play restorations of the store in the soak, and check what must survive them

The schedule of the faults has its own generator, so a seed gives the same faults at the same moments.

New checks: fencing tokens rise per key over the run and a grant finds no other holder; a process that has refused a withdrawn secret never accepts it again, and one that has accepted a secret refuses it only once it is withdrawn; a secret is accepted within the bound; generations rise in a process, and the last one is in force everywhere after recovery; a target is not used later than the bound after a process knew that it leaves, whatever the store does; the rates of store calls stay within the store's limits. Callers send 3 % of their requests with a withdrawn secret, which are not counted as refused.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -3,14 +3,14 @@
 import asyncio
 import time
 
-from invariants import RESPONSE_SLACK, Attempt
+from invariants import KEYS, RESPONSE_SLACK, Attempt
 from targets import body_for
 from wire import ConnectionFailed, message, read_message
 
 DEADLINE = 3.0
 MEAN_PAUSE = 0.04  # between requests of one caller, seconds, on average
 CONNECT_TIMEOUT = 1.0
-KEYS = (17, 18, 900, 30000, 30001, 65000)  # all keyed requests use these
+WITHDRAWN_SHARE = 0.03  # share of the requests with a withdrawn secret
 
 
 class Caller:
@@ -52,11 +52,15 @@
         route = self.random.choice(("safe", "safe", "unsafe", "owned"))
         workspace = self.random.choice(list(self.soak.secrets))
         secret = self.random.choice(self.soak.secrets[workspace])
+        withdrawn = list(self.soak.invariants.withdrawn_at)
+        if withdrawn and self.random.random() < WITHDRAWN_SHARE:
+            # Only this workspace's secrets are withdrawn.
+            workspace, secret = "acme", self.random.choice(withdrawn)
         key = self.random.choice(KEYS) if route == "owned" else None
         number = len(self.soak.invariants.attempts) + 1
         body = b"x" * self.random.randint(1, 300) if route == "unsafe" else b""
-        created = Attempt(number, route, self.instance.name, workspace, secret,
-                          key, body)
+        created = Attempt(number, route, self.instance, workspace, secret, key,
+                          body)
         self.soak.invariants.attempts[created.id] = created
         return created
 
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -4,17 +4,17 @@
 import signal
 import time
 
+from store import RECORD_EXPIRY
 from targets import Target
 
 SERVICES = (("read", 3, 0.02), ("other", 2, 0.02), ("pay", 3, 0.03),
             ("stock", 4, 0.03))
-RECORD_EXPIRY = 1.5  # the store drops a record after three missed heartbeats
 
 
 class Targets:
     def __init__(self, soak, data_centres):
         self.soak, self.data_centres = soak, data_centres
-        self.alive, self.count = [], 0
+        self.alive, self.count, self.latest = [], 0, {}
 
     async def start(self):
         for service, count, service_time in SERVICES:
@@ -29,6 +29,7 @@
                         location, service_time)
         await target.start()
         self.alive.append(target)
+        self.latest[target.id] = target
         return target
 
     def pick(self):
@@ -50,8 +51,9 @@
 
 # Faults of the instance processes.
 
-async def pause(soak):
-    instance, duration = some_instance(soak), soak.random.uniform(0.3, 4)
+async def pause(soak, instance=None):
+    instance = instance or some_instance(soak)
+    duration = soak.random.uniform(0.3, 4)
     disturb_abruptly(soak, instance, duration + 0.5)
     instance.signal(signal.SIGSTOP)
     await asyncio.sleep(duration)
@@ -78,8 +80,8 @@
     await kill(soak, soak.instances)
 
 
-async def terminate(soak):
-    instance = some_instance(soak)
+async def terminate(soak, instance=None):
+    instance = instance or some_instance(soak)
     soak.invariants.disturb(instance.name, 8)
     instance.signal(signal.SIGTERM)
     if soak.random.random() < 0.3:
@@ -92,6 +94,15 @@
     await instance.start()
 
 
+async def disturb_leader(soak):
+    disturbance = soak.random.choice((pause, terminate, kill_leader))
+    await disturbance(soak, soak.leader())
+
+
+async def kill_leader(soak, leader):
+    await kill(soak, [leader] if leader else None)
+
+
 async def reload(soak):
     for instance in soak.instances:
         if soak.random.random() < 0.5:
@@ -140,6 +151,30 @@
     soak.store.compact_history()
 
 
+async def restore_store(soak):
+    age, duration = soak.random.uniform(0.3, 9), soak.random.uniform(0.3, 4)
+    soak.invariants.disturb("store", duration + 2.5)
+    for instance in soak.instances:
+        instance.store.reset_all()
+    before, after = await soak.store.restore(age, duration)
+    print(f"store back from a copy {age:.1f} s old after {duration:.1f} s: "
+          f"era {soak.store.era}, revision {before} to {after}", flush=True)
+
+
+async def store_restored(soak):
+    """Restores the store once or twice, among other faults and changes."""
+    others = soak.random.sample(AROUND_RESTORATION, soak.random.randint(0, 3))
+    await asyncio.gather(*[after_pause(soak, each, 4) for each in others],
+                         after_pause(soak, restore_store, 4))
+    if soak.random.random() < 0.3:
+        await after_pause(soak, restore_store, 2)
+
+
+async def after_pause(soak, fault, longest):
+    await asyncio.sleep(soak.random.uniform(0, longest))
+    await fault(soak)
+
+
 async def disconnect_from_store(soak):
     instance, duration = some_instance(soak), soak.random.uniform(0.5, 7)
     soak.invariants.disturb(instance.name, duration)
@@ -251,6 +286,7 @@
     withdrawn = secrets.pop(0)
     secrets.append(f"key-{soak.version}-{len(soak.invariants.attempts)}")
     soak.configure()
+    soak.invariants.added_at[secrets[-1]] = time.monotonic()
     soak.invariants.withdrawn_at[withdrawn] = time.monotonic()
 
 
@@ -265,13 +301,18 @@
     soak.store.remove("evacuations", location)
 
 
+AROUND_RESTORATION = (disturb_leader, disturb_leader, kill, kill_all, terminate,
+                      disconnect_from_store, crash_target, replace_target,
+                      replace_target, move_route, withdraw_key, evacuate)
+
 FAULTS = [(each.__name__, each) for each in (
     pause, pause, kill, kill, kill_all, terminate, terminate, reload,
     store_down, store_down, store_slow, store_loses_responses,
-    store_writes_late, store_compacts_history, disconnect_from_store,
-    disconnect_from_store, blackhole_store_connections, blackhole_target,
-    reset_targets, blackhole_target_connections, crash_target, crash_target,
-    replace_target, replace_target, move_route, withdraw_key, evacuate)] + [
+    store_writes_late, store_compacts_history, store_restored, store_restored,
+    disconnect_from_store, disconnect_from_store, blackhole_store_connections,
+    blackhole_target, reset_targets, blackhole_target_connections, crash_target,
+    crash_target, replace_target, replace_target, move_route, withdraw_key,
+    evacuate)] + [
         ("target_slow", attribute_fault(None, "slowdown", 5.0, 1.0)),
         ("target_fails", attribute_fault(None, "error_share", 0.6, 0.0)),
         ("target_loses_responses", attribute_fault(
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -6,7 +6,7 @@
 checks the invariants of invariants.py meanwhile, and ends the processes that it
 started.
 Usage: soak.py [--seed N] [--seconds S] [--instances N] [--build DIR]
-               [--logs DIR]
+               [--focus FAULT] [--logs DIR]
 Exits with status 1 when an invariant was violated.
 """
 
@@ -22,6 +22,7 @@
 
 from callers import Caller
 from faults import FAULTS, Targets
+from instance_log import InstanceLog
 from invariants import Invariants
 from proxy import Proxy
 from store import Store
@@ -35,6 +36,7 @@
 # From the end of the last fault until served requests are counted, seconds.
 RECOVERY_TIME = 15.0
 FINAL_WINDOW = 3.0      # after recovery, requests are counted for this long, s
+FOCUS_SHARE = 0.3       # share of the faults that are the one given by --focus
 MIN_SERVED_SHARE = 0.9  # minimum share of the counted requests that is served
 
 
@@ -49,7 +51,12 @@
         self.process, self.ready, self.end_expected = None, False, False
         self.stop_sent, self.graceful_stops = None, []
         self.settings = os.path.join(soak.folder, f"{self.name}.json")
-        self.log = open(os.path.join(soak.folder, f"{self.name}.log"), "ab")
+        log = os.path.join(soak.folder, f"{self.name}.log")
+        self.log, self.starts = open(log, "ab"), 0
+        self.known = InstanceLog(self, log)
+
+    def process_id(self):
+        return self.name, self.starts
 
     def write_settings(self):
         address = "127.0.0.1:%d"
@@ -74,6 +81,7 @@
         self.soak.invariants.disturb(self.name, 1.0)
         self.write_settings()
         self.end_expected, self.stop_sent = False, None
+        self.starts += 1
         self.process = await asyncio.create_subprocess_exec(
             os.path.join(self.soak.build, "buckthornringd"),
             "--settings", self.settings, stdout=self.log, stderr=self.log)
@@ -135,6 +143,9 @@
 class Soak:
     def __init__(self, options, folder):
         self.random = random.Random(options.seed)
+        # The schedule of the faults does not depend on how requests interleave.
+        self.schedule = random.Random(options.seed)
+        self.focus = [each for each in FAULTS if each[0] == options.focus]
         self.build, self.folder = options.build, folder
         self.free_ports = free_ports(400)
         self.invariants = Invariants()
@@ -176,6 +187,14 @@
                           "max_conns": 100, "warmup_s": 1, "warmup_per_s": 50,
                           "sharded": name == "stock"}
                          for name in ("read", "other", "pay", "stock")]})
+        self.invariants.configured_at[self.version] = time.monotonic()
+
+    def leader(self):
+        """The instance that leads according to the store, or None."""
+        record = self.store.objects.get(("buckthornring", "leader"))
+        name = record["spec"].get("instance") if record else None
+        return next((each for each in self.instances if each.name == name),
+                    None)
 
     async def wait_until_served(self):
         until = time.monotonic() + START_TIMEOUT
@@ -189,8 +208,10 @@
     async def inject(self, seconds):
         until = time.monotonic() + seconds
         while time.monotonic() < until:
-            await asyncio.sleep(self.random.expovariate(1.2))
-            name, fault = self.random.choice(FAULTS)
+            await asyncio.sleep(self.schedule.expovariate(1.2))
+            focused = self.focus and self.schedule.random() < FOCUS_SHARE
+            name, fault = self.schedule.choice(
+                self.focus if focused else FAULTS)
             print(f"{time.monotonic() - self.started_at:7.2f} {name}",
                   flush=True)
             self.faults.append(asyncio.ensure_future(fault(self)))
@@ -201,6 +222,11 @@
         self.store.response_loss = self.store.late_write_share = 0.0
         await asyncio.sleep(RECOVERY_TIME)
         invariants = self.invariants
+        for instance in self.instances:
+            if instance.known.generation != self.version:
+                invariants.report(
+                    "config", f"{instance.name} has {instance.known.generation}"
+                    f" in force after recovery instead of {self.version}")
         served = invariants.served
         others = invariants.refused + invariants.failed
         await asyncio.sleep(FINAL_WINDOW)
@@ -208,6 +234,7 @@
         others = invariants.refused + invariants.failed - others
         print(f"after recovery: {served} served, {others} not served",
               flush=True)
+        invariants.check_store_calls(self.store.calls_by_second)
         if served < MIN_SERVED_SHARE * max(1, served + others):
             invariants.report(
                 "recovery", f"{served} of {served + others} requests served")
@@ -220,6 +247,7 @@
             await instance.store.start()
             await instance.start()
             self.background(instance.probe())
+            self.background(instance.known.follow())
         await self.targets.start()
         for number in range(3 * len(self.instances)):
             self.background(Caller(self, number).run())
@@ -245,10 +273,13 @@
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--instances", type=int, default=5)
     parser.add_argument("--build", default="build")
+    parser.add_argument("--focus", choices=sorted({each[0] for each in FAULTS}),
+                        help="a fault that is to occur more often")
     parser.add_argument("--logs", help="folder for the instances' logs")
     options = parser.parse_args()
     print(f"seed {options.seed}: tools/soak --seed {options.seed} --seconds "
-          f"{options.seconds:g} --instances {options.instances}", flush=True)
+          f"{options.seconds:g} --instances {options.instances}"
+          + (f" --focus {options.focus}" if options.focus else ""), flush=True)
     with tempfile.TemporaryDirectory() as scratch:
         folder = options.logs or scratch
         os.makedirs(folder, exist_ok=True)
@@ -264,8 +295,8 @@
     print(f"seed {options.seed}: {invariants.served} served, "
           f"{invariants.refused} refused, {invariants.failed} failed, "
           f"{soak.store.calls} store calls, "
-          f"{len(invariants.violations)} violations; {invariants.reasons}",
-          flush=True)
+          f"{len(invariants.violations)} violations "
+          f"{invariants.counts()}; {invariants.reasons}", flush=True)
     os._exit(1 if invariants.violations else 0)
 
 
--- a/bench/soak/store.py
+++ b/bench/soak/store.py
@@ -34,7 +34,7 @@
         self.copies = collections.deque(maxlen=COPIES)
         self.mode, self.response_delay, self.response_loss, \
             self.late_write_share = None, 0.0, 0.0, 0.0
-        self.calls = 0
+        self.calls, self.calls_by_second = 0, collections.Counter()
         self.changed = asyncio.Event()
 
     async def start(self):
@@ -57,7 +57,8 @@
     async def restore(self, age, duration):
         """Is away for duration s, then returns as it was age s before.
 
-        Returns the number of revisions that were lost.
+        Returns the revisions before and after. The copy may be from before an
+        earlier restoration, and then have the higher one.
         """
         taken_by = time.monotonic() - age
         copy = next((each for each in reversed(self.copies)
@@ -65,13 +66,13 @@
         self.away = self.random.choice(("busy", "reset", "silent"))
         self.wake_watches()
         await asyncio.sleep(duration)
-        lost = self.revision - copy.revision
+        before = self.revision
         self.revision, self.oldest_revision = copy.revision, copy.oldest
         self.objects, self.log = dict(copy.objects), list(copy.log)
         self.era += 1
         self.away = None
         self.schedule_outside_writes()
-        return lost
+        return before, self.revision
 
     def schedule_outside_writes(self):
         """Has the lost writes repeated that are not by the instances. Targets
@@ -145,6 +146,8 @@
             while True:
                 first, _, body = await read_message(reader)
                 self.calls += 1
+                kind = "reads" if first.startswith("GET") else "writes"
+                self.calls_by_second[kind, int(time.monotonic())] += 1
                 fault = self.away or self.mode
                 if fault == "reset":
                     return reset(writer)
--- a/bench/soak/targets.py
+++ b/bench/soak/targets.py
@@ -116,6 +116,7 @@
         self.grants.append([low, high, fence, since,
                             now + order["hold_s"] * CLOCK_SLOWDOWN])
         self.highest_fences[low, high] = fence
+        self.soak.invariants.on_grant(self, low, high, fence)
         return json_response(200, {})
 
     def withdraw(self, low, high):
