--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -152,6 +152,8 @@
 
 
 async def restore_store(soak):
+    if soak.store.away:
+        return
     age, duration = soak.random.uniform(0.3, 9), soak.random.uniform(0.3, 4)
     soak.invariants.disturb("store", duration + 2.5)
     for instance in soak.instances:
