Play large configurations over slow links to the store in the soak

slow_store_link writes configurations of 0.5 to 1 MB while all reads of an instance share 1.2 MB/s; they are to be in force within the bound like any other.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -9,6 +9,7 @@
 
 SERVICES = (("read", 3, 0.02), ("other", 2, 0.02), ("pay", 3, 0.03),
             ("stock", 4, 0.03))
+SLOW_LINK = 1.2e6  # bytes a second
 
 
 class Targets:
@@ -151,6 +152,24 @@
     soak.store.compact_history()
 
 
+async def slow_store_link(soak):
+    """Large configurations over slow links. This is no disturbance: they are
+    to be in force within their bound."""
+    if soak.bulk_routes:
+        return
+    for instance in soak.instances:
+        instance.store.rate = SLOW_LINK
+    for _ in range(2):
+        soak.bulk_routes = soak.random.randint(2500, 5000)
+        await move_route(soak)
+        await asyncio.sleep(soak.random.uniform(2, 4))
+    await withdraw_key(soak)
+    await asyncio.sleep(3)
+    soak.bulk_routes = 0
+    for instance in soak.instances:
+        instance.store.rate = 0.0
+
+
 async def restore_store(soak):
     if soak.store.away:
         return
@@ -311,10 +330,10 @@
     pause, pause, kill, kill, kill_all, terminate, terminate, reload,
     store_down, store_down, store_slow, store_loses_responses,
     store_writes_late, store_compacts_history, store_restored, store_restored,
-    disconnect_from_store, disconnect_from_store, blackhole_store_connections,
-    blackhole_target, reset_targets, blackhole_target_connections, crash_target,
-    crash_target, replace_target, replace_target, move_route, withdraw_key,
-    evacuate)] + [
+    slow_store_link, disconnect_from_store, disconnect_from_store,
+    blackhole_store_connections, blackhole_target, reset_targets,
+    blackhole_target_connections, crash_target, crash_target, replace_target,
+    replace_target, move_route, withdraw_key, evacuate)] + [
         ("target_slow", attribute_fault(None, "slowdown", 5.0, 1.0)),
         ("target_fails", attribute_fault(None, "error_share", 0.6, 0.0)),
         ("target_loses_responses", attribute_fault(
--- a/bench/soak/proxy.py
+++ b/bench/soak/proxy.py
@@ -1,6 +1,7 @@
 """A loopback TCP proxy that injects faults between two programs."""
 
 import asyncio
+import time
 
 from wire import reset
 
@@ -12,13 +13,14 @@
 
     refuse: new connections are reset.  drop_requests, drop_responses: bytes to
     or from the upstream are discarded, on open and new connections.  delay:
-    seconds by which each chunk of data is delayed.
+    seconds by which each chunk of data is delayed.  rate: bytes a second from
+    the upstream, over all connections.
     """
 
     def __init__(self, port, upstream_port):
         self.port, self.upstream_port = port, upstream_port
         self.refuse = self.drop_requests = self.drop_responses = False
-        self.delay = 0.0
+        self.delay = self.rate = self.link_free_at = 0.0
         self.pairs = set()
         self.blackholed = set()
         self.server = None
@@ -48,6 +50,8 @@
             while data := await reader.read(CHUNK):
                 if self.delay:
                     await asyncio.sleep(self.delay)
+                if self.rate and drop == "drop_responses":
+                    await self.transfer(len(data))
                 if getattr(self, drop) or pair in self.blackholed:
                     continue
                 writer.write(data)
@@ -60,6 +64,11 @@
             for each in pair:
                 reset(each)
 
+    async def transfer(self, size):
+        now = time.monotonic()
+        self.link_free_at = max(self.link_free_at, now) + size / self.rate
+        await asyncio.sleep(self.link_free_at - now)
+
     def reset_all(self):
         for pair in list(self.pairs):
             for writer in pair:
