Read what targets announce of themselves in their answers

The platform's two header fields are decoded in platform/ into the notice that a target leaves and the pause that it asks for. AnnouncementRecorder writes them to the target table, which keeps them by incarnation (id, start time, address), also while the target's record is missing. Answers with status 421 are passed over, since another target may have sent them. Pauses that are no number of seconds from 0 to 3600 are counted; a line in the log names one every 10 s at most.

Nothing acts on the announcements yet. They are counted in btr_target_announcements_total and logged as target-announced.

--- a/lib/Fleet/TargetTable.cpp
+++ b/lib/Fleet/TargetTable.cpp
@@ -86,6 +86,7 @@
   erase(Record.Id);
   auto Added = std::make_shared<TargetState>();
   Added->Record = Record;
+  Added->Announced = Announcements.of(Record, Now);
   if (Record.RemainingColdTime > Duration(0))
     Added->ColdUntil = Now + Record.RemainingColdTime;
   Targets[Record.Id] = Added;
@@ -126,6 +127,7 @@
       ExpiredIds.push_back(Id);
   for (const TargetId &Id : ExpiredIds)
     erase(Id);
+  Announcements.expire(Now);
   return !ExpiredIds.empty();
 }
 
@@ -344,4 +346,17 @@
   Target.UnreachableUntil = LongAgo;
 }
 
+auto TargetTable::announced(const TargetRecord &Target,
+                            const TargetNotices &Notices, TimePoint Now)
+    -> AnnouncementChange {
+  const AnnouncementTable::Entry Announced = Announcements.of(Target, Now);
+  AnnouncementChange Change;
+  if (Notices.Leaving)
+    Change.Leaving = Announced->setLeaving();
+  if (Notices.RequestedPause)
+    Change.Paused =
+        Announced->pause(*Notices.RequestedPause, Random.unit(), Now);
+  return Change;
+}
+
 } // namespace buckthornring
--- a/lib/Fleet/TargetTable.h
+++ b/lib/Fleet/TargetTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Fleet/SlidingWindowCounter.h"
+#include "Fleet/TargetAnnouncements.h"
 #include "Fleet/TargetLoad.h"
 #include "Fleet/TargetRecord.h"
 #include "buckthornring/Common/Random.h"
@@ -49,6 +50,8 @@
   /// Set while the target is missing from the directory: it is kept until then,
   /// since its record may have expired in a store outage and return.
   std::optional<TimePoint> MissingUntil;
+  /// Never null.
+  AnnouncementTable::Entry Announced = std::make_shared<TargetAnnouncements>();
 
   auto cold(TimePoint Now) const -> bool {
     return Now < UnverifiedUntil || Now < ColdUntil;
@@ -74,6 +77,12 @@
   Busy, ///< Some targets are at their request limit; none can take one now.
 };
 
+/// What a call of TargetTable::announced() has changed.
+struct AnnouncementChange {
+  bool Leaving = false; ///< The target has begun to leave.
+  bool Paused = false;  ///< The target has begun to pause.
+};
+
 struct TargetSelection {
   TargetPtr Target; ///< Null: none.
   NoTargetReason Reason = NoTargetReason::None;
@@ -146,6 +155,9 @@
   /// Records that no connection to the target could be opened.
   auto markUnreachable(TargetState &Target, TimePoint Now) -> void;
   auto markReachable(TargetState &Target) -> void;
+  /// Records what the incarnation \p Target has announced in a response.
+  auto announced(const TargetRecord &Target, const TargetNotices &Notices,
+                 TimePoint Now) -> AnnouncementChange;
 
 private:
   /// Number of requests that this instance may have in flight at an owner of
@@ -172,6 +184,7 @@
   std::set<DataCentreId> Evacuated;
   std::unordered_map<ServiceId, ColdLimit> ColdLimits;
   std::unordered_map<TargetId, TargetPtr> Targets;
+  AnnouncementTable Announcements;
   std::unordered_map<ServiceId, std::vector<TargetPtr>> ByService;
   std::unordered_map<ServiceId, double> ProcessingTimeUs; ///< Moving average.
 };
--- /dev/null
+++ b/lib/Gateway/AnnouncementRecorder.cpp
@@ -0,0 +1,62 @@
+#include "Gateway/AnnouncementRecorder.h"
+
+#include "IO/BootClock.h"
+
+namespace buckthornring {
+
+namespace {
+
+/// Interval of log lines on pauses that cannot be read; a faulty target may
+/// send one in each response.
+constexpr Duration UnreadableLineInterval = std::chrono::seconds(10);
+
+constexpr unsigned MisdirectedRequest = 421;
+
+} // namespace
+
+auto AnnouncementRecorder::record(const TargetRecord &Target, unsigned Status,
+                                  const HttpHeaders &Fields) -> void {
+  // Another target may have the address now.
+  if (Status == MisdirectedRequest)
+    return;
+  const TimePoint Now = bootNow();
+  const TargetNotices Notices = Protocol.ReadNotices(Status, Fields);
+  if (Notices.UnreadablePause)
+    onUnreadablePause(Target, Now);
+  if (!Notices.Leaving && !Notices.RequestedPause)
+    return;
+  const AnnouncementChange Change = Targets.announced(Target, Notices, Now);
+  if (Change.Leaving) {
+    ++Total.Leaving;
+    logChange(Target, "leaving", Duration(0));
+  }
+  if (Change.Paused) {
+    ++Total.Pauses;
+    logChange(Target, "pause", *Notices.RequestedPause);
+  }
+  if (OnChange && (Change.Leaving || Change.Paused))
+    OnChange(Target);
+}
+
+auto AnnouncementRecorder::logChange(const TargetRecord &Target,
+                                     const char *Kind, Duration Pause) -> void {
+  Events.write(EventLine("target-announced")
+                   .field("target", Target.Id.str())
+                   .field("service", Target.Service.str())
+                   .field("kind", Kind)
+                   .field("pause_ms", Pause));
+}
+
+auto AnnouncementRecorder::onUnreadablePause(const TargetRecord &Target,
+                                             TimePoint Now) -> void {
+  ++Total.UnreadablePauses;
+  if (Now < NextUnreadableLineAt)
+    return;
+  NextUnreadableLineAt = Now + UnreadableLineInterval;
+  Events.write(EventLine("target-pause-unreadable")
+                   .field("target", Target.Id.str())
+                   .field("service", Target.Service.str())
+                   .field("count", Total.UnreadablePauses));
+}
+
+} // namespace buckthornring
--- a/lib/Gateway/GatewayImpl.h
+++ b/lib/Gateway/GatewayImpl.h
@@ -106,6 +106,7 @@
   TargetTable Targets;
   TargetConnectionPool Pool;
   WaitQueue WaitingRequests;
+  AnnouncementRecorder Announcements;
   Counters Totals{1};
   RequestContext Requests;
   std::unique_ptr<RelayedStore> Store;
--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -445,6 +445,12 @@
   Text.counterFamily("btr_malformed_messages_total",
                      "Datagrams that were no messages of an instance");
   Text.sample({}, Peers->malformed());
+  Text.counterFamily("btr_target_announcements_total",
+                     "What targets have announced of themselves");
+  const AnnouncementRecorder::Counts &Announced = Announcements.counts();
+  Text.sample({{"kind", "leaving"}}, Announced.Leaving);
+  Text.sample({{"kind", "pause"}}, Announced.Pauses);
+  Text.sample({{"kind", "unreadable-pause"}}, Announced.UnreadablePauses);
   Text.gaugeFamily("btr_leading", "Whether this instance leads");
   Text.sample({}, std::uint64_t{LocalLeader->leading() ? 1U : 0U});
   Text.gaugeFamily("btr_store_reachable", "Whether the store answers");
--- a/lib/Gateway/Protocol.h
+++ b/lib/Gateway/Protocol.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "Fleet/RangeAssigner.h"
+#include "Fleet/TargetAnnouncements.h"
 #include "Fleet/TargetRecord.h"
 #include "buckthornring/Config/Configuration.h"
+#include "buckthornring/IO/HttpMessage.h"
 
 #include <nlohmann/json.hpp>
 
@@ -27,6 +29,8 @@
   std::string Load;           ///< The target's load.
   std::string TargetName;     ///< The target's id, in health responses.
   std::string ColdTime; ///< Remaining cold time in ms, in health responses.
+  std::string Leaving;  ///< The target stops soon.
+  std::string Pause;    ///< Seconds for which the target wants no requests.
 };
 
 /// Outcome of a call to the store, as far as the caller knows it.
@@ -120,6 +124,10 @@
 /// Parses a load header. Returns nullopt if it is malformed.
 using LoadReader = std::function<std::optional<LoadReport>(std::string_view)>;
 
+/// Reads what a target announces of itself in a response.
+using NoticeReader =
+    std::function<TargetNotices(unsigned Status, const HttpHeaders &)>;
+
 /// One order as an HTTP request of the targets' protocol.
 struct OrderRequest {
   std::string Path;
@@ -137,6 +145,7 @@
   HeaderNames Headers;
   ObjectKinds Kinds;
   LoadReader ReadLoad;
+  NoticeReader ReadNotices;
   OrderProtocol Orders;
 };
 
--- a/lib/Gateway/RequestContext.h
+++ b/lib/Gateway/RequestContext.h
@@ -6,6 +6,7 @@
 #include "Fleet/RetryAllowance.h"
 #include "Fleet/SplitBalancer.h"
 #include "Fleet/TargetTable.h"
+#include "Gateway/AnnouncementRecorder.h"
 #include "Gateway/Protocol.h"
 #include "Gateway/TargetConnectionPool.h"
 #include "Gateway/WaitQueue.h"
@@ -55,6 +56,7 @@
   TargetConnectionPool &Pool;
   EventLog &Events;
   WaitQueue &WaitingRequests;
+  AnnouncementRecorder &Announcements;
   RetryLimit RetryBounds;
   std::string Instance;
 
--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -425,6 +425,8 @@
       Rejected ? std::nullopt : std::optional(Latency), CurrentHop->QueueAtSend,
       CurrentHop->Target->Record.Slots);
   recordLoad(*CurrentHop, Response, Now);
+  Context.Announcements.record(CurrentHop->Target->Record, Response.Status,
+                               Response.Fields);
   if (Rejected)
     CurrentHop->Connection->recordRejection();
   Context.Pool.release(CurrentHop->Target->Record,
--- a/tests/support/GatewayFixture.cpp
+++ b/tests/support/GatewayFixture.cpp
@@ -31,6 +31,7 @@
   Protocol.Headers = platform::headerNames();
   Protocol.Kinds = platform::objectKinds();
   Protocol.ReadLoad = platform::readLoad;
+  Protocol.ReadNotices = platform::readNotices;
   Protocol.Orders = {platform::encodeOrder, "Handover"};
   return Protocol;
 }
--- a/tests/unit/PlatformTest.cpp
+++ b/tests/unit/PlatformTest.cpp
@@ -57,6 +57,34 @@
   EXPECT_EQ(Read->Services.at(ServiceId("s2")).NumberedKeys, 65536U);
 }
 
+TEST(PlatformTest, ReadsWhatTargetsAnnounceOfThemselves) {
+  using std::chrono::milliseconds;
+  EXPECT_TRUE(platform::readNotices(200, {{"server-leaving", "1"}}).Leaving);
+  EXPECT_FALSE(platform::readNotices(200, {{"Server-Leaving", "0"}}).Leaving);
+  EXPECT_FALSE(platform::readNotices(200, {}).Leaving);
+  const auto Pause = [](const char *Text) {
+    return platform::readNotices(503, {{"Retry-After", Text}}).RequestedPause;
+  };
+  EXPECT_EQ(Pause("2"), milliseconds(2000));
+  EXPECT_EQ(Pause("0.25"), milliseconds(250));
+  EXPECT_EQ(Pause("0"), milliseconds(0));
+  EXPECT_FALSE(
+      platform::readNotices(429, {{"Retry-After", "2"}}).RequestedPause);
+}
+
+TEST(PlatformTest, PauseThatIsNoReasonableNumberOfSecondsIsUnreadable) {
+  for (const char *Text :
+       {"", "-1", "-0.5", "soon", "1s", "1e3", "inf", "nan", "3601",
+        "99999999999999999999", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+    const auto Notices = platform::readNotices(503, {{"Retry-After", Text}});
+    EXPECT_FALSE(Notices.RequestedPause) << Text;
+    EXPECT_TRUE(Notices.UnreadablePause) << Text;
+  }
+  EXPECT_FALSE(platform::readNotices(503, {}).UnreadablePause);
+  EXPECT_FALSE(
+      platform::readNotices(200, {{"Retry-After", "x"}}).UnreadablePause);
+}
+
 TEST(PlatformTest, InvalidConfigurationIsRejectedAsAWhole) {
   for (
       const char *Patch :
