--- a/lib/Fleet/TargetTable.h
+++ b/lib/Fleet/TargetTable.h
@@ -70,11 +70,12 @@
 
 /// Why no target was selected.
 enum class NoTargetReason {
-  None, ///< No target of the service takes requests.
-  Down, ///< All targets that take requests are currently unreachable.
-  Cold, ///< Only cold targets at their rate limit and unreachable ones are
-        ///< left.
-  Busy, ///< Some targets are at their request limit; none can take one now.
+  None,   ///< No target of the service takes requests.
+  Down,   ///< All targets that take requests are currently unreachable.
+  Paused, ///< Only targets that have asked for a pause and unreachable ones
+          ///< are left.
+  Cold,   ///< Only cold targets at their rate limit and those above are left.
+  Busy,   ///< Some targets are at their request limit; none can take one now.
 };
 
 /// What a call of TargetTable::announced() has changed.
