Send no requests to targets that have announced that they leave

Callers got failures when a target ended soon after it had said in its answers that it leaves: requests went on to it until its record in the store changed, without contact to the store for as long as the record was kept.

A target that has announced it takes no new requests, as if its record said so. A request that was waiting for a connection to it goes to another target. The log line of a request names what the target had announced.

--- a/lib/Fleet/TargetTable.cpp
+++ b/lib/Fleet/TargetTable.cpp
@@ -164,7 +164,7 @@
 }
 
 auto TargetTable::takesRequests(const TargetState &Target) const -> bool {
-  return !Target.Record.Draining &&
+  return !Target.Record.Draining && !Target.Announced->leaving() &&
          !Evacuated.contains(Target.Record.DataCentre);
 }
 
--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -298,6 +298,12 @@
     return;
   }
   const TimePoint Now = bootNow();
+  if (Connection && CurrentHop->Target->Announced->leaving()) {
+    // The target has announced it while the connection was being opened.
+    Context.Pool.release(CurrentHop->Target->Record, Connection);
+    abandonHop(CurrentHop);
+    return ActiveHops.empty() ? sendOrWait() : void();
+  }
   if (!Connection) {
     Context.Targets.markUnreachable(*CurrentHop->Target, Now);
     Context.Pool.closeConnections(CurrentHop->Target->Record.Id);
@@ -639,7 +645,10 @@
   if (const TargetPtr Target = Context.Targets.find(LastTarget))
     Line.field("target_queue", Target->Load.queue(Now))
         .field("target_failures", Target->Load.failureShare())
-        .field("target_cold", Target->cold(Now));
+        .field("target_cold", Target->cold(Now))
+        .field("target_leaving", Target->Announced->leaving())
+        .field("target_pause_ms",
+               std::max(Duration(0), Target->Announced->pausedUntil() - Now));
   if (Key) {
     const auto View = Context.Ranges.find(Service);
     Line.field("key", *Key)
