Send no requests to a target during the pause that it has asked for

Callers' requests were rejected again and again by a target that had answered 503 with Retry-After, since neither the selection of a target nor that of an owner knew of the pause. Each rejection cost a retry.

A pausing target is selected for nothing: first sends, retries, hedges and the requests of keys that it owns. A request that was waiting for a connection to it goes to another target.

--- a/lib/Fleet/TargetAnnouncements.h
+++ b/lib/Fleet/TargetAnnouncements.h
@@ -34,6 +34,10 @@
   /// End of the latest pause, including the delay.
   auto pausedUntil() const -> TimePoint { return PausedUntil; }
   auto paused(TimePoint Now) const -> bool { return Now < PausedUntil; }
+  /// Whether the target wants no requests from this instance now.
+  auto refusesRequests(TimePoint Now) const -> bool {
+    return Leaving || paused(Now);
+  }
 
 private:
   bool Leaving = false;
--- a/lib/Fleet/TargetTable.cpp
+++ b/lib/Fleet/TargetTable.cpp
@@ -238,6 +238,8 @@
                               TimePoint Now) -> NoTargetReason {
   const double QueuePerSlot =
       Request.Idempotent ? IdempotentQueuePerSlot : NonIdempotentQueuePerSlot;
+  if (Target.Announced->paused(Now))
+    return NoTargetReason::Paused;
   if (Now < Target.UnreachableUntil)
     return NoTargetReason::Down;
   if (Target.Load.queue(Now) >= QueuePerSlot * Target.Record.Slots)
@@ -313,7 +315,9 @@
   TargetSelection Selected;
   if (!Target || !takesRequests(*Target))
     return Selected;
-  if (Now < Target->UnreachableUntil)
+  if (Target->Announced->paused(Now))
+    Selected.Reason = NoTargetReason::Paused;
+  else if (Now < Target->UnreachableUntil)
     Selected.Reason = NoTargetReason::Down;
   else if (Target->Load.queue(Now) >=
                OwnerQueuePerSlot * Target->Record.Slots ||
--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -298,7 +298,7 @@
     return;
   }
   const TimePoint Now = bootNow();
-  if (Connection && CurrentHop->Target->Announced->leaving()) {
+  if (Connection && CurrentHop->Target->Announced->refusesRequests(Now)) {
     // The target has announced it while the connection was being opened.
     Context.Pool.release(CurrentHop->Target->Record, Connection);
     abandonHop(CurrentHop);
@@ -464,7 +464,8 @@
   const bool Misdirected = Response.Status == 421;
   if (Key)
     NextSendAt = bootNow() + OwnerRetryDelay;
-  else
+  else if (!CurrentHop->Target->Announced->paused(bootNow()))
+    // After a pause that it has asked for, the target is sound again.
     CurrentHop->Target->Load.failed();
   if (!ActiveHops.empty())
     return;
