Hand the keys of owners over that announce that they leave or pause

Requests for keys were refused while their owner was leaving or pausing: the leader moved its keys only after the record in the store had changed, and never for a pause.

The leader plans with what owners have announced: to itself, in answers to requests and to orders, or to other instances, whose reports name the targets of divided services that have announced something. An instance reports at once when it learns of it. The keys of such an owner are moved like those of one whose record says that it is draining: written, released with their hand-over, granted again. A pause moves keys if at least one second of it is left, since a move takes nearly as long as a shorter one.

Reports of other instances are covered by the encoding test only.

--- a/lib/Fleet/FleetMessage.cpp
+++ b/lib/Fleet/FleetMessage.cpp
@@ -57,21 +57,41 @@
   return Out;
 }
 
+auto encodeNotices(const std::map<TargetId, OwnerNotice> &Notices) -> Json {
+  Json Out = Json::object();
+  for (const auto &[Id, Notice] : Notices)
+    Out[Id.str()] =
+        Json::array({Notice.StartedAtMs, Notice.Leaving, Notice.PauseMs});
+  return Out;
+}
+
+auto decodeNotices(const Json &Object) -> std::map<TargetId, OwnerNotice> {
+  std::map<TargetId, OwnerNotice> Out;
+  for (const auto &[Id, Notice] : Object.items())
+    Out[TargetId(Id)] = {Notice.at(0).get<std::int64_t>(),
+                         Notice.at(1).get<bool>(),
+                         Notice.at(2).get<std::uint32_t>()};
+  return Out;
+}
+
 auto encode(const FleetReport &Report) -> Json {
-  return {{"t", 1},
-          {"i", Report.Instance.str()},
-          {"p", Report.Process},
-          {"d", Report.DataCentre.str()},
-          {"l", encodeLeader(Report.Leader)},
-          {"s", Report.StoreReachable},
-          {"x", Report.Leaving},
-          {"h", Report.KnownNeighboursVersion},
-          {"c", encodeSeen(Report.Seen)},
-          {"m", Report.CountPeriodMs},
-          {"g", Report.Capacity},
-          {"w", encodeMap(Report.Demand)},
-          {"k", encodeMap(Report.Keys)},
-          {"b", encodeMap(Report.ProcessingTimeMs)}};
+  Json Out = {{"t", 1},
+              {"i", Report.Instance.str()},
+              {"p", Report.Process},
+              {"d", Report.DataCentre.str()},
+              {"l", encodeLeader(Report.Leader)},
+              {"s", Report.StoreReachable},
+              {"x", Report.Leaving},
+              {"h", Report.KnownNeighboursVersion},
+              {"c", encodeSeen(Report.Seen)},
+              {"m", Report.CountPeriodMs},
+              {"g", Report.Capacity},
+              {"w", encodeMap(Report.Demand)},
+              {"k", encodeMap(Report.Keys)},
+              {"b", encodeMap(Report.ProcessingTimeMs)}};
+  if (!Report.OwnerNotices.empty())
+    Out["n"] = encodeNotices(Report.OwnerNotices);
+  return Out;
 }
 
 auto encode(const FleetReply &Reply) -> Json {
@@ -149,6 +169,8 @@
   Report.Demand = decodeMap<WorkspaceId, std::uint32_t>(Value.at("w"));
   Report.Keys = decodeMap<ServiceId, std::vector<std::uint32_t>>(Value.at("k"));
   Report.ProcessingTimeMs = decodeMap<TargetId, std::uint32_t>(Value.at("b"));
+  if (Value.contains("n"))
+    Report.OwnerNotices = decodeNotices(Value.at("n"));
   return Report;
 }
 
--- a/lib/Fleet/FleetMessage.h
+++ b/lib/Fleet/FleetMessage.h
@@ -32,6 +32,16 @@
   std::uint64_t Term = 0; ///< Store revision of the record; 0: none.
 };
 
+/// What an owner of keys has announced to the instance that reports it.
+struct OwnerNotice {
+  std::int64_t StartedAtMs = 0; ///< Start time of the incarnation, Unix ms.
+  bool Leaving = false;
+  std::uint32_t PauseMs = 0; ///< Rest of the pause, in ms; 0: none.
+
+  friend auto operator==(const OwnerNotice &, const OwnerNotice &)
+      -> bool = default;
+};
+
 /// Report that an instance sends to the leader several times a second.
 struct FleetReport {
   InstanceId Instance;
@@ -50,6 +60,8 @@
   /// Processing time of a request, in ms, at the targets of divided services
   /// where it was observed since the last report.
   std::map<TargetId, std::uint32_t> ProcessingTimeMs;
+  /// Announcements of targets of divided services that are in force.
+  std::map<TargetId, OwnerNotice> OwnerNotices;
 };
 
 /// The leader's reply to a FleetReport.
--- a/lib/Fleet/TargetTable.cpp
+++ b/lib/Fleet/TargetTable.cpp
@@ -163,6 +163,15 @@
   return Found == ByService.end() ? Empty : Found->second;
 }
 
+auto TargetTable::announcing(const ServiceId &Service, TimePoint Now) const
+    -> std::vector<TargetPtr> {
+  std::vector<TargetPtr> Out;
+  for (const TargetPtr &Target : targetsOfService(Service))
+    if (Target->Announced->refusesRequests(Now))
+      Out.push_back(Target);
+  return Out;
+}
+
 auto TargetTable::takesRequests(const TargetState &Target) const -> bool {
   return !Target.Record.Draining && !Target.Announced->leaving() &&
          !Evacuated.contains(Target.Record.DataCentre);
--- a/lib/Fleet/TargetTable.h
+++ b/lib/Fleet/TargetTable.h
@@ -135,6 +135,10 @@
     return Targets;
   }
 
+  /// Targets of the service that have announced something that is in force.
+  auto announcing(const ServiceId &Service, TimePoint Now) const
+      -> std::vector<TargetPtr>;
+
   // Requests.
 
   /// Returns the target with the lowest cost: its expected time plus penalties,
--- a/lib/Gateway/AnnouncementRecorder.cpp
+++ b/lib/Gateway/AnnouncementRecorder.cpp
@@ -28,22 +28,32 @@
   const AnnouncementChange Change = Targets.announced(Target, Notices, Now);
   if (Change.Leaving) {
     ++Total.Leaving;
-    logChange(Target, "leaving", Duration(0));
+    logChange(Target, "leaving", Duration(0), "self");
   }
   if (Change.Paused) {
     ++Total.Pauses;
-    logChange(Target, "pause", *Notices.RequestedPause);
+    logChange(Target, "pause", *Notices.RequestedPause, "self");
   }
   if (OnChange && (Change.Leaving || Change.Paused))
     OnChange(Target);
 }
 
+auto AnnouncementRecorder::recordReported(const TargetRecord &Target,
+                                          const InstanceId &Reporter) -> void {
+  TargetNotices Notices;
+  Notices.Leaving = true;
+  if (Targets.announced(Target, Notices, bootNow()).Leaving)
+    logChange(Target, "leaving", Duration(0), Reporter.str());
+}
+
 auto AnnouncementRecorder::logChange(const TargetRecord &Target,
-                                     const char *Kind, Duration Pause) -> void {
+                                     const char *Kind, Duration Pause,
+                                     std::string_view Source) -> void {
   Events.write(EventLine("target-announced")
                    .field("target", Target.Id.str())
                    .field("service", Target.Service.str())
                    .field("kind", Kind)
+                   .field("told", Source)
                    .field("pause_ms", Pause));
 }
 
--- a/lib/Gateway/AnnouncementRecorder.h
+++ b/lib/Gateway/AnnouncementRecorder.h
@@ -29,6 +29,10 @@
   auto record(const TargetRecord &Target, unsigned Status,
               const HttpHeaders &Fields) -> void;
 
+  /// Records that a target has announced to another instance that it leaves.
+  auto recordReported(const TargetRecord &Target, const InstanceId &Reporter)
+      -> void;
+
   /// Sets what is called when a target has begun to leave or to pause.
   auto setHandler(std::function<void(const TargetRecord &)> Handler) -> void {
     OnChange = std::move(Handler);
@@ -37,8 +41,9 @@
   auto counts() const -> const Counts & { return Total; }
 
 private:
-  auto logChange(const TargetRecord &Target, const char *Kind, Duration Pause)
-      -> void;
+  /// \p Source is the instance that the target has told.
+  auto logChange(const TargetRecord &Target, const char *Kind, Duration Pause,
+                 std::string_view Source) -> void;
   auto onUnreadablePause(const TargetRecord &Target, TimePoint Now) -> void;
 
   const PlatformProtocol &Protocol;
--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -21,6 +21,10 @@
 /// since such a leader was probably lost before the process started.
 constexpr Duration FirstReplyTimeout = std::chrono::milliseconds(900);
 
+/// Least interval of reports on announcements of owners; the next regular
+/// report names those that come sooner.
+constexpr Duration MinReportInterval = std::chrono::milliseconds(100);
+
 /// Upper bound of the random delay of a claim, so that one instance claims
 /// first and the others see its claim.
 constexpr Duration MaxClaimStagger = std::chrono::milliseconds(300);
@@ -140,9 +144,33 @@
     if (!Keys.empty())
       Report.Keys[Id] = std::exchange(Keys, {});
   }
+  Report.OwnerNotices = ownerNotices(Now);
   return Report;
 }
 
+auto FleetMember::ownerNotices(TimePoint Now) const
+    -> std::map<TargetId, OwnerNotice> {
+  std::map<TargetId, OwnerNotice> Out;
+  for (const auto &[Service, View] : Context.Requests.Ranges)
+    for (const TargetPtr &Target :
+         Context.Requests.Targets.announcing(Service, Now)) {
+      const Duration Rest =
+          std::max(Duration(0), Target->Announced->pausedUntil() - Now);
+      Out[Target->Record.Id] = {
+          Target->Record.StartedAtMs, Target->Announced->leaving(),
+          static_cast<std::uint32_t>(Rest.count() / 1000)};
+    }
+  return Out;
+}
+
+auto FleetMember::onAnnounced(const TargetRecord &Target) -> void {
+  // The leader plans with its own announcements.
+  if (Context.Requests.Ranges.contains(Target.Service) &&
+      !Context.LocalLeader.leading() &&
+      bootNow() - LastReportAt >= MinReportInterval)
+    sendReport();
+}
+
 auto FleetMember::sendReport() -> void {
   const TimePoint Now = bootNow();
   if (Context.LocalLeader.leading()) {
--- a/lib/Gateway/FleetMember.h
+++ b/lib/Gateway/FleetMember.h
@@ -58,6 +58,8 @@
   /// Arranges that the neighbours are sent RequestContext::UnsentLoads soon.
   /// Called when loads were added to it.
   auto scheduleLoadNotice() -> void;
+  /// Tells the leader at once when an owner of keys has announced something.
+  auto onAnnounced(const TargetRecord &Target) -> void;
   /// Client of the rate keeper and the leader's reserve, for requests beyond
   /// this instance's parts of the workspace rates.
   auto rateReserveClient() -> RateReserveClient & { return RateClient; }
@@ -70,6 +72,7 @@
   auto scheduleReport() -> void;
   auto sendReport() -> void;
   auto composeReport(TimePoint Now) -> FleetReport;
+  auto ownerNotices(TimePoint Now) const -> std::map<TargetId, OwnerNotice>;
   auto onReply(const FleetReply &Reply) -> void;
   auto onReport(const FleetReport &Report, const std::string &From) -> void;
   auto onGrantNotice(const GrantNotice &Notice) -> void;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -167,8 +167,8 @@
   Times.HoldPeriod = std::min(Times.HoldPeriod, Settings.Bounds.MaxGrantHold);
   LocalLeader = std::make_unique<Leader>(
       Leader::FleetContext{
-          Io, *Store, Protocol, Targets, Events, *RouterObjectsFeed,
-          [this] { RouterObjectsFeed->refresh(); },
+          Io, *Store, Protocol, Targets, Events, Announcements,
+          *RouterObjectsFeed, [this] { RouterObjectsFeed->refresh(); },
           [this](const std::string &To, const FleetMessage &Message) {
             Peers->send(To, Message);
           },
@@ -177,6 +177,8 @@
           }},
       Times, Settings.Bounds.Rates);
   Requests.OnLoadAdded = [this] { Member->scheduleLoadNotice(); };
+  Announcements.setHandler(
+      [this](const TargetRecord &Target) { Member->onAnnounced(Target); });
   Requests.RequestRateFromReserve = [this](const WorkspaceId &Workspace,
                                            std::function<void(bool)> Done) {
     Member->rateReserveClient().ask(Workspace, std::move(Done));
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -59,6 +59,10 @@
 /// lowers its capacity.
 constexpr double MaxCapacityFactor = 2.5;
 
+/// Remaining pause of an owner from which its keys are moved. Moving them takes
+/// about as long as a shorter one.
+constexpr Duration MinPauseForHandover = std::chrono::milliseconds(1000);
+
 } // namespace
 
 auto Leader::rangeObjectName(const ServiceId &Service) -> std::string {
@@ -74,6 +78,7 @@
   NextSizeCheckAt = StartedAt + FleetSizeInterval;
   Services.clear();
   Members.clear();
+  OwnerPauses.clear();
   Rates = RateDivider();
   Reserve = RateReserve(Tolerance);
   Context.Events.write(EventLine("leadership-taken").field("term", Self.Term));
@@ -111,6 +116,7 @@
   std::erase_if(Members, [Now](const auto &Entry) {
     return Now - Entry.second.ReportedAt > MemberTimeout;
   });
+  recordOwnerNotices(Report, Now);
   const RelayPair Relays = selectRelays(Report.DataCentre, Now);
   // The relay of a data centre also holds its shares of the rates: divided
   // among hundreds of instances, most rates would leave less than one token to
@@ -183,6 +189,35 @@
   return Reply;
 }
 
+auto Leader::recordOwnerNotices(const FleetReport &Report, TimePoint Now)
+    -> void {
+  std::erase_if(OwnerPauses,
+                [Now](const auto &Entry) { return Now >= Entry.second.Until; });
+  for (const auto &[Id, Notice] : Report.OwnerNotices) {
+    const TargetPtr Target = Context.Targets.find(Id);
+    if (!Target || Target->Record.StartedAtMs != Notice.StartedAtMs)
+      continue;
+    if (Notice.Leaving)
+      Context.Announcements.recordReported(Target->Record, Report.Instance);
+    const TimePoint Until = Now + std::chrono::milliseconds(Notice.PauseMs);
+    OwnerPause &Known = OwnerPauses[Id];
+    if (Known.StartedAt != Notice.StartedAtMs || Known.Until < Until)
+      Known = {Notice.StartedAtMs, Until};
+  }
+}
+
+auto Leader::handsKeysOver(const TargetState &Target, TimePoint Now) const
+    -> bool {
+  if (!Context.Targets.takesRequests(Target))
+    return true;
+  TimePoint Until = Target.Announced->pausedUntil();
+  const auto Reported = OwnerPauses.find(Target.Record.Id);
+  if (Reported != OwnerPauses.end() &&
+      Reported->second.StartedAt == Target.Record.StartedAtMs)
+    Until = std::max(Until, Reported->second.Until);
+  return Until - Now >= MinPauseForHandover;
+}
+
 auto Leader::addressOf(const InstanceId &Id, const Member &Instance) const
     -> const std::string & {
   // A report of the leader to itself carries no sender address.
@@ -289,7 +324,7 @@
   for (const TargetPtr &Target : Context.Targets.targetsOfService(Id)) {
     const TargetRecord &Record = Target->Record;
     View.Incarnations[Record.Id] = Record.StartedAtMs;
-    if (!Context.Targets.takesRequests(*Target)) {
+    if (handsKeysOver(*Target, Now)) {
       View.Leaving.insert(Record.Id);
       continue;
     }
--- a/lib/Gateway/Leader.h
+++ b/lib/Gateway/Leader.h
@@ -5,6 +5,7 @@
 #include "Fleet/RangeAssigner.h"
 #include "Fleet/RateShares.h"
 #include "Fleet/TargetTable.h"
+#include "Gateway/AnnouncementRecorder.h"
 #include "Gateway/OrderSender.h"
 #include "Gateway/Protocol.h"
 #include "Gateway/StoreFeed.h"
@@ -32,6 +33,7 @@
     const PlatformProtocol &Protocol;
     TargetTable &Targets;
     EventLog &Events;
+    AnnouncementRecorder &Announcements;
     /// Feed of the router's own objects: ranges, leader, fleet size.
     const StoreFeed &RouterObjectsFeed;
     /// Reads the router's own objects again, in addition to the open watch.
@@ -44,7 +46,12 @@
 
   Leader(FleetContext Context, RangeTimes Times, const RateTolerance &Tolerance)
       : Context(std::move(Context)), Times(Times), Tolerance(Tolerance),
-        Reserve(Tolerance), Orders(this->Context.Io, this->Context.Protocol) {}
+        Reserve(Tolerance),
+        Orders(this->Context.Io, this->Context.Protocol,
+               [this](const TargetRecord &Target, unsigned Status,
+                      const HttpHeaders &Fields) {
+                 this->Context.Announcements.record(Target, Status, Fields);
+               }) {}
 
   /// Name of the object that holds the number of instances. Processes that
   /// start while there is no leader divide the workspace rates by it.
@@ -123,6 +130,11 @@
   /// Adds the addresses of the other instances of the sender's data centre.
   auto addNeighbours(const FleetReport &Report, FleetReply &Reply) const
       -> void;
+  /// Records what owners of keys have announced to the sender.
+  auto recordOwnerNotices(const FleetReport &Report, TimePoint Now) -> void;
+  /// Whether the keys of the target are to be moved to others because of what
+  /// it has announced to this or another instance.
+  auto handsKeysOver(const TargetState &Target, TimePoint Now) const -> bool;
   auto recordFleetSize(TimePoint Now) -> void;
   auto findOrLoadService(const ServiceId &Id, const ServiceConfig &Config)
       -> ServiceState *;
@@ -166,6 +178,12 @@
   TimePoint RecordsStaleBefore = LongAgo;
   RateDivider Rates;
   std::map<InstanceId, Member> Members;
+  /// Pauses that owners of keys have asked of any instance.
+  struct OwnerPause {
+    std::int64_t StartedAt = 0; ///< Start time of the incarnation.
+    TimePoint Until = LongAgo;
+  };
+  std::unordered_map<TargetId, OwnerPause> OwnerPauses;
   TimePoint NextSizeCheckAt = LongAgo;
   std::map<ServiceId, ServiceState> Services;
   std::uint64_t LastGeneration = 0; ///< Last ServiceState::Generation.
--- a/lib/Gateway/OrderSender.cpp
+++ b/lib/Gateway/OrderSender.cpp
@@ -55,8 +55,9 @@
 };
 
 OrderSender::OrderSender(boost::asio::io_context &Context,
-                         const PlatformProtocol &Protocol)
-    : Context(Context), Protocol(Protocol),
+                         const PlatformProtocol &Protocol,
+                         ResponseObserver Observer)
+    : Context(Context), Protocol(Protocol), Observer(std::move(Observer)),
       Budget(std::make_shared<BodyBudget>(MaxReplyBytes)) {}
 
 auto OrderSender::clear() -> void {
@@ -178,6 +179,8 @@
           onConnectionEnded(Pending->Target);
         if (End != ExchangeResult::Answered)
           return finish(Pending, RangeOrderOutcome::Unanswered, "");
+        if (Observer)
+          Observer(Pending->Target, Response.Status, Response.Fields);
         const auto Handover =
             Response.Fields.find(Protocol.Orders.HandoverField);
         if (Response.Status == 200)
--- a/lib/Gateway/OrderSender.h
+++ b/lib/Gateway/OrderSender.h
@@ -35,8 +35,14 @@
   using Handler =
       std::function<void(RangeOrderOutcome, const std::string &Handover)>;
 
+  /// Receives the head of each response to an order.
+  using ResponseObserver = std::function<void(
+      const TargetRecord &, unsigned Status, const HttpHeaders &)>;
+
+  /// \p Observer may be empty.
   OrderSender(boost::asio::io_context &Context,
-              const PlatformProtocol &Protocol);
+              const PlatformProtocol &Protocol,
+              ResponseObserver Observer = nullptr);
 
   auto send(const TargetRecord &Target, const RangeOrder &Order, Handler OnDone)
       -> void;
@@ -65,6 +71,7 @@
 
   boost::asio::io_context &Context;
   const PlatformProtocol &Protocol;
+  ResponseObserver Observer;
   std::shared_ptr<BodyBudget> Budget;
   /// Idle connections by incarnationKey().
   std::unordered_map<std::string, std::vector<ConnectionPtr>> IdleConnections;
--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -35,6 +35,7 @@
   Report.Demand = {{WorkspaceId("w"), 12}};
   Report.Keys = {{ServiceId("s"), {1, 65535}}};
   Report.ProcessingTimeMs = {{TargetId("t"), 250}};
+  Report.OwnerNotices = {{TargetId("t"), {1'700'000'000'123, true, 4500}}};
   const auto Read = decodeFleetMessage(encodeFleetMessage(Report));
   ASSERT_TRUE(Read) << Read.error().message();
   const auto &Copy = std::get<FleetReport>(*Read);
@@ -45,6 +46,7 @@
   EXPECT_EQ(Copy.Demand, Report.Demand);
   EXPECT_EQ(Copy.Keys, Report.Keys);
   EXPECT_EQ(Copy.ProcessingTimeMs, Report.ProcessingTimeMs);
+  EXPECT_EQ(Copy.OwnerNotices, Report.OwnerNotices);
 }
 
 TEST(FleetMessageTest, ReplyNamesRelaysAndRateKeeper) {
