Let the targets of the soak announce that they leave or pause

The stand-in of a target says in all its responses, those to orders too, that it leaves, and can turn requests away with a pause. New faults: a target that says in its responses alone that it leaves and ends later, one that pauses, and a service of which all targets pause. notices.py checks from what targets and callers see that no request sent 2 s after an instance passed such a response on reaches the target from there, and that at most two requests of an instance reach it from 0.5 s after a rejection to the end of the pause. A restart or a freeze of the instance and a fault of the target since then excuse it.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -98,6 +98,8 @@
         invariants.on_response(attempt, int(status_line.split(" ")[1]), fields,
                                body, fields.get("response-signature"),
                                body_for(attempt.id))
+        self.soak.notices.on_response(attempt,
+                                      fields.get("response-signature"))
         if fields.get("connection", "").lower() == "close":
             self.close()
             return False
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -4,6 +4,7 @@
 import signal
 import time
 
+from notices import NOTICE_FAULTS
 from targets import Target
 
 SERVICES = (("read", 3, 0.02), ("other", 2, 0.02), ("pay", 3, 0.03),
@@ -279,3 +280,4 @@
         ("target_responds_twice", attribute_fault(
             None, "duplicate_share", 0.3, 0.0)),
         ("target_delayed", attribute_fault("proxy", "delay", 0.15, 0.0))]
+FAULTS += NOTICE_FAULTS
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -23,6 +23,7 @@
 from callers import Caller
 from faults import FAULTS, Targets
 from invariants import Invariants
+from notices import Notices
 from proxy import Proxy
 from store import Store
 from wire import ConnectionFailed, free_ports, message, read_message
@@ -138,6 +139,7 @@
         self.build, self.folder = options.build, folder
         self.free_ports = free_ports(400)
         self.invariants = Invariants()
+        self.notices = Notices(self)
         self.store = Store(self.ports(1)[0], self.random)
         self.instances = [Instance(self, n) for n in range(options.instances)]
         self.targets = Targets(self, DATA_CENTRES)
--- a/bench/soak/targets.py
+++ b/bench/soak/targets.py
@@ -37,6 +37,8 @@
         self.up, self.draining, self.registered = True, False, True
         self.error_share = self.response_loss = self.duplicate_share = 0.0
         self.slowdown = 1.0
+        self.hides_leaving = False  # its record does not say that it leaves
+        self.pause_until = 0.0      # it turns requests away until then
         self.writers = set()
 
     async def start(self):
@@ -55,7 +57,8 @@
         self.soak.store.put("servers", self.id, {
             "service": self.service, "zone": self.data_centre,
             "address": f"127.0.0.1:{self.proxy.port}", "version": "v1",
-            "slots": SLOTS, "state": "draining" if self.draining else "ready",
+            "slots": SLOTS, "state": "draining" if self.draining
+            and not self.hides_leaving else "ready",
             "warmup_left_s": 0, "seq": self.sequence, "born": self.started_ms})
 
     async def heartbeat(self):
@@ -71,9 +74,13 @@
         self.register()
         self.soak.invariants.drained_at[self] = time.monotonic()
 
+    def announce_leaving(self):
+        """Says in its responses that it leaves; its record stays as it is."""
+        self.draining = self.hides_leaving = True
+
     def leave(self):
         """Removes the record; the target still serves until stop()."""
-        self.registered = False
+        self.registered, self.draining = False, True
         self.soak.store.remove("servers", self.id)
         self.soak.invariants.drained_at.setdefault(self, time.monotonic())
 
@@ -111,7 +118,7 @@
         self.grants.append([low, high, fence, since,
                             now + order["hold_s"] * CLOCK_SLOWDOWN])
         self.highest_fences[low, high] = fence
-        return json_response(200, {})
+        return response(200, self.notice())
 
     def withdraw(self, low, high):
         kept = []
@@ -130,7 +137,8 @@
         self.withdraw(order["from"], order["to"])
         while self.running:
             await asyncio.sleep(0.01)
-        return response(200, {"Handover": f"state-{self.id}-{order['fence']}"})
+        return response(200, {"Handover": f"state-{self.id}-{order['fence']}",
+                              **self.notice()})
 
     # HTTP interface.
 
@@ -157,9 +165,19 @@
         return (f"{self.running},{self.waiting},{SLOTS},"
                 f"{int(self.slowdown * 100)}")
 
-    def rejected(self, status, attempt):
+    def notice(self):
+        return {"Server-Leaving": "1"} if self.draining else {}
+
+    def rejected(self, status, attempt, fields=None):
         return response(status, {"Attempt-Id": attempt, "Not-Executed": "1",
-                                 "Backend-Load": self.load()})
+                                 "Backend-Load": self.load(), **self.notice(),
+                                 **(fields or {})})
+
+    def turn_away(self, attempt):
+        """Rejects a request and asks for a pause."""
+        rest = self.pause_until - time.monotonic()
+        self.soak.notices.on_rejection(self, attempt, self.pause_until)
+        return self.rejected(503, attempt, {"Retry-After": f"{rest:.3f}"})
 
     async def run(self, writer, fields, path, body):
         """Runs one request. Returns False if the connection must be reset."""
@@ -167,6 +185,11 @@
         key = fields.get("shard-key")
         misdirected = fields.get("expect-instance", self.id) != self.id or (
             key is not None and not self.holds(int(key)))
+        if not misdirected:
+            self.soak.notices.on_arrival(self, attempt)
+            if time.monotonic() < self.pause_until:
+                writer.write(self.turn_away(attempt))
+                return True
         if misdirected or self.waiting >= QUEUE:
             writer.write(self.rejected(421 if misdirected else 503, attempt))
             return True
@@ -192,7 +215,10 @@
         record = self.soak.invariants.attempts.get(attempt)
         failed = random.random() < self.error_share
         head = {"Attempt-Id": attempt, "Backend-Load": self.load(),
-                "Response-Signature": signature(self.id, attempt)}
+                "Response-Signature": signature(self.id, attempt),
+                **self.notice()}
+        if self.draining:
+            self.soak.notices.on_leaving_response(self, attempt)
         writer.write(response(500 if failed else 200, head, body_for(attempt)))
         if record and not failed:
             record.completed = time.monotonic()
