Refuse requests at once while all targets of their service pause

Callers waited up to an eighth of the target latency and were told to come back after 0.15 s, over and over, while every target of the service had asked for a pause of seconds.

Such a request is refused as targets-paused, with the time until the first target takes requests again as Retry-After. It waits as before if that time comes sooner than its wait would end, or if a target is only busy or cold. Requests that wait already are refused when the last target begins its pause.

--- a/include/buckthornring/Observe/Reasons.h
+++ b/include/buckthornring/Observe/Reasons.h
@@ -26,9 +26,10 @@
   DataCentreUnreachable,
   ShuttingDown,
   SlowSender,
+  TargetsPaused,
 };
 
-inline constexpr EnumNames<RefusalReason, 19> RefusalReasonNames({
+inline constexpr EnumNames<RefusalReason, 20> RefusalReasonNames({
     "malformed-request",
     "head-too-large",
     "body-too-large",
@@ -48,6 +49,7 @@
     "data-centre-unreachable",
     "shutting-down",
     "slow-sender",
+    "targets-paused",
 });
 
 /// Why an attempt was followed by another one. Each value has a counter.
--- a/lib/Entry/RefusalAnswer.cpp
+++ b/lib/Entry/RefusalAnswer.cpp
@@ -45,6 +45,7 @@
     Unavailable,    // data-centre-unreachable
     Unavailable,    // shutting-down
     RequestTimeout, // slow-sender
+    Unavailable,    // targets-paused
 };
 
 auto statusLine(RefusalReason Reason) -> const StatusLine & {
--- a/lib/Fleet/TargetTable.cpp
+++ b/lib/Fleet/TargetTable.cpp
@@ -172,6 +172,24 @@
   return Out;
 }
 
+auto TargetTable::allPausedUntil(const ServiceId &Service, TimePoint Now) const
+    -> std::optional<TimePoint> {
+  std::optional<TimePoint> First;
+  bool AnyPaused = false;
+  for (const TargetPtr &Target : targetsOfService(Service)) {
+    if (!takesRequests(*Target))
+      continue;
+    const bool Paused = Target->Announced->paused(Now);
+    if (!Paused && Now >= Target->UnreachableUntil)
+      return std::nullopt;
+    AnyPaused = AnyPaused || Paused;
+    const TimePoint Until =
+        std::max(Target->Announced->pausedUntil(), Target->UnreachableUntil);
+    First = std::min(First.value_or(Until), Until);
+  }
+  return AnyPaused ? First : std::nullopt;
+}
+
 auto TargetTable::takesRequests(const TargetState &Target) const -> bool {
   return !Target.Record.Draining && !Target.Announced->leaving() &&
          !Evacuated.contains(Target.Record.DataCentre);
--- a/lib/Fleet/TargetTable.h
+++ b/lib/Fleet/TargetTable.h
@@ -148,6 +148,11 @@
   /// now.
   auto selectOwner(const TargetPtr &Target, TimePoint Now) -> TargetSelection;
 
+  /// When all reachable targets of the service that take requests have asked
+  /// for a pause: the time at which the first target takes requests again.
+  auto allPausedUntil(const ServiceId &Service, TimePoint Now) const
+      -> std::optional<TimePoint>;
+
   /// Whether new requests may be sent to the target at all.
   auto takesRequests(const TargetState &Target) const -> bool;
 
--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -203,7 +203,7 @@
   const TargetSelection Selected = selectTarget(Now);
   LastSelectionReason = Selected.Reason;
   if (!Selected.Target)
-    return false;
+    return refuseIfAllPaused(Now);
   Ticket = 0;
   WaitTimer.cancel();
   send(Selected.Target);
@@ -256,6 +256,18 @@
       });
 }
 
+auto RequestFlow::refuseIfAllPaused(TimePoint Now) -> bool {
+  const auto Until = Context.Targets.allPausedUntil(Service, Now);
+  const TimePoint WaitEnd = Ticket == 0
+                                ? std::min(ResponseDeadline, Now + waitLimit())
+                                : WaitDeadline;
+  if (!Until || *Until <= WaitEnd || !ActiveHops.empty())
+    return false;
+  PauseRest = *Until - Now;
+  refuse(RefusalReason::TargetsPaused);
+  return true;
+}
+
 auto RequestFlow::stopWaiting() -> void {
   if (Ticket != 0)
     Context.WaitingRequests.remove(Service, Priority, std::exchange(Ticket, 0));
@@ -584,8 +596,9 @@
                      MayHaveRun ? RunStatus::Unknown : RunStatus::NotRun)));
   if (Out.Status == 503 || Out.Status == 429) {
     const Duration Wait =
-        Reason == RefusalReason::OverRate
-            ? Context.Rates.retryAfter(Workspace)
+        Reason == RefusalReason::OverRate ? Context.Rates.retryAfter(Workspace)
+        : Reason == RefusalReason::TargetsPaused
+            ? PauseRest
             : retryAfter(Reason, Route ? Route->TargetLatency
                                        : std::chrono::seconds(1));
     Out.Fields.add("Retry-After", formatSeconds(Wait));
--- a/lib/Gateway/RequestFlow.h
+++ b/lib/Gateway/RequestFlow.h
@@ -57,6 +57,9 @@
   auto selectTarget(TimePoint Now) -> TargetSelection;
   auto selectOwner(TimePoint Now) -> TargetSelection;
   auto waitForTarget(TimePoint Now) -> void;
+  /// Refuses the request if all targets of its service have asked for a pause
+  /// that ends after the request would have stopped waiting.
+  auto refuseIfAllPaused(TimePoint Now) -> bool;
   auto stopWaiting() -> void;
   auto waitLimit() const -> Duration;
 
@@ -120,7 +123,8 @@
   NoTargetReason LastSelectionReason = NoTargetReason::None;
   WaitQueue::Ticket Ticket = 0;     ///< 0: the request does not wait.
   TimePoint WaitDeadline = LongAgo; ///< End of the wait for a target.
-  TimePoint NextSendAt = LongAgo;   ///< Earliest next send to an owner.
+  Duration PauseRest{0}; ///< Of the targets, for RefusalReason::TargetsPaused.
+  TimePoint NextSendAt = LongAgo; ///< Earliest next send to an owner.
   boost::asio::steady_timer DeadlineTimer;
   boost::asio::steady_timer HedgeTimer;
   boost::asio::steady_timer WaitTimer;
--- a/tests/unit/TargetAnnouncementsTest.cpp
+++ b/tests/unit/TargetAnnouncementsTest.cpp
@@ -147,6 +147,70 @@
   EXPECT_EQ(selected(Table, Start + seconds(14)), "a");
 }
 
+// Guards against all instances that return to a target in the same moment.
+TEST(TargetAnnouncementsTest, InstancesReturnSpreadOverTimeAfterAPause) {
+  std::set<std::int64_t> Returns;
+  for (std::uint64_t Seed = 1; Seed <= 40; ++Seed) {
+    auto Table = table(Seed);
+    Table.apply(record("a"), Start);
+    Table.announced(record("a"), pause(seconds(4)), Start);
+    Duration Passed = seconds(4);
+    while (selected(Table, Start + Passed).empty())
+      Passed += milliseconds(10);
+    EXPECT_LE(Passed, seconds(5));
+    Returns.insert(Passed.count() / 100'000);
+  }
+  EXPECT_GE(Returns.size(), 6U);
+}
+
+// Guards against a queue that fills a target as soon as its pause has ended.
+TEST(TargetAnnouncementsTest, FewRequestsAreSentAtFirstAfterAPause) {
+  auto Table = table();
+  Table.apply(record("a"), Start);
+  const TargetPtr Target = Table.find(TargetId("a"));
+  Table.announced(record("a"), pause(seconds(1)), Start);
+  const TimePoint Return = Target->Announced->pausedUntil();
+  const auto Send = [&](TimePoint Now) {
+    int Count = 0;
+    while (selected(Table, Now) == "a") {
+      Target->Load.sent();
+      ++Count;
+    }
+    return Count;
+  };
+  EXPECT_EQ(Send(Return), 1);
+  EXPECT_EQ(selection(Table, Return).Reason, NoTargetReason::Busy);
+  EXPECT_EQ(Table.selectOwner(Target, Return).Target, nullptr);
+  EXPECT_EQ(Send(Return + milliseconds(250)), 1);
+  EXPECT_EQ(Send(Return + milliseconds(500)), 2);
+  EXPECT_EQ(Send(Return + seconds(1)), 6);
+}
+
+// Guards against requests that wait although it is known when the first target
+// takes one again, and against refusals while a target could take one.
+TEST(TargetAnnouncementsTest, EndOfThePauseOfAllTargetsIsKnown) {
+  auto Table = table();
+  Table.apply(record("a"), Start);
+  Table.apply(record("b"), Start);
+  EXPECT_FALSE(Table.allPausedUntil(Service, Start));
+  Table.announced(record("a"), pause(seconds(8)), Start);
+  EXPECT_FALSE(Table.allPausedUntil(Service, Start));
+  Table.announced(record("b"), pause(seconds(4)), Start);
+  const auto Until = Table.allPausedUntil(Service, Start);
+  ASSERT_TRUE(Until);
+  EXPECT_EQ(*Until, Table.find(TargetId("b"))->Announced->pausedUntil());
+  // A target that is about to be tried again, or leaves, does not count.
+  Table.apply(record("c"), Start);
+  EXPECT_FALSE(Table.allPausedUntil(Service, Start));
+  Table.markUnreachable(*Table.find(TargetId("c")), Start);
+  EXPECT_LT(*Table.allPausedUntil(Service, Start), *Until);
+  Table.announced(record("c"), leaving(), Start);
+  EXPECT_EQ(Table.allPausedUntil(Service, Start), Until);
+  Table.announced(record("a"), leaving(), Start);
+  Table.announced(record("b"), leaving(), Start);
+  EXPECT_FALSE(Table.allPausedUntil(Service, Start));
+}
+
 // Guards against tables that grow with all targets that have ever been there.
 TEST(TargetAnnouncementsTest, EntriesOfGoneTargetsAreDropped) {
   AnnouncementTable Entries;
