Return to a target step by step after the pause that it has asked for

A target that had turned requests away to shed load got the next wave at the moment in which its pause ended: all instances returned to it together, each with as many requests as the target bears.

Each instance adds a random delay to the pause, up to a quarter of it and 1 s at most, and then has one request in flight there, then two, four and eight, a quarter of a second each. Owners of keys are spared in the same way. A pause of zero seconds is none; lines on pauses are limited like those on failures.

Ruled out: to count the target as cold, since the limit of cold targets is made for targets that crash above it and would leave most instances without one request for seconds.

--- a/lib/Fleet/TargetAnnouncements.cpp
+++ b/lib/Fleet/TargetAnnouncements.cpp
@@ -11,6 +11,23 @@
 /// directory are dropped; a restored store may bring its record back.
 constexpr Duration RetentionPeriod = std::chrono::hours(1);
 
+/// Longest delay of an instance's return after a pause, as a fraction of the
+/// pause and absolutely, so that the instances return one after another.
+constexpr double MaxDelayFraction = 0.25;
+constexpr Duration MaxDelay = std::chrono::seconds(1);
+
+/// After a pause an instance sends one request at a time. The number doubles
+/// with each step until the end of the period.
+constexpr Duration ReturnStep = std::chrono::milliseconds(250);
+constexpr Duration ReturnPeriod = 4 * ReturnStep;
+
+auto returnDelay(Duration Length, double Share) -> Duration {
+  const auto Longest =
+      std::min(std::chrono::duration_cast<Duration>(Length * MaxDelayFraction),
+               MaxDelay);
+  return std::chrono::duration_cast<Duration>(Longest * Share);
+}
+
 } // namespace
 
 auto TargetAnnouncements::setLeaving() -> bool {
@@ -22,10 +39,18 @@
   const bool Begins = !paused(Now);
   if (Begins)
     DelayShare = NewDelayShare;
-  PausedUntil = std::max(PausedUntil, Now + Length);
+  PausedUntil =
+      std::max(PausedUntil, Now + Length + returnDelay(Length, DelayShare));
   return Begins;
 }
 
+auto TargetAnnouncements::requestLimit(TimePoint Now) const
+    -> std::optional<std::uint32_t> {
+  if (PausedUntil == LongAgo || Now >= PausedUntil + ReturnPeriod)
+    return std::nullopt;
+  return Now < PausedUntil ? 0 : 1U << ((Now - PausedUntil) / ReturnStep);
+}
+
 auto AnnouncementTable::of(const TargetRecord &Record, TimePoint Now) -> Entry {
   Kept &Found =
       Entries[Incarnation(Record.Id, Record.StartedAtMs, Record.Address)];
--- a/lib/Fleet/TargetAnnouncements.h
+++ b/lib/Fleet/TargetAnnouncements.h
@@ -31,6 +31,9 @@
   /// DelayShare, from 0 to 1, selects the delay after its end by which this
   /// instance returns later than others. Returns whether a pause begins.
   auto pause(Duration Length, double DelayShare, TimePoint Now) -> bool;
+  /// Requests that this instance may have in flight at the target soon after a
+  /// pause; nothing: any number.
+  auto requestLimit(TimePoint Now) const -> std::optional<std::uint32_t>;
   /// End of the latest pause, including the delay.
   auto pausedUntil() const -> TimePoint { return PausedUntil; }
   auto paused(TimePoint Now) const -> bool { return Now < PausedUntil; }
--- a/lib/Fleet/TargetTable.cpp
+++ b/lib/Fleet/TargetTable.cpp
@@ -195,6 +195,12 @@
          !Evacuated.contains(Target.Record.DataCentre);
 }
 
+auto TargetTable::returnLimitReached(const TargetState &Target,
+                                     TimePoint Now) const -> bool {
+  const auto Limit = Target.Announced->requestLimit(Now);
+  return Limit && Target.Load.inFlight() >= *Limit;
+}
+
 auto TargetTable::coldLimitReached(TargetState &Target, TimePoint Now) -> bool {
   if (!Target.cold(Now))
     return false;
@@ -269,7 +275,8 @@
     return NoTargetReason::Paused;
   if (Now < Target.UnreachableUntil)
     return NoTargetReason::Down;
-  if (Target.Load.queue(Now) >= QueuePerSlot * Target.Record.Slots)
+  if (Target.Load.queue(Now) >= QueuePerSlot * Target.Record.Slots ||
+      returnLimitReached(Target, Now))
     return NoTargetReason::Busy;
   return coldLimitReached(Target, Now) ? NoTargetReason::Cold
                                        : NoTargetReason::None;
@@ -348,7 +355,8 @@
     Selected.Reason = NoTargetReason::Down;
   else if (Target->Load.queue(Now) >=
                OwnerQueuePerSlot * Target->Record.Slots ||
-           Target->Load.inFlight() >= ownerRequestLimit(*Target))
+           Target->Load.inFlight() >= ownerRequestLimit(*Target) ||
+           returnLimitReached(*Target, Now))
     Selected.Reason = NoTargetReason::Busy;
   else if (coldLimitReached(*Target, Now))
     Selected.Reason = NoTargetReason::Cold;
@@ -384,7 +392,7 @@
   AnnouncementChange Change;
   if (Notices.Leaving)
     Change.Leaving = Announced->setLeaving();
-  if (Notices.RequestedPause)
+  if (Notices.RequestedPause && *Notices.RequestedPause > Duration(0))
     Change.Paused =
         Announced->pause(*Notices.RequestedPause, Random.unit(), Now);
   return Change;
--- a/lib/Fleet/TargetTable.h
+++ b/lib/Fleet/TargetTable.h
@@ -173,6 +173,10 @@
   /// Number of requests that this instance may have in flight at an owner of
   /// keys.
   auto ownerRequestLimit(const TargetState &Target) const -> std::uint32_t;
+  /// Whether the target has as many requests of this instance as it is to get
+  /// soon after a pause.
+  auto returnLimitReached(const TargetState &Target, TimePoint Now) const
+      -> bool;
   auto coldLimitReached(TargetState &Target, TimePoint Now) -> bool;
   /// Number of targets that a request compares, in the own data centre and in
   /// all others.
--- a/lib/Gateway/AnnouncementRecorder.cpp
+++ b/lib/Gateway/AnnouncementRecorder.cpp
@@ -32,7 +32,9 @@
   }
   if (Change.Paused) {
     ++Total.Pauses;
-    logChange(Target, "pause", *Notices.RequestedPause, "self");
+    // A target may ask for one short pause after another.
+    if (Events.admits(EventClass::Failure, Now))
+      logChange(Target, "pause", *Notices.RequestedPause, "self");
   }
   if (OnChange && (Change.Leaving || Change.Paused))
     OnChange(Target);
