Show in the log and in explain what targets have announced

The line target-announced names the notice, and the instance that reported it; its field kind would have been taken by explain for a kind of object in the store. explain prints the announcements of the request's target, or of its service if the request was sent to none.

--- a/cli/buckthornring/ExplainCommand.cpp
+++ b/cli/buckthornring/ExplainCommand.cpp
@@ -48,8 +48,14 @@
   }
 }
 
-auto isStateChange(const LogLine &Line, const std::string &Target) -> bool {
+auto isStateChange(const LogLine &Line, const Json &Request) -> bool {
   const std::string Event = text(Line.Fields, "event");
+  const std::string Target = text(Request, "target");
+  // Of a request that was sent to no target, all targets of the service count.
+  if (Event == "target-announced")
+    return Target.empty()
+               ? text(Line.Fields, "service") == text(Request, "service")
+               : text(Line.Fields, "target") == Target;
   if (Event == "target-changed" || Event == "target-removed")
     return !Target.empty() && text(Line.Fields, "target") == Target;
   return std::find(StateChangeEvents.begin(), StateChangeEvents.end(), Event) !=
@@ -62,6 +68,9 @@
 auto stateChangeKey(const LogLine &Line) -> std::string {
   const std::string Event = text(Line.Fields, "event");
   const std::string Kind = text(Line.Fields, "kind");
+  if (Event == "target-announced")
+    return Event + "/" + text(Line.Fields, "target") + "/" +
+           text(Line.Fields, "notice");
   return (Kind.empty() ? Event : "store-contact") + "/" + Kind;
 }
 
@@ -73,7 +82,7 @@
   for (const LogLine &Line : Log) {
     if (Line.TimeMs > Request.TimeMs ||
         text(Line.Fields, "instance") != text(Request.Fields, "instance") ||
-        !isStateChange(Line, text(Request.Fields, "target")))
+        !isStateChange(Line, Request.Fields))
       continue;
     // A restarted process does not keep the state of the earlier one.
     if (text(Line.Fields, "event") == "start")
--- a/lib/Gateway/AnnouncementRecorder.cpp
+++ b/lib/Gateway/AnnouncementRecorder.cpp
@@ -49,12 +49,12 @@
 }
 
 auto AnnouncementRecorder::logChange(const TargetRecord &Target,
-                                     const char *Kind, Duration Pause,
+                                     const char *Notice, Duration Pause,
                                      std::string_view Source) -> void {
   Events.write(EventLine("target-announced")
                    .field("target", Target.Id.str())
                    .field("service", Target.Service.str())
-                   .field("kind", Kind)
+                   .field("notice", Notice)
                    .field("told", Source)
                    .field("pause_ms", Pause));
 }
--- a/lib/Gateway/AnnouncementRecorder.h
+++ b/lib/Gateway/AnnouncementRecorder.h
@@ -42,7 +42,7 @@
 
 private:
   /// \p Source is the instance that the target has told.
-  auto logChange(const TargetRecord &Target, const char *Kind, Duration Pause,
+  auto logChange(const TargetRecord &Target, const char *Notice, Duration Pause,
                  std::string_view Source) -> void;
   auto onUnreadablePause(const TargetRecord &Target, TimePoint Now) -> void;
 
