Add a failing test of requests for keys of a briefly pausing owner

They wait for half of the target latency and are refused as no-owner, though it is known that the owner takes none in that time and keeps its keys.

--- a/tests/unit/TargetNoticeTest.cpp
+++ b/tests/unit/TargetNoticeTest.cpp
@@ -200,6 +200,40 @@
   EXPECT_EQ(requestCount(First), Before);
 }
 
+// Guards against requests that wait for an owner whose pause is too short for
+// its keys to be moved, and ends after they would have stopped waiting.
+TEST(TargetNoticeTest, RequestsForKeysOfABrieflyPausingOwnerAreRefusedAtOnce) {
+  std::atomic<bool> Pauses = false;
+  const auto Script = [&Pauses](Socket &To, const std::string &Request) {
+    if (isOrder(Request))
+      return ScriptedTarget::send(To, Granted);
+    const std::string Id = GatewayFixture::requestId(Request);
+    return ScriptedTarget::send(
+        To, Pauses.exchange(false)
+                ? GatewayFixture::response(
+                      Id, "", "Not-Executed: 1\r\nRetry-After: 0.75\r\n", 503)
+                : GatewayFixture::response(Id, "ok"));
+  };
+  ScriptedTarget First(Script);
+  ScriptedTarget Second(Script);
+  GatewayFixture Fixture;
+  Fixture.addTarget("stock", "o1", First);
+  Fixture.addTarget("stock", "o2", Second);
+  Fixture.configure(1);
+  const auto Ask = [&Fixture] {
+    return Fixture.exchange("GET", "/owned/1", "Shard-Key: 7\r\n");
+  };
+  ASSERT_TRUE(eventually([&] { return Ask().has(" 200 "); }));
+  Pauses = true;
+  for (int Count = 0; Count < 2; ++Count) {
+    const auto View = Ask();
+    EXPECT_TRUE(View.has("Btr-Refusal: targets-paused")) << View.Bytes;
+    EXPECT_GT(retryAfter(View), 0.3) << View.Bytes;
+    EXPECT_LE(retryAfter(View), 1.0) << View.Bytes;
+  }
+  EXPECT_TRUE(eventually([&] { return Ask().has(" 200 "); }));
+}
+
 // Guards against keys that stay with an owner which has announced that it
 // leaves, until its record says so. The announcement arrives with the answer to
 // an order or to a request.
