Refuse requests at once whose owner pauses too briefly to move its keys

Callers with requests for keys waited for half of the target latency and were told no-owner, while the owner had asked for a pause that ends later and in which its keys stay where they are.

Such a request is refused as targets-paused with the rest of the pause, also when the owner has just rejected it and it would be sent again soon. A pause that moves the keys changes nothing: the request waits for the new owner.

--- a/cli/buckthornring/WhyCommand.cpp
+++ b/cli/buckthornring/WhyCommand.cpp
@@ -46,8 +46,8 @@
     "The key's home data centre cannot be reached over a link.",
     "The instance is shutting down; another one will take the request.",
     "The caller sent its request too slowly (limits.slow_sender_timeout_ms).",
-    "All targets of the service have asked for a pause. Retry-After gives the "
-    "time until one takes requests again.",
+    "All targets that could run the request have asked for a pause. "
+    "Retry-After gives the time until one takes requests again.",
 };
 
 /// Adds the refusal counters of a Prometheus text, summed over all other
--- a/lib/Fleet/TargetAnnouncements.h
+++ b/lib/Fleet/TargetAnnouncements.h
@@ -11,6 +11,10 @@
 
 namespace buckthornring {
 
+/// Remaining pause of an owner of keys from which its keys are moved. Moving
+/// them takes about as long as a shorter one.
+inline constexpr Duration MinPauseForHandover = std::chrono::milliseconds(1000);
+
 /// What a target says of itself in one response.
 struct TargetNotices {
   bool Leaving = false; ///< The target stops soon and wants no new requests.
--- a/lib/Fleet/TargetTable.cpp
+++ b/lib/Fleet/TargetTable.cpp
@@ -349,9 +349,10 @@
   TargetSelection Selected;
   if (!Target || !takesRequests(*Target))
     return Selected;
-  if (Target->Announced->paused(Now))
+  if (Target->Announced->paused(Now)) {
     Selected.Reason = NoTargetReason::Paused;
-  else if (Now < Target->UnreachableUntil)
+    Selected.OwnerPausedUntil = Target->Announced->pausedUntil();
+  } else if (Now < Target->UnreachableUntil)
     Selected.Reason = NoTargetReason::Down;
   else if (Target->Load.queue(Now) >=
                OwnerQueuePerSlot * Target->Record.Slots ||
@@ -361,7 +362,8 @@
   else if (coldLimitReached(*Target, Now))
     Selected.Reason = NoTargetReason::Cold;
   else
-    Selected = {Target, NoTargetReason::None, expectedTime(*Target, Now)};
+    Selected = {Target, NoTargetReason::None, expectedTime(*Target, Now),
+                LongAgo};
   return Selected;
 }
 
--- a/lib/Fleet/TargetTable.h
+++ b/lib/Fleet/TargetTable.h
@@ -88,6 +88,8 @@
   TargetPtr Target; ///< Null: none.
   NoTargetReason Reason = NoTargetReason::None;
   Duration Expected{0}; ///< Expected time until the response.
+  /// End of the pause of an owner of keys; LongAgo: it does not pause.
+  TimePoint OwnerPausedUntil = LongAgo;
 };
 
 /// The targets of all services, and the selection of a target for a request.
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -59,10 +59,6 @@
 /// lowers its capacity.
 constexpr double MaxCapacityFactor = 2.5;
 
-/// Remaining pause of an owner from which its keys are moved. Moving them takes
-/// about as long as a shorter one.
-constexpr Duration MinPauseForHandover = std::chrono::milliseconds(1000);
-
 } // namespace
 
 auto Leader::rangeObjectName(const ServiceId &Service) -> std::string {
--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -199,7 +199,7 @@
     return true;
   const TimePoint Now = bootNow();
   if (Now < NextSendAt)
-    return false;
+    return refuseIfAllPaused(Now);
   const TargetSelection Selected = selectTarget(Now);
   LastSelectionReason = Selected.Reason;
   if (!Selected.Target)
@@ -256,8 +256,19 @@
       });
 }
 
+auto RequestFlow::pauseEnd(TimePoint Now) -> std::optional<TimePoint> {
+  if (const auto All = Context.Targets.allPausedUntil(Service, Now))
+    return All;
+  if (!Key)
+    return std::nullopt;
+  const TimePoint OwnerEnd = selectOwner(Now).OwnerPausedUntil;
+  return OwnerEnd > Now && OwnerEnd - Now < MinPauseForHandover
+             ? std::optional(OwnerEnd)
+             : std::nullopt;
+}
+
 auto RequestFlow::refuseIfAllPaused(TimePoint Now) -> bool {
-  const auto Until = Context.Targets.allPausedUntil(Service, Now);
+  const auto Until = pauseEnd(Now);
   const TimePoint WaitEnd = Ticket == 0
                                 ? std::min(ResponseDeadline, Now + waitLimit())
                                 : WaitDeadline;
--- a/lib/Gateway/RequestFlow.h
+++ b/lib/Gateway/RequestFlow.h
@@ -57,8 +57,11 @@
   auto selectTarget(TimePoint Now) -> TargetSelection;
   auto selectOwner(TimePoint Now) -> TargetSelection;
   auto waitForTarget(TimePoint Now) -> void;
-  /// Refuses the request if all targets of its service have asked for a pause
-  /// that ends after the request would have stopped waiting.
+  /// Time at which the first target that could run the request ends its pause,
+  /// or nothing if one does not pause or the key may be moved before.
+  auto pauseEnd(TimePoint Now) -> std::optional<TimePoint>;
+  /// Refuses the request if pauseEnd() is after the time at which it would stop
+  /// waiting. Returns whether it did.
   auto refuseIfAllPaused(TimePoint Now) -> bool;
   auto stopWaiting() -> void;
   auto waitLimit() const -> Duration;
