Keep reports on announcements within one packet

It names owners of keys only, 16 at most; owners whose keys have been moved make room for others.

Evidence: PreviousOwnerIsNoOwner (new, of a new function; not seen failing), the tests of messages, ranges and announcements pass.

--- a/lib/Fleet/KeyRanges.cpp
+++ b/lib/Fleet/KeyRanges.cpp
@@ -17,6 +17,12 @@
   return Found == Ranges.end() || Found->From > Key ? nullptr : &*Found;
 }
 
+auto RangeRecord::isOwner(const TargetId &Target) const -> bool {
+  return std::any_of(
+      Ranges.begin(), Ranges.end(),
+      [&Target](const KeyRange &Range) { return Range.Owner == Target; });
+}
+
 auto RangeRecord::json() const -> Json {
   Json List = Json::array();
   for (const KeyRange &Range : Ranges) {
--- a/lib/Fleet/KeyRanges.h
+++ b/lib/Fleet/KeyRanges.h
@@ -36,6 +36,8 @@
 
   /// Returns the range of \p Key, or null when there is none.
   auto find(std::uint32_t Key) const -> const KeyRange *;
+  /// Whether the target owns any keys.
+  auto isOwner(const TargetId &Target) const -> bool;
 
   auto json() const -> nlohmann::json;
   /// Fails with the reason when the value is not a valid record for \p Keys
--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -71,6 +71,10 @@
 /// has to fit into one packet.
 constexpr std::size_t MaxReportedKeys = 150;
 
+/// Maximum number of owners whose announcements are in one report. Owners whose
+/// keys have been moved make room for others.
+constexpr std::size_t MaxReportedNotices = 16;
+
 auto leaderToJson(const LeaderInfo &Leader) -> Json {
   return {{"instance", Leader.Instance.str()},
           {"process", Leader.Process},
@@ -154,6 +158,10 @@
   for (const auto &[Service, View] : Context.Requests.Ranges)
     for (const TargetPtr &Target :
          Context.Requests.Targets.announcing(Service, Now)) {
+      if (Out.size() >= MaxReportedNotices)
+        break;
+      if (!View.Record.isOwner(Target->Record.Id))
+        continue;
       const Duration Rest =
           std::max(Duration(0), Target->Announced->pausedUntil() - Now);
       Out[Target->Record.Id] = {
--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -273,6 +273,16 @@
   EXPECT_TRUE(Assigner.nextGrant(TargetId("t0"), Now, Now));
 }
 
+TEST(RangeRecordTest, PreviousOwnerIsNoOwner) {
+  RangeRecord Record;
+  KeyRange Range;
+  Range.Owner = TargetId("new");
+  Range.PreviousOwner = TargetId("old");
+  Record.Ranges = {Range};
+  EXPECT_TRUE(Record.isOwner(TargetId("new")));
+  EXPECT_FALSE(Record.isOwner(TargetId("old")));
+}
+
 TEST(RangeRecordTest, ParsesItsOwnJsonAndRejectsInvalidRecords) {
   const RangeRecord Record = firstRecord(3);
   const auto Read = RangeRecord::parse(Record.json(), 65'536);
