--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -4,6 +4,7 @@
 import signal
 import time
 
+from notices import NOTICE_FAULTS
 from store import RECORD_EXPIRY
 from targets import Target
 
@@ -341,3 +342,4 @@
         ("target_responds_twice", attribute_fault(
             None, "duplicate_share", 0.3, 0.0)),
         ("target_delayed", attribute_fault("proxy", "delay", 0.15, 0.0))]
+FAULTS += NOTICE_FAULTS
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -25,6 +25,7 @@
 from faults import FAULTS, Targets
 from instance_log import InstanceLog
 from invariants import Invariants
+from notices import Notices
 from proxy import Proxy
 from store import Store
 from wire import ConnectionFailed, free_ports, message, read_message
@@ -155,6 +156,7 @@
         self.build, self.folder = options.build, folder
         self.free_ports = free_ports(400)
         self.invariants = Invariants()
+        self.notices = Notices(self)
         self.store = Store(self.ports(1)[0], self.random)
         self.instances = [Instance(self, n) for n in range(options.instances)]
         self.targets = Targets(self, DATA_CENTRES)
--- a/lib/Fleet/KeyRanges.cpp
+++ b/lib/Fleet/KeyRanges.cpp
@@ -29,6 +29,12 @@
   NextFence = std::max(NextFence, NewEra * TokensPerEra + 1);
 }
 
+auto RangeRecord::isOwner(const TargetId &Target) const -> bool {
+  return std::any_of(
+      Ranges.begin(), Ranges.end(),
+      [&Target](const KeyRange &Range) { return Range.Owner == Target; });
+}
+
 auto RangeRecord::json() const -> Json {
   Json List = Json::array();
   for (const KeyRange &Range : Ranges) {
--- a/lib/Fleet/KeyRanges.h
+++ b/lib/Fleet/KeyRanges.h
@@ -42,6 +42,8 @@
 
   /// Returns the range of \p Key, or null when there is none.
   auto find(std::uint32_t Key) const -> const KeyRange *;
+  /// Whether the target owns any keys.
+  auto isOwner(const TargetId &Target) const -> bool;
 
   /// Continues the record in a later era: its next fencing tokens are above all
   /// that lost records of earlier eras may hold.
--- a/lib/Fleet/TargetTable.cpp
+++ b/lib/Fleet/TargetTable.cpp
@@ -97,6 +97,7 @@
   erase(Record.Id);
   auto Added = std::make_shared<TargetState>();
   Added->Record = Record;
+  Added->Announced = Announcements.of(Record, Now);
   if (Record.RemainingColdTime > Duration(0))
     Added->ColdUntil = Now + Record.RemainingColdTime;
   Targets[Record.Id] = Added;
@@ -143,6 +144,7 @@
       ExpiredIds.push_back(Id);
   for (const TargetId &Id : ExpiredIds)
     depart(Id, Now);
+  Announcements.expire(Now);
   return !ExpiredIds.empty();
 }
 
@@ -225,11 +227,44 @@
   return Found == ByService.end() ? Empty : Found->second;
 }
 
+auto TargetTable::announcing(const ServiceId &Service, TimePoint Now) const
+    -> std::vector<TargetPtr> {
+  std::vector<TargetPtr> Out;
+  for (const TargetPtr &Target : targetsOfService(Service))
+    if (Target->Announced->refusesRequests(Now))
+      Out.push_back(Target);
+  return Out;
+}
+
+auto TargetTable::allPausedUntil(const ServiceId &Service, TimePoint Now) const
+    -> std::optional<TimePoint> {
+  std::optional<TimePoint> First;
+  bool AnyPaused = false;
+  for (const TargetPtr &Target : targetsOfService(Service)) {
+    if (!takesRequests(*Target))
+      continue;
+    const bool Paused = Target->Announced->paused(Now);
+    if (!Paused && Now >= Target->UnreachableUntil)
+      return std::nullopt;
+    AnyPaused = AnyPaused || Paused;
+    const TimePoint Until =
+        std::max(Target->Announced->pausedUntil(), Target->UnreachableUntil);
+    First = std::min(First.value_or(Until), Until);
+  }
+  return AnyPaused ? First : std::nullopt;
+}
+
 auto TargetTable::takesRequests(const TargetState &Target) const -> bool {
-  return !Target.Record.Draining &&
+  return !Target.Record.Draining && !Target.Announced->leaving() &&
          !Evacuated.contains(Target.Record.DataCentre);
 }
 
+auto TargetTable::returnLimitReached(const TargetState &Target,
+                                     TimePoint Now) const -> bool {
+  const auto Limit = Target.Announced->requestLimit(Now);
+  return Limit && Target.Load.inFlight() >= *Limit;
+}
+
 auto TargetTable::coldLimitReached(TargetState &Target, TimePoint Now) -> bool {
   if (!Target.cold(Now))
     return false;
@@ -300,9 +335,12 @@
                               TimePoint Now) -> NoTargetReason {
   const double QueuePerSlot =
       Request.Idempotent ? IdempotentQueuePerSlot : NonIdempotentQueuePerSlot;
+  if (Target.Announced->paused(Now))
+    return NoTargetReason::Paused;
   if (Now < Target.UnreachableUntil)
     return NoTargetReason::Down;
-  if (Target.Load.queue(Now) >= QueuePerSlot * Target.Record.Slots)
+  if (Target.Load.queue(Now) >= QueuePerSlot * Target.Record.Slots ||
+      returnLimitReached(Target, Now))
     return NoTargetReason::Busy;
   return coldLimitReached(Target, Now) ? NoTargetReason::Cold
                                        : NoTargetReason::None;
@@ -375,16 +413,21 @@
   TargetSelection Selected;
   if (!Target || !takesRequests(*Target))
     return Selected;
-  if (Now < Target->UnreachableUntil)
+  if (Target->Announced->paused(Now)) {
+    Selected.Reason = NoTargetReason::Paused;
+    Selected.OwnerPausedUntil = Target->Announced->pausedUntil();
+  } else if (Now < Target->UnreachableUntil)
     Selected.Reason = NoTargetReason::Down;
   else if (Target->Load.queue(Now) >=
                OwnerQueuePerSlot * Target->Record.Slots ||
-           Target->Load.inFlight() >= ownerRequestLimit(*Target))
+           Target->Load.inFlight() >= ownerRequestLimit(*Target) ||
+           returnLimitReached(*Target, Now))
     Selected.Reason = NoTargetReason::Busy;
   else if (coldLimitReached(*Target, Now))
     Selected.Reason = NoTargetReason::Cold;
   else
-    Selected = {Target, NoTargetReason::None, expectedTime(*Target, Now)};
+    Selected = {Target, NoTargetReason::None, expectedTime(*Target, Now),
+                LongAgo};
   return Selected;
 }
 
@@ -408,4 +451,17 @@
   Target.UnreachableUntil = LongAgo;
 }
 
+auto TargetTable::announced(const TargetRecord &Target,
+                            const TargetNotices &Notices, TimePoint Now)
+    -> AnnouncementChange {
+  const AnnouncementTable::Entry Announced = Announcements.of(Target, Now);
+  AnnouncementChange Change;
+  if (Notices.Leaving)
+    Change.Leaving = Announced->setLeaving();
+  if (Notices.RequestedPause && *Notices.RequestedPause > Duration(0))
+    Change.Paused =
+        Announced->pause(*Notices.RequestedPause, Random.unit(), Now);
+  return Change;
+}
+
 } // namespace buckthornring
--- a/lib/Fleet/TargetTable.h
+++ b/lib/Fleet/TargetTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Fleet/SlidingWindowCounter.h"
+#include "Fleet/TargetAnnouncements.h"
 #include "Fleet/TargetLoad.h"
 #include "Fleet/TargetRecord.h"
 #include "buckthornring/Common/Random.h"
@@ -49,6 +50,8 @@
   /// Set while the target is missing from the directory: it is kept until then,
   /// since its record may have expired in a store outage and return.
   std::optional<TimePoint> MissingUntil;
+  /// Never null.
+  AnnouncementTable::Entry Announced = std::make_shared<TargetAnnouncements>();
 
   auto cold(TimePoint Now) const -> bool {
     return Now < UnverifiedUntil || Now < ColdUntil;
@@ -67,17 +70,26 @@
 
 /// Why no target was selected.
 enum class NoTargetReason {
-  None, ///< No target of the service takes requests.
-  Down, ///< All targets that take requests are currently unreachable.
-  Cold, ///< Only cold targets at their rate limit and unreachable ones are
-        ///< left.
-  Busy, ///< Some targets are at their request limit; none can take one now.
+  None,   ///< No target of the service takes requests.
+  Down,   ///< All targets that take requests are currently unreachable.
+  Paused, ///< Only targets that have asked for a pause and unreachable ones
+          ///< are left.
+  Cold,   ///< Only cold targets at their rate limit and those above are left.
+  Busy,   ///< Some targets are at their request limit; none can take one now.
+};
+
+/// What a call of TargetTable::announced() has changed.
+struct AnnouncementChange {
+  bool Leaving = false; ///< The target has begun to leave.
+  bool Paused = false;  ///< The target has begun to pause.
 };
 
 struct TargetSelection {
   TargetPtr Target; ///< Null: none.
   NoTargetReason Reason = NoTargetReason::None;
   Duration Expected{0}; ///< Expected time until the response.
+  /// End of the pause of an owner of keys; LongAgo: it does not pause.
+  TimePoint OwnerPausedUntil = LongAgo;
 };
 
 /// The targets of all services, and the selection of a target for a request.
@@ -130,6 +142,10 @@
     return Targets;
   }
 
+  /// Targets of the service that have announced something that is in force.
+  auto announcing(const ServiceId &Service, TimePoint Now) const
+      -> std::vector<TargetPtr>;
+
   // Requests.
 
   /// Returns the target with the lowest cost: its expected time plus penalties,
@@ -139,6 +155,11 @@
   /// now.
   auto selectOwner(const TargetPtr &Target, TimePoint Now) -> TargetSelection;
 
+  /// When all reachable targets of the service that take requests have asked
+  /// for a pause: the time at which the first target takes requests again.
+  auto allPausedUntil(const ServiceId &Service, TimePoint Now) const
+      -> std::optional<TimePoint>;
+
   /// Whether new requests may be sent to the target at all.
   auto takesRequests(const TargetState &Target) const -> bool;
 
@@ -151,6 +172,9 @@
   /// Records that no connection to the target could be opened.
   auto markUnreachable(TargetState &Target, TimePoint Now) -> void;
   auto markReachable(TargetState &Target) -> void;
+  /// Records what the incarnation \p Target has announced in a response.
+  auto announced(const TargetRecord &Target, const TargetNotices &Notices,
+                 TimePoint Now) -> AnnouncementChange;
 
 private:
   /// A target that has left. The directory may bring back a record of it.
@@ -164,6 +188,10 @@
   /// Number of requests that this instance may have in flight at an owner of
   /// keys.
   auto ownerRequestLimit(const TargetState &Target) const -> std::uint32_t;
+  /// Whether the target has as many requests of this instance as it is to get
+  /// soon after a pause.
+  auto returnLimitReached(const TargetState &Target, TimePoint Now) const
+      -> bool;
   auto coldLimitReached(TargetState &Target, TimePoint Now) -> bool;
   /// Number of targets that a request compares, in the own data centre and in
   /// all others.
@@ -192,6 +220,7 @@
   std::unordered_map<ServiceId, ColdLimit> ColdLimits;
   std::unordered_map<TargetId, TargetPtr> Targets;
   std::unordered_map<TargetId, Departure> Departures;
+  AnnouncementTable Announcements;
   std::unordered_map<ServiceId, std::vector<TargetPtr>> ByService;
   std::unordered_map<ServiceId, double> ProcessingTimeUs; ///< Moving average.
 };
--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -22,6 +22,10 @@
 /// since such a leader was probably lost before the process started.
 constexpr Duration FirstReplyTimeout = std::chrono::milliseconds(900);
 
+/// Least interval of reports on announcements of owners; the next regular
+/// report names those that come sooner.
+constexpr Duration MinReportInterval = std::chrono::milliseconds(100);
+
 /// Upper bound of the random delay of a claim, so that one instance claims
 /// first and the others see its claim.
 constexpr Duration MaxClaimStagger = std::chrono::milliseconds(300);
@@ -73,6 +77,10 @@
 /// has to fit into one packet.
 constexpr std::size_t MaxReportedKeys = 150;
 
+/// Maximum number of owners whose announcements are in one report. Owners whose
+/// keys have been moved make room for others.
+constexpr std::size_t MaxReportedNotices = 16;
+
 auto leaderToJson(const LeaderInfo &Leader, std::uint64_t Era) -> Json {
   return {{"instance", Leader.Instance.str()},
           {"process", Leader.Process},
@@ -147,9 +155,37 @@
     if (!Keys.empty())
       Report.Keys[Id] = std::exchange(Keys, {});
   }
+  Report.OwnerNotices = ownerNotices(Now);
   return Report;
 }
 
+auto FleetMember::ownerNotices(TimePoint Now) const
+    -> std::map<TargetId, OwnerNotice> {
+  std::map<TargetId, OwnerNotice> Out;
+  for (const auto &[Service, View] : Context.Requests.Ranges)
+    for (const TargetPtr &Target :
+         Context.Requests.Targets.announcing(Service, Now)) {
+      if (Out.size() >= MaxReportedNotices)
+        break;
+      if (!View.Record.isOwner(Target->Record.Id))
+        continue;
+      const Duration Rest =
+          std::max(Duration(0), Target->Announced->pausedUntil() - Now);
+      Out[Target->Record.Id] = {
+          Target->Record.StartedAtMs, Target->Announced->leaving(),
+          static_cast<std::uint32_t>(Rest.count() / 1000)};
+    }
+  return Out;
+}
+
+auto FleetMember::onAnnounced(const TargetRecord &Target) -> void {
+  // The leader plans with its own announcements.
+  if (Context.Requests.Ranges.contains(Target.Service) &&
+      !Context.LocalLeader.leading() &&
+      bootNow() - LastReportAt >= MinReportInterval)
+    sendReport();
+}
+
 auto FleetMember::sendReport() -> void {
   const TimePoint Now = bootNow();
   if (Context.LocalLeader.leading()) {
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -77,26 +77,28 @@
       ProcessName(makeProcessName(Settings.Instance)),
       Targets(TargetTable::Settings{Settings.Instance, Settings.DataCentre},
               std::hash<std::string>()(ProcessName)),
-      Pool(Io.get_executor()), Requests{Io,
-                                        Protocol,
-                                        Targets,
-                                        Pool,
-                                        Events,
-                                        WaitingRequests,
-                                        Settings.Bounds.Retries,
-                                        Settings.Instance.str(),
-                                        nullptr,
-                                        {},
-                                        {},
-                                        RateShares(Settings.Bounds.Rates),
-                                        {},
-                                        Totals.stripe(0),
-                                        {},
-                                        {},
-                                        {},
-                                        {},
-                                        {},
-                                        {}},
+      Pool(Io.get_executor()), Announcements(Protocol, Targets, Events),
+      Requests{Io,
+               Protocol,
+               Targets,
+               Pool,
+               Events,
+               WaitingRequests,
+               Announcements,
+               Settings.Bounds.Retries,
+               Settings.Instance.str(),
+               nullptr,
+               {},
+               {},
+               RateShares(Settings.Bounds.Rates),
+               {},
+               Totals.stripe(0),
+               {},
+               {},
+               {},
+               {},
+               {},
+               {}},
       Listener(Io), Signals(Io, SIGTERM, SIGINT, SIGHUP), TickTimer(Io),
       DispatchTimer(Io), StopTimer(Io), FeedStartTimer(Io) {}
 
@@ -166,7 +168,8 @@
   Times.HoldPeriod = std::min(Times.HoldPeriod, Settings.Bounds.MaxGrantHold);
   LocalLeader = std::make_unique<Leader>(
       Leader::FleetContext{
-          Io, *Store, Protocol, Targets, Events, *RouterObjectsFeed,
+          Io, *Store, Protocol, Targets, Events, Announcements,
+          *RouterObjectsFeed,
           [this](const ServiceId &Service) -> const RangeRecord * {
             const auto View = Requests.Ranges.find(Service);
             return View == Requests.Ranges.end() ? nullptr
@@ -181,6 +184,8 @@
           }},
       Times, Settings.Bounds.Rates);
   Requests.OnLoadAdded = [this] { Member->scheduleLoadNotice(); };
+  Announcements.setHandler(
+      [this](const TargetRecord &Target) { Member->onAnnounced(Target); });
   Requests.RequestRateFromReserve = [this](const WorkspaceId &Workspace,
                                            std::function<void(bool)> Done) {
     Member->rateReserveClient().ask(Workspace, std::move(Done));
--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -206,11 +206,11 @@
     return true;
   const TimePoint Now = bootNow();
   if (Now < NextSendAt)
-    return false;
+    return refuseIfAllPaused(Now);
   const TargetSelection Selected = selectTarget(Now);
   LastSelectionReason = Selected.Reason;
   if (!Selected.Target)
-    return false;
+    return refuseIfAllPaused(Now);
   Ticket = 0;
   WaitTimer.cancel();
   send(Selected.Target);
@@ -263,6 +263,29 @@
       });
 }
 
+auto RequestFlow::pauseEnd(TimePoint Now) -> std::optional<TimePoint> {
+  if (const auto All = Context.Targets.allPausedUntil(Service, Now))
+    return All;
+  if (!Key)
+    return std::nullopt;
+  const TimePoint OwnerEnd = selectOwner(Now).OwnerPausedUntil;
+  return OwnerEnd > Now && OwnerEnd - Now < MinPauseForHandover
+             ? std::optional(OwnerEnd)
+             : std::nullopt;
+}
+
+auto RequestFlow::refuseIfAllPaused(TimePoint Now) -> bool {
+  const auto Until = pauseEnd(Now);
+  const TimePoint WaitEnd = Ticket == 0
+                                ? std::min(ResponseDeadline, Now + waitLimit())
+                                : WaitDeadline;
+  if (!Until || *Until <= WaitEnd || !ActiveHops.empty())
+    return false;
+  PauseRest = *Until - Now;
+  refuse(RefusalReason::TargetsPaused);
+  return true;
+}
+
 auto RequestFlow::stopWaiting() -> void {
   if (Ticket != 0)
     Context.WaitingRequests.remove(Service, Priority, std::exchange(Ticket, 0));
@@ -305,6 +328,12 @@
     return;
   }
   const TimePoint Now = bootNow();
+  if (Connection && CurrentHop->Target->Announced->refusesRequests(Now)) {
+    // The target has announced it while the connection was being opened.
+    Context.Pool.release(CurrentHop->Target->Record, Connection);
+    abandonHop(CurrentHop);
+    return ActiveHops.empty() ? sendOrWait() : void();
+  }
   if (!Connection) {
     Context.Targets.markUnreachable(*CurrentHop->Target, Now);
     Context.Pool.closeConnections(CurrentHop->Target->Record.Id);
@@ -432,6 +461,8 @@
       Rejected ? std::nullopt : std::optional(Latency), CurrentHop->QueueAtSend,
       CurrentHop->Target->Record.Slots);
   recordLoad(*CurrentHop, Response, Now);
+  Context.Announcements.record(CurrentHop->Target->Record, Response.Status,
+                               Response.Fields);
   if (Rejected)
     CurrentHop->Connection->recordRejection();
   Context.Pool.release(CurrentHop->Target->Record,
@@ -463,7 +494,8 @@
   const bool Misdirected = Response.Status == 421;
   if (Key)
     NextSendAt = bootNow() + OwnerRetryDelay;
-  else
+  else if (!CurrentHop->Target->Announced->paused(bootNow()))
+    // After a pause that it has asked for, the target is sound again.
     CurrentHop->Target->Load.failed();
   if (!ActiveHops.empty())
     return;
@@ -582,8 +614,9 @@
                      MayHaveRun ? RunStatus::Unknown : RunStatus::NotRun)));
   if (Out.Status == 503 || Out.Status == 429) {
     const Duration Wait =
-        Reason == RefusalReason::OverRate
-            ? Context.Rates.retryAfter(Workspace)
+        Reason == RefusalReason::OverRate ? Context.Rates.retryAfter(Workspace)
+        : Reason == RefusalReason::TargetsPaused
+            ? PauseRest
             : retryAfter(Reason, Route ? Route->TargetLatency
                                        : std::chrono::seconds(1));
     Out.Fields.add("Retry-After", formatSeconds(Wait));
@@ -644,7 +677,10 @@
   if (const TargetPtr Target = Context.Targets.find(LastTarget))
     Line.field("target_queue", Target->Load.queue(Now))
         .field("target_failures", Target->Load.failureShare())
-        .field("target_cold", Target->cold(Now));
+        .field("target_cold", Target->cold(Now))
+        .field("target_leaving", Target->Announced->leaving())
+        .field("target_pause_ms",
+               std::max(Duration(0), Target->Announced->pausedUntil() - Now));
   if (Key) {
     const auto View = Context.Ranges.find(Service);
     Line.field("key", *Key)
--- a/lib/Gateway/RequestFlow.h
+++ b/lib/Gateway/RequestFlow.h
@@ -59,6 +59,12 @@
   auto selectTarget(TimePoint Now) -> TargetSelection;
   auto selectOwner(TimePoint Now) -> TargetSelection;
   auto waitForTarget(TimePoint Now) -> void;
+  /// Time at which the first target that could run the request ends its pause,
+  /// or nothing if one does not pause or the key may be moved before.
+  auto pauseEnd(TimePoint Now) -> std::optional<TimePoint>;
+  /// Refuses the request if pauseEnd() is after the time at which it would stop
+  /// waiting. Returns whether it did.
+  auto refuseIfAllPaused(TimePoint Now) -> bool;
   auto stopWaiting() -> void;
   auto waitLimit() const -> Duration;
 
@@ -122,7 +128,8 @@
   NoTargetReason LastSelectionReason = NoTargetReason::None;
   WaitQueue::Ticket Ticket = 0;     ///< 0: the request does not wait.
   TimePoint WaitDeadline = LongAgo; ///< End of the wait for a target.
-  TimePoint NextSendAt = LongAgo;   ///< Earliest next send to an owner.
+  Duration PauseRest{0}; ///< Of the targets, for RefusalReason::TargetsPaused.
+  TimePoint NextSendAt = LongAgo; ///< Earliest next send to an owner.
   boost::asio::steady_timer DeadlineTimer;
   boost::asio::steady_timer HedgeTimer;
   boost::asio::steady_timer WaitTimer;
--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -36,6 +36,7 @@
   Report.Demand = {{WorkspaceId("w"), 12}};
   Report.Keys = {{ServiceId("s"), {1, 65535}}};
   Report.ProcessingTimeMs = {{TargetId("t"), 250}};
+  Report.OwnerNotices = {{TargetId("t"), {1'700'000'000'123, true, 4500}}};
   const auto Read = decodeFleetMessage(encodeFleetMessage(Report));
   ASSERT_TRUE(Read) << Read.error().message();
   const auto &Copy = std::get<FleetReport>(*Read);
@@ -46,6 +47,7 @@
   EXPECT_EQ(Copy.Demand, Report.Demand);
   EXPECT_EQ(Copy.Keys, Report.Keys);
   EXPECT_EQ(Copy.ProcessingTimeMs, Report.ProcessingTimeMs);
+  EXPECT_EQ(Copy.OwnerNotices, Report.OwnerNotices);
 }
 
 TEST(FleetMessageTest, ReplyNamesRelaysAndRateKeeper) {
@@ -291,6 +293,16 @@
   }
 }
 
+TEST(RangeRecordTest, PreviousOwnerIsNoOwner) {
+  RangeRecord Record;
+  KeyRange Range;
+  Range.Owner = TargetId("new");
+  Range.PreviousOwner = TargetId("old");
+  Record.Ranges = {Range};
+  EXPECT_TRUE(Record.isOwner(TargetId("new")));
+  EXPECT_FALSE(Record.isOwner(TargetId("old")));
+}
+
 TEST(RangeRecordTest, ParsesItsOwnJsonAndRejectsInvalidRecords) {
   const RangeRecord Record = firstRecord(3);
   const auto Read = RangeRecord::parse(Record.json(), 65'536);
