Let a superseded leader claim again in the simulation of restorations

It was always the last leader that went on in a restored store. Now an earlier one may, which was cut off and knows nothing of its successor, and a refused order makes a leader drop its state and read the store, as in the gateway. The checks are the same.

--- a/tests/support/RangeSimulation.h
+++ b/tests/support/RangeSimulation.h
@@ -96,6 +96,9 @@
     TimePoint ConfirmedAt;
     TimePoint PlanAt = LongAgo;
     std::set<TargetId> Granting;
+    std::uint64_t Generation = 0; ///< Of the assigner whose answers are used.
+    bool Dropped =
+        false; ///< Refused by a target; has not read the store since.
     bool Writing = false;
     std::uint64_t WriteNumber = 0; ///< Of the write whose answer is used.
     bool Stopped = false;
@@ -128,28 +131,61 @@
     Recorded = History.back().second;
     Revision = makeRevision(Era, History.back().first);
     const bool LeaderLives = Random.chance(0.6);
+    const bool EarlierLives = Random.chance(0.3);
     schedule(std::chrono::milliseconds(
                  Random.below(Random.chance(0.7) ? 3000 : 14'000)),
-             [this, Era, LeaderLives] {
+             [this, Era, LeaderLives, EarlierLives] {
                if (eraOf(Revision) != Era || Leaders.back()->Era == Era)
                  return;
+               if (EarlierLives)
+                 makeEarlierLeaderLast();
                if (LeaderLives)
                  claimAgain(*Leaders.back());
                else
                  changeLeader();
              });
   }
+  /// A leader that was cut off and superseded returns, and knows nothing of the
+  /// later one, whose claim is lost.
+  auto makeEarlierLeaderLast() -> void {
+    for (std::size_t Index = 0; Index + 1 < Leaders.size(); ++Index) {
+      if (Leaders[Index]->Stopped)
+        continue;
+      std::swap(Leaders[Index], Leaders.back());
+      if (!std::exchange(Leaders[Index]->Superseded, true))
+        Leaders[Index]->SupersededAt = Now;
+      Leaders.back()->Superseded = false;
+      return;
+    }
+  }
   auto claimAgain(LeaderProcess &Leader) -> void {
     const bool Lapsed = Now - Leader.ConfirmedAt > Times.AuthorityPeriod;
+    Leader.Term = ++LastTerm;
     Leader.Era = eraOf(Revision);
     Leader.ConfirmedAt = Now;
     Leader.Writing = false;
     ++Leader.WriteNumber;
-    if (Lapsed)
-      Leader.Assigner.takeOver(Recorded, Revision, Now);
+    if (Lapsed || Leader.Dropped)
+      reload(Leader);
     else
       continueFrom(Leader, Recorded, Revision);
   }
+  /// Continues from the store with a new assigner.
+  auto reload(LeaderProcess &Leader) -> void {
+    Leader.Dropped = false;
+    ++Leader.Generation;
+    ++Leader.WriteNumber;
+    Leader.Writing = false;
+    Leader.Granting.clear();
+    Leader.Assigner = RangeAssigner(Keys, Times);
+    Leader.Assigner.takeOver(Recorded, Revision, Now);
+  }
+  /// A target has refused an order, so another leader may have changed the
+  /// ranges: the leader drops its state and reads the store.
+  auto onRefused(LeaderProcess &Leader) -> void {
+    Leader.Dropped = true;
+    ++Leader.Generation;
+  }
   auto continueFrom(LeaderProcess &Leader, const RangeRecord &Stored,
                     std::uint64_t AtRevision) -> void {
     if (Stored.Era == eraOf(AtRevision) && numberOf(AtRevision) != 0)
@@ -188,9 +224,13 @@
       Leader.ConfirmedAt = Now;
       // The last write of a superseded leader may have been applied after the
       // takeover.
-      if (!Leader.Writing && Revision > Leader.Assigner.revision())
+      if (Leader.Dropped)
+        reload(Leader);
+      else if (!Leader.Writing && Revision > Leader.Assigner.revision())
         continueFrom(Leader, Recorded, Revision);
     }
+    if (Leader.Dropped)
+      return;
     if (Now >= Leader.PlanAt) {
       Leader.PlanAt = Now + std::chrono::milliseconds(250);
       Leader.Load.add(static_cast<std::uint32_t>(Random.below(20)), Now);
@@ -269,16 +309,19 @@
 
   auto order(LeaderProcess &Leader, const RangeOrder &Order) -> void {
     const auto WeakLeader = weakReference(Leader);
-    const auto Finish = [this, WeakLeader, Order](Duration Delay,
-                                                  RangeOrderOutcome Outcome,
-                                                  const std::string &Handover) {
-      schedule(Delay, [this, WeakLeader, Order, Outcome, Handover] {
+    const auto Generation = Leader.Generation;
+    const auto Finish = [this, WeakLeader, Order,
+                         Generation](Duration Delay, RangeOrderOutcome Outcome,
+                                     const std::string &Handover) {
+      schedule(Delay, [this, WeakLeader, Order, Generation, Outcome, Handover] {
         const auto Leader = WeakLeader.lock();
-        if (!Leader)
+        if (!Leader || Leader->Generation != Generation)
           return;
         if (Order.Type == RangeOrder::Kind::Grant)
           Leader->Granting.erase(Order.Target);
         Leader->Assigner.onOrderEnded(Order, Outcome, Handover, Now);
+        if (Outcome == RangeOrderOutcome::Refused)
+          onRefused(*Leader);
       });
     };
     const Target &Receiver = Targets.at(Order.Target.str());
--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -291,6 +291,39 @@
   }
 }
 
+// Guards against a leader that returns after another one has moved keys, and
+// after the store has lost that: its record was taken for the last one, and its
+// keys were granted to a second target.
+TEST(RangeAssignerTest, RewrittenRecordIsVoidUntilAllOwnersHaveAccepted) {
+  RangeAssigner Assigner(65'536, RangeTimes());
+  Assigner.takeOver(firstRecord(3), makeRevision(0, 7), Start);
+  Assigner.writeDone(makeRevision(0, 8), Start);
+  const auto accept = [&](const TargetId &Id, TimePoint Now) {
+    while (const auto Grant = Assigner.nextGrant(Id, Now, Now))
+      Assigner.onOrderEnded(*Grant, RangeOrderOutcome::Accepted, "", Now);
+  };
+  const auto Owners = Assigner.involvedTargets();
+  ASSERT_GE(Owners.size(), 2U);
+  for (const TargetId &Id : Owners)
+    accept(Id, Start);
+  const auto eraWritten = [&](TimePoint Now) {
+    Assigner.plan({}, KeyLoad(), Now);
+    return Assigner.pendingWrite() ? Assigner.pendingWrite()->Era : 0;
+  };
+  const auto Tokens = Assigner.record().Ranges;
+  Assigner.restored(makeRevision(1, 3), Start);
+  ASSERT_TRUE(Assigner.pendingWrite());
+  EXPECT_EQ(eraWritten(Start), 0U);
+  Assigner.writeDone(makeRevision(1, 4), Start);
+  accept(*Owners.begin(), Start + milliseconds(10));
+  EXPECT_EQ(eraWritten(Start + milliseconds(20)), 0U);
+  for (const TargetId &Id : Owners)
+    accept(Id, Start + milliseconds(30));
+  EXPECT_EQ(eraWritten(Start + milliseconds(40)), 1U);
+  ASSERT_TRUE(Assigner.pendingWrite());
+  EXPECT_EQ(Assigner.pendingWrite()->Ranges, Tokens);
+}
+
 TEST(RangeRecordTest, ParsesItsOwnJsonAndRejectsInvalidRecords) {
   const RangeRecord Record = firstRecord(3);
   const auto Read = RangeRecord::parse(Record.json(), 65'536);
