Keep a rewritten record of key ranges void until its owners have accepted again

A key was held by two targets: a leader that was cut off, and superseded by one whose claim and moves the restored store had lost, claimed again and wrote its old record as complete. A target refused its token, and it then took that record for the last one, gave new tokens without a wait and granted a moved key to its former owner.

Cause: a leader cannot know whether the copy lacks a later leader's changes, but its record said so by its era. A leader that claims again always supposes that records may be missing, and one that still waits when the store is restored once more starts its wait again.

--- a/lib/Fleet/RangeAssigner.cpp
+++ b/lib/Fleet/RangeAssigner.cpp
@@ -95,31 +95,51 @@
 }
 
 auto RangeAssigner::restored(std::uint64_t AtRevision, TimePoint Now) -> void {
+  // The authority of a leader whose claim the copy lacks ends by then.
+  const TimePoint Latest = Now + Times.AuthorityPeriod + Times.maxHoldPeriod();
   if (WaitingForEarlierOwners) {
     Revision = AtRevision;
+    EarlierOwnersUntil = Latest;
     return Current.enterEra(eraOf(AtRevision));
   }
   // A change of an earlier leader may have taken effect and be lost.
   if (TakingOver)
     return takeOver(std::move(Current), AtRevision, Now);
   Revision = AtRevision;
-  Current.enterEra(eraOf(AtRevision));
   Proposed = Current;
   ChangedAt = Now;
+  EarlierOwnersUntil = Latest;
   // An owner that accepts its earlier token has not seen those of a leader
   // whose claim is lost. Without such an answer it may have released its keys.
-  const TimePoint Latest = Now + Times.AuthorityPeriod + Times.maxHoldPeriod();
-  for (std::size_t Index = 0; Index < States.size(); ++Index) {
-    if (!States[Index].GrantSent)
+  for (State &Each : States) {
+    if (!Each.GrantSent) {
+      Each.PreviousHoldEnd = Latest;
+      Each.PreviousUnansweredHoldEnd = Latest;
       continue;
-    States[Index].HoldEnd = Latest;
-    States[Index].UnansweredHoldEnd = Latest;
-    States[Index].GrantAccepted = false;
-    States[Index].NextGrantAt = LongAgo;
-    States[Index].MovableFrom = Now + ReacceptancePeriod;
+    }
+    Each.HoldEnd = Latest;
+    Each.UnansweredHoldEnd = Latest;
+    Each.GrantAccepted = false;
+    Each.SentBeforeRestoration = Each.GrantInFlight;
+    Each.NextGrantAt = LongAgo;
+    Each.MovableFrom = Now + ReacceptancePeriod;
   }
 }
 
+auto RangeAssigner::unconfirmed() const -> bool {
+  return Current.Era != eraOf(Revision);
+}
+
+auto RangeAssigner::confirmRecord(TimePoint Now) -> void {
+  const bool AllAccepted =
+      std::all_of(States.begin(), States.end(),
+                  [](const State &Each) { return Each.GrantAccepted; });
+  if (!AllAccepted && Now <= EarlierOwnersUntil)
+    return;
+  Proposed = Current;
+  Proposed->enterEra(eraOf(Revision));
+}
+
 auto RangeAssigner::stateOf(const RangeRecord &Record,
                             const KeyRange &Range) const -> State {
   for (std::size_t Index = 0; Index < Record.Ranges.size(); ++Index) {
@@ -209,6 +229,8 @@
     Proposed = withNewFences(Current);
     return;
   }
+  if (unconfirmed())
+    return confirmRecord(Now);
   std::erase_if(CurrentView.Targets, [&](const PlanTarget &Target) {
     return unresponsive(Target.Id, Now);
   });
@@ -316,7 +338,8 @@
     if (Incarnation != CurrentView.Incarnations.end() &&
         Incarnation->second != Range.OwnerStartedAt)
       continue;
-    if (CurrentView.Leaving.contains(Target) && !RangeState.GrantSent)
+    if (!RangeState.GrantSent &&
+        (unconfirmed() || CurrentView.Leaving.contains(Target)))
       continue;
     RangeState.GrantSent = true;
     RangeState.GrantInFlight = true;
@@ -354,7 +377,9 @@
     TimePoint &UnansweredEnd = Owns ? RangeState.UnansweredHoldEnd
                                     : RangeState.PreviousUnansweredHoldEnd;
     const TimePoint Latest = Now + Times.maxHoldPeriod();
-    if (Owns && Outcome == RangeOrderOutcome::Accepted &&
+    const bool SentEarlier =
+        Owns && std::exchange(RangeState.SentBeforeRestoration, false);
+    if (Owns && !SentEarlier && Outcome == RangeOrderOutcome::Accepted &&
         !std::exchange(RangeState.GrantAccepted, true)) {
       NewlyGranted.push_back(Range.Fence);
       // From now on the owner refuses orders of earlier leaders, so only grants
--- a/lib/Fleet/RangeAssigner.h
+++ b/lib/Fleet/RangeAssigner.h
@@ -93,7 +93,10 @@
   /// Goes on leading after the store was restored, or after a late write of an
   /// earlier era has replaced the record: the known state is written again.
   /// Owners keep their fencing tokens, so their grants go on meanwhile. \p
-  /// Revision is that of the object in the store.
+  /// Revision is that of the object in the store. A later leader's claim and
+  /// changes may be lost: the record keeps its earlier era, so that it is
+  /// incomplete for other leaders, and no keys change owners, until all owners
+  /// have accepted their tokens again or all earlier grants have ended.
   auto restored(std::uint64_t Revision, TimePoint Now) -> void;
 
   struct View {
@@ -161,7 +164,10 @@
     /// The range is not moved before.
     TimePoint MovableFrom = LongAgo;
     TimePoint NextReleaseAt = LongAgo;
-    bool GrantInFlight = false;         ///< A grant to the owner is in flight.
+    bool GrantInFlight = false; ///< A grant to the owner is in flight.
+    /// That grant was sent before the store was restored, so its answer does
+    /// not tell whether the owner has seen later tokens since.
+    bool SentBeforeRestoration = false;
     bool PreviousGrantInFlight = false; ///< The same for the previous owner.
     /// A grant was sent to the owner, or an earlier leader may have sent one.
     bool GrantSent = false;
@@ -181,6 +187,10 @@
   /// Returns the record without the previous owners that can no longer hold
   /// keys, for ranges whose owner has accepted a grant.
   auto withoutGonePreviousOwners(TimePoint Now) const -> RangeRecord;
+  /// Whether a later leader's changes may be lost (see restored()).
+  auto unconfirmed() const -> bool;
+  /// Proposes the record as complete in the era of the store once it is.
+  auto confirmRecord(TimePoint Now) -> void;
   /// Whether this leader may still send orders.
   auto hasAuthority(TimePoint ConfirmedAt, TimePoint Now) const -> bool;
   /// Whether the pending record moves or splits the range or changes its
@@ -200,6 +210,7 @@
   bool TakingOver = false;
   /// The record may lack owners; their grants last until EarlierOwnersUntil.
   bool WaitingForEarlierOwners = false;
+  /// Also the latest time until which the record stays unconfirmed.
   TimePoint EarlierOwnersUntil = LongAgo;
   TimePoint ChangedAt = LongAgo;
   View CurrentView;
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -95,8 +95,8 @@
   if (Lapsed) {
     Orders.clear();
     Services.clear();
-    MayLackRecords = true;
   }
+  MayLackRecords = true;
   ConfirmedAt = std::max(ConfirmedAt, ClaimSentAt);
   NextSizeCheckAt = Now;
   // Answers to writes of the earlier term are ignored.
