--- a/tests/unit/RestoredStoreTest.cpp
+++ b/tests/unit/RestoredStoreTest.cpp
@@ -201,6 +201,22 @@
   EXPECT_LT(Second.longestGap(RestoredAt), 2500ms);
 }
 
+// Guards against a leader that waits until all targets have registered, as if
+// no keys had an owner yet: grants ended that it knew of.
+TEST_F(RestoredStoreTest, GrantsGoOnWhileTargetsRegisterAndTheCopyHasNoRanges) {
+  ASSERT_TRUE(startWithTwoOwners());
+  auto Copy = earlyCopyWithTargets();
+  Copy.Objects.erase({Own, "ranges.stock"});
+  Owner Others;
+  restore(std::move(Copy));
+  for (int Index = 3; Index < 15; ++Index) {
+    std::this_thread::sleep_for(350ms);
+    Fixture.addTarget("stock", "o" + std::to_string(Index), Others.target());
+  }
+  EXPECT_LT(First.longestGap(RestoredAt), 2500ms);
+  EXPECT_LT(Second.longestGap(RestoredAt), 2500ms);
+}
+
 // Guards against a second restoration that finds the leader's state changed by
 // the first.
 TEST_F(RestoredStoreTest, LeaderKeepsItsRangesThroughTwoRestorations) {
