Renew the grants of known owners whether or not the store has their record

Owners got no grants for longer than these last (3 s) after the store had come back without the record of their keys, while targets went on registering.

Cause: a leader with no record in the store waits until all targets have registered, so that the first assignment is even. It waited also when it knew the owners itself. Now it does only while no key has an owner.

--- a/lib/Fleet/KeyRanges.cpp
+++ b/lib/Fleet/KeyRanges.cpp
@@ -24,6 +24,12 @@
   return Found == Ranges.end() || Found->From > Key ? nullptr : &*Found;
 }
 
+auto RangeRecord::hasOwner() const -> bool {
+  return std::any_of(Ranges.begin(), Ranges.end(), [](const KeyRange &Range) {
+    return !Range.Owner.empty();
+  });
+}
+
 auto RangeRecord::enterEra(std::uint64_t NewEra) -> void {
   Era = NewEra;
   NextFence = std::max(NextFence, NewEra * TokensPerEra + 1);
--- a/lib/Fleet/KeyRanges.h
+++ b/lib/Fleet/KeyRanges.h
@@ -43,6 +43,9 @@
   /// Returns the range of \p Key, or null when there is none.
   auto find(std::uint32_t Key) const -> const KeyRange *;
 
+  /// Whether any key has an owner.
+  auto hasOwner() const -> bool;
+
   /// Continues the record in a later era: its next fencing tokens are above all
   /// that lost records of earlier eras may hold.
   auto enterEra(std::uint64_t NewEra) -> void;
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -416,7 +416,8 @@
     ServiceState *State = findOrLoadService(Id, Settings);
     if (!State)
       continue;
-    if (numberOf(State->Keeper.revision()) == 0 && !allRegistered(Id, Now))
+    if (numberOf(State->Keeper.revision()) == 0 &&
+        !State->Keeper.record().hasOwner() && !allRegistered(Id, Now))
       continue;
     if (Now >= State->NextPlanAt && !State->WritePending) {
       State->NextPlanAt = Now + PlanInterval;
