--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -324,6 +324,24 @@
   EXPECT_EQ(Assigner.pendingWrite()->Ranges, Tokens);
 }
 
+// Guards against fencing tokens that are given out twice in an era: a leader
+// took over from a record that another one's last changes were lost from.
+TEST(RangeAssignerTest, ReplacedTakeoverWaitsAndLeavesOutTokens) {
+  RangeRecord Record = firstRecord(3);
+  Record.enterEra(1);
+  RangeAssigner Assigner(65'536, RangeTimes());
+  Assigner.takeOver(Record, makeRevision(1, 7), Start);
+  ASSERT_TRUE(Assigner.pendingWrite());
+  Assigner.restored(makeRevision(1, 9), Start);
+  Assigner.plan({}, KeyLoad(), Start + std::chrono::seconds(12));
+  EXPECT_FALSE(Assigner.pendingWrite());
+  Assigner.plan({}, KeyLoad(), Start + std::chrono::seconds(14));
+  ASSERT_TRUE(Assigner.pendingWrite());
+  EXPECT_EQ(Assigner.pendingWrite()->Era, 1U);
+  for (const KeyRange &Range : Assigner.pendingWrite()->Ranges)
+    EXPECT_GE(Range.Fence, Record.NextFence + (1 << 20));
+}
+
 TEST(RangeRecordTest, ParsesItsOwnJsonAndRejectsInvalidRecords) {
   const RangeRecord Record = firstRecord(3);
   const auto Read = RangeRecord::parse(Record.json(), 65'536);
--- a/tests/unit/RestoredStoreTest.cpp
+++ b/tests/unit/RestoredStoreTest.cpp
@@ -343,4 +343,38 @@
   EXPECT_LT(Clock::now() - Start, 18s);
 }
 
+// Guards against fencing tokens that are given out twice in an era, when a late
+// write of an earlier one has replaced records that were never read.
+TEST(RestoredBeforeTheStartTest, TokensAreAboveThoseOfReplacedRecords) {
+  constexpr std::uint64_t Next = (std::uint64_t{1} << 32) + 500;
+  Owner Only;
+  GatewayFixture Fixture(1);
+  const auto Record = [](std::uint64_t Era, std::uint64_t NextFence) {
+    return Json{{"era", Era},
+                {"next_fence", NextFence},
+                {"ranges", Json::array({{{"from", 0},
+                                         {"to", 65'535},
+                                         {"owner", "o1"},
+                                         {"owner_started_at", 1000},
+                                         {"fence", NextFence - 1}}})}};
+  };
+  Fixture.store().set(Own, "leader",
+                      {{"instance", "other"},
+                       {"process", "other-1"},
+                       {"address", "127.0.0.1:1"},
+                       {"era", 1}});
+  Fixture.store().set(Own, "ranges.stock", Record(1, Next));
+  Fixture.addTarget("stock", "o1", Only.target());
+  Fixture.configure(1);
+  std::this_thread::sleep_for(400ms);
+  Fixture.store().set(Own, "ranges.stock", Record(0, 3));
+  const auto Start = Clock::now();
+  std::this_thread::sleep_for(12s);
+  EXPECT_TRUE(Only.grants().empty());
+  while (Only.grants().empty() && Clock::now() - Start < 25s)
+    std::this_thread::sleep_for(50ms);
+  ASSERT_FALSE(Only.grants().empty());
+  EXPECT_GE(Only.grants().front().Fence, Next + (1 << 20));
+}
+
 } // namespace
