Leave out the fencing tokens that replaced records of an era may have given

A key could be granted to a new owner with a token that another owner had: where late writes of an earlier era had replaced records before a leader read them, its next tokens were those of the last record that it knew. An assigner whose takeover was replaced so did not wait for other leaders' grants either.

Cause: the era alone raises tokens above those of lost eras, not above those of lost records of the same one; and such a record was marked as one of era 0, which is complete in a store that was never restored. It now has an era of its own, so that it is always incomplete, and each takeover from an incomplete record leaves out 2^20 tokens.

Evidence: ReplacedTakeoverWaitsAndLeavesOutTokens and TokensAreAboveThoseOfReplacedRecords failed before and pass.

--- a/lib/Fleet/KeyRanges.h
+++ b/lib/Fleet/KeyRanges.h
@@ -36,6 +36,8 @@
   /// A record of an earlier era than its revision's comes from a copy and may
   /// lack the last owners.
   std::uint64_t Era = 0;
+  /// Era of a record that may not be the last one of its era. Never written.
+  static constexpr std::uint64_t UnknownEra = ~std::uint64_t{0};
   /// Term of the leader that wrote it; two leaders may plan the same ranges.
   std::uint64_t WriterTerm = 0;
   std::vector<KeyRange> Ranges;
--- a/lib/Fleet/RangeAssigner.cpp
+++ b/lib/Fleet/RangeAssigner.cpp
@@ -38,6 +38,10 @@
 /// again.
 constexpr Duration UnresponsivePeriod = std::chrono::seconds(4);
 
+/// Bound of the fencing tokens that lost records of one era have given out
+/// beyond those of the newest known record.
+constexpr std::uint64_t MaxLostTokens = std::uint64_t{1} << 20;
+
 /// Returns the record with new fencing tokens and with adjacent ranges of one
 /// owner joined.
 auto withNewFences(const RangeRecord &Old) -> RangeRecord {
@@ -76,6 +80,8 @@
   WaitingForEarlierOwners = Current.Era != Era;
   EarlierOwnersUntil = Now + Times.AuthorityPeriod + Times.maxHoldPeriod();
   Current.enterEra(Era);
+  if (WaitingForEarlierOwners)
+    Current.NextFence += MaxLostTokens;
   // An earlier leader may renew grants until its authority ends, at owners and
   // at previous owners.
   State Unknown;
@@ -103,8 +109,10 @@
     return Current.enterEra(eraOf(AtRevision));
   }
   // A change of an earlier leader may have taken effect and be lost.
-  if (TakingOver)
+  if (TakingOver) {
+    Current.Era = RangeRecord::UnknownEra;
     return takeOver(std::move(Current), AtRevision, Now);
+  }
   Revision = AtRevision;
   Proposed = Current;
   ChangedAt = Now;
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -332,7 +332,7 @@
                            .field("reason", "the store may lack changes"));
   // The last record of this era may have been overwritten before it was read.
   if (Newest.Era == Era)
-    Newest.Era = 0;
+    Newest.Era = RangeRecord::UnknownEra;
   return Newest;
 }
 
