--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -96,8 +96,8 @@
   if (Lapsed) {
     Orders.clear();
     Services.clear();
-    MayLackRecords = true;
   }
+  MayLackRecords = true;
   ConfirmedAt = std::max(ConfirmedAt, ClaimSentAt);
   NextSizeCheckAt = Now;
   // Answers to writes of the earlier term are ignored.
@@ -363,7 +363,7 @@
                            .field("reason", "the store may lack changes"));
   // The last record of this era may have been overwritten before it was read.
   if (Newest.Era == Era)
-    Newest.Era = 0;
+    Newest.Era = RangeRecord::UnknownEra;
   return Newest;
 }
 
@@ -447,7 +447,8 @@
     ServiceState *State = findOrLoadService(Id, Settings);
     if (!State)
       continue;
-    if (numberOf(State->Keeper.revision()) == 0 && !allRegistered(Id, Now))
+    if (numberOf(State->Keeper.revision()) == 0 &&
+        !State->Keeper.record().hasOwner() && !allRegistered(Id, Now))
       continue;
     if (Now >= State->NextPlanAt && !State->WritePending) {
       State->NextPlanAt = Now + PlanInterval;
--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -303,6 +303,57 @@
   EXPECT_FALSE(Record.isOwner(TargetId("old")));
 }
 
+// Guards against a leader that returns after another one has moved keys, and
+// after the store has lost that: its record was taken for the last one, and its
+// keys were granted to a second target.
+TEST(RangeAssignerTest, RewrittenRecordIsVoidUntilAllOwnersHaveAccepted) {
+  RangeAssigner Assigner(65'536, RangeTimes());
+  Assigner.takeOver(firstRecord(3), makeRevision(0, 7), Start);
+  Assigner.writeDone(makeRevision(0, 8), Start);
+  const auto accept = [&](const TargetId &Id, TimePoint Now) {
+    while (const auto Grant = Assigner.nextGrant(Id, Now, Now))
+      Assigner.onOrderEnded(*Grant, RangeOrderOutcome::Accepted, "", Now);
+  };
+  const auto Owners = Assigner.involvedTargets();
+  ASSERT_GE(Owners.size(), 2U);
+  for (const TargetId &Id : Owners)
+    accept(Id, Start);
+  const auto eraWritten = [&](TimePoint Now) {
+    Assigner.plan({}, KeyLoad(), Now);
+    return Assigner.pendingWrite() ? Assigner.pendingWrite()->Era : 0;
+  };
+  const auto Tokens = Assigner.record().Ranges;
+  Assigner.restored(makeRevision(1, 3), Start);
+  ASSERT_TRUE(Assigner.pendingWrite());
+  EXPECT_EQ(eraWritten(Start), 0U);
+  Assigner.writeDone(makeRevision(1, 4), Start);
+  accept(*Owners.begin(), Start + milliseconds(10));
+  EXPECT_EQ(eraWritten(Start + milliseconds(20)), 0U);
+  for (const TargetId &Id : Owners)
+    accept(Id, Start + milliseconds(30));
+  EXPECT_EQ(eraWritten(Start + milliseconds(40)), 1U);
+  ASSERT_TRUE(Assigner.pendingWrite());
+  EXPECT_EQ(Assigner.pendingWrite()->Ranges, Tokens);
+}
+
+// Guards against fencing tokens that are given out twice in an era: a leader
+// took over from a record that another one's last changes were lost from.
+TEST(RangeAssignerTest, ReplacedTakeoverWaitsAndLeavesOutTokens) {
+  RangeRecord Record = firstRecord(3);
+  Record.enterEra(1);
+  RangeAssigner Assigner(65'536, RangeTimes());
+  Assigner.takeOver(Record, makeRevision(1, 7), Start);
+  ASSERT_TRUE(Assigner.pendingWrite());
+  Assigner.restored(makeRevision(1, 9), Start);
+  Assigner.plan({}, KeyLoad(), Start + std::chrono::seconds(12));
+  EXPECT_FALSE(Assigner.pendingWrite());
+  Assigner.plan({}, KeyLoad(), Start + std::chrono::seconds(14));
+  ASSERT_TRUE(Assigner.pendingWrite());
+  EXPECT_EQ(Assigner.pendingWrite()->Era, 1U);
+  for (const KeyRange &Range : Assigner.pendingWrite()->Ranges)
+    EXPECT_GE(Range.Fence, Record.NextFence + (1 << 20));
+}
+
 TEST(RangeRecordTest, ParsesItsOwnJsonAndRejectsInvalidRecords) {
   const RangeRecord Record = firstRecord(3);
   const auto Read = RangeRecord::parse(Record.json(), 65'536);
--- a/tests/unit/RestoredStoreTest.cpp
+++ b/tests/unit/RestoredStoreTest.cpp
@@ -201,6 +201,22 @@
   EXPECT_LT(Second.longestGap(RestoredAt), 2500ms);
 }
 
+// Guards against a leader that waits until all targets have registered, as if
+// no keys had an owner yet: grants ended that it knew of.
+TEST_F(RestoredStoreTest, GrantsGoOnWhileTargetsRegisterAndTheCopyHasNoRanges) {
+  ASSERT_TRUE(startWithTwoOwners());
+  auto Copy = earlyCopyWithTargets();
+  Copy.Objects.erase({Own, "ranges.stock"});
+  Owner Others;
+  restore(std::move(Copy));
+  for (int Index = 3; Index < 15; ++Index) {
+    std::this_thread::sleep_for(350ms);
+    Fixture.addTarget("stock", "o" + std::to_string(Index), Others.target());
+  }
+  EXPECT_LT(First.longestGap(RestoredAt), 2500ms);
+  EXPECT_LT(Second.longestGap(RestoredAt), 2500ms);
+}
+
 // Guards against a second restoration that finds the leader's state changed by
 // the first.
 TEST_F(RestoredStoreTest, LeaderKeepsItsRangesThroughTwoRestorations) {
@@ -327,4 +343,38 @@
   EXPECT_LT(Clock::now() - Start, 18s);
 }
 
+// Guards against fencing tokens that are given out twice in an era, when a late
+// write of an earlier one has replaced records that were never read.
+TEST(RestoredBeforeTheStartTest, TokensAreAboveThoseOfReplacedRecords) {
+  constexpr std::uint64_t Next = (std::uint64_t{1} << 32) + 500;
+  Owner Only;
+  GatewayFixture Fixture(1);
+  const auto Record = [](std::uint64_t Era, std::uint64_t NextFence) {
+    return Json{{"era", Era},
+                {"next_fence", NextFence},
+                {"ranges", Json::array({{{"from", 0},
+                                         {"to", 65'535},
+                                         {"owner", "o1"},
+                                         {"owner_started_at", 1000},
+                                         {"fence", NextFence - 1}}})}};
+  };
+  Fixture.store().set(Own, "leader",
+                      {{"instance", "other"},
+                       {"process", "other-1"},
+                       {"address", "127.0.0.1:1"},
+                       {"era", 1}});
+  Fixture.store().set(Own, "ranges.stock", Record(1, Next));
+  Fixture.addTarget("stock", "o1", Only.target());
+  Fixture.configure(1);
+  std::this_thread::sleep_for(400ms);
+  Fixture.store().set(Own, "ranges.stock", Record(0, 3));
+  const auto Start = Clock::now();
+  std::this_thread::sleep_for(12s);
+  EXPECT_TRUE(Only.grants().empty());
+  while (Only.grants().empty() && Clock::now() - Start < 25s)
+    std::this_thread::sleep_for(50ms);
+  ASSERT_FALSE(Only.grants().empty());
+  EXPECT_GE(Only.grants().front().Fence, Next + (1 << 20));
+}
+
 } // namespace
