--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -298,28 +298,28 @@
   RangeAssigner Assigner(65'536, RangeTimes());
   Assigner.takeOver(firstRecord(3), makeRevision(0, 7), Start);
   Assigner.writeDone(makeRevision(0, 8), Start);
-  const auto accept = [&](const TargetId &Id, TimePoint Now) {
+  const auto Accept = [&](const TargetId &Id, TimePoint Now) {
     while (const auto Grant = Assigner.nextGrant(Id, Now, Now))
       Assigner.onOrderEnded(*Grant, RangeOrderOutcome::Accepted, "", Now);
   };
   const auto Owners = Assigner.involvedTargets();
   ASSERT_GE(Owners.size(), 2U);
   for (const TargetId &Id : Owners)
-    accept(Id, Start);
-  const auto eraWritten = [&](TimePoint Now) {
+    Accept(Id, Start);
+  const auto EraWritten = [&](TimePoint Now) {
     Assigner.plan({}, KeyLoad(), Now);
     return Assigner.pendingWrite() ? Assigner.pendingWrite()->Era : 0;
   };
   const auto Tokens = Assigner.record().Ranges;
   Assigner.restored(makeRevision(1, 3), Start);
   ASSERT_TRUE(Assigner.pendingWrite());
-  EXPECT_EQ(eraWritten(Start), 0U);
+  EXPECT_EQ(EraWritten(Start), 0U);
   Assigner.writeDone(makeRevision(1, 4), Start);
-  accept(*Owners.begin(), Start + milliseconds(10));
-  EXPECT_EQ(eraWritten(Start + milliseconds(20)), 0U);
+  Accept(*Owners.begin(), Start + milliseconds(10));
+  EXPECT_EQ(EraWritten(Start + milliseconds(20)), 0U);
   for (const TargetId &Id : Owners)
-    accept(Id, Start + milliseconds(30));
-  EXPECT_EQ(eraWritten(Start + milliseconds(40)), 1U);
+    Accept(Id, Start + milliseconds(30));
+  EXPECT_EQ(EraWritten(Start + milliseconds(40)), 1U);
   ASSERT_TRUE(Assigner.pendingWrite());
   EXPECT_EQ(Assigner.pendingWrite()->Ranges, Tokens);
 }
