Add a failing test of a leader that returns beside a later one's grants

It was seen to fail: an owner that only the earlier leader reaches accepts its token again, since it has never seen the later one's, and holds its keys beyond the time at which the later leader may grant them to another target. It takes a claim more than 3 s before the restoration and a return within 10 s of the earlier leader's last confirmation.

Not fixed: the earlier leader would have to stop renewing, or to wait as a new one, whenever the store was away for longer than a grant.

--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -342,6 +342,55 @@
     EXPECT_GE(Range.Fence, Record.NextFence + (1 << 20));
 }
 
+// Guards against a leader that goes on in a restored store beside the authority
+// of a later one: that one moved keys from an owner which only the first
+// reaches, and whose token it therefore still accepts.
+TEST(RangeAssignerTest, ReturningLeaderDoesNotRenewKeysThatALaterOneHasMoved) {
+  RangeRecord Record = firstRecord(1);
+  RangeAssigner::View View;
+  for (const PlanTarget &Each : planTargets(2)) {
+    View.Targets.push_back(Each);
+    View.Incarnations[Each.Id] = Each.StartedAt;
+  }
+  const TargetId First = Record.Ranges.front().Owner;
+  const TargetId Second = View.Targets[View.Targets[0].Id == First ? 1 : 0].Id;
+  const auto Grant = [](RangeAssigner &Leader, const TargetId &Id,
+                        TimePoint ConfirmedAt, TimePoint Now,
+                        RangeOrderOutcome Outcome) {
+    const auto Order = Leader.nextGrant(Id, ConfirmedAt, Now);
+    if (Order)
+      Leader.onOrderEnded(*Order, Outcome, "", Now);
+    return Order.has_value();
+  };
+  RangeAssigner Earlier(65'536, RangeTimes());
+  Earlier.takeOver(Record, 7, Start);
+  Earlier.writeDone(8, Start);
+  ASSERT_TRUE(Grant(Earlier, First, Start, Start, RangeOrderOutcome::Accepted));
+  RangeAssigner Later(65'536, RangeTimes());
+  Later.takeOver(Earlier.record(), 8, Start + milliseconds(1300));
+  Later.writeDone(9, Start + milliseconds(1300));
+  const TimePoint RestoredAt = Start + milliseconds(9000);
+  for (TimePoint Now = Start + milliseconds(1400); Now < RestoredAt;
+       Now += milliseconds(100)) {
+    Grant(Earlier, First, Start, Now, RangeOrderOutcome::Accepted);
+    Grant(Later, First, Now, Now, RangeOrderOutcome::NotSent);
+    Later.plan(View, KeyLoad(), Now);
+    if (Later.pendingWrite())
+      Later.writeDone(Later.revision() + 1, Now);
+  }
+  Earlier.restored(makeRevision(1, 8), RestoredAt + milliseconds(500));
+  Earlier.writeDone(makeRevision(1, 9), RestoredAt + milliseconds(500));
+  TimePoint HeldUntil = Start;
+  for (TimePoint Now = RestoredAt + milliseconds(600);
+       Now < RestoredAt + milliseconds(10'000); Now += milliseconds(100)) {
+    if (Grant(Earlier, First, Now, Now, RangeOrderOutcome::Accepted))
+      HeldUntil = Now + RangeTimes().HoldPeriod;
+    const bool Granted =
+        Grant(Later, Second, RestoredAt, Now, RangeOrderOutcome::Accepted);
+    ASSERT_TRUE(!Granted || Now > HeldUntil);
+  }
+}
+
 TEST(RangeRecordTest, ParsesItsOwnJsonAndRejectsInvalidRecords) {
   const RangeRecord Record = firstRecord(3);
   const auto Read = RangeRecord::parse(Record.json(), 65'536);
