--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -310,28 +310,28 @@
   RangeAssigner Assigner(65'536, RangeTimes());
   Assigner.takeOver(firstRecord(3), makeRevision(0, 7), Start);
   Assigner.writeDone(makeRevision(0, 8), Start);
-  const auto accept = [&](const TargetId &Id, TimePoint Now) {
+  const auto Accept = [&](const TargetId &Id, TimePoint Now) {
     while (const auto Grant = Assigner.nextGrant(Id, Now, Now))
       Assigner.onOrderEnded(*Grant, RangeOrderOutcome::Accepted, "", Now);
   };
   const auto Owners = Assigner.involvedTargets();
   ASSERT_GE(Owners.size(), 2U);
   for (const TargetId &Id : Owners)
-    accept(Id, Start);
-  const auto eraWritten = [&](TimePoint Now) {
+    Accept(Id, Start);
+  const auto EraWritten = [&](TimePoint Now) {
     Assigner.plan({}, KeyLoad(), Now);
     return Assigner.pendingWrite() ? Assigner.pendingWrite()->Era : 0;
   };
   const auto Tokens = Assigner.record().Ranges;
   Assigner.restored(makeRevision(1, 3), Start);
   ASSERT_TRUE(Assigner.pendingWrite());
-  EXPECT_EQ(eraWritten(Start), 0U);
+  EXPECT_EQ(EraWritten(Start), 0U);
   Assigner.writeDone(makeRevision(1, 4), Start);
-  accept(*Owners.begin(), Start + milliseconds(10));
-  EXPECT_EQ(eraWritten(Start + milliseconds(20)), 0U);
+  Accept(*Owners.begin(), Start + milliseconds(10));
+  EXPECT_EQ(EraWritten(Start + milliseconds(20)), 0U);
   for (const TargetId &Id : Owners)
-    accept(Id, Start + milliseconds(30));
-  EXPECT_EQ(eraWritten(Start + milliseconds(40)), 1U);
+    Accept(Id, Start + milliseconds(30));
+  EXPECT_EQ(EraWritten(Start + milliseconds(40)), 1U);
   ASSERT_TRUE(Assigner.pendingWrite());
   EXPECT_EQ(Assigner.pendingWrite()->Ranges, Tokens);
 }
@@ -354,6 +354,55 @@
     EXPECT_GE(Range.Fence, Record.NextFence + (1 << 20));
 }
 
+// Guards against a leader that goes on in a restored store beside the authority
+// of a later one: that one moved keys from an owner which only the first
+// reaches, and whose token it therefore still accepts.
+TEST(RangeAssignerTest, ReturningLeaderDoesNotRenewKeysThatALaterOneHasMoved) {
+  RangeRecord Record = firstRecord(1);
+  RangeAssigner::View View;
+  for (const PlanTarget &Each : planTargets(2)) {
+    View.Targets.push_back(Each);
+    View.Incarnations[Each.Id] = Each.StartedAt;
+  }
+  const TargetId First = Record.Ranges.front().Owner;
+  const TargetId Second = View.Targets[View.Targets[0].Id == First ? 1 : 0].Id;
+  const auto Grant = [](RangeAssigner &Leader, const TargetId &Id,
+                        TimePoint ConfirmedAt, TimePoint Now,
+                        RangeOrderOutcome Outcome) {
+    const auto Order = Leader.nextGrant(Id, ConfirmedAt, Now);
+    if (Order)
+      Leader.onOrderEnded(*Order, Outcome, "", Now);
+    return Order.has_value();
+  };
+  RangeAssigner Earlier(65'536, RangeTimes());
+  Earlier.takeOver(Record, 7, Start);
+  Earlier.writeDone(8, Start);
+  ASSERT_TRUE(Grant(Earlier, First, Start, Start, RangeOrderOutcome::Accepted));
+  RangeAssigner Later(65'536, RangeTimes());
+  Later.takeOver(Earlier.record(), 8, Start + milliseconds(1300));
+  Later.writeDone(9, Start + milliseconds(1300));
+  const TimePoint RestoredAt = Start + milliseconds(9000);
+  for (TimePoint Now = Start + milliseconds(1400); Now < RestoredAt;
+       Now += milliseconds(100)) {
+    Grant(Earlier, First, Start, Now, RangeOrderOutcome::Accepted);
+    Grant(Later, First, Now, Now, RangeOrderOutcome::NotSent);
+    Later.plan(View, KeyLoad(), Now);
+    if (Later.pendingWrite())
+      Later.writeDone(Later.revision() + 1, Now);
+  }
+  Earlier.restored(makeRevision(1, 8), RestoredAt + milliseconds(500));
+  Earlier.writeDone(makeRevision(1, 9), RestoredAt + milliseconds(500));
+  TimePoint HeldUntil = Start;
+  for (TimePoint Now = RestoredAt + milliseconds(600);
+       Now < RestoredAt + milliseconds(10'000); Now += milliseconds(100)) {
+    if (Grant(Earlier, First, Now, Now, RangeOrderOutcome::Accepted))
+      HeldUntil = Now + RangeTimes().HoldPeriod;
+    const bool Granted =
+        Grant(Later, Second, RestoredAt, Now, RangeOrderOutcome::Accepted);
+    ASSERT_TRUE(!Granted || Now > HeldUntil);
+  }
+}
+
 TEST(RangeRecordTest, ParsesItsOwnJsonAndRejectsInvalidRecords) {
   const RangeRecord Record = firstRecord(3);
   const auto Read = RangeRecord::parse(Record.json(), 65'536);
