Log why the previous owner of granted keys holds them no longer

The log of a leader showed failed orders only, so a first grant could not be told from one whose previous owner had released the keys, whose grant had ended, or whose record showed another incarnation. keys-granted has the reason, both start times and the time left of the known grants.

--- a/lib/Fleet/RangeAssigner.cpp
+++ b/lib/Fleet/RangeAssigner.cpp
@@ -211,21 +211,23 @@
 
 auto RangeAssigner::writeRefused() -> void { Proposed.reset(); }
 
-auto RangeAssigner::previousOwnerGone(const KeyRange &Range,
-                                      const State &RangeState,
-                                      TimePoint Now) const -> bool {
+auto RangeAssigner::previousOwnerEnd(const KeyRange &Range,
+                                     const State &RangeState,
+                                     TimePoint Now) const -> PreviousOwnerEnd {
   if (Range.PreviousOwner.empty())
-    return true;
+    return PreviousOwnerEnd::Absent;
   // A restarted target does not hold the keys of its earlier incarnation.
   const auto Incarnation = CurrentView.Incarnations.find(Range.PreviousOwner);
   if (Incarnation != CurrentView.Incarnations.end() &&
       Incarnation->second != Range.PreviousOwnerStartedAt)
-    return true;
+    return PreviousOwnerEnd::Restarted;
   if (RangeState.PreviousGrantInFlight)
-    return false;
+    return PreviousOwnerEnd::None;
   if (Now > RangeState.PreviousHoldEnd)
-    return true;
-  return RangeState.Released && Now > RangeState.PreviousUnansweredHoldEnd;
+    return PreviousOwnerEnd::Expired;
+  return RangeState.Released && Now > RangeState.PreviousUnansweredHoldEnd
+             ? PreviousOwnerEnd::Released
+             : PreviousOwnerEnd::None;
 }
 
 auto RangeAssigner::plan(View NewView, const KeyLoad &Load, TimePoint Now)
@@ -349,9 +351,16 @@
     if (!RangeState.GrantSent &&
         (unconfirmed() || CurrentView.Leaving.contains(Target)))
       continue;
-    RangeState.GrantSent = true;
-    RangeState.GrantInFlight = true;
     RangeOrder Order;
+    if (!std::exchange(RangeState.GrantSent, true) &&
+        !Range.PreviousOwner.empty()) {
+      Order.PreviousOwner = Range.PreviousOwner;
+      Order.PreviousOwnerStartedAt = Range.PreviousOwnerStartedAt;
+      Order.PreviousEnd = previousOwnerEnd(Range, RangeState, Now);
+      Order.PreviousHoldLeft =
+          std::max(RangeState.PreviousHoldEnd - Now, Duration(0));
+    }
+    RangeState.GrantInFlight = true;
     Order.Target = Target;
     Order.StartedAt = Range.OwnerStartedAt;
     Order.From = Range.From;
--- a/lib/Fleet/RangeAssigner.h
+++ b/lib/Fleet/RangeAssigner.h
@@ -40,6 +40,18 @@
   }
 };
 
+/// Why the previous owner of a range no longer holds its keys.
+enum class PreviousOwnerEnd {
+  None,      ///< It may still hold them.
+  Absent,    ///< There was no previous owner.
+  Restarted, ///< Its record shows another incarnation.
+  Expired,   ///< Its last grant has certainly ended.
+  Released,  ///< It has released the keys.
+};
+
+inline constexpr EnumNames<PreviousOwnerEnd, 5> PreviousOwnerEndNames(
+    {"none", "absent", "restarted", "expired", "released"});
+
 /// An ownership order to a target: grants it a key range or withdraws one.
 struct RangeOrder {
   enum class Kind { Grant, Release };
@@ -53,6 +65,12 @@
   std::string Handover; ///< State handed over by the previous owner.
   /// The target has accepted the same grant before.
   bool Renewal = false;
+  /// The previous owner, in the first grant to the next one only.
+  TargetId PreviousOwner;
+  std::int64_t PreviousOwnerStartedAt = 0;
+  PreviousOwnerEnd PreviousEnd = PreviousOwnerEnd::None;
+  /// Time until the known grants of the previous owner have certainly ended.
+  Duration PreviousHoldLeft{0};
 };
 
 inline constexpr EnumNames<RangeOrder::Kind, 2> RangeOrderNames({"grant",
@@ -181,8 +199,12 @@
   /// wait then; otherwise a leader that cannot reach the targets would spend
   /// all its time on repeats.
   auto inRetryPause(const TargetId &Target, TimePoint Now) const -> bool;
+  auto previousOwnerEnd(const KeyRange &Range, const State &RangeState,
+                        TimePoint Now) const -> PreviousOwnerEnd;
   auto previousOwnerGone(const KeyRange &Range, const State &RangeState,
-                         TimePoint Now) const -> bool;
+                         TimePoint Now) const -> bool {
+    return previousOwnerEnd(Range, RangeState, Now) != PreviousOwnerEnd::None;
+  }
   auto stateOf(const RangeRecord &Record, const KeyRange &Range) const -> State;
   /// Returns the record without the previous owners that can no longer hold
   /// keys, for ranges whose owner has accepted a grant.
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -616,9 +616,29 @@
                       [OnEnded] { OnEnded(RangeOrderOutcome::NotSent, ""); });
     return;
   }
+  if (!Call.PreviousOwner.empty())
+    logFirstGrant(Id, Call);
   Orders.send(Target->Record, Call, OnEnded);
 }
 
+auto Leader::logFirstGrant(const ServiceId &Id, const RangeOrder &Call)
+    -> void {
+  const TargetPtr Previous = Context.Targets.find(Call.PreviousOwner);
+  Context.Events.write(
+      EventLine("keys-granted")
+          .field("service", Id.str())
+          .field("target", Call.Target.str())
+          .field("from", Call.From)
+          .field("to", Call.To)
+          .field("fence", Call.Fence)
+          .field("previous_owner", Call.PreviousOwner.str())
+          .field("previous_started_at", Call.PreviousOwnerStartedAt)
+          .field("known_started_at",
+                 Previous ? Previous->Record.StartedAtMs : 0)
+          .field("previous_end", PreviousOwnerEndNames.name(Call.PreviousEnd))
+          .field("hold_left_ms", Call.PreviousHoldLeft));
+}
+
 auto Leader::onOrderEnded(const ServiceId &Id, const RangeOrder &Call,
                           RangeOrderOutcome Answer, const std::string &Handover)
     -> void {
--- a/lib/Gateway/Leader.h
+++ b/lib/Gateway/Leader.h
@@ -179,6 +179,8 @@
   auto sendOrders(const ServiceId &Id, ServiceState &State, TimePoint Now)
       -> void;
   auto sendOrder(const ServiceId &Id, const RangeOrder &Call) -> void;
+  /// Logs why the previous owner of the keys is known to hold them no longer.
+  auto logFirstGrant(const ServiceId &Id, const RangeOrder &Call) -> void;
   auto onOrderEnded(const ServiceId &Id, const RangeOrder &Call,
                     RangeOrderOutcome Answer, const std::string &Handover)
       -> void;
