Take no older target record for a restart of the previous owner

Two targets could hold the same keys. A leader that takes over with target records older than the recorded ranges found another incarnation of an owner in them, took it for a restart, moved its keys and granted them to another target at once, while the owner held them. "Not equal" was the comparison.

Only a later incarnation counts now. A target whose record is older than the ranges gets no keys, and its ranges are not moved before its grant has ended, since a next owner would have to wait for that anyway.

OlderRecordOfThePreviousOwnerIsNoRestart failed before: the second target got a grant while the first one's could not have ended. Ruled out: the table of one instance never goes back to an earlier incarnation, so this needs a change of the leader.

--- a/lib/Fleet/RangeAssigner.cpp
+++ b/lib/Fleet/RangeAssigner.cpp
@@ -219,7 +219,7 @@
   // A restarted target does not hold the keys of its earlier incarnation.
   const auto Incarnation = CurrentView.Incarnations.find(Range.PreviousOwner);
   if (Incarnation != CurrentView.Incarnations.end() &&
-      Incarnation->second != Range.PreviousOwnerStartedAt)
+      Incarnation->second > Range.PreviousOwnerStartedAt)
     return PreviousOwnerEnd::Restarted;
   if (RangeState.PreviousGrantInFlight)
     return PreviousOwnerEnd::None;
@@ -230,6 +230,28 @@
              : PreviousOwnerEnd::None;
 }
 
+auto RangeAssigner::recordedLater(const PlanTarget &Target) const -> bool {
+  return std::any_of(Current.Ranges.begin(), Current.Ranges.end(),
+                     [&](const KeyRange &Range) {
+                       return (Range.Owner == Target.Id &&
+                               Range.OwnerStartedAt > Target.StartedAt) ||
+                              (Range.PreviousOwner == Target.Id &&
+                               Range.PreviousOwnerStartedAt > Target.StartedAt);
+                     });
+}
+
+auto RangeAssigner::movable(const KeyRange &Range, const State &RangeState,
+                            TimePoint Now) const -> bool {
+  // The target records may be older than the ranges; a next owner would have
+  // to wait for the grant anyway.
+  const auto Incarnation = CurrentView.Incarnations.find(Range.Owner);
+  const bool OlderRecord = Incarnation != CurrentView.Incarnations.end() &&
+                           Incarnation->second < Range.OwnerStartedAt;
+  return Now >= RangeState.MovableFrom &&
+         (!OlderRecord || Now > RangeState.HoldEnd) &&
+         previousOwnerGone(Range, RangeState, Now);
+}
+
 auto RangeAssigner::plan(View NewView, const KeyLoad &Load, TimePoint Now)
     -> void {
   CurrentView = std::move(NewView);
@@ -242,13 +264,12 @@
   if (unconfirmed())
     return confirmRecord(Now);
   std::erase_if(CurrentView.Targets, [&](const PlanTarget &Target) {
-    return unresponsive(Target.Id, Now);
+    return unresponsive(Target.Id, Now) || recordedLater(Target);
   });
   const auto Movable = [&](const KeyRange &Range) {
     for (std::size_t Index = 0; Index < Current.Ranges.size(); ++Index)
       if (Current.Ranges[Index] == Range)
-        return Now >= States[Index].MovableFrom &&
-               previousOwnerGone(Range, States[Index], Now);
+        return movable(Range, States[Index], Now);
     return false;
   };
   const auto MovingRanges = std::count_if(
--- a/lib/Fleet/RangeAssigner.h
+++ b/lib/Fleet/RangeAssigner.h
@@ -44,7 +44,7 @@
 enum class PreviousOwnerEnd {
   None,      ///< It may still hold them.
   Absent,    ///< There was no previous owner.
-  Restarted, ///< Its record shows another incarnation.
+  Restarted, ///< Its record shows a later incarnation.
   Expired,   ///< Its last grant has certainly ended.
   Released,  ///< It has released the keys.
 };
@@ -120,7 +120,8 @@
   struct View {
     std::vector<PlanTarget> Targets;
     double ProcessingSeconds = 0; ///< RangePlanner::Input::ProcessingSeconds.
-    /// Start time of each target in the directory.
+    /// Start time of each target in the directory. May be older than the
+    /// ranges.
     std::unordered_map<TargetId, std::int64_t> Incarnations;
     /// Draining targets: their keys are withdrawn while they still answer.
     std::set<TargetId> Leaving;
@@ -205,6 +206,10 @@
                          TimePoint Now) const -> bool {
     return previousOwnerEnd(Range, RangeState, Now) != PreviousOwnerEnd::None;
   }
+  /// Whether the ranges name a later incarnation of the target than its record.
+  auto recordedLater(const PlanTarget &Target) const -> bool;
+  auto movable(const KeyRange &Range, const State &RangeState,
+               TimePoint Now) const -> bool;
   auto stateOf(const RangeRecord &Record, const KeyRange &Range) const -> State;
   /// Returns the record without the previous owners that can no longer hold
   /// keys, for ranges whose owner has accepted a grant.
--- /dev/null
+++ b/tests/unit/RangeAssignerTest.cpp
@@ -0,0 +1,78 @@
+#include "Fleet/RangeAssigner.h"
+
+#include <gtest/gtest.h>
+
+using namespace buckthornring;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t Keys = 1024;
+constexpr TimePoint Start{std::chrono::seconds(1000)};
+
+auto viewOf(const std::vector<PlanTarget> &Targets) -> RangeAssigner::View {
+  RangeAssigner::View View;
+  View.Targets = Targets;
+  for (const PlanTarget &Each : Targets)
+    View.Incarnations[Each.Id] = Each.StartedAt;
+  return View;
+}
+
+auto target(const char *Id, std::int64_t StartedAt) -> PlanTarget {
+  return {TargetId(Id), StartedAt, 4, true};
+}
+
+/// A record in which \p Owner owns all keys.
+auto recordOf(const char *Owner, std::int64_t StartedAt) -> RangeRecord {
+  RangeRecord Record;
+  KeyRange All;
+  All.To = Keys - 1;
+  All.Owner = TargetId(Owner);
+  All.OwnerStartedAt = StartedAt;
+  All.Fence = 5;
+  Record.Ranges = {All};
+  Record.NextFence = 6;
+  return Record;
+}
+
+/// A leader of long standing whose orders are answered at once.
+class LeaderDouble {
+public:
+  explicit LeaderDouble(RangeRecord Record) : Assigner(Keys, RangeTimes()) {
+    Assigner.takeOver(std::move(Record), 7, Start);
+    Assigner.writeDone(8, Start);
+  }
+
+  auto plan(const RangeAssigner::View &View, TimePoint Now) -> void {
+    Assigner.plan(View, KeyLoad(), Now);
+    if (Assigner.pendingWrite())
+      Assigner.writeDone(Assigner.revision() + 1, Now);
+  }
+  /// Returns whether a grant to the target was due; it is accepted.
+  auto grant(const char *Id, TimePoint Now) -> bool {
+    const auto Order = Assigner.nextGrant(TargetId(Id), Now, Now);
+    if (Order)
+      Assigner.onOrderEnded(*Order, RangeOrderOutcome::Accepted, "", Now);
+    return Order.has_value();
+  }
+
+  RangeAssigner Assigner;
+};
+
+// Guards against two holders after a leader has taken over with target records
+// that are older than the ranges: the earlier incarnation in them was taken for
+// a restart of the previous owner, and its keys were granted to another target.
+TEST(RangeAssignerTest, OlderRecordOfThePreviousOwnerIsNoRestart) {
+  LeaderDouble Leader(recordOf("a", 20));
+  const auto Stale = viewOf({target("a", 10), target("b", 1)});
+  const TimePoint EarlierLeaderEnd =
+      Start + RangeTimes().AuthorityPeriod + RangeTimes().maxHoldPeriod();
+  for (TimePoint Now = Start; Now <= EarlierLeaderEnd;
+       Now += milliseconds(250)) {
+    Leader.plan(Stale, Now);
+    EXPECT_FALSE(Leader.grant("b", Now)) << (Now - Start).count();
+  }
+}
+
+} // namespace
