Do not take a restart for the end of the previous owner's grants

Two targets could hold the same keys for up to 3 s. Orders name a target's id, not its incarnation. A target that restarts under its id while it is cut off from the store accepts renewals meant for its earlier incarnation; when its record shows the restart, the previous owner counted as gone and the keys were granted to another target before those renewals had ended. It also knows no tokens, so it may accept those of earlier leaders.

A target that has restarted gets its own keys again with a higher token and without a wait. Others wait until all grants to it have ended, those of earlier leaders included. No release is sent to a restarted target: it ended as not sent and made the target count as unresponsive.

Ruled out: ending the wait by a release of the new incarnation, which does not make it refuse an earlier leader's token.

--- a/lib/Fleet/RangeAssigner.cpp
+++ b/lib/Fleet/RangeAssigner.cpp
@@ -176,6 +176,13 @@
     Moved.PreviousUnansweredHoldEnd = SamePreviousOwner
                                           ? RangeState.PreviousUnansweredHoldEnd
                                           : RangeState.UnansweredHoldEnd;
+    // The owner may hold the keys by grants to its earlier incarnation.
+    if (!SamePreviousOwner && Old.PreviousOwner == Old.Owner)
+      Moved.PreviousHoldEnd =
+          std::max(Moved.PreviousHoldEnd, RangeState.PreviousHoldEnd);
+    if (Range.PreviousOwner == Range.Owner)
+      Moved.PreviousHoldEnd =
+          std::max(Moved.PreviousHoldEnd, EarlierOwnersUntil);
     Moved.Released = SamePreviousOwner && RangeState.Released;
     Moved.Handover = SamePreviousOwner ? RangeState.Handover : "";
     return Moved;
@@ -216,20 +223,31 @@
                                      TimePoint Now) const -> PreviousOwnerEnd {
   if (Range.PreviousOwner.empty())
     return PreviousOwnerEnd::Absent;
-  // A restarted target does not hold the keys of its earlier incarnation.
-  const auto Incarnation = CurrentView.Incarnations.find(Range.PreviousOwner);
-  if (Incarnation != CurrentView.Incarnations.end() &&
-      Incarnation->second > Range.PreviousOwnerStartedAt)
-    return PreviousOwnerEnd::Restarted;
   if (RangeState.PreviousGrantInFlight)
     return PreviousOwnerEnd::None;
-  if (Now > RangeState.PreviousHoldEnd)
+  if (Range.PreviousOwner == Range.Owner)
+    return PreviousOwnerEnd::Restarted;
+  // Orders name no incarnation, so a restarted target may have accepted those
+  // meant for the earlier one, also of earlier leaders: it does not know the
+  // fencing tokens.
+  const bool Restarted = restarted(Range);
+  const TimePoint HoldEnd =
+      Restarted ? std::max(RangeState.PreviousHoldEnd, EarlierOwnersUntil)
+                : RangeState.PreviousHoldEnd;
+  if (Now > HoldEnd)
     return PreviousOwnerEnd::Expired;
-  return RangeState.Released && Now > RangeState.PreviousUnansweredHoldEnd
+  return RangeState.Released && !Restarted &&
+                 Now > RangeState.PreviousUnansweredHoldEnd
              ? PreviousOwnerEnd::Released
              : PreviousOwnerEnd::None;
 }
 
+auto RangeAssigner::restarted(const KeyRange &Range) const -> bool {
+  const auto Incarnation = CurrentView.Incarnations.find(Range.PreviousOwner);
+  return Incarnation != CurrentView.Incarnations.end() &&
+         Incarnation->second > Range.PreviousOwnerStartedAt;
+}
+
 auto RangeAssigner::recordedLater(const PlanTarget &Target) const -> bool {
   return std::any_of(Current.Ranges.begin(), Current.Ranges.end(),
                      [&](const KeyRange &Range) {
@@ -336,10 +354,10 @@
   for (std::size_t Index = 0; Index < Current.Ranges.size(); ++Index) {
     const KeyRange &Range = Current.Ranges[Index];
     State &RangeState = States[Index];
-    if (Range.PreviousOwner != Target || RangeState.Released ||
-        RangeState.ReleaseInFlight || RangeState.PreviousGrantInFlight ||
-        RangeState.GrantSent || Now < RangeState.NextReleaseAt ||
-        Now > RangeState.PreviousHoldEnd)
+    if (Range.PreviousOwner != Target || Range.Owner == Target ||
+        restarted(Range) || RangeState.Released || RangeState.ReleaseInFlight ||
+        RangeState.PreviousGrantInFlight || RangeState.GrantSent ||
+        Now < RangeState.NextReleaseAt || Now > RangeState.PreviousHoldEnd)
       continue;
     RangeState.ReleaseInFlight = true;
     RangeOrder Order;
--- a/lib/Fleet/RangeAssigner.h
+++ b/lib/Fleet/RangeAssigner.h
@@ -44,7 +44,7 @@
 enum class PreviousOwnerEnd {
   None,      ///< It may still hold them.
   Absent,    ///< There was no previous owner.
-  Restarted, ///< Its record shows a later incarnation.
+  Restarted, ///< The owner is a later incarnation of it.
   Expired,   ///< Its last grant has certainly ended.
   Released,  ///< It has released the keys.
 };
@@ -92,9 +92,9 @@
 ///
 /// Each change of owners is written to the store, conditional on the revision,
 /// before any target is told. A new owner gets its grant only when the previous
-/// owner has released the keys, has restarted, or its grant has certainly
-/// expired. A new leader first gives all ranges higher fencing tokens, so that
-/// targets refuse orders that an earlier leader still sends.
+/// owner has released the keys, is an earlier incarnation of it, or its grant
+/// has certainly expired. A new leader first gives all ranges higher fencing
+/// tokens, so that targets refuse orders that an earlier leader still sends.
 class RangeAssigner {
 public:
   RangeAssigner(std::uint32_t Keys, RangeTimes Times)
@@ -206,6 +206,8 @@
                          TimePoint Now) const -> bool {
     return previousOwnerEnd(Range, RangeState, Now) != PreviousOwnerEnd::None;
   }
+  /// Whether the record of the previous owner shows a later incarnation.
+  auto restarted(const KeyRange &Range) const -> bool;
   /// Whether the ranges name a later incarnation of the target than its record.
   auto recordedLater(const PlanTarget &Target) const -> bool;
   auto movable(const KeyRange &Range, const State &RangeState,
--- a/lib/Fleet/RangePlanner.cpp
+++ b/lib/Fleet/RangePlanner.cpp
@@ -54,12 +54,24 @@
     std::vector<KeyRange> Lost;
     for (const KeyRange &Range : Record.Ranges)
       (owner(Range) || !Inputs.Movable(Range) ? Kept : Lost).push_back(Range);
-    if (Lost.empty() || !anyTargetTakesNewKeys())
+    // A restarted target keeps its keys: nobody else may hold them, so there is
+    // nothing to wait for.
+    const auto FirstMoved =
+        std::partition(Lost.begin(), Lost.end(), [this](const KeyRange &Range) {
+          return target(Range.Owner);
+        });
+    const bool MayMove = FirstMoved != Lost.end() && anyTargetTakesNewKeys();
+    if (FirstMoved == Lost.begin() && !MayMove)
       return;
     Record.Ranges = std::move(Kept);
-    for (const KeyRange &Range : Lost)
-      for (const KeyRange &Piece : splitRange(Range, FirstAssignment))
-        assign(Piece, *leastLoaded());
+    for (auto Range = Lost.begin(); Range != FirstMoved; ++Range)
+      assign(*Range, *target(Range->Owner));
+    for (auto Range = FirstMoved; Range != Lost.end(); ++Range)
+      if (!MayMove)
+        Record.Ranges.push_back(*Range);
+      else
+        for (const KeyRange &Piece : splitRange(*Range, FirstAssignment))
+          assign(Piece, *leastLoaded());
     sort();
   }
 
@@ -95,13 +107,18 @@
   auto record() && -> RangeRecord { return std::move(Record); }
 
 private:
-  auto owner(const KeyRange &Range) const -> const PlanTarget * {
+  auto target(const TargetId &Id) const -> const PlanTarget * {
     for (const PlanTarget &Target : Inputs.Targets)
-      if (Target.Id == Range.Owner && Target.StartedAt == Range.OwnerStartedAt)
+      if (Target.Id == Id)
         return &Target;
     return nullptr;
   }
 
+  auto owner(const KeyRange &Range) const -> const PlanTarget * {
+    const PlanTarget *Found = target(Range.Owner);
+    return Found && Found->StartedAt == Range.OwnerStartedAt ? Found : nullptr;
+  }
+
   /// A range that this plan has already moved has not been granted to its new
   /// owner yet, so the previous owner in the record still applies.
   auto movable(const KeyRange &Range) const -> bool {
--- a/tests/property/RangeAssignerPropertyTest.cpp
+++ b/tests/property/RangeAssignerPropertyTest.cpp
@@ -74,4 +74,35 @@
       });
 }
 
+// Guards against target records that are taken for proof: one that is older
+// than the recorded ranges, and a restart whose target has accepted renewals
+// meant for its earlier incarnation.
+TEST(RangeAssignerPropertyTest, NoKeyHasTwoHoldersWhenTargetRecordsAreLate) {
+  test::forEachSeed(
+      "RangeAssignerPropertyTest.NoKeyHasTwoHoldersWhenTargetRecordsAreLate",
+      60, [](std::uint64_t Seed) {
+        RangeFaults Faults;
+        Faults.RestartBehindCut = 0.001;
+        Faults.StaleRecords = 0.5;
+        Faults.EarlierLeadersReachRestarted = false;
+        RangeSimulation Simulation(Seed, Faults);
+        const auto Violation = Simulation.run(4000);
+        EXPECT_FALSE(Violation) << *Violation;
+      });
+}
+
+// Guards against a replaced leader without contact to the store that renews
+// keys at a target which has restarted and knows no later fencing token.
+TEST(RangeAssignerPropertyTest, ReplacedLeaderDoesNotRenewAtRestartedTargets) {
+  test::forEachSeed(
+      "RangeAssignerPropertyTest.ReplacedLeaderDoesNotRenewAtRestartedTargets",
+      60, [](std::uint64_t Seed) {
+        RangeFaults Faults;
+        Faults.RestartBehindCut = 0.001;
+        RangeSimulation Simulation(Seed, Faults);
+        const auto Violation = Simulation.run(4000);
+        EXPECT_FALSE(Violation) << *Violation;
+      });
+}
+
 } // namespace
--- a/tests/unit/RangeAssignerTest.cpp
+++ b/tests/unit/RangeAssignerTest.cpp
@@ -75,4 +75,22 @@
   }
 }
 
+// Guards against two holders after a target has restarted under its id while
+// it was cut off from the directory: it had accepted renewals meant for its
+// earlier incarnation, and its restart was taken for their end.
+TEST(RangeAssignerTest, RestartedTargetMayHoldKeysOfItsEarlierIncarnation) {
+  LeaderDouble Leader(recordOf("a", 10));
+  const auto Renewed = Start + std::chrono::seconds(20);
+  ASSERT_TRUE(Leader.grant("a", Start));
+  Leader.plan(viewOf({target("a", 10), target("b", 1)}), Renewed);
+  ASSERT_TRUE(Leader.grant("a", Renewed));
+  // The record is removed, then shows the restart.
+  Leader.plan(viewOf({target("b", 1)}), Renewed + milliseconds(100));
+  for (TimePoint Now = Renewed + milliseconds(200);
+       Now < Renewed + RangeTimes().maxHoldPeriod(); Now += milliseconds(100)) {
+    Leader.plan(viewOf({target("a", 30), target("b", 1)}), Now);
+    EXPECT_FALSE(Leader.grant("b", Now)) << (Now - Renewed).count();
+  }
+}
+
 } // namespace
