--- a/lib/Fleet/RangeAssigner.cpp
+++ b/lib/Fleet/RangeAssigner.cpp
@@ -176,6 +176,13 @@
     Moved.PreviousUnansweredHoldEnd = SamePreviousOwner
                                           ? RangeState.PreviousUnansweredHoldEnd
                                           : RangeState.UnansweredHoldEnd;
+    // The owner may hold the keys by grants to its earlier incarnation.
+    if (!SamePreviousOwner && Old.PreviousOwner == Old.Owner)
+      Moved.PreviousHoldEnd =
+          std::max(Moved.PreviousHoldEnd, RangeState.PreviousHoldEnd);
+    if (Range.PreviousOwner == Range.Owner)
+      Moved.PreviousHoldEnd =
+          std::max(Moved.PreviousHoldEnd, EarlierOwnersUntil);
     Moved.Released = SamePreviousOwner && RangeState.Released;
     Moved.Handover = SamePreviousOwner ? RangeState.Handover : "";
     return Moved;
@@ -211,21 +218,56 @@
 
 auto RangeAssigner::writeRefused() -> void { Proposed.reset(); }
 
-auto RangeAssigner::previousOwnerGone(const KeyRange &Range,
-                                      const State &RangeState,
-                                      TimePoint Now) const -> bool {
+auto RangeAssigner::previousOwnerEnd(const KeyRange &Range,
+                                     const State &RangeState,
+                                     TimePoint Now) const -> PreviousOwnerEnd {
   if (Range.PreviousOwner.empty())
-    return true;
-  // A restarted target does not hold the keys of its earlier incarnation.
-  const auto Incarnation = CurrentView.Incarnations.find(Range.PreviousOwner);
-  if (Incarnation != CurrentView.Incarnations.end() &&
-      Incarnation->second != Range.PreviousOwnerStartedAt)
-    return true;
+    return PreviousOwnerEnd::Absent;
   if (RangeState.PreviousGrantInFlight)
-    return false;
-  if (Now > RangeState.PreviousHoldEnd)
-    return true;
-  return RangeState.Released && Now > RangeState.PreviousUnansweredHoldEnd;
+    return PreviousOwnerEnd::None;
+  if (Range.PreviousOwner == Range.Owner)
+    return PreviousOwnerEnd::Restarted;
+  // Orders name no incarnation, so a restarted target may have accepted those
+  // meant for the earlier one, also of earlier leaders: it does not know the
+  // fencing tokens.
+  const bool Restarted = restarted(Range);
+  const TimePoint HoldEnd =
+      Restarted ? std::max(RangeState.PreviousHoldEnd, EarlierOwnersUntil)
+                : RangeState.PreviousHoldEnd;
+  if (Now > HoldEnd)
+    return PreviousOwnerEnd::Expired;
+  return RangeState.Released && !Restarted &&
+                 Now > RangeState.PreviousUnansweredHoldEnd
+             ? PreviousOwnerEnd::Released
+             : PreviousOwnerEnd::None;
+}
+
+auto RangeAssigner::restarted(const KeyRange &Range) const -> bool {
+  const auto Incarnation = CurrentView.Incarnations.find(Range.PreviousOwner);
+  return Incarnation != CurrentView.Incarnations.end() &&
+         Incarnation->second > Range.PreviousOwnerStartedAt;
+}
+
+auto RangeAssigner::recordedLater(const PlanTarget &Target) const -> bool {
+  return std::any_of(Current.Ranges.begin(), Current.Ranges.end(),
+                     [&](const KeyRange &Range) {
+                       return (Range.Owner == Target.Id &&
+                               Range.OwnerStartedAt > Target.StartedAt) ||
+                              (Range.PreviousOwner == Target.Id &&
+                               Range.PreviousOwnerStartedAt > Target.StartedAt);
+                     });
+}
+
+auto RangeAssigner::movable(const KeyRange &Range, const State &RangeState,
+                            TimePoint Now) const -> bool {
+  // The target records may be older than the ranges; a next owner would have
+  // to wait for the grant anyway.
+  const auto Incarnation = CurrentView.Incarnations.find(Range.Owner);
+  const bool OlderRecord = Incarnation != CurrentView.Incarnations.end() &&
+                           Incarnation->second < Range.OwnerStartedAt;
+  return Now >= RangeState.MovableFrom &&
+         (!OlderRecord || Now > RangeState.HoldEnd) &&
+         previousOwnerGone(Range, RangeState, Now);
 }
 
 auto RangeAssigner::plan(View NewView, const KeyLoad &Load, TimePoint Now)
@@ -240,13 +282,12 @@
   if (unconfirmed())
     return confirmRecord(Now);
   std::erase_if(CurrentView.Targets, [&](const PlanTarget &Target) {
-    return unresponsive(Target.Id, Now);
+    return unresponsive(Target.Id, Now) || recordedLater(Target);
   });
   const auto Movable = [&](const KeyRange &Range) {
     for (std::size_t Index = 0; Index < Current.Ranges.size(); ++Index)
       if (Current.Ranges[Index] == Range)
-        return Now >= States[Index].MovableFrom &&
-               previousOwnerGone(Range, States[Index], Now);
+        return movable(Range, States[Index], Now);
     return false;
   };
   const auto MovingRanges = std::count_if(
@@ -313,10 +354,10 @@
   for (std::size_t Index = 0; Index < Current.Ranges.size(); ++Index) {
     const KeyRange &Range = Current.Ranges[Index];
     State &RangeState = States[Index];
-    if (Range.PreviousOwner != Target || RangeState.Released ||
-        RangeState.ReleaseInFlight || RangeState.PreviousGrantInFlight ||
-        RangeState.GrantSent || Now < RangeState.NextReleaseAt ||
-        Now > RangeState.PreviousHoldEnd)
+    if (Range.PreviousOwner != Target || Range.Owner == Target ||
+        restarted(Range) || RangeState.Released || RangeState.ReleaseInFlight ||
+        RangeState.PreviousGrantInFlight || RangeState.GrantSent ||
+        Now < RangeState.NextReleaseAt || Now > RangeState.PreviousHoldEnd)
       continue;
     RangeState.ReleaseInFlight = true;
     RangeOrder Order;
@@ -349,9 +390,16 @@
     if (!RangeState.GrantSent &&
         (unconfirmed() || CurrentView.Leaving.contains(Target)))
       continue;
-    RangeState.GrantSent = true;
-    RangeState.GrantInFlight = true;
     RangeOrder Order;
+    if (!std::exchange(RangeState.GrantSent, true) &&
+        !Range.PreviousOwner.empty()) {
+      Order.PreviousOwner = Range.PreviousOwner;
+      Order.PreviousOwnerStartedAt = Range.PreviousOwnerStartedAt;
+      Order.PreviousEnd = previousOwnerEnd(Range, RangeState, Now);
+      Order.PreviousHoldLeft =
+          std::max(RangeState.PreviousHoldEnd - Now, Duration(0));
+    }
+    RangeState.GrantInFlight = true;
     Order.Target = Target;
     Order.StartedAt = Range.OwnerStartedAt;
     Order.From = Range.From;
--- a/lib/Fleet/RangeAssigner.h
+++ b/lib/Fleet/RangeAssigner.h
@@ -40,6 +40,18 @@
   }
 };
 
+/// Why the previous owner of a range no longer holds its keys.
+enum class PreviousOwnerEnd {
+  None,      ///< It may still hold them.
+  Absent,    ///< There was no previous owner.
+  Restarted, ///< The owner is a later incarnation of it.
+  Expired,   ///< Its last grant has certainly ended.
+  Released,  ///< It has released the keys.
+};
+
+inline constexpr EnumNames<PreviousOwnerEnd, 5> PreviousOwnerEndNames(
+    {"none", "absent", "restarted", "expired", "released"});
+
 /// An ownership order to a target: grants it a key range or withdraws one.
 struct RangeOrder {
   enum class Kind { Grant, Release };
@@ -53,6 +65,12 @@
   std::string Handover; ///< State handed over by the previous owner.
   /// The target has accepted the same grant before.
   bool Renewal = false;
+  /// The previous owner, in the first grant to the next one only.
+  TargetId PreviousOwner;
+  std::int64_t PreviousOwnerStartedAt = 0;
+  PreviousOwnerEnd PreviousEnd = PreviousOwnerEnd::None;
+  /// Time until the known grants of the previous owner have certainly ended.
+  Duration PreviousHoldLeft{0};
 };
 
 inline constexpr EnumNames<RangeOrder::Kind, 2> RangeOrderNames({"grant",
@@ -74,9 +92,9 @@
 ///
 /// Each change of owners is written to the store, conditional on the revision,
 /// before any target is told. A new owner gets its grant only when the previous
-/// owner has released the keys, has restarted, or its grant has certainly
-/// expired. A new leader first gives all ranges higher fencing tokens, so that
-/// targets refuse orders that an earlier leader still sends.
+/// owner has released the keys, is an earlier incarnation of it, or its grant
+/// has certainly expired. A new leader first gives all ranges higher fencing
+/// tokens, so that targets refuse orders that an earlier leader still sends.
 class RangeAssigner {
 public:
   RangeAssigner(std::uint32_t Keys, RangeTimes Times)
@@ -102,7 +120,8 @@
   struct View {
     std::vector<PlanTarget> Targets;
     double ProcessingSeconds = 0; ///< RangePlanner::Input::ProcessingSeconds.
-    /// Start time of each target in the directory.
+    /// Start time of each target in the directory. May be older than the
+    /// ranges.
     std::unordered_map<TargetId, std::int64_t> Incarnations;
     /// Draining targets: their keys are withdrawn while they still answer.
     std::set<TargetId> Leaving;
@@ -181,8 +200,18 @@
   /// wait then; otherwise a leader that cannot reach the targets would spend
   /// all its time on repeats.
   auto inRetryPause(const TargetId &Target, TimePoint Now) const -> bool;
+  auto previousOwnerEnd(const KeyRange &Range, const State &RangeState,
+                        TimePoint Now) const -> PreviousOwnerEnd;
   auto previousOwnerGone(const KeyRange &Range, const State &RangeState,
-                         TimePoint Now) const -> bool;
+                         TimePoint Now) const -> bool {
+    return previousOwnerEnd(Range, RangeState, Now) != PreviousOwnerEnd::None;
+  }
+  /// Whether the record of the previous owner shows a later incarnation.
+  auto restarted(const KeyRange &Range) const -> bool;
+  /// Whether the ranges name a later incarnation of the target than its record.
+  auto recordedLater(const PlanTarget &Target) const -> bool;
+  auto movable(const KeyRange &Range, const State &RangeState,
+               TimePoint Now) const -> bool;
   auto stateOf(const RangeRecord &Record, const KeyRange &Range) const -> State;
   /// Returns the record without the previous owners that can no longer hold
   /// keys, for ranges whose owner has accepted a grant.
