Renew by the earlier authority only after a long absence and a restoration

Two targets could hold the same keys after the store was restored from a copy: a later leader moved keys of an owner that it did not reach, its claim was lost with the copy, and the earlier leader returned within 10 s and went on renewing at that owner, which had never seen the later tokens.

Cause: the returning leader took its new claim as proof for grants from before its absence. That an owner accepts its token again proves nothing when the later leader never reached that owner. Its record also counted as confirmed then, so it could have gone on with tokens below those of the lost record.

A later leader grants such keys no sooner than the earlier authority and a grant (13 s) after its claim, and no later than 10 s after the store went away. So there is no danger while the last confirmation is younger than a grant. Beyond that the leader now renews until its earlier authority ends, moves nothing, and after 13 s takes its record over with new tokens, like the record of another leader. Ruled out: treating the authority as lapsed at once, which leaves all keys without an owner for 10 s instead of for the time of the absence.

The listed test failed before. One of its lines changes: it called writeDone() right after restored(), which now proposes no record; it writes one if there is one. The checks are the same. The new test of the resumption does not compile on the old code.

--- a/lib/Fleet/RangeAssigner.cpp
+++ b/lib/Fleet/RangeAssigner.cpp
@@ -113,6 +113,10 @@
     Current.Era = RangeRecord::UnknownEra;
     return takeOver(std::move(Current), AtRevision, Now);
   }
+  if (RenewUntil == LongAgo)
+    claimedAgain(LastConfirmedAt, Now);
+  if (RenewUntil != LongAgo)
+    return takeOverOwnRecord(AtRevision, Now);
   Revision = AtRevision;
   Proposed = Current;
   ChangedAt = Now;
@@ -134,6 +138,30 @@
   }
 }
 
+auto RangeAssigner::claimedAgain(TimePoint Before, TimePoint Now) -> void {
+  // A later leader grants keys of an owner that it does not reach only after
+  // the earlier authority and grant, and only by a claim that is older than a
+  // grant when the store goes away.
+  if (Now - Before > Times.maxHoldPeriod())
+    RenewUntil = Before + Times.AuthorityPeriod;
+}
+
+auto RangeAssigner::takeOverOwnRecord(std::uint64_t AtRevision, TimePoint Now)
+    -> void {
+  std::vector<bool> Renewable;
+  for (const State &Each : States)
+    Renewable.push_back(Each.GrantAccepted);
+  Current.Era = RangeRecord::UnknownEra;
+  takeOver(std::move(Current), AtRevision, Now);
+  for (std::size_t Index = 0; Index < States.size(); ++Index)
+    States[Index].Renewable = Renewable[Index];
+}
+
+auto RangeAssigner::renewableWhileWaiting(const State &RangeState,
+                                          TimePoint Now) const -> bool {
+  return WaitingForEarlierOwners && RangeState.Renewable && Now <= RenewUntil;
+}
+
 auto RangeAssigner::unconfirmed() const -> bool {
   return Current.Era != eraOf(Revision);
 }
@@ -234,6 +262,7 @@
   if (Proposed || (WaitingForEarlierOwners && Now <= EarlierOwnersUntil))
     return;
   if (std::exchange(WaitingForEarlierOwners, false)) {
+    RenewUntil = LongAgo;
     Proposed = withNewFences(Current);
     return;
   }
@@ -333,14 +362,19 @@
 
 auto RangeAssigner::nextGrant(const TargetId &Target, TimePoint ConfirmedAt,
                               TimePoint Now) -> std::optional<RangeOrder> {
-  if (!hasAuthority(ConfirmedAt, Now) || inRetryPause(Target, Now))
+  LastConfirmedAt = std::max(LastConfirmedAt, ConfirmedAt);
+  if (inRetryPause(Target, Now))
     return std::nullopt;
+  const bool Authority = hasAuthority(ConfirmedAt, Now);
   const auto Incarnation = CurrentView.Incarnations.find(Target);
   for (std::size_t Index = 0; Index < Current.Ranges.size(); ++Index) {
     const KeyRange &Range = Current.Ranges[Index];
     State &RangeState = States[Index];
-    if (Range.Owner != Target || Now < RangeState.NextGrantAt ||
-        !previousOwnerGone(Range, RangeState, Now) || changedByProposal(Range))
+    if (Range.Owner != Target || Now < RangeState.NextGrantAt)
+      continue;
+    if (!renewableWhileWaiting(RangeState, Now) &&
+        (!Authority || !previousOwnerGone(Range, RangeState, Now) ||
+         changedByProposal(Range)))
       continue;
     // A restarted target needs a recorded assignment to its new incarnation.
     if (Incarnation != CurrentView.Incarnations.end() &&
--- a/lib/Fleet/RangeAssigner.h
+++ b/lib/Fleet/RangeAssigner.h
@@ -97,8 +97,17 @@
   /// changes may be lost: the record keeps its earlier era, so that it is
   /// incomplete for other leaders, and no keys change owners, until all owners
   /// have accepted their tokens again or all earlier grants have ended.
+  ///
+  /// After an absence longer than a grant, a later leader may have moved keys
+  /// of owners that only this one reaches. Grants are then renewed by the
+  /// earlier proof of leadership only, and the record is taken over like that
+  /// of another leader.
   auto restored(std::uint64_t Revision, TimePoint Now) -> void;
 
+  /// The leadership was lost and claimed again. \p LastConfirmedAt is when it
+  /// was last confirmed before.
+  auto claimedAgain(TimePoint LastConfirmedAt, TimePoint Now) -> void;
+
   struct View {
     std::vector<PlanTarget> Targets;
     double ProcessingSeconds = 0; ///< RangePlanner::Input::ProcessingSeconds.
@@ -171,7 +180,10 @@
     bool PreviousGrantInFlight = false; ///< The same for the previous owner.
     /// A grant was sent to the owner, or an earlier leader may have sent one.
     bool GrantSent = false;
-    bool GrantAccepted = false;   ///< The owner has accepted a grant.
+    bool GrantAccepted = false; ///< The owner has accepted a grant.
+    /// The owner accepted a grant of this leader before the takeover, so it may
+    /// be renewed until RenewUntil.
+    bool Renewable = false;
     bool ReleaseInFlight = false; ///< A release order is in flight.
     bool Released = false;
     std::string Handover;
@@ -191,8 +203,15 @@
   auto unconfirmed() const -> bool;
   /// Proposes the record as complete in the era of the store once it is.
   auto confirmRecord(TimePoint Now) -> void;
+  /// Takes the own record over like that of another leader, but renews the
+  /// grants of its owners until RenewUntil.
+  auto takeOverOwnRecord(std::uint64_t AtRevision, TimePoint Now) -> void;
   /// Whether this leader may still send orders.
   auto hasAuthority(TimePoint ConfirmedAt, TimePoint Now) const -> bool;
+  /// Whether this leader may renew the range's grant while it waits for earlier
+  /// owners.
+  auto renewableWhileWaiting(const State &RangeState, TimePoint Now) const
+      -> bool;
   /// Whether the pending record moves or splits the range or changes its
   /// fencing token.
   auto changedByProposal(const KeyRange &Range) const -> bool;
@@ -212,6 +231,11 @@
   bool WaitingForEarlierOwners = false;
   /// Also the latest time until which the record stays unconfirmed.
   TimePoint EarlierOwnersUntil = LongAgo;
+  /// Latest confirmation of leadership that an order was based on.
+  TimePoint LastConfirmedAt = LongAgo;
+  /// End of the authority before an absence of the store that was longer than
+  /// a grant; LongAgo: there was none.
+  TimePoint RenewUntil = LongAgo;
   TimePoint ChangedAt = LongAgo;
   View CurrentView;
   struct NoResponsePeriod {
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -97,6 +97,8 @@
     Orders.clear();
     Services.clear();
   }
+  for (auto &[Id, State] : Services)
+    State.Keeper.claimedAgain(ConfirmedAt, Now);
   MayLackRecords = true;
   ConfirmedAt = std::max(ConfirmedAt, ClaimSentAt);
   NextSizeCheckAt = Now;
--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -391,7 +391,8 @@
       Later.writeDone(Later.revision() + 1, Now);
   }
   Earlier.restored(makeRevision(1, 8), RestoredAt + milliseconds(500));
-  Earlier.writeDone(makeRevision(1, 9), RestoredAt + milliseconds(500));
+  if (Earlier.pendingWrite())
+    Earlier.writeDone(makeRevision(1, 9), RestoredAt + milliseconds(500));
   TimePoint HeldUntil = Start;
   for (TimePoint Now = RestoredAt + milliseconds(600);
        Now < RestoredAt + milliseconds(10'000); Now += milliseconds(100)) {
@@ -403,6 +404,44 @@
   }
 }
 
+// Guards against keys without an owner after a restoration: a leader that was
+// absent for longer than a grant renews by its earlier proof, then continues
+// with tokens above those that a later leader may have given.
+TEST(RangeAssignerTest, AbsentLeaderRenewsByItsEarlierProofThenTakesOver) {
+  const RangeTimes Times;
+  RangeRecord Record = firstRecord(1);
+  const TargetId Owner = Record.Ranges.front().Owner;
+  RangeAssigner::View View;
+  for (const PlanTarget &Each : planTargets(1)) {
+    View.Targets.push_back(Each);
+    View.Incarnations[Each.Id] = Each.StartedAt;
+  }
+  RangeAssigner Assigner(65'536, Times);
+  Assigner.takeOver(Record, 7, Start);
+  Assigner.writeDone(8, Start);
+  const auto Renewed = [&](TimePoint ConfirmedAt, TimePoint Now) {
+    const auto Order = Assigner.nextGrant(Owner, ConfirmedAt, Now);
+    if (Order)
+      Assigner.onOrderEnded(*Order, RangeOrderOutcome::Accepted, "", Now);
+    return Order.has_value();
+  };
+  ASSERT_TRUE(Renewed(Start, Start));
+  const TimePoint Returned = Start + milliseconds(5000);
+  Assigner.claimedAgain(Start, Returned);
+  Assigner.restored(makeRevision(1, 8), Returned);
+  EXPECT_TRUE(Renewed(Returned, Returned + milliseconds(100)));
+  EXPECT_TRUE(Renewed(Returned, Start + Times.AuthorityPeriod));
+  const TimePoint EarlierEnd =
+      Returned + Times.AuthorityPeriod + Times.maxHoldPeriod();
+  EXPECT_FALSE(Renewed(EarlierEnd, EarlierEnd));
+  Assigner.plan(View, KeyLoad(), EarlierEnd + milliseconds(1));
+  ASSERT_TRUE(Assigner.pendingWrite());
+  EXPECT_GT(Assigner.pendingWrite()->Ranges.front().Fence,
+            Record.Ranges.front().Fence);
+  Assigner.writeDone(makeRevision(1, 9), EarlierEnd + milliseconds(1));
+  EXPECT_TRUE(Renewed(EarlierEnd, EarlierEnd + milliseconds(2)));
+}
+
 TEST(RangeRecordTest, ParsesItsOwnJsonAndRejectsInvalidRecords) {
   const RangeRecord Record = firstRecord(3);
   const auto Read = RangeRecord::parse(Record.json(), 65'536);
