--- a/lib/Fleet/RangeAssigner.cpp
+++ b/lib/Fleet/RangeAssigner.cpp
@@ -113,8 +113,7 @@
     Current.Era = RangeRecord::UnknownEra;
     return takeOver(std::move(Current), AtRevision, Now);
   }
-  if (RenewUntil == LongAgo)
-    claimedAgain(LastConfirmedAt, Now);
+  claimedAgain(LastConfirmedAt, Now);
   if (RenewUntil != LongAgo)
     return takeOverOwnRecord(AtRevision, Now);
   Revision = AtRevision;
@@ -141,8 +140,9 @@
 auto RangeAssigner::claimedAgain(TimePoint Before, TimePoint Now) -> void {
   // A later leader grants keys of an owner that it does not reach only after
   // the earlier authority and grant, and only by a claim that is older than a
-  // grant when the store goes away.
-  if (Now - Before > Times.maxHoldPeriod())
+  // grant when the store goes away. A later proof does not extend the first
+  // end: that leader's authority may not have ended yet.
+  if (RenewUntil == LongAgo && Now - Before > Times.maxHoldPeriod())
     RenewUntil = Before + Times.AuthorityPeriod;
 }
 
@@ -373,7 +373,8 @@
 
 auto RangeAssigner::hasAuthority(TimePoint ConfirmedAt, TimePoint Now) const
     -> bool {
-  return !TakingOver && Now - ConfirmedAt <= Times.AuthorityPeriod;
+  return !TakingOver && Now - ConfirmedAt <= Times.AuthorityPeriod &&
+         (RenewUntil == LongAgo || Now <= RenewUntil);
 }
 
 auto RangeAssigner::nextRelease(const TargetId &Target, TimePoint ConfirmedAt,
--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -442,6 +442,36 @@
   EXPECT_TRUE(Renewed(EarlierEnd, EarlierEnd + milliseconds(2)));
 }
 
+// Guards against two holders after a leader has returned to a restored store
+// twice: the proof of the first return extended the renewals that the earlier
+// authority allows.
+TEST(RangeAssignerTest, SecondReturnDoesNotExtendTheEarlierAuthority) {
+  const RangeTimes Times;
+  RangeRecord Record = firstRecord(1);
+  const TargetId Owner = Record.Ranges.front().Owner;
+  RangeAssigner Assigner(65'536, Times);
+  Assigner.takeOver(Record, 7, Start);
+  Assigner.writeDone(8, Start);
+  const auto Renewed = [&](TimePoint ConfirmedAt, TimePoint Now) {
+    const auto Order = Assigner.nextGrant(Owner, ConfirmedAt, Now);
+    if (Order)
+      Assigner.onOrderEnded(*Order, RangeOrderOutcome::Accepted, "", Now);
+    return Order.has_value();
+  };
+  ASSERT_TRUE(Renewed(Start, Start));
+  const TimePoint First = Start + milliseconds(9500);
+  Assigner.claimedAgain(Start, First);
+  EXPECT_TRUE(Renewed(First, First));
+  const TimePoint EarlierEnd = Start + Times.AuthorityPeriod;
+  EXPECT_FALSE(Renewed(First, EarlierEnd + milliseconds(1100)));
+  Assigner.restored(makeRevision(1, 8), EarlierEnd + milliseconds(1100));
+  const TimePoint Second = First + milliseconds(3500);
+  Assigner.claimedAgain(First, Second);
+  Assigner.restored(makeRevision(2, 8), Second);
+  EXPECT_FALSE(Renewed(Second, Second));
+  EXPECT_FALSE(Renewed(Second, Second + milliseconds(1000)));
+}
+
 TEST(RangeRecordTest, ParsesItsOwnJsonAndRejectsInvalidRecords) {
   const RangeRecord Record = firstRecord(3);
   const auto Read = RangeRecord::parse(Record.json(), 65'536);
