--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -1,6 +1,7 @@
 // The parts of an instance that follow the store and catch up from other
 // instances, and its HTTP endpoint for peers and metrics.
 
+#include "Common/JsonText.h"
 #include "Fleet/StoreRevision.h"
 #include "Gateway/GatewayImpl.h"
 #include "Gateway/ObjectEra.h"
@@ -493,8 +494,14 @@
 }
 
 auto Gateway::Impl::applyPeerState(const std::string &Body) -> void {
+  const auto Parsed = parseJson(Body);
+  if (!Parsed) {
+    Events.write(EventLine("peer-state-unreadable")
+                     .field("reason", Parsed.error().message()));
+    return;
+  }
   try {
-    const Json State = Json::parse(Body);
+    const Json &State = *Parsed;
     const auto ApplyFeed = [&State](const char *Name, StoreFeed &Feed) {
       const Json &Entry = State.at(Name);
       Feed.applyPeerSnapshot(objectsFromJson(Entry),
--- a/lib/Gateway/RelayedStore.cpp
+++ b/lib/Gateway/RelayedStore.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/RelayedStore.h"
 
+#include "Common/JsonText.h"
 #include "Gateway/ChangeRelay.h"
 #include "IO/BootClock.h"
 #include "IO/Deflate.h"
@@ -52,18 +53,23 @@
   return Value;
 }
 
+/// Null if \p Text cannot be read.
+auto parsed(std::string_view Text) -> Json {
+  auto Value = parseJson(Text);
+  return Value ? std::move(Value).value() : Json();
+}
+
 /// Returns the response in its uncompressed form.
 auto readBody(const HttpResponse &Response) -> Json {
   if (!Response.Headers.contains("Content-Encoding"))
-    return Json::parse(Response.Body);
+    return parsed(Response.Body);
   const auto Revision = readNumber(Response, ChangeRelay::RevisionField);
   const auto Age = readNumber(Response, ChangeRelay::AgeField);
   const auto Objects = inflateText(Response.Body, MaxInflatedBytes);
   if (!Revision || !Age || !Objects)
     return Json();
-  return {{"revision", *Revision},
-          {"age_us", *Age},
-          {"objects", Json::parse(*Objects)}};
+  return {
+      {"revision", *Revision}, {"age_us", *Age}, {"objects", parsed(*Objects)}};
 }
 
 auto readChanges(const HttpResponse &Response) -> StoreChanges {
