Reject deeply nested datagrams before they are decoded

What callers saw: nothing yet; found while following the report of odd entries.

Cause: the CBOR decoder calls itself for each array, map, tag and part of a string of unknown length. One datagram of 65,000 bytes overflowed the stack.

Evidence: FleetMessageTest.DeeplyNestedDatagramIsRejected ended the test process with a segmentation fault on the code before this.

The decoder now gets only bytes that are one complete item, without parts of unknown length, which instances do not send, and nested to a limited depth.

--- a/lib/Common/JsonText.cpp
+++ b/lib/Common/JsonText.cpp
@@ -1,6 +1,7 @@
 #include "Common/JsonText.h"
 
 #include <algorithm>
+#include <cstdint>
 
 namespace buckthornring {
 
@@ -82,6 +83,63 @@
   return Parts;
 }
 
+/// Reads the head of a CBOR item: its major type, and its argument (a length, a
+/// count or a value).
+struct CborHead {
+  unsigned Type = 0;
+  std::uint64_t Argument = 0;
+};
+
+auto takeCborHead(std::string_view &Bytes) -> std::optional<CborHead> {
+  if (Bytes.empty())
+    return std::nullopt;
+  const unsigned First = static_cast<unsigned char>(Bytes.front());
+  Bytes.remove_prefix(1);
+  CborHead Head{First >> 5U, First & 31U};
+  if (Head.Argument < 24)
+    return Head;
+  // From 28: reserved, or a length that is not known in advance.
+  if (Head.Argument >= 28)
+    return std::nullopt;
+  const std::size_t Width = std::size_t{1} << (Head.Argument - 24);
+  if (Bytes.size() < Width)
+    return std::nullopt;
+  Head.Argument = 0;
+  for (const char Byte : Bytes.substr(0, Width))
+    Head.Argument = Head.Argument << 8U | static_cast<unsigned char>(Byte);
+  Bytes.remove_prefix(Width);
+  return Head;
+}
+
+/// Whether \p Bytes is one complete item without parts of unknown length, which
+/// may be nested too, and not nested deeper than MaxJsonDepth.
+auto isBoundedCbor(std::string_view Bytes) -> bool {
+  enum : unsigned { Binary = 2, Text = 3, Array = 4, Map = 5, Tag = 6 };
+  std::vector<std::uint64_t> Missing = {1}; // Items of each open container.
+  while (!Missing.empty()) {
+    if (Missing.back() == 0) {
+      Missing.pop_back();
+      continue;
+    }
+    --Missing.back();
+    const auto Head = takeCborHead(Bytes);
+    if (!Head || Head->Type == Tag)
+      return false;
+    const bool Sized = Head->Type >= Binary && Head->Type <= Map;
+    // Each byte, element and key takes at least one byte.
+    if (Sized && Head->Argument > Bytes.size())
+      return false;
+    if (Head->Type == Binary || Head->Type == Text)
+      Bytes.remove_prefix(Head->Argument);
+    if (Head->Type == Array || Head->Type == Map)
+      Missing.push_back(Head->Type == Map ? 2 * Head->Argument
+                                          : Head->Argument);
+    if (Missing.size() > MaxJsonDepth + 1)
+      return false;
+  }
+  return Bytes.empty();
+}
+
 } // namespace
 
 auto parseJson(std::string_view Text) -> Result<Json> {
@@ -94,6 +152,16 @@
   }
 }
 
+auto parseCbor(std::string_view Bytes) -> Result<Json> {
+  if (!isBoundedCbor(Bytes))
+    return Error("malformed or nested too deeply");
+  try {
+    return Json::from_cbor(Bytes.begin(), Bytes.end());
+  } catch (const Json::exception &Failure) {
+    return Error(Failure.what());
+  }
+}
+
 auto splitObject(std::string_view Text)
     -> std::optional<std::vector<JsonMember>> {
   const auto Parts = splitContainer(Text, '{', '}');
--- a/lib/Common/JsonText.h
+++ b/lib/Common/JsonText.h
@@ -19,6 +19,9 @@
 /// range or is nested deeper than MaxJsonDepth.
 auto parseJson(std::string_view Text) -> Result<nlohmann::json>;
 
+/// The same for CBOR, whose decoder is recursive too.
+auto parseCbor(std::string_view Bytes) -> Result<nlohmann::json>;
+
 /// One member of a JSON object. The value is not parsed yet.
 struct JsonMember {
   std::string_view Name; ///< As written, with its escapes.
--- a/lib/Fleet/FleetMessage.cpp
+++ b/lib/Fleet/FleetMessage.cpp
@@ -1,5 +1,7 @@
 #include "Fleet/FleetMessage.h"
 
+#include "Common/JsonText.h"
+
 #include <nlohmann/json.hpp>
 
 namespace buckthornring {
@@ -217,8 +219,11 @@
 }
 
 auto decodeFleetMessage(std::string_view Bytes) -> Result<FleetMessage> {
+  const auto Decoded = parseCbor(Bytes);
+  if (!Decoded)
+    return Decoded.error();
+  const Json &Value = *Decoded;
   try {
-    const Json Value = Json::from_cbor(Bytes.begin(), Bytes.end());
     switch (Value.at("t").get<int>()) {
     case 1:
       return FleetMessage(decodeReport(Value));
--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -82,6 +82,19 @@
   }
 }
 
+// Guards against a datagram that ends the process: the decoder recurses.
+TEST(FleetMessageTest, DeeplyNestedDatagramIsRejected) {
+  constexpr std::size_t DatagramSize = 65'000;
+  // An array of one, a map of one, a text and bytes of unknown length, a tag.
+  for (const char *Nested :
+       {"\x81", "\xa1\x61k", "\x7f", "\x5f", "\xc1", "\x9f", "\xbf\x61k"}) {
+    std::string Bytes;
+    while (Bytes.size() < DatagramSize)
+      Bytes += Nested;
+    EXPECT_FALSE(decodeFleetMessage(Bytes));
+  }
+}
+
 TEST(RetryAllowanceTest, AllInstancesTogetherStayWithinTheLimit) {
   const RetryLimit Limit{0.2, 62, seconds(10)};
   constexpr std::uint32_t Instances = 11;
