--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -464,8 +464,9 @@
 auto Leader::readFleetSize(const StoredObject &Object)
     -> Result<std::uint32_t> {
   const auto Size = Object.Value.find("instances");
-  if (Size == Object.Value.end() || !Size->is_number_unsigned())
-    return Error("\"instances\" is missing or not an unsigned integer");
+  if (Size == Object.Value.end() || !Size->is_number_unsigned() ||
+      !std::in_range<std::uint32_t>(Size->get<std::uint64_t>()))
+    return Error("\"instances\" is missing or no unsigned 32-bit integer");
   return Size->get<std::uint32_t>();
 }
 
--- a/tests/unit/PlatformTest.cpp
+++ b/tests/unit/PlatformTest.cpp
@@ -4,6 +4,12 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <utility>
+#include <vector>
+
 using namespace buckthornring;
 using Json = nlohmann::json;
 
@@ -133,18 +139,46 @@
     EXPECT_FALSE(target(Invalid)) << Field;
   }
   for (const auto &[Field, Value] :
-       std::map<std::string, Json>{{"state", "gone"},
-                                   {"address", "host:80"},
-                                   {"slots", 0},
-                                   {"born", 1.5},
-                                   {"born", "17"}}) {
+       std::vector<std::pair<std::string, Json>>{{"state", "gone"},
+                                                 {"address", "host:80"},
+                                                 {"slots", 0},
+                                                 {"born", 1.5},
+                                                 {"born", "17"}}) {
     Json Invalid = Valid;
     Invalid[Field] = Value;
-    EXPECT_FALSE(target(Invalid)) << Field;
+    EXPECT_FALSE(target(Invalid)) << Field << " " << Value;
   }
   EXPECT_FALSE(target("bytes"));
 }
 
+// Guards against numbers that wrap around to valid ones: a record with -1 slots
+// drew all requests, and one with sequence -1 hid all later ones.
+TEST(PlatformTest, TargetRecordsWithNumbersOutOfRangeAreRejected) {
+  const Json Valid = Json::parse(
+      R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,
+          "state":"ready","seq":7,"born":17,"warmup_left_s":0})");
+  ASSERT_TRUE(target(Valid));
+  const std::uint64_t Largest = std::numeric_limits<std::uint64_t>::max();
+  for (const auto &[Field, Value] : std::vector<std::pair<std::string, Json>>{
+           {"slots", -1},
+           {"slots", 4.5},
+           {"slots", 1e300},
+           {"slots", Largest},
+           {"slots", std::uint64_t{1} << 32U},
+           {"slots", 4'000'000'000U},
+           {"seq", -1},
+           {"seq", 1.5},
+           {"seq", 1e300},
+           {"born", Largest},
+           {"born", 1e300},
+           {"warmup_left_s", -1},
+           {"warmup_left_s", 1e300}}) {
+    Json Invalid = Valid;
+    Invalid[Field] = Value;
+    EXPECT_FALSE(target(Invalid)) << Field << " " << Value;
+  }
+}
+
 TEST(PlatformTest, ReadsLoadReportsWithAndWithoutSlowness) {
   const auto WithoutSlowness = platform::readLoad("3,1,8");
   ASSERT_TRUE(WithoutSlowness);
