--- a/tests/unit/PlatformTest.cpp
+++ b/tests/unit/PlatformTest.cpp
@@ -179,6 +179,37 @@
   }
 }
 
+// Guards against ids and addresses that add fields to the requests in which
+// they are sent.
+TEST(PlatformTest, TargetRecordsWithUnusableNamesAreRejected) {
+  const Json Valid = Json::parse(
+      R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,
+          "state":"ready","seq":7,"born":17})");
+  for (const std::string &Id :
+       {std::string(), std::string("i1\r\nTenant: other"), std::string("\0", 1),
+        std::string("i\x7f"), std::string("i 1"), std::string(300, 'i')})
+    EXPECT_FALSE(platform::readTarget({Id, 5, false, Valid})) << Id;
+  for (const std::string &Address :
+       {std::string(), std::string("10.0.0.1"), std::string("10.0.0.1:"),
+        std::string("10.0.0.1:0"), std::string("10.0.0.1:65536"),
+        std::string("10.0.0.1:-1"), std::string("10.0.0.1:80 "),
+        std::string("10.0.0.1:99999999999999999999"),
+        std::string("10.0.0.1\0\r\nTenant: other:80", 26),
+        std::string("[fe80::1%\r\nTenant: other]:80"),
+        std::string("10.0.0.1:8\r\n")}) {
+    Json Invalid = Valid;
+    Invalid["address"] = Address;
+    EXPECT_FALSE(target(Invalid)) << Address;
+  }
+  for (const char *Field : {"service", "zone"})
+    for (const std::string &Name :
+         {std::string(), std::string("a\nb"), std::string(300, 'a')}) {
+      Json Invalid = Valid;
+      Invalid[Field] = Name;
+      EXPECT_FALSE(target(Invalid)) << Field;
+    }
+}
+
 TEST(PlatformTest, ReadsLoadReportsWithAndWithoutSlowness) {
   const auto WithoutSlowness = platform::readLoad("3,1,8");
   ASSERT_TRUE(WithoutSlowness);
