Send requests without an id on new connections only

What callers saw: nothing yet; operators of similar systems report clients that were told "not run, try again" for requests that ran, after a target had sent an earlier rejection once more on a kept connection.

Cause: a response belongs to the request whose id it has. To a request without an id, every response without one belongs.

Evidence: FaultyTargetTest.SecondCopyOfARejectionIsNoResponseToARequestWithoutId failed on the code before this: the caller got 503 with "Btr-Run: not-run", and the target had run the request.

Ruled out for requests with an id, by a test that passed before: a copy with another id, with an empty one or without any, together with the first rejection, on the idle connection, or before the next response in the same segment.

--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -305,6 +305,8 @@
     TriedTargets.push_back(Target->Record.Id);
   TargetConnectionPool::Needs Required;
   Required.RequestId = RequestId;
+  // A response without an id may belong to any request.
+  Required.Fresh = RequestId.empty();
   if (!Idempotent)
     Required.MaxIdle = NonIdempotentIdleLimit;
   // After a send that may have run, neither may be sent to a second target.
--- a/lib/Gateway/TargetConnectionPool.cpp
+++ b/lib/Gateway/TargetConnectionPool.cpp
@@ -40,7 +40,7 @@
     -> void {
   const TimePoint Now = bootNow();
   auto &Connections = Idle[poolKey(Target)];
-  while (!Connections.empty()) {
+  while (!Required.Fresh && !Connections.empty()) {
     const ConnectionPtr Candidate = std::move(Connections.back());
     Connections.pop_back();
     if (Now < idleEnd(*Candidate) &&
--- a/lib/Gateway/TargetConnectionPool.h
+++ b/lib/Gateway/TargetConnectionPool.h
@@ -31,6 +31,9 @@
     std::string RequestId;
     /// Longest idle time of a connection that may be reused.
     Duration MaxIdle = Duration::max();
+    /// Opens a connection. A second copy of a response that could be taken for
+    /// the one to this request may still arrive on any of the idle ones.
+    bool Fresh = false;
     /// TargetConnection::ConnectOptions.
     bool AwaitReset = false;
   };
--- /dev/null
+++ b/tests/unit/FaultyTargetTest.cpp
@@ -0,0 +1,122 @@
+#include "Gateway/OrderSender.h"
+#include "Gateway/TargetConnection.h"
+#include "HeaderFields.h"
+#include "Records.h"
+#include "support/GatewayFixture.h"
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace buckthornring;
+using namespace buckthornring::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Socket = ScriptedTarget::Tcp::socket;
+
+constexpr const char *OrderAccepted =
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+auto rejection(const std::string &IdField) -> std::string {
+  return "HTTP/1.1 503 X\r\n" + IdField +
+         "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
+auto requestsWithId(const ScriptedTarget &Target, const std::string &Id)
+    -> std::size_t {
+  const auto All = Target.requests();
+  return static_cast<std::size_t>(
+      std::count_if(All.begin(), All.end(), [&Id](const std::string &Request) {
+        return GatewayFixture::requestId(Request) == Id;
+      }));
+}
+
+// Guards against an earlier rejection that a target sends once more on a kept
+// connection and that counts as the response to the next request: its caller
+// would be told that it has not run, or it would run twice.
+TEST(FaultyTargetTest, SecondCopyOfARejectionIsNoResponseToTheNextRequest) {
+  enum class Moment { WithTheFirst, WhileIdle, WithTheNextResponse };
+  for (const std::string &Copy : {rejection("Attempt-Id: early\r\n"),
+                                  rejection(""), rejection("Attempt-Id: \r\n")})
+    for (const Moment Sent : {Moment::WithTheFirst, Moment::WhileIdle,
+                              Moment::WithTheNextResponse}) {
+      SCOPED_TRACE(Copy + " " + std::to_string(static_cast<int>(Sent)));
+      std::mutex Mutex;
+      std::set<const Socket *> Rejecting;
+      bool RejectNext = true;
+      ScriptedTarget Target([&](Socket &To, const std::string &Request) {
+        const std::string Id = GatewayFixture::requestId(Request);
+        const std::lock_guard Guard(Mutex);
+        if (Id == "early" && std::exchange(RejectNext, false)) {
+          Rejecting.insert(&To);
+          const std::string First = rejection("Attempt-Id: early\r\n");
+          ScriptedTarget::send(To, Sent == Moment::WithTheFirst ? First + Copy
+                                                                : First);
+          std::this_thread::sleep_for(5ms);
+          return Sent != Moment::WhileIdle || ScriptedTarget::send(To, Copy);
+        }
+        const bool Repeat =
+            Sent == Moment::WithTheNextResponse && Rejecting.contains(&To);
+        return ScriptedTarget::send(To, (Repeat ? Copy : "") +
+                                            GatewayFixture::response(Id, "ok"));
+      });
+      GatewayFixture Fixture;
+      Fixture.addTarget("pay", "t1", Target);
+      Fixture.configure(1);
+      ASSERT_TRUE(Fixture.waitUntilServing());
+      Fixture.exchange("POST", "/unsafe/1", "", "x", "early");
+      const auto View =
+          Fixture.exchange("POST", "/unsafe/2", "", "x", "second");
+      EXPECT_TRUE(View.has("HTTP/1.1 200")) << View.Bytes;
+      EXPECT_EQ(requestsWithId(Target, "second"), 1U);
+    }
+}
+
+// The same for a request without an id, whose response cannot be told from
+// another one without an id.
+TEST(FaultyTargetTest, SecondCopyOfARejectionIsNoResponseToARequestWithoutId) {
+  std::mutex Mutex;
+  std::set<const Socket *> Rejecting;
+  std::atomic<int> Runs = 0;
+  ScriptedTarget Target([&](Socket &To, const std::string &Request) {
+    const std::string Id = GatewayFixture::requestId(Request);
+    const std::lock_guard Guard(Mutex);
+    if (Request.starts_with("POST /unsafe/1"))
+      return Rejecting.insert(&To).second
+                 ? ScriptedTarget::send(To, rejection("Attempt-Id: early\r\n"))
+                 : true;
+    if (!Request.starts_with("POST /unsafe/2"))
+      return ScriptedTarget::send(To, GatewayFixture::response(Id, "ok"));
+    ++Runs;
+    return ScriptedTarget::send(
+        To, (Rejecting.contains(&To) ? rejection("") : "") +
+                "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n"
+                "Content-Length: 4\r\n\r\ndone");
+  });
+  GatewayFixture Fixture;
+  Fixture.addTarget("pay", "t1", Target);
+  Fixture.configure(1);
+  ASSERT_TRUE(Fixture.waitUntilServing());
+  Fixture.exchange("POST", "/unsafe/1", "", "x", "early");
+  RawCaller Caller = Fixture.connect();
+  Caller.send("POST /unsafe/2 HTTP/1.1\r\nHost: h\r\nApi-Key: secret\r\n"
+              "Content-Length: 1\r\nConnection: close\r\n\r\nx");
+  const auto View = Caller.readAll();
+  EXPECT_TRUE(View.has("done")) << View.Bytes;
+  EXPECT_EQ(Runs, 1);
+}
+
+} // namespace
