Send a rejected request again to its target on a new connection

Cause: the connection on which a target had rejected a request was not used for the same request again, but another kept one was. A faulty target that sends its earlier rejection there has it taken for the response to the second send, while it runs that one.

It needs an owner of keys, since other requests are not sent again to a target that has rejected them, and a route whose target latency leaves time for a second send.

--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -305,8 +305,11 @@
     TriedTargets.push_back(Target->Record.Id);
   TargetConnectionPool::Needs Required;
   Required.RequestId = RequestId;
-  // A response without an id may belong to any request.
-  Required.Fresh = RequestId.empty();
+  // A response without an id may belong to any request, and a second copy of a
+  // rejection may arrive on any connection that was open when it was sent.
+  Required.Fresh = RequestId.empty() ||
+                   std::find(RejectingTargets.begin(), RejectingTargets.end(),
+                             Target->Record.Id) != RejectingTargets.end();
   if (!Idempotent)
     Required.MaxIdle = NonIdempotentIdleLimit;
   // After a send that may have run, neither may be sent to a second target.
@@ -491,6 +494,7 @@
                              const TargetResponse &Response) -> void {
   --PossibleRuns;
   ++Rejections;
+  RejectingTargets.push_back(CurrentHop->Target->Record.Id);
   // Status 421: the target does not hold the key, or another target has the
   // address. Counted as RefusedNoLease in both cases.
   const bool Misdirected = Response.Status == 421;
--- a/lib/Gateway/RequestFlow.h
+++ b/lib/Gateway/RequestFlow.h
@@ -121,6 +121,7 @@
   TimePoint ResponseDeadline; ///< Latest time of the final response.
   std::vector<HopPtr> ActiveHops;
   std::vector<TargetId> TriedTargets;
+  std::vector<TargetId> RejectingTargets;
   TargetId LastTarget;
   std::uint32_t Sends = 0;        ///< Sends to a connected target.
   std::uint32_t PossibleRuns = 0; ///< Sends that may have run.
--- a/tests/unit/FaultyTargetTest.cpp
+++ b/tests/unit/FaultyTargetTest.cpp
@@ -119,4 +119,57 @@
   EXPECT_EQ(Runs, 1);
 }
 
+// Guards against a copy of the rejection of a request that arrives on another
+// kept connection, on which the request was sent again: it would run twice.
+TEST(FaultyTargetTest, RejectedRequestIsSentAgainOnANewConnection) {
+  std::mutex Mutex;
+  std::set<const Socket *> Kept;
+  bool Rejected = false;
+  std::atomic<int> Runs = 0;
+  ScriptedTarget Owner([&](Socket &To, const std::string &Request) {
+    if (Request.starts_with("POST /v1/"))
+      return ScriptedTarget::send(To, OrderAccepted);
+    const std::string Id = GatewayFixture::requestId(Request);
+    if (Id != "again") {
+      std::this_thread::sleep_for(50ms);
+      const std::lock_guard Guard(Mutex);
+      Kept.insert(&To);
+      return ScriptedTarget::send(To, GatewayFixture::response(Id, "ok"));
+    }
+    const std::string Rejection = rejection("Attempt-Id: again\r\n");
+    const std::lock_guard Guard(Mutex);
+    if (!std::exchange(Rejected, true))
+      return ScriptedTarget::send(To, Rejection);
+    ++Runs;
+    return ScriptedTarget::send(To, (Kept.contains(&To) ? Rejection : "") +
+                                        GatewayFixture::response(Id, "done"));
+  });
+  GatewayFixture Fixture;
+  Fixture.addTarget("stock", "o1", Owner);
+  Fixture.configure(1);
+  // Time for a second send within the wait of a request for its owner.
+  auto Config = Fixture.store().value("config", "main").value();
+  for (auto &Rule : Config["listeners"][0]["route_rules"])
+    Rule["target_latency_s"] = 0.8;
+  Config["version"] = "r2";
+  Fixture.store().set("config", "main", Config);
+  const std::string Key = "Shard-Key: 7\r\n";
+  // An owner gets concurrent requests once the size of the fleet is known.
+  ASSERT_TRUE(eventually([&] {
+    std::vector<RawCaller> Callers;
+    for (int Count = 0; Count < 3; ++Count) {
+      Callers.push_back(Fixture.connect());
+      Callers.back().send(GatewayFixture::request(
+          "GET", "/owned/1", "c" + std::to_string(Count), Key));
+    }
+    for (RawCaller &Caller : Callers)
+      Caller.readUntil("\r\n\r\n");
+    const std::lock_guard Guard(Mutex);
+    return Kept.size() >= 2;
+  }));
+  const auto View = Fixture.exchange("GET", "/owned/1", Key, "", "again");
+  EXPECT_TRUE(View.has("done")) << View.Bytes;
+  EXPECT_EQ(Runs, 1);
+}
+
 } // namespace
