Close the connection on which a target has refused an order

Cause: responses to orders have no id. After a refusal the connection was kept for renewals, and a second copy of the refusal counted as the response to the next renewal. The leader would take the holder of the keys for none.

Evidence: FaultyTargetTest.SecondCopyOfARefusalIsNoResponseToTheNextOrder failed on the code before this: the accepted order counted as refused.

--- a/lib/Gateway/OrderSender.cpp
+++ b/lib/Gateway/OrderSender.cpp
@@ -195,17 +195,18 @@
       });
 }
 
+// Responses to orders have no id. After a refusal the connection is closed,
+// since a second copy could arrive as the response to the next order.
 auto OrderSender::finish(const std::shared_ptr<PendingOrder> &Pending,
                          RangeOrderOutcome Outcome, const std::string &Handover)
     -> void {
   if (!Pending->OnDone)
     return;
   Pending->Timer.cancel();
-  const bool Answered = Outcome == RangeOrderOutcome::Accepted ||
-                        Outcome == RangeOrderOutcome::Refused;
   if (!Pending->Connection) {
     // The order was not sent because the target may have restarted.
-  } else if (Answered && Pending->Connection->reusable() &&
+  } else if (Outcome == RangeOrderOutcome::Accepted &&
+             Pending->Connection->reusable() &&
              *Generation == Pending->StartGeneration) {
     Pending->Connection->IdleSince = bootNow();
     IdleConnections[incarnationKey(Pending->Target)].push_back(
--- a/tests/unit/FaultyTargetTest.cpp
+++ b/tests/unit/FaultyTargetTest.cpp
@@ -172,4 +172,47 @@
   EXPECT_EQ(Runs, 1);
 }
 
+// Guards against an earlier refusal of an order that counts as the response to
+// the next one: the leader would take a holder of keys for none.
+TEST(FaultyTargetTest, SecondCopyOfARefusalIsNoResponseToTheNextOrder) {
+  std::mutex Mutex;
+  std::set<const Socket *> Refusing;
+  int Orders = 0;
+  ScriptedTarget Target([&](Socket &To, const std::string &) {
+    const std::string Refusal =
+        "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n";
+    const std::lock_guard Guard(Mutex);
+    if (++Orders == 1) {
+      Refusing.insert(&To);
+      return ScriptedTarget::send(To, Refusal);
+    }
+    return ScriptedTarget::send(To, (Refusing.contains(&To) ? Refusal : "") +
+                                        std::string(OrderAccepted));
+  });
+  boost::asio::io_context Io;
+  PlatformProtocol Protocol;
+  Protocol.Headers = platform::headerNames();
+  Protocol.Orders = {platform::encodeOrder, "Handover"};
+  OrderSender Sender(Io, Protocol);
+  TargetRecord Record;
+  Record.Id = TargetId("t1");
+  Record.Address = Target.address();
+  RangeOrder Order;
+  Order.Target = Record.Id;
+  Order.HoldPeriod = 3s;
+  Order.Renewal = true;
+  std::vector<RangeOrderOutcome> Outcomes;
+  for (int Count = 0; Count < 2; ++Count) {
+    Sender.send(Record, Order,
+                [&Outcomes](RangeOrderOutcome Outcome, const std::string &) {
+                  Outcomes.push_back(Outcome);
+                });
+    Io.restart();
+    Io.run_for(200ms);
+  }
+  EXPECT_EQ(Outcomes,
+            (std::vector<RangeOrderOutcome>{RangeOrderOutcome::Refused,
+                                            RangeOrderOutcome::Accepted}));
+}
+
 } // namespace
