Test that a response cut at any byte does not count as complete

Operators of similar systems report callers that got a 200 with an empty or short body, framed as whole, when a target had stopped in the middle of its head. They cut responses with a length, with an empty body, in chunks, with a trailer, to HEAD, 204, 304 and after an interim response at each byte, by a close and by a reset.

--- a/tests/unit/FaultyTargetTest.cpp
+++ b/tests/unit/FaultyTargetTest.cpp
@@ -215,4 +215,100 @@
                                             RangeOrderOutcome::Accepted}));
 }
 
+/// Sends a part of a response to one request, then ends the connection.
+auto exchangeWithCutResponse(const std::string &Part, bool Reset, bool HeadOnly)
+    -> std::optional<ExchangeResult> {
+  boost::asio::io_context Io;
+  ScriptedTarget::Tcp::acceptor Listener(
+      Io, ScriptedTarget::Tcp::endpoint(boost::asio::ip::address_v4::loopback(),
+                                        0));
+  auto Connection = std::make_shared<TargetConnection>(
+      Io.get_executor(), std::make_shared<BodyBudget>(1024));
+  Connection->connect(Listener.local_endpoint(), 1s, {}, [](bool) {});
+  Socket Accepted = Listener.accept();
+  Io.run();
+  std::optional<ExchangeResult> Outcome;
+  Connection->exchange(
+      GatewayFixture::request("GET", "/", "a1"), "Attempt-Id", "a1", HeadOnly,
+      [&](ExchangeResult Result, const TargetResponse &) { Outcome = Result; });
+  Io.restart();
+  Io.poll();
+  std::string Request;
+  boost::asio::read_until(Accepted, boost::asio::dynamic_buffer(Request),
+                          "\r\n\r\n");
+  boost::asio::write(Accepted, boost::asio::buffer(Part));
+  if (Reset)
+    Accepted.set_option(boost::asio::socket_base::linger(true, 0));
+  Accepted.close();
+  Io.restart();
+  Io.run_for(2s);
+  Connection->close();
+  return Outcome;
+}
+
+// Guards against a response that ends anywhere before its end, in its head or
+// in its body, and counts as complete.
+TEST(FaultyTargetTest, ResponseCutAtAnyByteIsNotComplete) {
+  const std::string Fields = "Attempt-Id: a1\r\nResponse-Signature: s\r\n";
+  const std::string Chunked = "HTTP/1.1 200 OK\r\n" + Fields +
+                              "Transfer-Encoding: chunked\r\n\r\n"
+                              "5\r\nwhole\r\na;e=1\r\n0123456789\r\n0\r\n";
+  struct Case {
+    std::string Text;
+    bool HeadOnly = false;
+  };
+  const std::map<std::string, Case> Cases = {
+      {"length",
+       {"HTTP/1.1 200 OK\r\n" + Fields + "Content-Length: 5\r\n\r\nwhole"}},
+      {"empty body",
+       {"HTTP/1.1 200 OK\r\n" + Fields + "Content-Length: 0\r\n\r\n"}},
+      {"chunked", {Chunked + "\r\n"}},
+      {"trailer", {Chunked + "X-Sum: 1\r\n\r\n"}},
+      {"head only",
+       {"HTTP/1.1 200 OK\r\n" + Fields + "Content-Length: 5\r\n\r\n", true}},
+      {"204", {"HTTP/1.1 204 No Content\r\n" + Fields + "\r\n"}},
+      {"304", {"HTTP/1.1 304 Not Modified\r\n" + Fields + "\r\n"}},
+      {"interim response first",
+       {"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\n" + Fields +
+        "Content-Length: 1\r\n\r\nx"}}};
+  for (const auto &[Name, Each] : Cases) {
+    SCOPED_TRACE(Name);
+    EXPECT_EQ(exchangeWithCutResponse(Each.Text, false, Each.HeadOnly),
+              ExchangeResult::Answered);
+    for (std::size_t Size = 0; Size < Each.Text.size(); ++Size)
+      for (const bool Reset : {false, true})
+        EXPECT_EQ(exchangeWithCutResponse(Each.Text.substr(0, Size), Reset,
+                                          Each.HeadOnly),
+                  ExchangeResult::Lost)
+            << Size;
+  }
+}
+
+// Guards against responses behind a cut one that move up to its place.
+TEST(FaultyTargetTest, ResponseCutInItsHeadKeepsItsPlaceInTheOrder) {
+  ScriptedTarget Target([](Socket &To, const std::string &Request) {
+    const std::string Id = GatewayFixture::requestId(Request);
+    const std::string Whole = GatewayFixture::response(Id, "body-" + Id + ";");
+    if (Id != "p2")
+      return ScriptedTarget::send(To, Whole);
+    ScriptedTarget::send(To, Whole.substr(0, Whole.find("Content-Length")));
+    return false;
+  });
+  GatewayFixture Fixture;
+  Fixture.addTarget("pay", "t1", Target);
+  Fixture.configure(1);
+  ASSERT_TRUE(Fixture.waitUntilServing());
+  RawCaller Caller = Fixture.connect();
+  for (const char *Id : {"p1", "p2", "p3"})
+    Caller.send(GatewayFixture::request("GET", "/safe/1", Id));
+  const auto View = Caller.readUntil("body-p3;");
+  const auto First = View.Bytes.find("body-p1;");
+  const auto Cut = View.Bytes.find("HTTP/1.1 502");
+  const auto Third = View.Bytes.find("body-p3;");
+  ASSERT_NE(Third, std::string::npos) << View.Bytes;
+  ASSERT_NE(Cut, std::string::npos) << View.Bytes;
+  EXPECT_LT(First, Cut);
+  EXPECT_LT(Cut, Third);
+}
+
 } // namespace
