Forward a response without a length without one

Cause: a target that sends no length ends its response by closing the connection, and so does one that stops in the middle of it. The caller got what had arrived with a Content-Length, as a whole response.

Evidence: FaultyTargetTest.ResponseWithoutLengthIsNotForwardedWithOne failed on the code before this, with an empty and with a short body.

Nobody can tell the two apart, so such a response is passed on as it came: without a length, ended by a close.

--- a/lib/Gateway/CallerSession.cpp
+++ b/lib/Gateway/CallerSession.cpp
@@ -277,7 +277,7 @@
     Pimpl->PendingResponses.pop_front();
     if (Pending.Response->Abort)
       return close(true);
-    Close = !Pending.KeepAlive ||
+    Close = !Pending.KeepAlive || Pending.Response->EndsWithClose ||
             (Pimpl->Draining && Pimpl->PendingResponses.empty());
     Pimpl->Output.append("HTTP/1.1 ")
         .append(std::to_string(Pending.Response->Status))
@@ -287,7 +287,8 @@
         .append("\r\n");
     for (const auto &[Name, Value] : Pending.Response->Fields)
       appendField(Pimpl->Output, Name, Value);
-    if (Pending.Response->Status != 204 && Pending.Response->Status != 304)
+    if (Pending.Response->Status != 204 && Pending.Response->Status != 304 &&
+        !Pending.Response->EndsWithClose)
       appendField(Pimpl->Output, "Content-Length",
                   std::to_string(Pending.Response->Body.size()));
     if (Close)
--- a/lib/Gateway/CallerSession.h
+++ b/lib/Gateway/CallerSession.h
@@ -20,12 +20,14 @@
   TimePoint ReceivedAt; ///< When the head was complete, by the boot clock.
 };
 
-/// A complete response. Framing and Connection header fields are added when it
-/// is sent.
+/// A response. Framing and Connection header fields are added when it is sent.
 struct CallerResponse {
   unsigned Status = 0;
   HttpHeaders Fields;
   std::string Body;
+  /// The target ended the response by closing its connection, which does not
+  /// show that it is complete. It is passed on without a length either.
+  bool EndsWithClose = false;
   /// Reset the connection without sending a response.
   bool Abort = false;
 };
--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -584,6 +584,7 @@
   CallerResponse Out;
   Out.Status = Response.Status;
   Out.Body = std::move(Response.Body);
+  Out.EndsWithClose = Response.EndsWithClose;
   const std::string Connection = connectionOptions(Response.Fields);
   for (const auto &[Name, Value] : Response.Fields)
     if (!isHopByHop(Name, Connection) && !sameHeaderName(Name, Names.Load) &&
--- a/lib/Gateway/TargetConnection.cpp
+++ b/lib/Gateway/TargetConnection.cpp
@@ -230,6 +230,7 @@
       Response.Fields.add(std::string(Field.name_string()),
                           std::string(Field.value()));
     Response.Body = std::move(Message.body());
+    Response.EndsWithClose = Pimpl->ResponseParser->need_eof();
     Pimpl->KeepAlive = Pimpl->ResponseParser->keep_alive() && Pimpl->Written &&
                        Pimpl->Buffer.size() == 0 &&
                        Pimpl->SkippedResponses == 0;
--- a/lib/Gateway/TargetConnection.h
+++ b/lib/Gateway/TargetConnection.h
@@ -27,6 +27,7 @@
   unsigned Status = 0;
   HttpHeaders Fields;
   std::string Body;
+  bool EndsWithClose = false; ///< It came without a length.
 };
 
 /// Memory for the response bodies that are being received on all connections of
--- a/tests/unit/FaultyTargetTest.cpp
+++ b/tests/unit/FaultyTargetTest.cpp
@@ -311,4 +311,30 @@
   EXPECT_LT(Cut, Third);
 }
 
+// Guards against a response without a length whose end nobody can tell from a
+// failure of the target, and that callers got as a whole one.
+TEST(FaultyTargetTest, ResponseWithoutLengthIsNotForwardedWithOne) {
+  for (const std::string Body : {"", "shor"}) {
+    SCOPED_TRACE(Body);
+    ScriptedTarget Target([&Body](Socket &To, const std::string &Request) {
+      const std::string Id = GatewayFixture::requestId(Request);
+      if (Id == "ping")
+        return ScriptedTarget::send(To, GatewayFixture::response(Id, "ok"));
+      ScriptedTarget::send(To, "HTTP/1.1 200 OK\r\nAttempt-Id: " + Id +
+                                   "\r\nResponse-Signature: s\r\n\r\n" + Body);
+      return false;
+    });
+    GatewayFixture Fixture;
+    Fixture.addTarget("pay", "t1", Target);
+    Fixture.configure(1);
+    ASSERT_TRUE(Fixture.waitUntilServing());
+    RawCaller Caller = Fixture.connect();
+    Caller.send(GatewayFixture::request("POST", "/unsafe/1", "a1", "", "x"));
+    const auto View = Caller.readAll();
+    EXPECT_TRUE(View.Closed);
+    EXPECT_FALSE(View.has("Content-Length")) << View.Bytes;
+    EXPECT_FALSE(View.has("Transfer-Encoding")) << View.Bytes;
+  }
+}
+
 } // namespace
