Keep to a cold target's limit while the fleet size changes

Cause: the share of an instance depends on the fleet size in steps. If the limit allows each instance a request, all of them send one; by a slightly larger size only those in the target's data centre send, but four each. The instances learn of a new size one report after another, and those that go by the earlier size send beside those that go by the later one.

Evidence: TargetTableTest.ColdTargetIsNotOverloadedWhileTheFleetSizeChanges sent 12 with this limit when the share by the earlier size was left out.

For 2.5 s after a change an instance uses the smaller of the shares by the sizes that it was told. Whoever knows the new size then sends no more than it would by the old one, so all together keep to the old size's limit until all know the new one. Each of the two keeps the limit by itself.

--- a/lib/Fleet/TargetTable.cpp
+++ b/lib/Fleet/TargetTable.cpp
@@ -53,6 +53,11 @@
 /// a changed fleet size one report after another.
 constexpr double UsedColdLimitShare = 0.7;
 
+/// Time within which all instances learn of a changed fleet size, after some
+/// missed replies of the leader, and the second over which the limit of a cold
+/// target counts.
+constexpr Duration SizeChangePeriod = std::chrono::milliseconds(2500);
+
 constexpr double ProcessingTimeWeight = 0.02; ///< About the last 50 responses.
 
 /// Time for which a target that has left is remembered. It is longer than the
@@ -276,22 +281,41 @@
     return true;
   const double UsableLimit =
       UsedColdLimitShare * Limit->second.RequestsPerSecond;
-  const bool SameDataCentre =
-      Target.Record.DataCentre == TableSettings.DataCentre;
+  double InstanceShare = coldShare(Target.Record, Fleet, UsableLimit);
+  // Until all instances know the size, those that do must not send more than
+  // the others leave to them.
+  for (const auto &[ReplacedAt, Size] : ReplacedSizes)
+    if (Now - ReplacedAt < SizeChangePeriod)
+      InstanceShare =
+          std::min(InstanceShare, coldShare(Target.Record, Size, UsableLimit));
+  return static_cast<double>(Target.Sends.count(Now)) >=
+         std::floor(InstanceShare);
+}
+
+auto TargetTable::coldShare(const TargetRecord &Target, const FleetSize &Size,
+                            double UsableLimit) const -> double {
+  const bool SameDataCentre = Target.DataCentre == TableSettings.DataCentre;
   // If the limit is below the number of instances, only those in the data
   // centre of the target use it.
-  double InstanceShare = UsableLimit / std::max(1U, Fleet.Instances);
+  double InstanceShare = UsableLimit / std::max(1U, Size.Instances);
   if (InstanceShare < 1)
     InstanceShare =
-        SameDataCentre ? UsableLimit / std::max(1U, Fleet.InOwnDataCentre) : 0;
+        SameDataCentre ? UsableLimit / std::max(1U, Size.InOwnDataCentre) : 0;
   // If that is still less than one request per instance, only a subset of them
   // sends.
   if (InstanceShare > 0 && InstanceShare < 1)
     InstanceShare =
-        isChosenSender(Target.Record, InstanceShare * UsedColdLimitShare) ? 1
-                                                                          : 0;
-  return static_cast<double>(Target.Sends.count(Now)) >=
-         std::floor(InstanceShare);
+        isChosenSender(Target, InstanceShare * UsedColdLimitShare) ? 1 : 0;
+  return InstanceShare;
+}
+
+auto TargetTable::setFleetSize(FleetSize Size, TimePoint Now) -> void {
+  std::erase_if(ReplacedSizes, [Now](const auto &Entry) {
+    return Now - Entry.first >= SizeChangePeriod;
+  });
+  if (Fleet.known() && Fleet != Size)
+    ReplacedSizes.emplace_back(Now, Fleet);
+  Fleet = Size;
 }
 
 auto TargetTable::isChosenSender(const TargetRecord &Target, double Share) const
--- a/lib/Fleet/TargetTable.h
+++ b/lib/Fleet/TargetTable.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace buckthornring {
@@ -20,6 +21,7 @@
   std::uint32_t Instances = 0; ///< 0: no leader has reported it yet.
   std::uint32_t InOwnDataCentre = 0;
 
+  auto operator==(const FleetSize &) const -> bool = default;
   auto known() const -> bool { return Instances > 0; }
   /// Returns the number of instances, or a default where an estimate is enough.
   auto estimatedInstances() const -> std::uint32_t {
@@ -129,7 +131,7 @@
 
   auto setEvacuated(std::set<DataCentreId> DataCentres, TimePoint Now) -> void;
   auto evacuated() const -> const std::set<DataCentreId> & { return Evacuated; }
-  auto setFleetSize(FleetSize Size) -> void { Fleet = Size; }
+  auto setFleetSize(FleetSize Size, TimePoint Now) -> void;
   auto fleetSize() const -> FleetSize { return Fleet; }
   auto setColdLimits(std::unordered_map<ServiceId, ColdLimit> Limits) -> void {
     ColdLimits = std::move(Limits);
@@ -193,6 +195,10 @@
   auto returnLimitReached(const TargetState &Target, TimePoint Now) const
       -> bool;
   auto coldLimitReached(TargetState &Target, TimePoint Now) -> bool;
+  /// Requests that this instance may send to a cold target within the window of
+  /// TargetState::Sends, out of \p UsableLimit of all instances.
+  auto coldShare(const TargetRecord &Target, const FleetSize &Size,
+                 double UsableLimit) const -> double;
   /// Number of targets that a request compares, in the own data centre and in
   /// all others.
   auto sampleSize() const -> std::uint32_t;
@@ -216,6 +222,8 @@
   Settings TableSettings;
   RandomSource Random;
   FleetSize Fleet;
+  /// Sizes that were replaced recently, and when.
+  std::vector<std::pair<TimePoint, FleetSize>> ReplacedSizes;
   std::set<DataCentreId> Evacuated;
   std::unordered_map<ServiceId, ColdLimit> ColdLimits;
   std::unordered_map<TargetId, TargetPtr> Targets;
--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -338,7 +338,7 @@
     return;
   RateKeeper = Reply.RateKeeper;
   Context.Requests.Targets.setFleetSize(
-      {Reply.Instances, Reply.InstancesInDataCentre});
+      {Reply.Instances, Reply.InstancesInDataCentre}, bootNow());
   Context.Requests.Rates.setShares(Reply.WorkspaceShares, Reply.DefaultShare,
                                    Reply.RateHolders, bootNow());
 }
--- a/tests/unit/TargetTableTest.cpp
+++ b/tests/unit/TargetTableTest.cpp
@@ -195,8 +195,8 @@
     Settings.DataCentre =
         Index < LocalInstances ? LocalDataCentre : RemoteDataCentre;
     TargetTable Table(Settings, Index);
-    Table.setFleetSize(
-        {Instances, Index < LocalInstances ? LocalInstances : 1});
+    Table.setFleetSize({Instances, Index < LocalInstances ? LocalInstances : 1},
+                       Start);
     Table.setColdLimits({{Service, {7.8 * 1.5 + 5}}});
     auto Cold = record("a", LocalDataCentre);
     Cold.RemainingColdTime = seconds(3);
@@ -234,10 +234,52 @@
   Table.apply(Cold, Start);
   EXPECT_EQ(selected(Table, Start), "");
   EXPECT_EQ(selected(Table, Start + seconds(4)), "a");
-  Table.setFleetSize({1, 1});
+  Table.setFleetSize({1, 1}, Start);
   EXPECT_EQ(selected(Table, Start), "a");
 }
 
+// Guards against instances that learn of a changed fleet size one after another
+// and together exceed the limit: by the earlier size all of them send, by the
+// later one only those in the data centre of the target, and more each.
+TEST(TargetTableTest, ColdTargetIsNotOverloadedWhileTheFleetSizeChanges) {
+  constexpr double Limit = 4.28 * 1.5 + 5;
+  // Those from Joining on have not known an earlier size.
+  const auto SentWith = [](const FleetSize &Before, const FleetSize &After,
+                           std::uint32_t Informed, std::uint32_t Joining = 10) {
+    int Sent = 0;
+    for (std::uint32_t Index = 0; Index < 10; ++Index) {
+      TargetTable::Settings Settings;
+      Settings.Instance = InstanceId("i" + std::to_string(Index));
+      Settings.DataCentre =
+          Index == 0 || Index == 9 ? LocalDataCentre : RemoteDataCentre;
+      TargetTable Table(Settings, Index);
+      if (Index < Joining)
+        Table.setFleetSize(Before, Start - seconds(60));
+      if (Index < Informed || Index >= Joining)
+        Table.setFleetSize(After, Start);
+      Table.setColdLimits({{Service, {Limit}}});
+      auto Cold = record("a", LocalDataCentre);
+      Cold.RemainingColdTime = seconds(3);
+      Table.apply(Cold, Start);
+      for (int Step = 0; Step < 100; ++Step) {
+        const TimePoint Now = Start + milliseconds(10) * Step;
+        const auto Selection =
+            Table.select({Service, true, milliseconds(400), {}}, Now);
+        if (!Selection.Target)
+          continue;
+        Selection.Target->Sends.add(Now);
+        ++Sent;
+      }
+    }
+    return Sent;
+  };
+  for (std::uint32_t Informed = 0; Informed <= 10; ++Informed) {
+    EXPECT_LE(SentWith({7, 2}, {10, 2}, Informed), Limit) << Informed;
+    EXPECT_LE(SentWith({10, 2}, {7, 2}, Informed), Limit) << Informed;
+    EXPECT_LE(SentWith({9, 1}, {10, 2}, Informed, 9), Limit) << Informed;
+  }
+}
+
 TEST(TargetTableTest, UnreachableTargetIsTriedAgainAndCountsAsCold) {
   auto Table = table();
   Table.apply(record("a", LocalDataCentre), Start);
@@ -256,7 +298,7 @@
     std::uint32_t Sent = 0;
     for (std::uint32_t Index = 0; Index < Instances; ++Index) {
       auto Table = table();
-      Table.setFleetSize({Instances, Instances});
+      Table.setFleetSize({Instances, Instances}, Start);
       Table.apply(record("a", LocalDataCentre), Start);
       const TargetPtr Owner = Table.find(TargetId("a"));
       while (Table.selectOwner(Owner, Start).Target) {
@@ -285,7 +327,7 @@
     TargetTable::Settings Settings;
     Settings.DataCentre = LocalDataCentre;
     TargetTable Table(Settings, static_cast<std::uint64_t>(Instance) + 1);
-    Table.setFleetSize({295, Instances});
+    Table.setFleetSize({295, Instances}, Start);
     for (int Index = 0; Index < TargetCount; ++Index) {
       const std::string Id = "t" + std::to_string(Index);
       Table.apply(record(Id, LocalDataCentre), Start);
