--- a/tests/unit/FaultyTargetTest.cpp
+++ b/tests/unit/FaultyTargetTest.cpp
@@ -320,8 +320,11 @@
       const std::string Id = GatewayFixture::requestId(Request);
       if (Id == "ping")
         return ScriptedTarget::send(To, GatewayFixture::response(Id, "ok"));
-      ScriptedTarget::send(To, "HTTP/1.1 200 OK\r\nAttempt-Id: " + Id +
-                                   "\r\nResponse-Signature: s\r\n\r\n" + Body);
+      std::string Response = "HTTP/1.1 200 OK\r\nAttempt-Id: ";
+      Response.append(Id)
+          .append("\r\nResponse-Signature: s\r\n\r\n")
+          .append(Body);
+      ScriptedTarget::send(To, Response);
       return false;
     });
     GatewayFixture Fixture;
