--- a/tests/unit/PlatformTest.cpp
+++ b/tests/unit/PlatformTest.cpp
@@ -4,6 +4,12 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <utility>
+#include <vector>
+
 using namespace buckthornring;
 using Json = nlohmann::json;
 
@@ -133,18 +139,77 @@
     EXPECT_FALSE(target(Invalid)) << Field;
   }
   for (const auto &[Field, Value] :
-       std::map<std::string, Json>{{"state", "gone"},
-                                   {"address", "host:80"},
-                                   {"slots", 0},
-                                   {"born", 1.5},
-                                   {"born", "17"}}) {
+       std::vector<std::pair<std::string, Json>>{{"state", "gone"},
+                                                 {"address", "host:80"},
+                                                 {"slots", 0},
+                                                 {"born", 1.5},
+                                                 {"born", "17"}}) {
     Json Invalid = Valid;
     Invalid[Field] = Value;
-    EXPECT_FALSE(target(Invalid)) << Field;
+    EXPECT_FALSE(target(Invalid)) << Field << " " << Value;
   }
   EXPECT_FALSE(target("bytes"));
 }
 
+// Guards against numbers that wrap around to valid ones: a record with -1 slots
+// drew all requests, and one with sequence -1 hid all later ones.
+TEST(PlatformTest, TargetRecordsWithNumbersOutOfRangeAreRejected) {
+  const Json Valid = Json::parse(
+      R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,
+          "state":"ready","seq":7,"born":17,"warmup_left_s":0})");
+  ASSERT_TRUE(target(Valid));
+  const std::uint64_t Largest = std::numeric_limits<std::uint64_t>::max();
+  for (const auto &[Field, Value] : std::vector<std::pair<std::string, Json>>{
+           {"slots", -1},
+           {"slots", 4.5},
+           {"slots", 1e300},
+           {"slots", Largest},
+           {"slots", std::uint64_t{1} << 32U},
+           {"slots", 4'000'000'000U},
+           {"seq", -1},
+           {"seq", 1.5},
+           {"seq", 1e300},
+           {"born", Largest},
+           {"born", 1e300},
+           {"warmup_left_s", -1},
+           {"warmup_left_s", 1e300}}) {
+    Json Invalid = Valid;
+    Invalid[Field] = Value;
+    EXPECT_FALSE(target(Invalid)) << Field << " " << Value;
+  }
+}
+
+// Guards against ids and addresses that add fields to the requests in which
+// they are sent.
+TEST(PlatformTest, TargetRecordsWithUnusableNamesAreRejected) {
+  const Json Valid = Json::parse(
+      R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,
+          "state":"ready","seq":7,"born":17})");
+  for (const std::string &Id :
+       {std::string(), std::string("i1\r\nTenant: other"), std::string("\0", 1),
+        std::string("i\x7f"), std::string("i 1"), std::string(300, 'i')})
+    EXPECT_FALSE(platform::readTarget({Id, 5, false, Valid})) << Id;
+  for (const std::string &Address :
+       {std::string(), std::string("10.0.0.1"), std::string("10.0.0.1:"),
+        std::string("10.0.0.1:0"), std::string("10.0.0.1:65536"),
+        std::string("10.0.0.1:-1"), std::string("10.0.0.1:80 "),
+        std::string("10.0.0.1:99999999999999999999"),
+        std::string("10.0.0.1\0\r\nTenant: other:80", 26),
+        std::string("[fe80::1%\r\nTenant: other]:80"),
+        std::string("10.0.0.1:8\r\n")}) {
+    Json Invalid = Valid;
+    Invalid["address"] = Address;
+    EXPECT_FALSE(target(Invalid)) << Address;
+  }
+  for (const char *Field : {"service", "zone"})
+    for (const std::string &Name :
+         {std::string(), std::string("a\nb"), std::string(300, 'a')}) {
+      Json Invalid = Valid;
+      Invalid[Field] = Name;
+      EXPECT_FALSE(target(Invalid)) << Field;
+    }
+}
+
 TEST(PlatformTest, ReadsLoadReportsWithAndWithoutSlowness) {
   const auto WithoutSlowness = platform::readLoad("3,1,8");
   ASSERT_TRUE(WithoutSlowness);
