Keep the connection of a response without a length that others wait behind

A response that its target ends by closing the connection is passed on without a length, and so ends the caller's connection. Requests pipelined behind it were running already, and their responses were lost. Such a response now keeps a length while others wait behind it; HTTP allows both framings.

FaultyTargetTest.ResponseWithoutLengthDoesNotLoseThoseBehindIt failed before.

--- a/lib/Gateway/CallerSession.cpp
+++ b/lib/Gateway/CallerSession.cpp
@@ -277,7 +277,11 @@
     Pimpl->PendingResponses.pop_front();
     if (Pending.Response->Abort)
       return close(true);
-    Close = !Pending.KeepAlive || Pending.Response->EndsWithClose ||
+    // Requests behind it may be running already, and the end of the connection
+    // would lose their responses.
+    const bool UntilClose =
+        Pending.Response->EndsWithClose && Pimpl->PendingResponses.empty();
+    Close = !Pending.KeepAlive || UntilClose ||
             (Pimpl->Draining && Pimpl->PendingResponses.empty());
     Pimpl->Output.append("HTTP/1.1 ")
         .append(std::to_string(Pending.Response->Status))
@@ -288,7 +292,7 @@
     for (const auto &[Name, Value] : Pending.Response->Fields)
       appendField(Pimpl->Output, Name, Value);
     if (Pending.Response->Status != 204 && Pending.Response->Status != 304 &&
-        !Pending.Response->EndsWithClose)
+        !UntilClose)
       appendField(Pimpl->Output, "Content-Length",
                   std::to_string(Pending.Response->Body.size()));
     if (Close)
--- a/lib/Gateway/CallerSession.h
+++ b/lib/Gateway/CallerSession.h
@@ -26,7 +26,8 @@
   HttpHeaders Fields;
   std::string Body;
   /// The target ended the response by closing its connection, which does not
-  /// show that it is complete. It is passed on without a length either.
+  /// show that it is complete. It is passed on without a length too, unless
+  /// further requests of the connection wait for their responses.
   bool EndsWithClose = false;
   /// Reset the connection without sending a response.
   bool Abort = false;
--- a/tests/unit/FaultyTargetTest.cpp
+++ b/tests/unit/FaultyTargetTest.cpp
@@ -340,4 +340,30 @@
   }
 }
 
+// Guards against responses to pipelined requests that are lost because one
+// without a length before them ends the caller's connection.
+TEST(FaultyTargetTest, ResponseWithoutLengthDoesNotLoseThoseBehindIt) {
+  ScriptedTarget Target([](Socket &To, const std::string &Request) {
+    const std::string Id = GatewayFixture::requestId(Request);
+    if (Id != "p1")
+      return ScriptedTarget::send(
+          To, GatewayFixture::response(Id, "body-" + Id + ";"));
+    ScriptedTarget::send(To, "HTTP/1.1 200 OK\r\nAttempt-Id: p1\r\n"
+                             "Response-Signature: s\r\n\r\nbody-p1;");
+    return false;
+  });
+  GatewayFixture Fixture;
+  Fixture.addTarget("pay", "t1", Target);
+  Fixture.configure(1);
+  ASSERT_TRUE(Fixture.waitUntilServing());
+  RawCaller Caller = Fixture.connect();
+  Caller.send(GatewayFixture::request("GET", "/safe/1", "p1") +
+              GatewayFixture::request("GET", "/safe/1", "p2") +
+              GatewayFixture::request("GET", "/safe/1", "p3"));
+  const auto View = Caller.readUntil("body-p3;");
+  EXPECT_TRUE(View.has("body-p1;")) << View.Bytes;
+  EXPECT_TRUE(View.has("body-p2;")) << View.Bytes;
+  EXPECT_TRUE(View.has("body-p3;")) << View.Bytes;
+}
+
 } // namespace
