--- a/tests/support/ScriptedTarget.h
+++ b/tests/support/ScriptedTarget.h
@@ -46,6 +46,18 @@
       Thread.join();
   }
 
+  /// Ends like a process that crashes: ends all connections and accepts no
+  /// further ones.
+  auto crash() -> void {
+    const std::lock_guard Guard(Mutex);
+    Stopping = true;
+    Crashed = true;
+    ::shutdown(Listener.native_handle(), SHUT_RDWR);
+    for (const auto &Socket : Sockets)
+      ::shutdown(Socket->native_handle(), SHUT_RDWR);
+  }
+  auto crashed() const -> bool { return Crashed; }
+
   auto address() const -> std::string {
     return "127.0.0.1:" + std::to_string(Listener.local_endpoint().port());
   }
@@ -132,6 +144,7 @@
   std::vector<std::string> ReceivedRequests;
   std::vector<std::thread> ConnectionThreads;
   std::atomic<bool> Stopping = false;
+  std::atomic<bool> Crashed = false;
   std::thread AcceptThread;
 };
 
