Name completions that another instance lacks, and clear by each told completion

A completion that was told within 0.5 s after an earlier one was taken for the earlier one, so a crash between the two went on to count against the request (CrashSuspectsTest.EachToldCompletionClearsTheCrashesBeforeIt fails without the change of mergeOne()). The exchange between instances needs to know of local observations and which completions a sender has not heard of.

--- a/lib/Fleet/CrashSuspects.cpp
+++ b/lib/Fleet/CrashSuspects.cpp
@@ -95,6 +95,7 @@
     return false;
   Accused.Changed = true;
   makeRoom(Now);
+  OnChanged(Change::Accused);
   return true;
 }
 
@@ -104,6 +105,7 @@
   Suspect &Cleared = Suspects[Request];
   Cleared.CompletedAt = Now;
   Cleared.Changed = true;
+  OnChanged(Change::Completed);
   return true;
 }
 
@@ -136,7 +138,11 @@
   bool New = false;
   if (Told.CompletedAgeMs) {
     const TimePoint At = timeOf(*Told.CompletedAgeMs, Now);
-    if (At > Merged.CompletedAt + NoticeDelay) {
+    const bool Clears = std::any_of(
+        Merged.Crashes.begin(), Merged.Crashes.end(), [&](const auto &Crash) {
+          return Merged.counts(Crash.second, Now) && Crash.second <= At;
+        });
+    if (Clears || At > Merged.CompletedAt + NoticeDelay) {
       Merged.CompletedAt = At;
       New = true;
     }
@@ -160,6 +166,22 @@
   return New;
 }
 
+auto CrashSuspects::completionsMissingIn(const SuspectNotice &Told,
+                                         TimePoint Now) const -> SuspectNotice {
+  SuspectNotice Out;
+  for (const SuspectNotice::Suspect &Item : Told.Suspects) {
+    const Suspect *Known = find(Item.Request);
+    const auto Cleared = [&](const auto &Crash) {
+      return Item.counts(Crash.second) &&
+             timeOf(Crash.second, Now) <= Known->CompletedAt;
+    };
+    if (Known &&
+        std::any_of(Item.CrashAgesMs.begin(), Item.CrashAgesMs.end(), Cleared))
+      Out.Suspects.push_back(notice(Item.Request, *Known, Now));
+  }
+  return Out;
+}
+
 auto CrashSuspects::notice(std::uint64_t Request, const Suspect &Known,
                            TimePoint Now) -> SuspectNotice::Suspect {
   SuspectNotice::Suspect Out;
--- a/lib/Fleet/CrashSuspects.h
+++ b/lib/Fleet/CrashSuspects.h
@@ -4,10 +4,12 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace buckthornring {
@@ -22,6 +24,11 @@
     std::map<std::uint64_t, std::uint32_t> CrashAgesMs;
     /// Time since a target has completed it, in ms.
     std::optional<std::uint32_t> CompletedAgeMs;
+
+    /// Whether a crash of that age is later than the completion.
+    auto counts(std::uint32_t CrashAgeMs) const -> bool {
+      return !CompletedAgeMs || CrashAgeMs < *CompletedAgeMs;
+    }
   };
   std::vector<Suspect> Suspects;
 };
@@ -40,6 +47,10 @@
     Quarantined, ///< Not to be sent to any target.
   };
 
+  /// What this instance has observed.
+  enum class Change { Accused, Completed };
+  using ChangeHandler = std::function<void(Change)>;
+
   /// Crashes of different incarnations after which a request is quarantined.
   static constexpr std::size_t QuarantineCrashes = 3;
   /// Time after the latest crash at which a quarantine ends. A single further
@@ -60,6 +71,11 @@
   static auto incarnation(std::string_view Target, std::int64_t StartedAtMs,
                           std::string_view Address) -> std::uint64_t;
 
+  /// Sets what is called after accuse() or completed() have changed the table.
+  auto setChangeHandler(ChangeHandler Handler) -> void {
+    OnChanged = std::move(Handler);
+  }
+
   /// A target's incarnation ended while it ran the request. Returns whether
   /// this was not known.
   auto accuse(std::uint64_t Request, std::uint64_t Incarnation, TimePoint Now)
@@ -79,6 +95,10 @@
   /// Returns the suspects that have changed since the last call, by accuse(),
   /// completed() or merge().
   auto takeChanges(TimePoint Now) -> SuspectNotice;
+  /// Returns the requests of a notice with crashes that a completion known here
+  /// has cleared, but not to the sender.
+  auto completionsMissingIn(const SuspectNotice &Told, TimePoint Now) const
+      -> SuspectNotice;
   /// Returns the most accused requests, at most \p Limit.
   auto active(std::size_t Limit, TimePoint Now) const -> SuspectNotice;
 
@@ -108,6 +128,7 @@
   auto makeRoom(TimePoint Now) -> void;
 
   std::unordered_map<std::uint64_t, Suspect> Suspects;
+  ChangeHandler OnChanged = [](Change) {};
 };
 
 } // namespace buckthornring
--- a/tests/unit/CrashSuspectsTest.cpp
+++ b/tests/unit/CrashSuspectsTest.cpp
@@ -154,3 +154,50 @@
   EXPECT_EQ(Table.active(1, Start).Suspects.front().CrashAgesMs.size(),
             CrashSuspects::MaxCrashes);
 }
+
+// Guards against a request that stays suspected because its completion is told
+// shortly after an earlier one.
+TEST(CrashSuspectsTest, EachToldCompletionClearsTheCrashesBeforeIt) {
+  CrashSuspects Table;
+  Table.accuse(Innocent, 1, Start);
+  Table.completed(Innocent, Start + milliseconds(10));
+  Table.accuse(Innocent, 2, Start + milliseconds(100));
+  SuspectNotice Told;
+  Told.Suspects = {{Innocent, {}, 5}};
+  EXPECT_TRUE(Table.merge(Told, Start + milliseconds(200)));
+  EXPECT_EQ(Table.verdict(Innocent, Start + milliseconds(200)), Verdict::Clear);
+  EXPECT_FALSE(Table.merge(Told, Start + milliseconds(200)));
+}
+
+TEST(CrashSuspectsTest, CompletionsThatASenderLacksAreNamed) {
+  CrashSuspects Table;
+  Table.accuse(Innocent, 1, Start);
+  Table.completed(Innocent, Start + seconds(1));
+  const TimePoint Now = Start + seconds(2);
+  SuspectNotice Told;
+  Told.Suspects = {{Innocent, {{1, 2000}}, std::nullopt}};
+  const SuspectNotice Missing = Table.completionsMissingIn(Told, Now);
+  ASSERT_EQ(Missing.Suspects.size(), 1U);
+  EXPECT_EQ(Missing.Suspects[0].CompletedAgeMs, 1000U);
+  // The sender knows the completion, or a crash after it.
+  Told.Suspects[0].CompletedAgeMs = 1000;
+  EXPECT_TRUE(Table.completionsMissingIn(Told, Now).Suspects.empty());
+  Told.Suspects = {{Innocent, {{2, 500}}, std::nullopt}};
+  EXPECT_TRUE(Table.completionsMissingIn(Told, Now).Suspects.empty());
+}
+
+TEST(CrashSuspectsTest, ObservationsAreReportedAndNoticesAreNot) {
+  CrashSuspects Table;
+  std::vector<CrashSuspects::Change> Changes;
+  Table.setChangeHandler(
+      [&](CrashSuspects::Change Kind) { Changes.push_back(Kind); });
+  Table.completed(Innocent, Start);
+  Table.accuse(Innocent, 1, Start);
+  Table.accuse(Innocent, 1, Start);
+  SuspectNotice Told;
+  Told.Suspects = {{Deadly, {{1, 0}}, std::nullopt}};
+  Table.merge(Told, Start);
+  Table.completed(Innocent, Start + seconds(1));
+  EXPECT_EQ(Changes, (std::vector{CrashSuspects::Change::Accused,
+                                  CrashSuspects::Change::Completed}));
+}
