Add requests suspected of crashing targets to the messages between instances

A message of its own, and optional fields of reports and replies. Ten requests with their four latest crashes fit into one packet.

--- a/lib/Fleet/FleetMessage.cpp
+++ b/lib/Fleet/FleetMessage.cpp
@@ -1,6 +1,11 @@
 #include "Fleet/FleetMessage.h"
 
 #include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <limits>
+#include <utility>
 
 namespace buckthornring {
 
@@ -74,6 +79,97 @@
   return Out;
 }
 
+using CrashAge = std::pair<std::uint32_t, std::uint64_t>;
+
+/// Returns the latest crashes of a suspect that fit into a message, each with
+/// its age and the incarnation of the target.
+auto latestCrashes(const SuspectNotice::Suspect &Suspect)
+    -> std::vector<CrashAge> {
+  std::vector<CrashAge> Crashes;
+  for (const auto &[Incarnation, AgeMs] : Suspect.CrashAgesMs)
+    Crashes.emplace_back(AgeMs, Incarnation);
+  std::sort(Crashes.begin(), Crashes.end());
+  if (Crashes.size() > MaxCrashesInMessage)
+    Crashes.resize(MaxCrashesInMessage);
+  return Crashes;
+}
+
+/// A suspect is [request, [incarnation, age, ...]], with the age of its
+/// completion at the end, if any.
+auto encodeSuspects(const SuspectNotice &Notice) -> Json {
+  Json Out = Json::array();
+  for (const SuspectNotice::Suspect &Suspect : Notice.Suspects) {
+    if (Out.size() >= MaxSuspectsInMessage)
+      break;
+    Json Crashes = Json::array();
+    for (const auto &[AgeMs, Incarnation] : latestCrashes(Suspect)) {
+      Crashes.push_back(Incarnation);
+      Crashes.push_back(AgeMs);
+    }
+    Json Item = Json::array({Suspect.Request, std::move(Crashes)});
+    if (Suspect.CompletedAgeMs)
+      Item.push_back(*Suspect.CompletedAgeMs);
+    Out.push_back(std::move(Item));
+  }
+  return Out;
+}
+
+auto decodeUnsigned(const Json &Value, std::uint64_t Max) -> std::uint64_t {
+  if (!Value.is_number_unsigned() || Value.get<std::uint64_t>() > Max)
+    throw Json::type_error::create(302, "number out of range", &Value);
+  return Value.get<std::uint64_t>();
+}
+
+auto decodeAge(const Json &Value) -> std::uint32_t {
+  return static_cast<std::uint32_t>(
+      decodeUnsigned(Value, std::numeric_limits<std::uint32_t>::max()));
+}
+
+auto decodeNumber(const Json &Value) -> std::uint64_t {
+  return decodeUnsigned(Value, std::numeric_limits<std::uint64_t>::max());
+}
+
+auto decodeSuspect(const Json &Value) -> SuspectNotice::Suspect {
+  SuspectNotice::Suspect Suspect;
+  Suspect.Request = decodeNumber(Value.at(0));
+  const Json &Crashes = Value.at(1);
+  if (!Crashes.is_array() || Crashes.size() > 2 * MaxCrashesInMessage ||
+      Value.size() > 3)
+    throw Json::type_error::create(302, "suspect is too large", &Value);
+  for (std::size_t Index = 0; Index < Crashes.size(); Index += 2)
+    Suspect.CrashAgesMs[decodeNumber(Crashes.at(Index))] =
+        decodeAge(Crashes.at(Index + 1));
+  if (Value.size() == 3)
+    Suspect.CompletedAgeMs = decodeAge(Value.at(2));
+  return Suspect;
+}
+
+auto decodeSuspects(const Json &Value) -> SuspectNotice {
+  if (!Value.is_array() || Value.size() > MaxSuspectsInMessage)
+    throw Json::type_error::create(302, "too many suspects", &Value);
+  SuspectNotice Notice;
+  for (const Json &Item : Value)
+    Notice.Suspects.push_back(decodeSuspect(Item));
+  return Notice;
+}
+
+/// Adds the fields of suspects, which are left out when there are none.
+template <class Message>
+auto addSuspects(const Message &From, Json &Out) -> void {
+  if (From.SuspectsDigest != 0)
+    Out["v"] = From.SuspectsDigest;
+  if (!From.Suspects.Suspects.empty())
+    Out["u"] = encodeSuspects(From.Suspects);
+}
+
+template <class Message>
+auto readSuspects(const Json &Value, Message &To) -> void {
+  if (Value.contains("v"))
+    To.SuspectsDigest = decodeNumber(Value.at("v"));
+  if (Value.contains("u"))
+    To.Suspects = decodeSuspects(Value.at("u"));
+}
+
 auto encode(const FleetReport &Report) -> Json {
   Json Out = {{"t", 1},
               {"i", Report.Instance.str()},
@@ -91,28 +187,31 @@
               {"b", encodeMap(Report.ProcessingTimeMs)}};
   if (!Report.OwnerNotices.empty())
     Out["n"] = encodeNotices(Report.OwnerNotices);
+  addSuspects(Report, Out);
   return Out;
 }
 
 auto encode(const FleetReply &Reply) -> Json {
-  return {{"t", 2},
-          {"l", encodeLeader(Reply.Leader)},
-          {"s", Reply.StoreReachable},
-          {"e", Reply.Resigned},
-          {"c", encodeSeen(Reply.Seen)},
-          {"f", Reply.SeenByAddress},
-          {"n", Reply.Instances},
-          {"z", Reply.InstancesInDataCentre},
-          {"g", Reply.LargestCapacity},
-          {"y", Reply.Relay},
-          {"b", Reply.BackupRelay},
-          {"k", Reply.RateKeeper},
-          {"r", Reply.RateHolders},
-          {"h", Reply.NeighboursVersion},
-          {"a", Reply.Neighbours},
-          {"q", Reply.SharesValid},
-          {"w", encodeMap(scaledShares(Reply.WorkspaceShares))},
-          {"o", static_cast<std::uint32_t>(Reply.DefaultShare * 10'000)}};
+  Json Out = {{"t", 2},
+              {"l", encodeLeader(Reply.Leader)},
+              {"s", Reply.StoreReachable},
+              {"e", Reply.Resigned},
+              {"c", encodeSeen(Reply.Seen)},
+              {"f", Reply.SeenByAddress},
+              {"n", Reply.Instances},
+              {"z", Reply.InstancesInDataCentre},
+              {"g", Reply.LargestCapacity},
+              {"y", Reply.Relay},
+              {"b", Reply.BackupRelay},
+              {"k", Reply.RateKeeper},
+              {"r", Reply.RateHolders},
+              {"h", Reply.NeighboursVersion},
+              {"a", Reply.Neighbours},
+              {"q", Reply.SharesValid},
+              {"w", encodeMap(scaledShares(Reply.WorkspaceShares))},
+              {"o", static_cast<std::uint32_t>(Reply.DefaultShare * 10'000)}};
+  addSuspects(Reply, Out);
+  return Out;
 }
 
 auto encode(const GrantNotice &Notice) -> Json {
@@ -144,6 +243,10 @@
   return {{"t", 6}, {"l", std::move(Loads)}};
 }
 
+auto encode(const SuspectNotice &Notice) -> Json {
+  return {{"t", 7}, {"u", encodeSuspects(Notice)}};
+}
+
 auto decodeLoads(const Json &Value) -> LoadNotice {
   LoadNotice Notice;
   for (const auto &[Id, Load] : Value.at("l").items())
@@ -171,6 +274,7 @@
   Report.ProcessingTimeMs = decodeMap<TargetId, std::uint32_t>(Value.at("b"));
   if (Value.contains("n"))
     Report.OwnerNotices = decodeNotices(Value.at("n"));
+  readSuspects(Value, Report);
   return Report;
 }
 
@@ -195,6 +299,7 @@
        decodeMap<WorkspaceId, std::uint32_t>(Value.at("w")))
     Reply.WorkspaceShares[Id] = Share / 10'000.0;
   Reply.DefaultShare = Value.at("o").get<std::uint32_t>() / 10'000.0;
+  readSuspects(Value, Reply);
   return Reply;
 }
 
@@ -208,6 +313,16 @@
 
 } // namespace
 
+auto digestOf(const SuspectNotice &Notice) -> std::uint64_t {
+  // A sum, since the order depends on times, which differ.
+  std::uint64_t Digest = 0;
+  for (const SuspectNotice::Suspect &Suspect : Notice.Suspects)
+    for (const auto &[AgeMs, Incarnation] : latestCrashes(Suspect))
+      if (Suspect.counts(AgeMs))
+        Digest += XXH64(&Incarnation, sizeof(Incarnation), Suspect.Request);
+  return Digest;
+}
+
 auto encodeFleetMessage(const FleetMessage &Message) -> std::string {
   const Json Value =
       std::visit([](const auto &Item) { return encode(Item); }, Message);
@@ -238,6 +353,8 @@
                            Value.at("i").get<std::uint64_t>()});
     case 6:
       return FleetMessage(decodeLoads(Value));
+    case 7:
+      return FleetMessage(decodeSuspects(Value.at("u")));
     default:
       return Error("unknown message type");
     }
--- a/lib/Fleet/FleetMessage.h
+++ b/lib/Fleet/FleetMessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Fleet/CrashSuspects.h"
 #include "Fleet/TargetRecord.h"
 #include "buckthornring/Common/Ids.h"
 #include "buckthornring/Common/Result.h"
@@ -62,6 +63,9 @@
   std::map<TargetId, std::uint32_t> ProcessingTimeMs;
   /// Announcements of targets of divided services that are in force.
   std::map<TargetId, OwnerNotice> OwnerNotices;
+  std::uint64_t SuspectsDigest = 0; ///< digestOf() of the known suspects.
+  /// Empty when the leader's last reply had the same digest.
+  SuspectNotice Suspects;
 };
 
 /// The leader's reply to a FleetReport.
@@ -94,6 +98,8 @@
   bool SharesValid = false;
   std::map<WorkspaceId, double> WorkspaceShares;
   double DefaultShare = 0;
+  std::uint64_t SuspectsDigest = 0; ///< digestOf() of the known suspects.
+  SuspectNotice Suspects; ///< Empty when the report had the same digest.
 };
 
 /// Fencing tokens of new owners that have received their first grants.
@@ -124,7 +130,16 @@
 
 using FleetMessage =
     std::variant<FleetReport, FleetReply, GrantNotice, RateReserveRequest,
-                 RateReserveReply, LoadNotice>;
+                 RateReserveReply, LoadNotice, SuspectNotice>;
+
+/// Maximum number of suspects in one message, which has to fit into one packet
+/// beside the other content of a report, and of crashes of each.
+constexpr std::size_t MaxSuspectsInMessage = 10;
+constexpr std::size_t MaxCrashesInMessage = 4;
+
+/// Returns a digest of the suspects and the targets that they crashed, without
+/// the times, which differ by the delay of messages; 0: there are none.
+auto digestOf(const SuspectNotice &Notice) -> std::uint64_t;
 
 /// Encodes a message as CBOR.
 auto encodeFleetMessage(const FleetMessage &Message) -> std::string;
--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -65,10 +65,113 @@
   EXPECT_EQ(Copy.RateHolders, 6U);
 }
 
+auto fullNotice() -> SuspectNotice {
+  SuspectNotice Notice;
+  RandomSource Random(3);
+  for (std::size_t Count = 0; Count < MaxSuspectsInMessage; ++Count) {
+    SuspectNotice::Suspect Suspect;
+    Suspect.Request = Random.next();
+    for (std::size_t Crash = 0; Crash < MaxCrashesInMessage; ++Crash)
+      Suspect.CrashAgesMs[Random.next()] = 600'000;
+    Suspect.CompletedAgeMs = 600'000;
+    Notice.Suspects.push_back(Suspect);
+  }
+  return Notice;
+}
+
+TEST(FleetMessageTest, SuspectsAreUnchangedInAllMessagesThatCarryThem) {
+  FleetReport Report;
+  FleetReply Reply;
+  const SuspectNotice Notice = fullNotice();
+  Report.Suspects = Reply.Suspects = Notice;
+  Report.SuspectsDigest = Reply.SuspectsDigest = 42;
+  const auto InNotice = decodeFleetMessage(encodeFleetMessage(Notice));
+  const auto InReport = decodeFleetMessage(encodeFleetMessage(Report));
+  const auto InReply = decodeFleetMessage(encodeFleetMessage(Reply));
+  ASSERT_TRUE(InNotice && InReport && InReply);
+  EXPECT_EQ(std::get<FleetReport>(*InReport).SuspectsDigest, 42U);
+  EXPECT_EQ(std::get<FleetReply>(*InReply).SuspectsDigest, 42U);
+  for (const SuspectNotice &Copy : {std::get<SuspectNotice>(*InNotice),
+                                    std::get<FleetReport>(*InReport).Suspects,
+                                    std::get<FleetReply>(*InReply).Suspects}) {
+    ASSERT_EQ(Copy.Suspects.size(), Notice.Suspects.size());
+    for (std::size_t Index = 0; Index < Copy.Suspects.size(); ++Index) {
+      EXPECT_EQ(Copy.Suspects[Index].Request, Notice.Suspects[Index].Request);
+      EXPECT_EQ(Copy.Suspects[Index].CrashAgesMs,
+                Notice.Suspects[Index].CrashAgesMs);
+      EXPECT_EQ(Copy.Suspects[Index].CompletedAgeMs, 600'000U);
+    }
+  }
+}
+
+// Guards against a notice that is split into several packets, each of which may
+// be lost.
+TEST(FleetMessageTest, NoticeOfSuspectsFitsIntoOnePacketAndKeepsTheLatest) {
+  SuspectNotice Notice = fullNotice();
+  for (SuspectNotice::Suspect &Suspect : Notice.Suspects)
+    for (std::uint64_t Crash = 1; Crash < 9; ++Crash)
+      Suspect.CrashAgesMs[Crash] = static_cast<std::uint32_t>(Crash);
+  Notice.Suspects.push_back(Notice.Suspects.front());
+  const std::string Bytes = encodeFleetMessage(Notice);
+  EXPECT_LE(Bytes.size(), 1200U);
+  const auto Read = decodeFleetMessage(Bytes);
+  ASSERT_TRUE(Read) << Read.error().message();
+  const auto &Copy = std::get<SuspectNotice>(*Read);
+  ASSERT_EQ(Copy.Suspects.size(), MaxSuspectsInMessage);
+  ASSERT_EQ(Copy.Suspects[0].CrashAgesMs.size(), MaxCrashesInMessage);
+  for (const auto &[Incarnation, AgeMs] : Copy.Suspects[0].CrashAgesMs)
+    EXPECT_LE(AgeMs, MaxCrashesInMessage);
+}
+
+TEST(FleetMessageTest, MessagesWithoutSuspectsHaveNoFieldsOfThem) {
+  FleetReport Report;
+  const auto Value = nlohmann::json::from_cbor(encodeFleetMessage(Report));
+  EXPECT_FALSE(Value.contains("u"));
+  EXPECT_FALSE(Value.contains("v"));
+  // An earlier release sends the same.
+  const auto Read = decodeFleetMessage(encodeFleetMessage(Report));
+  ASSERT_TRUE(Read);
+  EXPECT_EQ(std::get<FleetReport>(*Read).SuspectsDigest, 0U);
+}
+
+TEST(FleetMessageTest, MalformedSuspectsFail) {
+  using Json = nlohmann::json;
+  const Json Crashes = Json::array({5, 100});
+  Json TooMany = Json::array();
+  for (std::size_t Count = 0; Count <= MaxSuspectsInMessage; ++Count)
+    TooMany.push_back(Json::array({7, Crashes}));
+  Json LongList = Json::array();
+  for (std::size_t Count = 0; Count <= MaxCrashesInMessage; ++Count) {
+    LongList.push_back(Count);
+    LongList.push_back(100);
+  }
+  const auto Decodes = [](const Json &Suspects) {
+    std::string Bytes;
+    Json::to_cbor(Json{{"t", 7}, {"u", Suspects}}, Bytes);
+    return static_cast<bool>(decodeFleetMessage(Bytes));
+  };
+  EXPECT_TRUE(Decodes(Json::array({Json::array({7, Crashes})})));
+  EXPECT_TRUE(Decodes(Json::array({Json::array({7, Crashes, 50})})));
+  for (const Json &Suspect :
+       {Json(7), Json::array(), Json::array({7}), Json::array({-7, Crashes}),
+        Json::array({7.5, Crashes}), Json::array({"7", Crashes}),
+        Json::array({7, 5}), Json::array({7, Json::array({5})}),
+        Json::array({7, Json::array({5, -1})}),
+        Json::array({7, Json::array({5, std::uint64_t{1} << 40U})}),
+        Json::array({7, Json{{"5", 100}}}), Json::array({7, LongList}),
+        Json::array({7, Crashes, nullptr}), Json::array({7, Crashes, 50, 60})})
+    EXPECT_FALSE(Decodes(Json::array({Suspect}))) << Suspect.dump();
+  EXPECT_FALSE(Decodes(TooMany));
+  EXPECT_FALSE(Decodes(Json{{"a", 1}}));
+  EXPECT_FALSE(Decodes(nullptr));
+}
+
 TEST(FleetMessageTest, TruncatedBytesFailAndCorruptBytesDoNotThrow) {
   FleetReply Reply;
   Reply.Leader = {InstanceId("i2"), "i2-7", "10.0.0.1:7000", 42};
   Reply.WorkspaceShares = {{WorkspaceId("w"), 0.25}};
+  Reply.SuspectsDigest = 42;
+  Reply.Suspects = fullNotice();
   const std::string Bytes = encodeFleetMessage(Reply);
   for (std::size_t Size = 0; Size < Bytes.size(); ++Size)
     EXPECT_FALSE(decodeFleetMessage({Bytes.data(), Size})) << Size;
