Exchange requests suspected of crashing targets between instances

A request that crashes targets comes again at any instance. What one instance observes is known at all after one or two datagrams; reports and replies carry a digest and, where it differs, the suspects, which repairs lost datagrams and tells new leaders and new processes. While there are no suspects, nothing is sent.

--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -111,7 +111,43 @@
           },
           [this] { onRateTimeout(); }),
       Lag(BehindTimeout), ReportTimer(Io), ClaimTimer(Io), LoadTimer(Io),
-      Random(Seed) {}
+      SuspectTimer(Io), Suspects(makeSuspectExchange()), Random(Seed) {
+  this->Context.Requests.Suspects.setChangeHandler(
+      [this](CrashSuspects::Change Kind) { Suspects.onChanged(Kind); });
+}
+
+auto FleetMember::makeSuspectExchange() -> SuspectExchange {
+  return SuspectExchange(
+      {Context.Requests.Suspects, Context.Requests.Events,
+       [this](const std::vector<std::string> &To, const SuspectNotice &Notice) {
+         Context.Peers.sendAll(To, Notice);
+       },
+       [this] { return Context.LocalLeader.leading(); },
+       [this] { return neighboursAndLeader(); },
+       [this](const DataCentreId &DataCentre) {
+         return Context.LocalLeader.membersOutside(DataCentre);
+       },
+       [this](const std::string &Address) {
+         return Context.LocalLeader.dataCentreOf(Address);
+       },
+       [this](Duration Delay) {
+         SuspectTimer.expires_after(Delay);
+         SuspectTimer.async_wait(
+             [this](const boost::system::error_code &Cancelled) {
+               if (!Cancelled)
+                 Suspects.flush(bootNow());
+             });
+       }});
+}
+
+auto FleetMember::neighboursAndLeader() const -> std::vector<std::string> {
+  std::vector<std::string> Addresses = Neighbours;
+  if (CurrentLeader.Term != 0 &&
+      std::find(Addresses.begin(), Addresses.end(), CurrentLeader.Address) ==
+          Addresses.end())
+    Addresses.push_back(CurrentLeader.Address);
+  return Addresses;
+}
 
 auto FleetMember::scheduleReport() -> void {
   ReportTimer.expires_after(ReportInterval);
@@ -156,6 +192,7 @@
       Report.Keys[Id] = std::exchange(Keys, {});
   }
   Report.OwnerNotices = ownerNotices(Now);
+  Suspects.addTo(Report, Now);
   return Report;
 }
 
@@ -203,6 +240,8 @@
     onReport(*Report, From);
   else if (const auto *Reply = std::get_if<FleetReply>(&Message))
     onReply(*Reply);
+  else if (const auto *Told = std::get_if<SuspectNotice>(&Message))
+    Suspects.receive(*Told, From, bootNow());
   else if (const auto *Notice = std::get_if<GrantNotice>(&Message))
     onGrantNotice(*Notice);
   else if (const auto *Answer = std::get_if<RateReserveReply>(&Message))
@@ -296,8 +335,10 @@
   if (!Context.LocalLeader.leading())
     return;
   checkBehind(Report.Seen, From);
-  Context.Peers.send(From, Context.LocalLeader.handleReport(
-                               Report, From, Context.StoreReachable()));
+  FleetReply Reply =
+      Context.LocalLeader.handleReport(Report, From, Context.StoreReachable());
+  Suspects.answer(Report, From, Reply, bootNow());
+  Context.Peers.send(From, Reply);
 }
 
 auto FleetMember::onReply(const FleetReply &Reply) -> void {
@@ -319,6 +360,7 @@
   else if (LeaderLostStoreAt == LongAgo)
     LeaderLostStoreAt = Now;
   applyReply(Reply);
+  Suspects.onReply(Reply, CurrentLeader.Address, Now);
   checkBehind(Reply.Seen, Reply.SeenByAddress);
 }
 
@@ -447,6 +489,7 @@
   LeaderLostStoreAt = LongAgo;
   LeaderReplied = false;
   LeaderResigned = false;
+  Suspects.onLeaderChanged();
   const bool SelfLeads = CurrentLeader.Process == Context.Self.Process;
   Context.Requests.Events.write(
       EventLine("leader-changed")
--- a/lib/Gateway/FleetMember.h
+++ b/lib/Gateway/FleetMember.h
@@ -8,6 +8,7 @@
 #include "Gateway/RateReserveClient.h"
 #include "Gateway/RequestContext.h"
 #include "Gateway/StoreFeed.h"
+#include "Gateway/SuspectExchange.h"
 #include "buckthornring/Common/Random.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -69,6 +70,8 @@
   /// Client of the rate keeper and the leader's reserve, for requests beyond
   /// this instance's parts of the workspace rates.
   auto rateReserveClient() -> RateReserveClient & { return RateClient; }
+  /// What the instances tell each other of requests that crash targets.
+  auto suspectExchange() -> SuspectExchange & { return Suspects; }
   /// Announces that this instance stops. A leader resigns.
   auto leave() -> void;
   /// Store revision of the newest configuration that any instance has seen, as
@@ -80,6 +83,8 @@
   static constexpr const char *LeaderObjectName = "leader";
 
 private:
+  auto makeSuspectExchange() -> SuspectExchange;
+  auto neighboursAndLeader() const -> std::vector<std::string>;
   auto scheduleReport() -> void;
   auto sendReport() -> void;
   auto composeReport(TimePoint Now) -> FleetReport;
@@ -134,6 +139,8 @@
   boost::asio::steady_timer ReportTimer;
   boost::asio::steady_timer ClaimTimer;
   boost::asio::steady_timer LoadTimer;
+  boost::asio::steady_timer SuspectTimer;
+  SuspectExchange Suspects;
   bool LoadTimerArmed = false;
   std::string RateKeeper;         ///< FleetReply::RateKeeper.
   std::uint32_t RateTimeouts = 0; ///< In a row, of requests to RateKeeper.
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -98,6 +98,7 @@
                {},
                {},
                {},
+               {},
                {}},
       Listener(Io), Signals(Io, SIGTERM, SIGINT, SIGHUP), TickTimer(Io),
       DispatchTimer(Io), StopTimer(Io), FeedStartTimer(Io) {}
--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -545,6 +545,9 @@
   Text.sample({{"kind", "leaving"}}, Announced.Leaving);
   Text.sample({{"kind", "pause"}}, Announced.Pauses);
   Text.sample({{"kind", "unreadable-pause"}}, Announced.UnreadablePauses);
+  Text.counterFamily("btr_suspects_learned_total",
+                     "Requests accused or cleared by other instances");
+  Text.sample({}, Member->suspectExchange().learned());
   Text.gaugeFamily("btr_leading", "Whether this instance leads");
   Text.sample({}, std::uint64_t{LocalLeader->leading() ? 1U : 0U});
   Text.gaugeFamily("btr_store_reachable", "Whether the store answers");
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -286,6 +286,23 @@
     Reply.Neighbours.clear();
 }
 
+auto Leader::membersOutside(const DataCentreId &DataCentre) const
+    -> std::vector<std::string> {
+  std::vector<std::string> Addresses;
+  for (const auto &[Id, Other] : Members)
+    if (Id != Self.Instance && Other.DataCentre != DataCentre)
+      Addresses.push_back(Other.Address);
+  return Addresses;
+}
+
+auto Leader::dataCentreOf(const std::string &Address) const -> DataCentreId {
+  const auto Found =
+      std::find_if(Members.begin(), Members.end(), [&](const auto &Entry) {
+        return Entry.second.Address == Address;
+      });
+  return Found == Members.end() ? DataCentreId() : Found->second.DataCentre;
+}
+
 auto Leader::grantRate(const RateReserveRequest &Request,
                        const Configuration &Config) -> RateReserveReply {
   RateReserveReply Reply{Request.Workspace, 0, Request.Number};
--- a/lib/Gateway/Leader.h
+++ b/lib/Gateway/Leader.h
@@ -89,6 +89,13 @@
   auto handleReport(const FleetReport &Report, const std::string &Address,
                     bool StoreReachable) -> FleetReply;
 
+  /// Returns the addresses of the instances that report to this one, except
+  /// those in the data centre.
+  auto membersOutside(const DataCentreId &DataCentre) const
+      -> std::vector<std::string>;
+  /// Returns the data centre of the instance at the address; empty: not known.
+  auto dataCentreOf(const std::string &Address) const -> DataCentreId;
+
   /// Grants requests of a workspace from the reserve of its rate.
   auto grantRate(const RateReserveRequest &Request, const Configuration &Config)
       -> RateReserveReply;
--- a/lib/Gateway/RequestContext.h
+++ b/lib/Gateway/RequestContext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Fleet/CrashSuspects.h"
 #include "Fleet/KeyLoad.h"
 #include "Fleet/KeyRanges.h"
 #include "Fleet/RateShares.h"
@@ -82,6 +83,7 @@
   /// reserve of the rate limit.
   std::function<void(const WorkspaceId &, std::function<void(bool)>)>
       RequestRateFromReserve;
+  CrashSuspects Suspects;
 
   /// Whether another instance has read a newer configuration than this one.
   std::function<bool()> ConfigurationOutdated = [] { return false; };
