--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -557,6 +557,9 @@
   Text.gaugeFamily("btr_known_crash_suspects",
                    "Requests of which this instance knows such a crash");
   Text.sample({}, std::uint64_t{Suspects.size()});
+  Text.counterFamily("btr_suspects_learned_total",
+                     "Requests accused or cleared by other instances");
+  Text.sample({}, Member->suspectExchange().learned());
   Text.gaugeFamily("btr_leading", "Whether this instance leads");
   Text.sample({}, std::uint64_t{LocalLeader->leading() ? 1U : 0U});
   Text.gaugeFamily("btr_store_reachable", "Whether the store answers");
--- a/lib/Gateway/RequestContext.h
+++ b/lib/Gateway/RequestContext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Fleet/CrashSuspects.h"
 #include "Fleet/KeyLoad.h"
 #include "Fleet/KeyRanges.h"
 #include "Fleet/RateShares.h"
