--- a/tests/unit/CrashingRequestTest.cpp
+++ b/tests/unit/CrashingRequestTest.cpp
@@ -29,7 +29,7 @@
 /// A fleet of targets of the service "pay".
 class Targets {
 public:
-  explicit Targets(std::size_t Count, Reaction OnDeadly = crash) {
+  explicit Targets(std::size_t Count, const Reaction &OnDeadly = crash) {
     for (std::size_t Index = 0; Index < Count; ++Index) {
       const auto Slot = std::make_shared<ScriptedTarget *>(nullptr);
       All.push_back(std::make_unique<ScriptedTarget>(
