Send suspected requests to different targets

Cause: after a crash the requests of the target are repeated at once, and the least loaded target gets several of them. They then share the next crash, and after three shared crashes nothing tells them apart.

Evidence: the log names two quarantined paths, with the same three targets.

A suspected request avoids the targets on which this instance runs another one, as long as there is any other.

--- a/lib/Gateway/CrashMonitor.cpp
+++ b/lib/Gateway/CrashMonitor.cpp
@@ -41,9 +41,10 @@
   return Text.data();
 }
 
-auto takeOne(std::unordered_map<std::uint64_t, std::uint32_t> &Counts,
-             std::uint64_t Key) -> void {
-  const auto Found = Counts.find(Key);
+template <class Key>
+auto takeOne(std::unordered_map<Key, std::uint32_t> &Counts, const Key &Name)
+    -> void {
+  const auto Found = Counts.find(Name);
   if (Found != Counts.end() && --Found->second == 0)
     Counts.erase(Found);
 }
@@ -82,6 +83,17 @@
   takeOne(RunningCopies, Request);
 }
 
+auto CrashMonitor::suspectEnded(const TargetId &Target) -> void {
+  takeOne(SuspectRuns, Target);
+}
+
+auto CrashMonitor::targetsOfSuspects() const -> std::vector<TargetId> {
+  std::vector<TargetId> Found;
+  for (const auto &[Target, Count] : SuspectRuns)
+    Found.push_back(Target);
+  return Found;
+}
+
 auto CrashMonitor::exchangeLost(const TargetPtr &Target,
                                 std::int64_t StartedAtMs,
                                 MonitoredRequest Request) -> void {
--- a/lib/Gateway/CrashMonitor.h
+++ b/lib/Gateway/CrashMonitor.h
@@ -59,6 +59,13 @@
   auto copyStarted(std::uint64_t Request) -> void { ++RunningCopies[Request]; }
   auto copyEnded(std::uint64_t Request) -> void;
 
+  /// A suspected request runs on the target until suspectEnded().
+  auto suspectStarted(const TargetId &Target) -> void { ++SuspectRuns[Target]; }
+  auto suspectEnded(const TargetId &Target) -> void;
+  /// Targets on which suspected requests of this instance run. Others are best
+  /// sent elsewhere, so that the next crash tells them apart.
+  auto targetsOfSuspects() const -> std::vector<TargetId>;
+
   /// The connection ended while the request ran on the incarnation of \p Target
   /// that started at \p StartedAtMs.
   auto exchangeLost(const TargetPtr &Target, std::int64_t StartedAtMs,
@@ -95,6 +102,7 @@
   /// Requests that inquiries may accuse, with their number.
   std::unordered_map<std::uint64_t, std::uint32_t> Questioned;
   std::unordered_map<std::uint64_t, std::uint32_t> RunningCopies;
+  std::unordered_map<TargetId, std::uint32_t> SuspectRuns;
   /// Latest crashes: when the connection ended, and the incarnation.
   std::deque<std::pair<TimePoint, std::uint64_t>> RecentCrashes;
   Counts Total;
--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -237,9 +237,22 @@
     return selectOwner(Now);
   TargetRequest Preference{Service, Idempotent, Route->TargetLatency,
                            TriedTargets};
+  if (suspected(Now)) {
+    TargetRequest Apart = Preference;
+    for (const TargetId &Target : Context.Crashes.targetsOfSuspects())
+      Apart.ExcludedTargets.push_back(Target);
+    const TargetSelection Selected = Context.Targets.select(Apart, Now);
+    if (Selected.Target)
+      return Selected;
+  }
   return Context.Targets.select(Preference, Now);
 }
 
+auto RequestFlow::suspected(TimePoint Now) const -> bool {
+  return LostExchanges > 0 || Context.Suspects.verdict(Fingerprint, Now) !=
+                                  CrashSuspects::Verdict::Clear;
+}
+
 auto RequestFlow::selectOwner(TimePoint Now) -> TargetSelection {
   const auto View = Context.Ranges.find(Service);
   if (View == Context.Ranges.end())
@@ -320,6 +333,9 @@
   if (!std::exchange(CopyCounted, true))
     Context.Crashes.copyStarted(Fingerprint);
   CurrentHop->QueueAtSend = Target->Load.queue(Now);
+  CurrentHop->Suspect = suspected(Now);
+  if (CurrentHop->Suspect)
+    Context.Crashes.suspectStarted(Target->Record.Id);
   Target->Load.sent();
   Target->Sends.add(Now);
   ActiveHops.push_back(CurrentHop);
@@ -495,7 +511,7 @@
     CurrentHop->Connection->recordRejection();
   Context.Pool.release(CurrentHop->Target->Record,
                        std::exchange(CurrentHop->Connection, nullptr));
-  std::erase(ActiveHops, CurrentHop);
+  removeHop(CurrentHop);
   if (Rejected)
     return onRejected(CurrentHop, Response);
   // A target that gave up at the deadline has not run the request to its end.
@@ -602,8 +618,14 @@
              Context.Targets.fleetSize().estimatedInstances(), Now);
 }
 
-auto RequestFlow::abandonHop(const HopPtr &CurrentHop) -> void {
+auto RequestFlow::removeHop(const HopPtr &CurrentHop) -> void {
   std::erase(ActiveHops, CurrentHop);
+  if (std::exchange(CurrentHop->Suspect, false))
+    Context.Crashes.suspectEnded(CurrentHop->Target->Record.Id);
+}
+
+auto RequestFlow::abandonHop(const HopPtr &CurrentHop) -> void {
+  removeHop(CurrentHop);
   const Duration Elapsed = CurrentHop->SentAt == LongAgo
                                ? Duration(0)
                                : bootNow() - CurrentHop->SentAt;
--- a/lib/Gateway/RequestFlow.h
+++ b/lib/Gateway/RequestFlow.h
@@ -42,6 +42,7 @@
     /// Start of the target's incarnation that the request was sent to.
     std::int64_t TargetStartedAtMs = 0;
     bool Reused = false;
+    bool Suspect = false; ///< By CrashMonitor::suspectStarted().
   };
   using HopPtr = std::shared_ptr<Hop>;
 
@@ -60,6 +61,8 @@
   auto trySend() -> bool;
   auto selectTarget(TimePoint Now) -> TargetSelection;
   auto selectOwner(TimePoint Now) -> TargetSelection;
+  /// Whether a target has crashed, or may have, while it ran the request.
+  auto suspected(TimePoint Now) const -> bool;
   auto waitForTarget(TimePoint Now) -> void;
   /// Time at which the first target that could run the request ends its pause,
   /// or nothing if one does not pause or the key may be moved before.
@@ -102,6 +105,7 @@
   auto retryOr(RetryReason Cause, RefusalReason Otherwise) -> void;
   auto abandonHop(const HopPtr &CurrentHop) -> void;
   auto abandonHops() -> void;
+  auto removeHop(const HopPtr &CurrentHop) -> void;
   auto onDeadline() -> void;
   auto monitored() const -> MonitoredRequest;
   auto refuse(RefusalReason Reason) -> void;
--- a/tests/unit/CrashingRequestTest.cpp
+++ b/tests/unit/CrashingRequestTest.cpp
@@ -37,7 +37,7 @@
             if (Request.find("safe/deadly") != std::string::npos)
               return OnDeadly(**Slot, To);
             std::this_thread::sleep_for(
-                Request.find("/slow") == std::string::npos ? 0ms : 40ms);
+                Request.find("/slow") == std::string::npos ? 0ms : 50ms);
             return GatewayFixture::answering()(To, Request);
           }));
       *Slot = All.back().get();
@@ -51,6 +51,7 @@
   auto at(std::size_t Index) const -> const ScriptedTarget & {
     return *All.at(Index);
   }
+  auto crashFirst() -> void { All.front()->crash(); }
   auto crashAll() -> void {
     for (const auto &Each : All)
       Each->crash();
@@ -233,3 +234,33 @@
   EXPECT_TRUE(eventually(
       [&] { return Fixture.exchange("GET", "/safe/slow").has(" 200 "); }));
 }
+
+// Guards against the quarantine of a request that only ran beside a deadly one,
+// because both were sent on to the same targets.
+TEST(CrashingRequestTest, SuspectedRequestsRunOnDifferentTargets) {
+  Targets Fleet(4);
+  Targets Idle(1);
+  GatewayFixture Fixture;
+  Fleet.join(Fixture);
+  Fixture.configure(1);
+  ASSERT_TRUE(Fixture.waitUntilServing());
+  std::vector<RawCaller> Callers;
+  for (int Copy = 0; Copy < 16; ++Copy) {
+    const std::string Name = "slow" + std::to_string(Copy);
+    Callers.push_back(Fixture.connect());
+    Callers.back().send(GatewayFixture::request(
+        "GET", "/safe/" + Name, Name + ".", "Connection: close\r\n"));
+  }
+  Fixture.addTarget("pay", "idle", Idle.at(0));
+  std::this_thread::sleep_for(30ms);
+  ASSERT_GE(Fleet.at(0).requests().size(), 3U);
+  Fleet.crashFirst();
+  for (RawCaller &Each : Callers)
+    EXPECT_TRUE(Each.readAll().has(" 200 "));
+  std::size_t Together = 0;
+  for (const std::string &Request : Fleet.at(0).requests()) {
+    const std::string Id = GatewayFixture::requestId(Request);
+    Together += Id.starts_with("slow") ? Idle.received(Id) : 0;
+  }
+  EXPECT_EQ(Together, 1U);
+}
