--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -241,7 +241,7 @@
     TargetRequest Apart = Preference;
     for (const TargetId &Target : Context.Crashes.targetsOfSuspects())
       Apart.ExcludedTargets.push_back(Target);
-    const TargetSelection Selected = Context.Targets.select(Apart, Now);
+    TargetSelection Selected = Context.Targets.select(Apart, Now);
     if (Selected.Target)
       return Selected;
   }
