Play requests that crash their targets in the soak

A stand-in target crashes when it begins to run such a request; the fault deadly_request has two to four callers send one again and again, each time to another instance. Checks: not sent more than three times, by undisturbed instances, later than 3 s after its third crash, in and out of contact with the store; other requests, of which some are polled with the same path, are not quarantined.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -10,6 +10,7 @@
 DEADLINE = 3.0
 MEAN_PAUSE = 0.04  # between requests of one caller, seconds, on average
 CONNECT_TIMEOUT = 1.0
+POLLED_SHARE = 0.2      # share of the safe requests that come again
 WITHDRAWN_SHARE = 0.03  # share of the requests with a withdrawn secret
 
 
@@ -57,10 +58,15 @@
             # Only this workspace's secrets are withdrawn.
             workspace, secret = "acme", self.random.choice(withdrawn)
         key = self.random.choice(KEYS) if route == "owned" else None
-        number = len(self.soak.invariants.attempts) + 1
         body = b"x" * self.random.randint(1, 300) if route == "unsafe" else b""
-        created = Attempt(number, route, self.instance, workspace, secret, key,
-                          body)
+        polled = route == "safe" and self.random.random() < POLLED_SHARE
+        return self.register(
+            route, workspace, secret, key, body,
+            f"/safe/polled-{self.random.randrange(3)}" if polled else None)
+
+    def register(self, *content):
+        number = len(self.soak.invariants.attempts) + 1
+        created = Attempt(number, self.instance, *content)
         self.soak.invariants.attempts[created.id] = created
         return created
 
@@ -74,7 +80,7 @@
                 fields["Shard-Key"] = each.key
             method = "POST" if each.route == "unsafe" else "GET"
             self.writer.write(message(
-                f"{method} /{each.route}/{each.id} HTTP/1.1", fields,
+                f"{method} {each.path} HTTP/1.1", fields,
                 each.body))
         if self.random.random() < 0.02:
             return self.close()  # The caller aborts its requests.
@@ -102,6 +108,7 @@
         invariants.on_response(attempt, int(status_line.split(" ")[1]), fields,
                                body, fields.get("response-signature"),
                                body_for(attempt.id))
+        self.soak.deadly.check_refusal(attempt, fields.get("btr-refusal"))
         self.soak.notices.on_response(attempt,
                                       fields.get("response-signature"))
         if fields.get("connection", "").lower() == "close":
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -268,6 +268,10 @@
     if target is None:
         return
     soak.targets.end(target)
+    await restart_target(soak, target)
+
+
+async def restart_target(soak, target):
     keeps_identity = soak.random.random() < 0.5
     restart_after = soak.random.uniform(0.2, 3)
     if restart_after > RECORD_EXPIRY or not keeps_identity:
@@ -282,6 +286,11 @@
                            target.data_centre)
 
 
+async def deadly_request(soak):
+    await soak.deadly.send_repeatedly(soak.random.uniform(7, 14),
+                                      soak.random.randint(2, 4))
+
+
 async def replace_target(soak):
     target = soak.targets.pick()
     if target is None:
@@ -334,7 +343,7 @@
     slow_store_link, disconnect_from_store, disconnect_from_store,
     blackhole_store_connections, blackhole_target, reset_targets,
     blackhole_target_connections, crash_target, crash_target, replace_target,
-    replace_target, move_route, withdraw_key, evacuate)] + [
+    replace_target, move_route, withdraw_key, evacuate, deadly_request)] + [
         ("target_slow", attribute_fault(None, "slowdown", 5.0, 1.0)),
         ("target_fails", attribute_fault(None, "error_share", 0.6, 0.0)),
         ("target_loses_responses", attribute_fault(
--- a/bench/soak/invariants.py
+++ b/bench/soak/invariants.py
@@ -19,8 +19,10 @@
 class Attempt:
     """One request as sent by a caller."""
 
-    def __init__(self, number, route, instance, workspace, secret, key, body):
+    def __init__(self, number, instance, route, workspace, secret, key, body,
+                 path=None):
         self.id = f"a{number}"
+        self.path = path or f"/{route}/{self.id}"
         self.route, self.instance = route, instance.name
         self.process = instance.process_id()
         self.workspace, self.secret = workspace, secret
@@ -85,7 +87,7 @@
         if attempt is None:
             return self.report("unknown-request", f"{path} without a known id")
         context = f"{attempt.id} {path} at {target.id} from {attempt.instance}"
-        if path != f"/{attempt.route}/{attempt.id}" or body != attempt.body:
+        if path != attempt.path or body != attempt.body:
             self.report("unknown-request", f"{context}: path or body altered")
         if "api-key" in fields or fields.get("tenant") != attempt.workspace:
             self.report("workspace", f"{context}: {fields.get('tenant')}")
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -22,6 +22,7 @@
 import time
 
 from callers import Caller
+from deadly import Deadly
 from faults import FAULTS, Targets
 from instance_log import InstanceLog
 from invariants import Invariants
@@ -156,7 +157,7 @@
         self.build, self.folder = options.build, folder
         self.free_ports = free_ports(400)
         self.invariants = Invariants()
-        self.notices = Notices(self)
+        self.notices, self.deadly = Notices(self), Deadly(self)
         self.store = Store(self.ports(1)[0], self.random)
         self.instances = [Instance(self, n) for n in range(options.instances)]
         self.targets = Targets(self, DATA_CENTRES)
--- a/bench/soak/targets.py
+++ b/bench/soak/targets.py
@@ -213,12 +213,14 @@
 
     async def execute(self, writer, fields, path, body, attempt):
         self.soak.invariants.on_run(self, fields, path, body)
+        record = self.soak.invariants.attempts.get(attempt)
+        if self.soak.deadly.on_run(self, path, record):
+            return False
         random = self.soak.random
         await asyncio.sleep(self.service_time * self.slowdown
                             * random.uniform(0.6, 1.4))
         if not self.up or random.random() < self.response_loss:
             return False
-        record = self.soak.invariants.attempts.get(attempt)
         failed = random.random() < self.error_share
         head = {"Attempt-Id": attempt, "Backend-Load": self.load(),
                 "Response-Signature": signature(self.id, attempt),
