Let a cleared crash be cleared at all instances

Ages leave out the delay of a message. Where a crash and the completion of the request lay within some tens of milliseconds, instances took different ones for the later event, and those that suspected nobody do not tell of further completions. The request then stayed suspected at some and was repeated in all reports whose digest differed, for up to ten minutes. An instance that knows the crash to be cleared now counts its completion as the later one and says so.

Log lines name fingerprints in one way.

--- a/lib/Fleet/CrashSuspects.cpp
+++ b/lib/Fleet/CrashSuspects.cpp
@@ -3,6 +3,9 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
+#include <cinttypes>
+#include <cstdio>
 #include <functional>
 #include <limits>
 #include <string>
@@ -40,6 +43,12 @@
   return hash(Body, hash(CallerKey, hash(Path, hash(Method, 0))));
 }
 
+auto CrashSuspects::fingerprintText(std::uint64_t Request) -> std::string {
+  std::array<char, 17> Text{};
+  std::snprintf(Text.data(), Text.size(), "%016" PRIx64, Request);
+  return Text.data();
+}
+
 auto CrashSuspects::incarnation(std::string_view Target,
                                 std::int64_t StartedAtMs,
                                 std::string_view Address) -> std::uint64_t {
@@ -65,6 +74,13 @@
   return Latest;
 }
 
+auto CrashSuspects::Suspect::cleared(std::uint64_t Incarnation,
+                                     TimePoint CrashedAt) const -> bool {
+  const auto Known = Crashes.find(Incarnation);
+  return CrashedAt <= CompletedAt ||
+         (Known != Crashes.end() && Known->second <= CompletedAt);
+}
+
 auto CrashSuspects::Suspect::add(std::uint64_t Incarnation, TimePoint CrashedAt)
     -> bool {
   if (Crashes.contains(Incarnation))
@@ -167,17 +183,22 @@
 }
 
 auto CrashSuspects::completionsMissingIn(const SuspectNotice &Told,
-                                         TimePoint Now) const -> SuspectNotice {
+                                         TimePoint Now) -> SuspectNotice {
   SuspectNotice Out;
   for (const SuspectNotice::Suspect &Item : Told.Suspects) {
-    const Suspect *Known = find(Item.Request);
-    const auto Cleared = [&](const auto &Crash) {
-      return Item.counts(Crash.second) &&
-             timeOf(Crash.second, Now) <= Known->CompletedAt;
-    };
-    if (Known &&
-        std::any_of(Item.CrashAgesMs.begin(), Item.CrashAgesMs.end(), Cleared))
-      Out.Suspects.push_back(notice(Item.Request, *Known, Now));
+    const auto Found = Suspects.find(Item.Request);
+    if (Found == Suspects.end())
+      continue;
+    TimePoint ClearedUntil = LongAgo;
+    for (const auto &[Incarnation, AgeMs] : Item.CrashAgesMs)
+      if (Item.counts(AgeMs) &&
+          Found->second.cleared(Incarnation, timeOf(AgeMs, Now)))
+        ClearedUntil = std::max(ClearedUntil, timeOf(AgeMs, Now));
+    if (ClearedUntil == LongAgo)
+      continue;
+    Found->second.CompletedAt =
+        std::max(Found->second.CompletedAt, ClearedUntil);
+    Out.Suspects.push_back(notice(Item.Request, Found->second, Now));
   }
   return Out;
 }
--- a/lib/Fleet/CrashSuspects.h
+++ b/lib/Fleet/CrashSuspects.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
@@ -67,6 +68,8 @@
   static auto fingerprint(std::string_view Method, std::string_view Path,
                           std::string_view CallerKey, std::string_view Body)
       -> std::uint64_t;
+  /// Returns the fingerprint as log lines name it.
+  static auto fingerprintText(std::uint64_t Request) -> std::string;
   /// Identifies an incarnation of a target, by its id, start and address.
   static auto incarnation(std::string_view Target, std::int64_t StartedAtMs,
                           std::string_view Address) -> std::uint64_t;
@@ -96,8 +99,10 @@
   /// completed() or merge().
   auto takeChanges(TimePoint Now) -> SuspectNotice;
   /// Returns the requests of a notice with crashes that a completion known here
-  /// has cleared, but not to the sender.
-  auto completionsMissingIn(const SuspectNotice &Told, TimePoint Now) const
+  /// has cleared, but not to the sender. Where the delay of messages has made
+  /// the sender take the crash for the later one, the completion counts as the
+  /// later one from now on.
+  auto completionsMissingIn(const SuspectNotice &Told, TimePoint Now)
       -> SuspectNotice;
   /// Returns the most accused requests, at most \p Limit.
   auto active(std::size_t Limit, TimePoint Now) const -> SuspectNotice;
@@ -117,6 +122,8 @@
     auto counts(TimePoint CrashedAt, TimePoint Now) const -> bool;
     auto crashCount(TimePoint Now) const -> std::size_t;
     auto latestCrash() const -> TimePoint;
+    /// Whether the crash of a notice is known to be before the completion.
+    auto cleared(std::uint64_t Incarnation, TimePoint CrashedAt) const -> bool;
     auto add(std::uint64_t Incarnation, TimePoint CrashedAt) -> bool;
   };
 
--- a/lib/Gateway/CrashMonitor.cpp
+++ b/lib/Gateway/CrashMonitor.cpp
@@ -7,9 +7,6 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
-#include <array>
-#include <cinttypes>
-#include <cstdio>
 #include <set>
 
 namespace buckthornring {
@@ -35,12 +32,6 @@
                                     Target.Address);
 }
 
-auto hexText(std::uint64_t Value) -> std::string {
-  std::array<char, 17> Text{};
-  std::snprintf(Text.data(), Text.size(), "%016" PRIx64, Value);
-  return Text.data();
-}
-
 auto takeOne(std::unordered_map<std::uint64_t, std::uint32_t> &Counts,
              std::uint64_t Key) -> void {
   const auto Found = Counts.find(Key);
@@ -200,7 +191,8 @@
                    .field("id", Request.Id)
                    .field("path", Request.Path)
                    .field("workspace", Request.Workspace.str())
-                   .field("fingerprint", hexText(Request.Fingerprint))
+                   .field("fingerprint",
+                          CrashSuspects::fingerprintText(Request.Fingerprint))
                    .field("target", Target)
                    .field("crashes", Suspects.crashes(Request.Fingerprint, Now))
                    .field("quarantine_ms",
--- a/lib/Gateway/SuspectExchange.cpp
+++ b/lib/Gateway/SuspectExchange.cpp
@@ -90,11 +90,12 @@
     if (Crashes == CrashesBefore[Index])
       continue;
     ++Learned;
-    Context.Events.write(EventLine("suspect-learned")
-                             .field("fingerprint", Request)
-                             .field("crashes", Crashes)
-                             .field("crashes_before", CrashesBefore[Index])
-                             .field("from", From));
+    Context.Events.write(
+        EventLine("suspect-learned")
+            .field("fingerprint", CrashSuspects::fingerprintText(Request))
+            .field("crashes", Crashes)
+            .field("crashes_before", CrashesBefore[Index])
+            .field("from", From));
   }
   return true;
 }
--- a/tests/unit/CrashSuspectsTest.cpp
+++ b/tests/unit/CrashSuspectsTest.cpp
@@ -186,6 +186,22 @@
   EXPECT_TRUE(Table.completionsMissingIn(Told, Now).Suspects.empty());
 }
 
+// Guards against instances that disagree for minutes, and repeat the request in
+// all their reports, because one took the crash for the later event.
+TEST(CrashSuspectsTest, CrashThatIsClearedAtOneInstanceIsClearedAtAll) {
+  CrashSuspects Table;
+  Table.accuse(Innocent, 1, Start);
+  Table.completed(Innocent, Start + milliseconds(5));
+  CrashSuspects Late;
+  Late.accuse(Innocent, 1, Start + milliseconds(30));
+  const TimePoint Now = Start + seconds(1);
+  const SuspectNotice Missing =
+      Table.completionsMissingIn(Late.active(1, Now), Now);
+  ASSERT_EQ(Missing.Suspects.size(), 1U);
+  EXPECT_TRUE(Late.merge(Missing, Now + milliseconds(10)));
+  EXPECT_EQ(Late.verdict(Innocent, Now + milliseconds(10)), Verdict::Clear);
+}
+
 TEST(CrashSuspectsTest, ObservationsAreReportedAndNoticesAreNot) {
   CrashSuspects Table;
   std::vector<CrashSuspects::Change> Changes;
--- a/tests/unit/SuspectExchangeTest.cpp
+++ b/tests/unit/SuspectExchangeTest.cpp
@@ -336,6 +336,9 @@
     Fleet.run(seconds(3));
     EXPECT_EQ(Fleet.agreeing(Deadly, Verdict::Quarantined), Fleet.size());
     for (std::uint64_t Request = Innocent; Request < Innocent + 4; ++Request) {
+      EXPECT_EQ(Fleet.agreeing(Request, Fleet.verdict(0, Request)),
+                Fleet.size())
+          << Request;
       Fleet.completeAtOne(Request);
       Fleet.run(seconds(3));
       EXPECT_EQ(Fleet.agreeing(Request, Verdict::Clear), Fleet.size())
