Give the keys of a target whose clock went back to it in the end

Keys could stay without an owner for good: a target that restarts after its clock was set back has a record that is older than the recorded ranges, and was left out of every plan. With no other target its service had no owner any more. Found by review.

An older record now counts only while the later incarnation may still hold keys: its grants end, and nobody renews them. The test failed before.

--- a/lib/Fleet/RangeAssigner.cpp
+++ b/lib/Fleet/RangeAssigner.cpp
@@ -276,14 +276,20 @@
          Incarnation->second > Range.PreviousOwnerStartedAt;
 }
 
-auto RangeAssigner::recordedLater(const PlanTarget &Target) const -> bool {
-  return std::any_of(Current.Ranges.begin(), Current.Ranges.end(),
-                     [&](const KeyRange &Range) {
-                       return (Range.Owner == Target.Id &&
-                               Range.OwnerStartedAt > Target.StartedAt) ||
-                              (Range.PreviousOwner == Target.Id &&
-                               Range.PreviousOwnerStartedAt > Target.StartedAt);
-                     });
+auto RangeAssigner::recordedLater(const PlanTarget &Target, TimePoint Now) const
+    -> bool {
+  for (std::size_t Index = 0; Index < Current.Ranges.size(); ++Index) {
+    const KeyRange &Range = Current.Ranges[Index];
+    const State &RangeState = States[Index];
+    if (Range.Owner == Target.Id && Range.OwnerStartedAt > Target.StartedAt &&
+        Now <= RangeState.HoldEnd)
+      return true;
+    if (Range.PreviousOwner == Target.Id &&
+        Range.PreviousOwnerStartedAt > Target.StartedAt &&
+        Now <= RangeState.PreviousHoldEnd)
+      return true;
+  }
+  return false;
 }
 
 auto RangeAssigner::movable(const KeyRange &Range, const State &RangeState,
@@ -311,7 +317,7 @@
   if (unconfirmed())
     return confirmRecord(Now);
   std::erase_if(CurrentView.Targets, [&](const PlanTarget &Target) {
-    return unresponsive(Target.Id, Now) || recordedLater(Target);
+    return unresponsive(Target.Id, Now) || recordedLater(Target, Now);
   });
   const auto Movable = [&](const KeyRange &Range) {
     for (std::size_t Index = 0; Index < Current.Ranges.size(); ++Index)
--- a/lib/Fleet/RangeAssigner.h
+++ b/lib/Fleet/RangeAssigner.h
@@ -220,8 +220,9 @@
   }
   /// Whether the record of the previous owner shows a later incarnation.
   auto restarted(const KeyRange &Range) const -> bool;
-  /// Whether the ranges name a later incarnation of the target than its record.
-  auto recordedLater(const PlanTarget &Target) const -> bool;
+  /// Whether the ranges name a later incarnation of the target than its record,
+  /// which may still hold keys.
+  auto recordedLater(const PlanTarget &Target, TimePoint Now) const -> bool;
   auto movable(const KeyRange &Range, const State &RangeState,
                TimePoint Now) const -> bool;
   auto stateOf(const RangeRecord &Record, const KeyRange &Range) const -> State;
--- a/tests/unit/RangeAssignerTest.cpp
+++ b/tests/unit/RangeAssignerTest.cpp
@@ -93,4 +93,22 @@
   }
 }
 
+// Guards against keys without an owner for good: the clock of the only target
+// went back between two lives, so its record is older than the ranges for ever.
+TEST(RangeAssignerTest, OlderRecordOfTheOnlyTargetGetsItsKeysInTheEnd) {
+  LeaderDouble Leader(recordOf("a", 20));
+  const auto View = viewOf({target("a", 10)});
+  const TimePoint EarlierLeaderEnd =
+      Start + RangeTimes().AuthorityPeriod + RangeTimes().maxHoldPeriod();
+  TimePoint Now = Start;
+  for (; Now <= EarlierLeaderEnd; Now += milliseconds(250)) {
+    Leader.plan(View, Now);
+    EXPECT_FALSE(Leader.grant("a", Now)) << (Now - Start).count();
+  }
+  Leader.plan(View, Now);
+  Now += milliseconds(250);
+  Leader.plan(View, Now);
+  EXPECT_TRUE(Leader.grant("a", Now));
+}
+
 } // namespace
