--- a/tests/unit/CrashingRequestTest.cpp
+++ b/tests/unit/CrashingRequestTest.cpp
@@ -235,6 +235,31 @@
       [&] { return Fixture.exchange("GET", "/safe/slow").has(" 200 "); }));
 }
 
+// Guards against copies of a deadly request that crash their targets in the
+// same moment: that counted as a common cause, and their retries crashed as
+// many.
+TEST(CrashingRequestTest, CopiesThatCrashTheirTargetsTogetherAreSuspected) {
+  constexpr std::size_t Copies = 4;
+  Targets Fleet(3 * Copies);
+  GatewayFixture Fixture;
+  Fleet.join(Fixture);
+  Fixture.configure(1);
+  ASSERT_TRUE(Fixture.waitUntilServing());
+  std::vector<RawCaller> Callers;
+  for (std::size_t Copy = 0; Copy < Copies; ++Copy) {
+    Callers.push_back(Fixture.connect());
+    Callers.back().send(GatewayFixture::request("GET", "/safe/deadly",
+                                                "d" + std::to_string(Copy),
+                                                "Connection: close\r\n"));
+  }
+  for (RawCaller &Each : Callers)
+    Each.readAll();
+  for (int Later = 0; Later < 6; ++Later)
+    Fixture.exchange("GET", "/safe/deadly");
+  // Those that ran it at first, and two further ones before the quarantine.
+  EXPECT_LE(Fleet.crashed(), static_cast<std::ptrdiff_t>(Copies) + 2);
+}
+
 // Guards against the quarantine of a request that only ran beside a deadly one,
 // because both were sent on to the same targets.
 TEST(CrashingRequestTest, SuspectedRequestsRunOnDifferentTargets) {
