Do not copy the texts of requests whose end is of no interest

Each response copied the id, path and workspace of its request for the crash monitor, which needs them only for requests that are accused or being looked into. The fingerprint alone now decides that. The three checks for an accused request are one function. No change of behaviour.

--- a/lib/Gateway/CrashMonitor.cpp
+++ b/lib/Gateway/CrashMonitor.cpp
@@ -175,6 +175,11 @@
   }
 }
 
+auto CrashMonitor::watches(std::uint64_t Request) const -> bool {
+  return Questioned.contains(Request) ||
+         Suspects.crashes(Request, bootNow()) > 0;
+}
+
 auto CrashMonitor::exchangeCompleted(const MonitoredRequest &Request) -> void {
   const TimePoint Now = bootNow();
   if (Questioned.contains(Request.Fingerprint))
--- a/lib/Gateway/CrashMonitor.h
+++ b/lib/Gateway/CrashMonitor.h
@@ -70,6 +70,9 @@
   /// that started at \p StartedAtMs.
   auto exchangeLost(const TargetPtr &Target, std::int64_t StartedAtMs,
                     MonitoredRequest Request) -> void;
+  /// Whether the end of the request at a target is of interest to
+  /// exchangeCompleted().
+  auto watches(std::uint64_t Request) const -> bool;
   /// A target has run the request to its end.
   auto exchangeCompleted(const MonitoredRequest &Request) -> void;
 
--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -249,8 +249,12 @@
 }
 
 auto RequestFlow::suspected(TimePoint Now) const -> bool {
-  return LostExchanges > 0 || Context.Suspects.verdict(Fingerprint, Now) !=
-                                  CrashSuspects::Verdict::Clear;
+  return LostExchanges > 0 || accused(Now);
+}
+
+auto RequestFlow::accused(TimePoint Now) const -> bool {
+  return Context.Suspects.verdict(Fingerprint, Now) !=
+         CrashSuspects::Verdict::Clear;
 }
 
 auto RequestFlow::selectOwner(TimePoint Now) -> TargetSelection {
@@ -457,8 +461,7 @@
 
 auto RequestFlow::sendHedge() -> void {
   const TimePoint Now = bootNow();
-  if (Context.Suspects.verdict(Fingerprint, Now) !=
-      CrashSuspects::Verdict::Clear)
+  if (accused(Now))
     return;
   const TargetSelection Selected = selectTarget(Now);
   // A hedge helps only on a target that can run it at once.
@@ -520,7 +523,7 @@
   if (Rejected)
     return onRejected(CurrentHop, Response);
   // A target that gave up at the deadline has not run the request to its end.
-  if (Response.Status != GatewayTimeout)
+  if (Response.Status != GatewayTimeout && Context.Crashes.watches(Fingerprint))
     Context.Crashes.exchangeCompleted(monitored());
   if (Response.Status < 500) {
     Context.Targets.answered(*CurrentHop->Target, Latency);
@@ -586,8 +589,7 @@
   abandonHop(CurrentHop);
   if (!ActiveHops.empty())
     return;
-  if (LostExchanges > 1 && Context.Suspects.verdict(Fingerprint, bootNow()) !=
-                               CrashSuspects::Verdict::Clear)
+  if (LostExchanges > 1 && accused(bootNow()))
     return refuse(RefusalReason::ConnectionLost);
   // A malformed response is counted as ConnectionLost too.
   if (Idempotent && tryTakeRetry(bootNow())) {
--- a/lib/Gateway/RequestFlow.h
+++ b/lib/Gateway/RequestFlow.h
@@ -63,6 +63,8 @@
   auto selectOwner(TimePoint Now) -> TargetSelection;
   /// Whether a target has crashed, or may have, while it ran the request.
   auto suspected(TimePoint Now) const -> bool;
+  /// Whether targets have crashed while they ran it, or a copy of it.
+  auto accused(TimePoint Now) const -> bool;
   auto waitForTarget(TimePoint Now) -> void;
   /// Time at which the first target that could run the request ends its pause,
   /// or nothing if one does not pause or the key may be moved before.
