Check the range of integers from outside in one place

Target records and messages between instances each had a check of their own for numbers that Json::get would convert to others. Only the text of the exception differs.

--- a/lib/Common/JsonText.h
+++ b/lib/Common/JsonText.h
@@ -5,8 +5,10 @@
 #include <nlohmann/json.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace buckthornring {
@@ -22,6 +24,22 @@
 /// The same for CBOR, whose decoder is recursive too.
 auto parseCbor(std::string_view Bytes) -> Result<nlohmann::json>;
 
+/// Returns an integer of a JSON or CBOR value. Throws Json::exception if the
+/// value is none or out of the type's range, where Json::get would convert it
+/// to another number.
+template <class Integer>
+auto integer(const nlohmann::json &Value) -> Integer {
+  const bool InRange =
+      Value.is_number_unsigned()
+          ? std::in_range<Integer>(Value.get<std::uint64_t>())
+          : Value.is_number_integer() &&
+                std::in_range<Integer>(Value.get<std::int64_t>());
+  if (!InRange)
+    throw nlohmann::json::other_error::create(501, "no integer in range",
+                                              &Value);
+  return Value.get<Integer>();
+}
+
 /// One member of a JSON object. The value is not parsed yet.
 struct JsonMember {
   std::string_view Name; ///< As written, with its escapes.
--- a/lib/Fleet/FleetMessage.cpp
+++ b/lib/Fleet/FleetMessage.cpp
@@ -6,7 +6,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace buckthornring {
@@ -116,33 +115,18 @@
   return Out;
 }
 
-auto decodeUnsigned(const Json &Value, std::uint64_t Max) -> std::uint64_t {
-  if (!Value.is_number_unsigned() || Value.get<std::uint64_t>() > Max)
-    throw Json::type_error::create(302, "number out of range", &Value);
-  return Value.get<std::uint64_t>();
-}
-
-auto decodeAge(const Json &Value) -> std::uint32_t {
-  return static_cast<std::uint32_t>(
-      decodeUnsigned(Value, std::numeric_limits<std::uint32_t>::max()));
-}
-
-auto decodeNumber(const Json &Value) -> std::uint64_t {
-  return decodeUnsigned(Value, std::numeric_limits<std::uint64_t>::max());
-}
-
 auto decodeSuspect(const Json &Value) -> SuspectNotice::Suspect {
   SuspectNotice::Suspect Suspect;
-  Suspect.Request = decodeNumber(Value.at(0));
+  Suspect.Request = integer<std::uint64_t>(Value.at(0));
   const Json &Crashes = Value.at(1);
   if (!Crashes.is_array() || Crashes.size() > 2 * MaxCrashesInMessage ||
       Value.size() > 3)
     throw Json::type_error::create(302, "suspect is too large", &Value);
   for (std::size_t Index = 0; Index < Crashes.size(); Index += 2)
-    Suspect.CrashAgesMs[decodeNumber(Crashes.at(Index))] =
-        decodeAge(Crashes.at(Index + 1));
+    Suspect.CrashAgesMs[integer<std::uint64_t>(Crashes.at(Index))] =
+        integer<std::uint32_t>(Crashes.at(Index + 1));
   if (Value.size() == 3)
-    Suspect.CompletedAgeMs = decodeAge(Value.at(2));
+    Suspect.CompletedAgeMs = integer<std::uint32_t>(Value.at(2));
   return Suspect;
 }
 
@@ -167,7 +151,7 @@
 template <class Message>
 auto readSuspects(const Json &Value, Message &To) -> void {
   if (Value.contains("v"))
-    To.SuspectsDigest = decodeNumber(Value.at("v"));
+    To.SuspectsDigest = integer<std::uint64_t>(Value.at("v"));
   if (Value.contains("u"))
     To.Suspects = decodeSuspects(Value.at("u"));
 }
