--- a/tests/support/FleetPeer.h
+++ b/tests/support/FleetPeer.h
@@ -9,15 +9,34 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace buckthornring::test {
 
+/// Opens a peer socket on a free port and sets \p Address to its address.
+inline auto openPeerSocket(boost::asio::io_context &Io, std::string &Address,
+                           PeerSocket::Handler OnMessage)
+    -> std::unique_ptr<PeerSocket> {
+  boost::asio::ip::udp::socket Probe(
+      Io, {boost::asio::ip::address_v4::loopback(), 0});
+  Address = "127.0.0.1:" + std::to_string(Probe.local_endpoint().port());
+  Probe.close();
+  return PeerSocket::open(Io, Address, std::move(OnMessage)).value();
+}
+
 /// Another instance of the fleet, as far as its messages go. Keeps what it
 /// receives.
 class FleetPeer {
 public:
-  explicit FleetPeer(const std::string &DataCentre) : Socket(open()) {
+  explicit FleetPeer(const std::string &DataCentre)
+      : Socket(openPeerSocket(
+            Io, Address,
+            [this](const FleetMessage &Message, const std::string &From) {
+              const std::lock_guard Guard(Mutex);
+              LastSender = From;
+              Received.push_back(Message);
+            })) {
     Report.Instance = InstanceId("peer-" + Address);
     Report.Process = Address;
     Report.DataCentre = DataCentreId(DataCentre);
@@ -59,21 +78,6 @@
   }
 
 private:
-  auto open() -> std::unique_ptr<PeerSocket> {
-    boost::asio::ip::udp::socket Probe(
-        Io, {boost::asio::ip::address_v4::loopback(), 0});
-    Address = "127.0.0.1:" + std::to_string(Probe.local_endpoint().port());
-    Probe.close();
-    return PeerSocket::open(
-               Io, Address,
-               [this](const FleetMessage &Message, const std::string &From) {
-                 const std::lock_guard Guard(Mutex);
-                 LastSender = From;
-                 Received.push_back(Message);
-               })
-        .value();
-  }
-
   boost::asio::io_context Io;
   std::string Address;
   FleetReport Report;
--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -470,6 +470,16 @@
     EXPECT_GE(Range.Fence, Record.NextFence + (1 << 20));
 }
 
+/// Sends the grant to the target that is due, if any, which ends at once with
+/// the outcome. Returns whether one was due.
+auto sendGrant(RangeAssigner &Leader, const TargetId &Id, TimePoint ConfirmedAt,
+               TimePoint Now, RangeOrderOutcome Outcome) -> bool {
+  const auto Order = Leader.nextGrant(Id, ConfirmedAt, Now);
+  if (Order)
+    Leader.onOrderEnded(*Order, Outcome, "", Now);
+  return Order.has_value();
+}
+
 // Guards against a leader that goes on in a restored store beside the authority
 // of a later one: that one moved keys from an owner which only the first
 // reaches, and whose token it therefore still accepts.
@@ -482,26 +492,19 @@
   }
   const TargetId First = Record.Ranges.front().Owner;
   const TargetId Second = View.Targets[View.Targets[0].Id == First ? 1 : 0].Id;
-  const auto Grant = [](RangeAssigner &Leader, const TargetId &Id,
-                        TimePoint ConfirmedAt, TimePoint Now,
-                        RangeOrderOutcome Outcome) {
-    const auto Order = Leader.nextGrant(Id, ConfirmedAt, Now);
-    if (Order)
-      Leader.onOrderEnded(*Order, Outcome, "", Now);
-    return Order.has_value();
-  };
   RangeAssigner Earlier(65'536, RangeTimes());
   Earlier.takeOver(Record, 7, Start);
   Earlier.writeDone(8, Start);
-  ASSERT_TRUE(Grant(Earlier, First, Start, Start, RangeOrderOutcome::Accepted));
+  ASSERT_TRUE(
+      sendGrant(Earlier, First, Start, Start, RangeOrderOutcome::Accepted));
   RangeAssigner Later(65'536, RangeTimes());
   Later.takeOver(Earlier.record(), 8, Start + milliseconds(1300));
   Later.writeDone(9, Start + milliseconds(1300));
   const TimePoint RestoredAt = Start + milliseconds(9000);
   for (TimePoint Now = Start + milliseconds(1400); Now < RestoredAt;
        Now += milliseconds(100)) {
-    Grant(Earlier, First, Start, Now, RangeOrderOutcome::Accepted);
-    Grant(Later, First, Now, Now, RangeOrderOutcome::NotSent);
+    sendGrant(Earlier, First, Start, Now, RangeOrderOutcome::Accepted);
+    sendGrant(Later, First, Now, Now, RangeOrderOutcome::NotSent);
     Later.plan(View, KeyLoad(), Now);
     if (Later.pendingWrite())
       Later.writeDone(Later.revision() + 1, Now);
@@ -512,10 +515,10 @@
   TimePoint HeldUntil = Start;
   for (TimePoint Now = RestoredAt + milliseconds(600);
        Now < RestoredAt + milliseconds(10'000); Now += milliseconds(100)) {
-    if (Grant(Earlier, First, Now, Now, RangeOrderOutcome::Accepted))
+    if (sendGrant(Earlier, First, Now, Now, RangeOrderOutcome::Accepted))
       HeldUntil = Now + RangeTimes().HoldPeriod;
     const bool Granted =
-        Grant(Later, Second, RestoredAt, Now, RangeOrderOutcome::Accepted);
+        sendGrant(Later, Second, RestoredAt, Now, RangeOrderOutcome::Accepted);
     ASSERT_TRUE(!Granted || Now > HeldUntil);
   }
 }
@@ -536,10 +539,8 @@
   Assigner.takeOver(Record, 7, Start);
   Assigner.writeDone(8, Start);
   const auto Renewed = [&](TimePoint ConfirmedAt, TimePoint Now) {
-    const auto Order = Assigner.nextGrant(Owner, ConfirmedAt, Now);
-    if (Order)
-      Assigner.onOrderEnded(*Order, RangeOrderOutcome::Accepted, "", Now);
-    return Order.has_value();
+    return sendGrant(Assigner, Owner, ConfirmedAt, Now,
+                     RangeOrderOutcome::Accepted);
   };
   ASSERT_TRUE(Renewed(Start, Start));
   const TimePoint Returned = Start + milliseconds(5000);
@@ -569,10 +570,8 @@
   Assigner.takeOver(Record, 7, Start);
   Assigner.writeDone(8, Start);
   const auto Renewed = [&](TimePoint ConfirmedAt, TimePoint Now) {
-    const auto Order = Assigner.nextGrant(Owner, ConfirmedAt, Now);
-    if (Order)
-      Assigner.onOrderEnded(*Order, RangeOrderOutcome::Accepted, "", Now);
-    return Order.has_value();
+    return sendGrant(Assigner, Owner, ConfirmedAt, Now,
+                     RangeOrderOutcome::Accepted);
   };
   ASSERT_TRUE(Renewed(Start, Start));
   const TimePoint First = Start + milliseconds(9500);
--- a/tests/unit/OutdatedConfigurationTest.cpp
+++ b/tests/unit/OutdatedConfigurationTest.cpp
@@ -1,4 +1,4 @@
-#include "Gateway/PeerSocket.h"
+#include "support/FleetPeer.h"
 #include "support/GatewayFixture.h"
 
 #include <gtest/gtest.h>
@@ -15,7 +15,14 @@
 /// others have seen.
 class LeaderStandIn {
 public:
-  LeaderStandIn() : Socket(open()), Serving([this] { Io.run(); }) {}
+  LeaderStandIn()
+      : Socket(openPeerSocket(
+            Io, Address,
+            [this](const FleetMessage &Message, const std::string &From) {
+              if (const auto *Report = std::get_if<FleetReport>(&Message))
+                reply(*Report, From);
+            })),
+        Serving([this] { Io.run(); }) {}
   ~LeaderStandIn() {
     Io.stop();
     Serving.join();
@@ -32,19 +39,6 @@
   auto replies() const -> int { return Replies; }
 
 private:
-  auto open() -> std::unique_ptr<PeerSocket> {
-    boost::asio::ip::udp::socket Probe(
-        Io, {boost::asio::ip::address_v4::loopback(), 0});
-    Address = "127.0.0.1:" + std::to_string(Probe.local_endpoint().port());
-    Probe.close();
-    return PeerSocket::open(
-               Io, Address,
-               [this](const FleetMessage &Message, const std::string &From) {
-                 if (const auto *Report = std::get_if<FleetReport>(&Message))
-                   reply(*Report, From);
-               })
-        .value();
-  }
   auto reply(const FleetReport &Report, const std::string &To) -> void {
     FleetReply Reply;
     Reply.Leader = Report.Leader;
--- a/tests/unit/TargetTableTest.cpp
+++ b/tests/unit/TargetTableTest.cpp
@@ -184,6 +184,26 @@
   EXPECT_FALSE(Table.find(TargetId("a")));
 }
 
+/// Requests that an instance sends within one second to the only target, which
+/// is cold.
+auto sentToColdTarget(TargetTable &Table, double Limit) -> int {
+  Table.setColdLimits({{Service, {Limit}}});
+  auto Cold = record("a", LocalDataCentre);
+  Cold.RemainingColdTime = seconds(3);
+  Table.apply(Cold, Start);
+  int Sent = 0;
+  for (int Step = 0; Step < 100; ++Step) {
+    const TimePoint Now = Start + milliseconds(10) * Step;
+    const auto Selection =
+        Table.select({Service, true, milliseconds(400), {}}, Now);
+    if (!Selection.Target)
+      continue;
+    Selection.Target->Sends.add(Now);
+    ++Sent;
+  }
+  return Sent;
+}
+
 /// Returns the number of requests that all instances together send to one cold
 /// target in a second.
 auto coldRequests(std::uint32_t Instances, std::uint32_t LocalInstances)
@@ -197,19 +217,7 @@
     TargetTable Table(Settings, Index);
     Table.setFleetSize({Instances, Index < LocalInstances ? LocalInstances : 1},
                        Start);
-    Table.setColdLimits({{Service, {7.8 * 1.5 + 5}}});
-    auto Cold = record("a", LocalDataCentre);
-    Cold.RemainingColdTime = seconds(3);
-    Table.apply(Cold, Start);
-    for (int Step = 0; Step < 100; ++Step) {
-      const TimePoint Now = Start + milliseconds(10) * Step;
-      const auto Selection =
-          Table.select({Service, true, milliseconds(400), {}}, Now);
-      if (!Selection.Target)
-        continue;
-      Selection.Target->Sends.add(Now);
-      ++Sent;
-    }
+    Sent += sentToColdTarget(Table, 7.8 * 1.5 + 5);
   }
   return Sent;
 }
@@ -257,19 +265,7 @@
         Table.setFleetSize(Before, Start - seconds(60));
       if (Index < Informed || Index >= Joining)
         Table.setFleetSize(After, Start);
-      Table.setColdLimits({{Service, {Limit}}});
-      auto Cold = record("a", LocalDataCentre);
-      Cold.RemainingColdTime = seconds(3);
-      Table.apply(Cold, Start);
-      for (int Step = 0; Step < 100; ++Step) {
-        const TimePoint Now = Start + milliseconds(10) * Step;
-        const auto Selection =
-            Table.select({Service, true, milliseconds(400), {}}, Now);
-        if (!Selection.Target)
-          continue;
-        Selection.Target->Sends.add(Now);
-        ++Sent;
-      }
+      Sent += sentToColdTarget(Table, Limit);
     }
     return Sent;
   };
