--- a/review/standins/Standins.cpp
+++ b/review/standins/Standins.cpp
@@ -296,6 +296,12 @@
   return Out;
 }
 
+auto Stream::readSome() -> std::string {
+  if (Buffer.empty() && fill(65536) != 1)
+    return "";
+  return std::exchange(Buffer, "");
+}
+
 auto Stream::finishSending() -> void { shutdown(Descriptor, SHUT_WR); }
 
 auto Stream::reset() -> void {
@@ -609,8 +615,9 @@
   return true;
 }
 
-auto putConfiguration(Store &Platform, const std::vector<Route> &Routes)
-    -> void {
+auto putConfiguration(Store &Platform, const std::vector<Route> &Routes,
+                      const std::string &Version,
+                      const std::vector<std::string> &Keys) -> void {
   Json Rules = Json::array();
   Json Clusters = Json::array();
   for (const Route &Each : Routes) {
@@ -633,22 +640,69 @@
                         {"warmup_per_s", 7.8},
                         {"sharded", Each.Sharded}});
   }
-  Platform.put(
-      "config", "main",
-      {{"version", "r7"},
-       {"limits",
-        {{"max_header_bytes", 16384},
-         {"max_body_bytes", 67108864},
-         {"header_timeout_s", 3},
-         {"idle_timeout_s", 15}}},
-       {"tenants",
-        {{{"name", "cuka620"}, {"api_keys", {ApiKey}}, {"priority", 1}}}},
-       {"listeners", {{{"host", Host}, {"route_rules", Rules}}}},
-       {"clusters", Clusters}});
-}
-
-Router::Router(const Store &Platform, const std::string &Name,
-               const std::string &Ip, const std::string &Folder)
+  Platform.put("config", "main",
+               {{"version", Version},
+                {"limits",
+                 {{"max_header_bytes", 16384},
+                  {"max_body_bytes", 67108864},
+                  {"header_timeout_s", 3},
+                  {"idle_timeout_s", 15}}},
+                {"tenants",
+                 {{{"name", "cuka620"}, {"api_keys", Keys}, {"priority", 1}}}},
+                {"listeners", {{{"host", Host}, {"route_rules", Rules}}}},
+                {"clusters", Clusters}});
+}
+
+Proxy::Proxy(const std::string &Upstream)
+    : Upstream(Upstream),
+      Server(std::make_unique<Listener>(
+          "127.0.0.1", [this](Stream &Client) { serve(Client); })) {}
+
+auto Proxy::serve(Stream &Client) -> void {
+  const std::shared_ptr<Stream> Target = Stream::connect(Upstream);
+  if (!Target)
+    return;
+  const auto Open = std::make_shared<Link>();
+  {
+    const std::lock_guard Guard(Lock);
+    Links.push_back(Open);
+  }
+  const auto Relay = [&](Stream &From, Stream &To, bool Requests) {
+    for (std::string Part; !(Part = From.readSome()).empty();) {
+      if (Requests) {
+        const std::lock_guard Guard(Lock);
+        Open->LastRequest = Part;
+      }
+      if (!Open->Silent && !To.send(Part))
+        break;
+    }
+    // The end of a connection is data too.
+    while (Open->Silent)
+      sleepFor(1);
+    To.finishSending();
+  };
+  std::thread Back([&] { Relay(*Target, Client, false); });
+  Relay(Client, *Target, true);
+  Back.join();
+}
+
+auto Proxy::silence(const std::string &Text) -> std::pair<int, int> {
+  const std::lock_guard Guard(Lock);
+  std::pair<int, int> Counts{0, 0};
+  for (const auto &Each : Links)
+    if (const auto Open = Each.lock()) {
+      ++Counts.second;
+      if (Open->LastRequest.find(Text) == std::string::npos)
+        continue;
+      Open->Silent = true;
+      ++Counts.first;
+    }
+  return Counts;
+}
+
+Router::Router(const std::string &StoreAddress, const std::string &Name,
+               const std::string &Ip, const std::string &Folder,
+               bool FirstStart)
     : Name(Name), Front(freeAddress(Ip)), Ready(freeAddress(Ip)),
       SettingsPath(Folder + "/" + Name + ".conf"),
       LogPath(Folder + "/" + Name + ".log") {
@@ -658,9 +712,9 @@
                          {"caller_address", Front},
                          {"ready_address", Ready},
                          {"peer_address", freeAddress(Ip)},
-                         {"store_address", Platform.address()},
+                         {"store_address", StoreAddress},
                          {"processor_share", 0.2},
-                         {"first_start", true},
+                         {"first_start", FirstStart},
                          {"bounds",
                           {{"retry_ratio", 0.2},
                            {"retry_slack", 62},
--- a/review/standins/Standins.h
+++ b/review/standins/Standins.h
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <condition_variable>
 #include <cstdint>
@@ -101,6 +102,8 @@
   auto readRequest() -> std::optional<Message>;
   /// Reads a response. Reads at most \p BytesPerSecond; 0: no limit.
   auto readAnswer(double BytesPerSecond = 0) -> Answer;
+  /// Reads whatever comes next; empty: the connection has ended.
+  auto readSome() -> std::string;
   /// Closes the sending side (FIN).
   auto finishSending() -> void;
   auto reset() -> void;
@@ -251,14 +254,44 @@
   double TimeoutSeconds;
   bool Sharded = false;
 };
-auto putConfiguration(Store &Platform, const std::vector<Route> &Routes)
-    -> void;
+/// Writes a version of the configuration in which one tenant holds \p Keys.
+auto putConfiguration(Store &Platform, const std::vector<Route> &Routes,
+                      const std::string &Version = "r7",
+                      const std::vector<std::string> &Keys = {ApiKey}) -> void;
+
+/// Forwards TCP connections to an address.
+class Proxy {
+public:
+  explicit Proxy(const std::string &Upstream);
+  auto address() const -> const std::string & { return Server->address(); }
+  /// Drops all further data on the open connections on which a request that
+  /// contains \p Text was sent last. They stay open, and new ones work. Returns
+  /// how many of the open connections these are, and how many there are.
+  auto silence(const std::string &Text) -> std::pair<int, int>;
+
+private:
+  struct Link {
+    std::atomic<bool> Silent{false};
+    std::string LastRequest; ///< Guarded by the proxy's lock.
+  };
+
+  auto serve(Stream &Client) -> void;
+
+  std::string Upstream;
+  std::mutex Lock;
+  std::vector<std::weak_ptr<Link>> Links;
+  std::unique_ptr<Listener> Server;
+};
 
 /// A process of the deploy file's role.
 class Router {
 public:
+  Router(const std::string &StoreAddress, const std::string &Name,
+         const std::string &Ip, const std::string &Folder,
+         bool FirstStart = true);
   Router(const Store &Platform, const std::string &Name, const std::string &Ip,
-         const std::string &Folder);
+         const std::string &Folder)
+      : Router(Platform.address(), Name, Ip, Folder) {}
 
   auto start() -> void;
   auto signal(int Number) const -> void;
