Decide in one place which request is the last of a caller's connection

Cause: each reason for ending a connection (a response without a length, a drain, a refused head, "Connection: close" of the caller) decided it when a response was serialized, and reading went on until that response had been written. Besides, the time-out of a read cancelled all operations of the socket, also the writing of an earlier response. Ruled out: the end of the process itself; it waits for open sessions.

Change: CallerSession::onLastRequestRead is the only place that decides it. No request is read after it, a read in progress is cancelled by its own signal, and the last response announces the close. A drain calls it at once when requests are in progress. Since requests may now be left unread, input is discarded until the caller has acknowledged the response: closing the socket with unread input would reset the connection.

Before, on: CallerSessionTest.DrainEndsTheConnectionOfAPipeliningCaller (three requests received instead of two, no end), NoRequestIsReadBehindAResponseWithoutLength, NoRequestIsReadBehindTheLastOneOfADrain and ImpatientCallerSessionTest.TimeoutOfAnUploadKeepsEarlierResponses (reset after 113,152 of 16,777,216 bytes) failed.

--- a/lib/Gateway/CallerSession.cpp
+++ b/lib/Gateway/CallerSession.cpp
@@ -3,6 +3,8 @@
 #include "IO/BootClock.h"
 #include "IO/SocketOptions.h"
 
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -71,7 +73,6 @@
 struct CallerSession::State {
   struct PendingResponse {
     std::uint64_t RequestNumber;
-    bool KeepAlive;
     bool HeadOnly;
     std::optional<CallerResponse> Response;
   };
@@ -87,6 +88,7 @@
   asio::steady_timer WriteTimer;
   CallerHandler &Handler;
   RequestLimits Limits;
+  asio::cancellation_signal ReadCancellation;
   boost::beast::flat_buffer Buffer;
   std::optional<Parser> RequestParser;
   std::uint64_t TimerGeneration = 0;
@@ -99,7 +101,9 @@
   bool TimedOut = false;
   bool Writing = false;
   bool Draining = false;
-  bool StopReading = false; ///< No further request is read.
+  /// The last request has been read: none is read after it, and the connection
+  /// is closed after its response.
+  bool LastRequestRead = false;
   bool Ended = false;
 };
 
@@ -127,8 +131,7 @@
             Self->Pimpl->TimerGeneration != Generation)
           return;
         Self->Pimpl->TimedOut = true;
-        error_code Ignored;
-        Self->Pimpl->Socket.cancel(Ignored);
+        Self->cancelRead();
       });
 }
 
@@ -137,8 +140,25 @@
   Pimpl->Timer.cancel();
 }
 
+// The response that is being written is not affected.
+auto CallerSession::cancelRead() -> void {
+  Pimpl->ReadCancellation.emit(asio::cancellation_type::terminal);
+}
+
+auto CallerSession::onLastRequestRead() -> void {
+  if (std::exchange(Pimpl->LastRequestRead, true))
+    return;
+  disarmTimer();
+  // A further request that has arrived in part was not passed on, and its
+  // caller sends it again.
+  if (Pimpl->Reading)
+    cancelRead();
+  else
+    watchForDisconnect();
+}
+
 auto CallerSession::readHead() -> void {
-  if (Pimpl->Ended || Pimpl->StopReading || Pimpl->Reading ||
+  if (Pimpl->Ended || Pimpl->LastRequestRead || Pimpl->Reading ||
       Pimpl->PendingResponses.size() >= MaxPipelinedRequests)
     return;
   Pimpl->Reading = true;
@@ -153,19 +173,33 @@
     disarmTimer();
   http::async_read_header(
       Pimpl->Socket, Pimpl->Buffer, *Pimpl->RequestParser,
-      [Self = shared_from_this()](const error_code &Failure, std::size_t) {
-        State &Current = *Self->Pimpl;
-        Current.Reading = false;
-        if (Current.Ended)
-          return;
-        Self->disarmTimer();
-        if (Current.TimedOut && Failure == asio::error::operation_aborted)
-          return Current.RequestParser->got_some() ? Self->failRead(408)
-                                                   : Self->close(false);
-        if (Failure)
-          return Self->failRead(readErrorStatus(Failure));
-        Self->onHeadRead();
-      });
+      asio::bind_cancellation_slot(
+          Pimpl->ReadCancellation.slot(),
+          [Self = shared_from_this()](const error_code &Failure, std::size_t) {
+            if (!Self->continueReading(Failure))
+              return;
+            State &Current = *Self->Pimpl;
+            Self->disarmTimer();
+            if (Current.TimedOut && Failure == asio::error::operation_aborted)
+              return Current.RequestParser->got_some() ? Self->failRead(408)
+                                                       : Self->close(false);
+            if (Failure)
+              return Self->failRead(readErrorStatus(Failure));
+            Self->onHeadRead();
+          }));
+}
+
+auto CallerSession::continueReading(const error_code &Failure) -> bool {
+  Pimpl->Reading = false;
+  if (Pimpl->Ended)
+    return false;
+  if (!Pimpl->LastRequestRead)
+    return true;
+  if (Failure && Failure != asio::error::operation_aborted)
+    onDisconnected();
+  else
+    watchForDisconnect();
+  return false;
 }
 
 auto CallerSession::onHeadRead() -> void {
@@ -199,17 +233,18 @@
   Pimpl->Reading = true;
   http::async_read(
       Pimpl->Socket, Pimpl->Buffer, *Pimpl->RequestParser,
-      [Self = shared_from_this()](const error_code &Failure, std::size_t) {
-        State &Current = *Self->Pimpl;
-        Current.Reading = false;
-        if (Current.Ended)
-          return;
-        if (Current.TimedOut && Failure == asio::error::operation_aborted)
-          return Self->failRead(408);
-        if (Failure)
-          return Self->failRead(readErrorStatus(Failure));
-        Self->onRequestRead();
-      });
+      asio::bind_cancellation_slot(
+          Pimpl->ReadCancellation.slot(),
+          [Self = shared_from_this()](const error_code &Failure, std::size_t) {
+            if (!Self->continueReading(Failure))
+              return;
+            if (Self->Pimpl->TimedOut &&
+                Failure == asio::error::operation_aborted)
+              return Self->failRead(408);
+            if (Failure)
+              return Self->failRead(readErrorStatus(Failure));
+            Self->onRequestRead();
+          }));
 }
 
 auto CallerSession::onRequestRead() -> void {
@@ -225,13 +260,11 @@
   const std::uint64_t RequestNumber = ++Pimpl->LastRequestNumber;
   const bool KeepAlive = Pimpl->RequestParser->keep_alive();
   Pimpl->PendingResponses.push_back(
-      {RequestNumber, KeepAlive, Request.Head.Method == "HEAD", std::nullopt});
-  if (!KeepAlive)
-    Pimpl->StopReading = true;
+      {RequestNumber, Request.Head.Method == "HEAD", std::nullopt});
+  if (!KeepAlive || Pimpl->Draining)
+    onLastRequestRead();
   Pimpl->Handler.onRequest(shared_from_this(), RequestNumber,
                            std::move(Request));
-  if (!KeepAlive)
-    return watchForDisconnect();
   readHead();
 }
 
@@ -249,10 +282,10 @@
 auto CallerSession::failRead(unsigned Status) -> void {
   if (Status == 0)
     return onDisconnected();
-  Pimpl->StopReading = true;
   const std::uint64_t RequestNumber = ++Pimpl->LastRequestNumber;
   Pimpl->PendingResponses.push_back(
-      {RequestNumber, false, false, Pimpl->Handler.makeErrorResponse(Status)});
+      {RequestNumber, false, Pimpl->Handler.makeErrorResponse(Status)});
+  onLastRequestRead();
   flush();
 }
 
@@ -281,8 +314,9 @@
     // would lose their responses.
     const bool UntilClose =
         Pending.Response->EndsWithClose && Pimpl->PendingResponses.empty();
-    Close = !Pending.KeepAlive || UntilClose ||
-            (Pimpl->Draining && Pimpl->PendingResponses.empty());
+    if (UntilClose)
+      onLastRequestRead();
+    Close = Pimpl->LastRequestRead && Pimpl->PendingResponses.empty();
     Pimpl->Output.append("HTTP/1.1 ")
         .append(std::to_string(Pending.Response->Status))
         .append(" ")
@@ -325,10 +359,8 @@
 }
 
 auto CallerSession::onWritten(bool Close) -> void {
-  if (Close) {
-    Pimpl->StopReading = true;
+  if (Close)
     return close(false);
-  }
   flush();
   if (Pimpl->Ended)
     return;
@@ -338,7 +370,11 @@
 }
 
 auto CallerSession::drain(bool CloseIdle) -> void {
+  if (Pimpl->Ended)
+    return;
   Pimpl->Draining = true;
+  if (!Pimpl->PendingResponses.empty())
+    onLastRequestRead();
   const bool Idle =
       Pimpl->PendingResponses.empty() && !Pimpl->Writing &&
       !(Pimpl->RequestParser && Pimpl->RequestParser->got_some()) &&
@@ -361,11 +397,9 @@
     Pimpl->Socket.close(Ignored);
   } else {
     Pimpl->Socket.shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
-    Pimpl->Timer.expires_after(LingerTimeout);
-    Pimpl->Timer.async_wait([Self](const error_code &) {
-      error_code CloseFailure;
-      Self->Pimpl->Socket.close(CloseFailure);
-    });
+    cancelRead();
+    discardInput(std::make_shared<DiscardedInput>());
+    closeAfterLinger(bootNow() + WriteTimeout);
   }
   const auto PendingResponses = std::exchange(Pimpl->PendingResponses, {});
   for (const State::PendingResponse &Pending : PendingResponses)
@@ -374,4 +408,30 @@
   Pimpl->Handler.onSessionEnded(Self);
 }
 
+auto CallerSession::discardInput(const std::shared_ptr<DiscardedInput> &Input)
+    -> void {
+  Pimpl->Socket.async_read_some(asio::buffer(*Input),
+                                [Self = shared_from_this(), Input](
+                                    const error_code &Failure, std::size_t) {
+                                  if (!Failure)
+                                    return Self->discardInput(Input);
+                                  Self->Pimpl->Timer.cancel();
+                                  error_code Ignored;
+                                  Self->Pimpl->Socket.close(Ignored);
+                                });
+}
+
+auto CallerSession::closeAfterLinger(TimePoint Latest) -> void {
+  Pimpl->Timer.expires_after(LingerTimeout);
+  Pimpl->Timer.async_wait(
+      [Self = shared_from_this(), Latest](const error_code &Cancelled) {
+        if (Cancelled)
+          return;
+        if (hasUnsentOutput(Self->Pimpl->Socket) && bootNow() < Latest)
+          return Self->closeAfterLinger(Latest);
+        error_code Ignored;
+        Self->Pimpl->Socket.close(Ignored);
+      });
+}
+
 } // namespace buckthornring
--- a/lib/Gateway/CallerSession.h
+++ b/lib/Gateway/CallerSession.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -65,9 +66,9 @@
   CallerSession(const CallerSession &) = delete;
   auto operator=(const CallerSession &) -> CallerSession & = delete;
 
-  /// Time for the caller to read the last response before the socket is closed;
-  /// closing it with unread input would reset the connection (RFC 9112, section
-  /// 9.6).
+  /// Time for the caller to read the last response before the socket is closed.
+  /// Until then input is discarded, since closing the socket with unread input
+  /// would reset the connection (RFC 9112, section 9.6).
   static constexpr Duration LingerTimeout = std::chrono::milliseconds(500);
 
   auto start() -> void;
@@ -75,19 +76,29 @@
   /// Sends the response to a request. Ignored once the session has ended.
   auto respond(std::uint64_t RequestNumber, CallerResponse Response) -> void;
 
-  /// Closes the connection after the last pending response, which announces
-  /// this with "Connection: close". With \p CloseIdle, an idle connection is
-  /// closed at once, unless a request has arrived on it that was not read yet.
+  /// Reads no request beyond those that are in progress, or beyond the next one
+  /// if there are none, and closes the connection after the last response,
+  /// which announces this with "Connection: close". With \p CloseIdle, an idle
+  /// connection is closed at once, unless a request has arrived on it that was
+  /// not read yet.
   auto drain(bool CloseIdle) -> void;
 
 private:
   struct State;
+  using DiscardedInput = std::array<char, 4096>;
   std::unique_ptr<State> Pimpl;
 
   auto readHead() -> void;
   auto onHeadRead() -> void;
   auto readBody() -> void;
+  /// Called when a read has ended. Returns whether its result counts.
+  auto continueReading(const boost::system::error_code &Failure) -> bool;
+  auto cancelRead() -> void;
   auto onRequestRead() -> void;
+  /// The request that was read last is the last one of the connection.
+  /// Everything that ends the connection in order decides so here, before
+  /// further requests are passed on.
+  auto onLastRequestRead() -> void;
   /// Detects a disconnect of the caller after the last request that is read.
   auto watchForDisconnect() -> void;
   auto failRead(unsigned Status) -> void;
@@ -97,6 +108,10 @@
   auto onWritten(bool Close) -> void;
   auto onDisconnected() -> void;
   auto close(bool Reset) -> void;
+  auto discardInput(const std::shared_ptr<DiscardedInput> &Input) -> void;
+  /// Closes the socket after LingerTimeout, or later, up to \p Latest, while
+  /// the caller has not acknowledged the whole response.
+  auto closeAfterLinger(TimePoint Latest) -> void;
 };
 
 } // namespace buckthornring
--- a/lib/IO/SocketOptions.cpp
+++ b/lib/IO/SocketOptions.cpp
@@ -1,8 +1,10 @@
 #include "IO/SocketOptions.h"
 
 #include <cerrno>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace buckthornring {
@@ -55,6 +57,12 @@
   return peek(Socket) == PendingInput::Bytes;
 }
 
+auto hasUnsentOutput(boost::asio::ip::tcp::socket &Socket) -> bool {
+  int Unacknowledged = 0;
+  return ::ioctl(Socket.native_handle(), SIOCOUTQ, &Unacknowledged) == 0 &&
+         Unacknowledged > 0;
+}
+
 auto endedByPeer(boost::asio::ip::tcp::socket &Socket) -> bool {
   return peek(Socket) == PendingInput::End;
 }
--- a/lib/IO/SocketOptions.h
+++ b/lib/IO/SocketOptions.h
@@ -24,6 +24,10 @@
 /// Whether bytes from the peer have arrived that were not read yet.
 auto hasUnreadInput(boost::asio::ip::tcp::socket &Socket) -> bool;
 
+/// Whether sent bytes have not been acknowledged by the peer yet. False where
+/// the system does not tell.
+auto hasUnsentOutput(boost::asio::ip::tcp::socket &Socket) -> bool;
+
 /// Whether the peer has closed or reset the connection and all bytes that it
 /// sent before have been read.
 auto endedByPeer(boost::asio::ip::tcp::socket &Socket) -> bool;
--- a/tests/unit/CallerSessionTest.cpp
+++ b/tests/unit/CallerSessionTest.cpp
@@ -2,43 +2,87 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include <optional>
+#include <string>
+
 using namespace buckthornring;
 using namespace std::chrono_literals;
 using boost::asio::ip::tcp;
 
 namespace {
 
-/// Counts the callbacks of a session and leaves all requests unanswered.
+/// Counts the callbacks of a session. Requests are answered by the tests.
 class CountingHandler final : public CallerHandler {
 public:
-  auto onRequest(const std::shared_ptr<CallerSession> &, std::uint64_t,
+  auto onRequest(const std::shared_ptr<CallerSession> &, std::uint64_t Number,
                  CallerRequest) -> void override {
     ++Received;
+    LastNumber = Number;
   }
   auto onCallerDisconnected(const CallerSession &, std::uint64_t)
       -> void override {
     ++Disconnected;
   }
-  auto makeErrorResponse(unsigned) -> CallerResponse override { return {}; }
+  auto makeErrorResponse(unsigned Status) -> CallerResponse override {
+    CallerResponse Response;
+    Response.Status = Status;
+    return Response;
+  }
   auto onSessionEnded(const std::shared_ptr<CallerSession> &) -> void override {
     ++Ended;
   }
 
   int Received = 0;
+  std::uint64_t LastNumber = 0;
   int Disconnected = 0;
   int Ended = 0;
 };
 
 class CallerSessionTest : public testing::Test {
 protected:
-  CallerSessionTest()
+  /// Larger than the buffers of both sockets.
+  static constexpr std::size_t LargeBody = 16UL * 1024 * 1024;
+
+  explicit CallerSessionTest(const RequestLimits &Limits = RequestLimits())
       : Listener(Io, {boost::asio::ip::address_v4::loopback(), 0}), Caller(Io) {
     Caller.connect(Listener.local_endpoint());
-    Session = std::make_shared<CallerSession>(Listener.accept(), Handler,
-                                              RequestLimits());
+    Session =
+        std::make_shared<CallerSession>(Listener.accept(), Handler, Limits);
+  }
+
+  /// Sends a request for \p Path and waits until it has been read.
+  auto sendRequest(const std::string &Path) -> std::uint64_t {
+    const int Before = Handler.Received;
+    send("GET " + Path + " HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_TRUE(runUntil([&] { return Handler.Received > Before; }));
+    return Handler.LastNumber;
+  }
+  auto answer(std::uint64_t Number, std::string Body,
+              bool EndsWithClose = false) -> void {
+    CallerResponse Response;
+    Response.Status = 200;
+    Response.Body = std::move(Body);
+    Response.EndsWithClose = EndsWithClose;
+    Session->respond(Number, std::move(Response));
+  }
+  auto runFor(std::chrono::milliseconds Time) -> void {
+    Io.restart();
+    Io.run_for(Time);
+  }
+  /// Reads until the connection ends, which has to happen in order.
+  auto readAll() -> std::string {
+    std::string Bytes;
+    std::optional<boost::system::error_code> End;
+    boost::asio::async_read(Caller, boost::asio::dynamic_buffer(Bytes),
+                            [&End](const boost::system::error_code &Failure,
+                                   std::size_t) { End = Failure; });
+    EXPECT_TRUE(runUntil([&End] { return End.has_value(); }));
+    EXPECT_EQ(End, boost::asio::error::eof);
+    return Bytes;
   }
 
   auto send(const std::string &Bytes) -> void {
@@ -107,4 +151,76 @@
   EXPECT_EQ(Handler.Ended, 0);
 }
 
+// Guards against a planned stop that never closes the connection of a caller
+// that always has a further request in progress: its requests were broken off
+// at the end of the grace period.
+TEST_F(CallerSessionTest, DrainEndsTheConnectionOfAPipeliningCaller) {
+  Session->start();
+  const std::uint64_t First = sendRequest("/a");
+  const std::uint64_t Second = sendRequest("/b");
+  Session->drain(false);
+  send("GET /c HTTP/1.1\r\nHost: h\r\n\r\n");
+  answer(First, "first");
+  runFor(50ms);
+  answer(Second, "second");
+  const std::string Bytes = readAll();
+  EXPECT_NE(Bytes.find("Connection: close\r\n\r\nsecond"), std::string::npos)
+      << Bytes;
+  EXPECT_EQ(Bytes.find("Connection: close"), Bytes.rfind("Connection: close"));
+  EXPECT_EQ(Handler.Received, 2);
+  EXPECT_EQ(Handler.Disconnected, 0);
+}
+
+// Guards against requests that run and are never answered: they were read while
+// a response that closes the connection was being written.
+TEST_F(CallerSessionTest, NoRequestIsReadBehindAResponseWithoutLength) {
+  Session->start();
+  answer(sendRequest("/a"), std::string(LargeBody, 'x'), true);
+  runFor(50ms);
+  send("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+  runFor(50ms);
+  EXPECT_EQ(Handler.Received, 1);
+  // The unread request must not make the end of the connection a reset either,
+  // by which the caller would lose the rest of the response.
+  const std::string Bytes = readAll();
+  EXPECT_EQ(Bytes.size() - Bytes.find("\r\n\r\n") - 4, LargeBody);
+  EXPECT_EQ(Handler.Disconnected, 0);
+}
+
+// The same for a response that closes the connection in a planned stop.
+TEST_F(CallerSessionTest, NoRequestIsReadBehindTheLastOneOfADrain) {
+  Session->start();
+  Session->drain(false);
+  answer(sendRequest("/a"), std::string(LargeBody, 'x'));
+  runFor(50ms);
+  send("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+  runFor(50ms);
+  EXPECT_EQ(Handler.Received, 1);
+  const std::string Bytes = readAll();
+  EXPECT_EQ(Bytes.size() - Bytes.find("\r\n\r\n") - 4, LargeBody);
+}
+
+class ImpatientCallerSessionTest : public CallerSessionTest {
+protected:
+  ImpatientCallerSessionTest() : CallerSessionTest(limits()) {}
+
+  static auto limits() -> RequestLimits {
+    RequestLimits Limits;
+    Limits.HeadTimeout = 50ms;
+    return Limits;
+  }
+};
+
+// Guards against a time-out of a slow upload that breaks off the response to an
+// earlier request.
+TEST_F(ImpatientCallerSessionTest, TimeoutOfAnUploadKeepsEarlierResponses) {
+  Session->start();
+  answer(sendRequest("/a"), std::string(LargeBody, 'x'));
+  send("POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\npart");
+  runFor(500ms);
+  const std::string Bytes = readAll();
+  EXPECT_GT(Bytes.size(), LargeBody);
+  EXPECT_NE(Bytes.find("HTTP/1.1 408 "), std::string::npos);
+}
+
 } // namespace
