Do not let a text that is not UTF-8 end the process

The leading instance ended by SIGABRT when it granted the keys to their next owner, and all requests that it was processing lost their connections.

Cause: the value was written into the JSON body of the grant as it came. Json::dump throws on text that is not UTF-8, and nothing catches an exception in a handler of the event loop. Every leader that got such an answer ended.

Change: platform/ decodes the field; a state that cannot be sent on, or is longer than 4 KB, counts as none, is counted and logged. All JSON is written by writeJson, which replaces such bytes, and CBOR with text that is not UTF-8 is rejected, since the decoder does not check it and such text could reach a JSON body through a datagram.

Before, on: FaultyTargetTest.HandoverThatIsNoTextDoesNotEndTheLeader ended its program ("terminate called after throwing an instance of nlohmann::...::type_error, invalid UTF-8 byte at index 4: 0xFF"). PlatformTest.HandoverThatCannotBeSentOnIsUnreadable and JsonTextTest check the parts.

--- a/lib/Common/JsonText.cpp
+++ b/lib/Common/JsonText.cpp
@@ -129,6 +129,8 @@
     // Each byte, element and key takes at least one byte.
     if (Sized && Head->Argument > Bytes.size())
       return false;
+    if (Head->Type == Text && !isUtf8(Bytes.substr(0, Head->Argument)))
+      return false;
     if (Head->Type == Binary || Head->Type == Text)
       Bytes.remove_prefix(Head->Argument);
     if (Head->Type == Array || Head->Type == Map)
@@ -162,6 +164,24 @@
   }
 }
 
+auto writeJson(const Json &Value) -> std::string {
+  return Value.dump(-1, ' ', /*ensure_ascii=*/false,
+                    Json::error_handler_t::replace);
+}
+
+auto isUtf8(std::string_view Bytes) -> bool {
+  if (std::all_of(Bytes.begin(), Bytes.end(), [](char Byte) {
+        return static_cast<unsigned char>(Byte) < 0x80;
+      }))
+    return true;
+  try {
+    static_cast<void>(Json(Bytes).dump());
+    return true;
+  } catch (const Json::type_error &) {
+    return false;
+  }
+}
+
 auto splitObject(std::string_view Text)
     -> std::optional<std::vector<JsonMember>> {
   const auto Parts = splitContainer(Text, '{', '}');
--- a/lib/Common/JsonText.h
+++ b/lib/Common/JsonText.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -21,9 +22,17 @@
 /// range or is nested deeper than MaxJsonDepth.
 auto parseJson(std::string_view Text) -> Result<nlohmann::json>;
 
-/// The same for CBOR, whose decoder is recursive too.
+/// The same for CBOR, whose decoder is recursive too. Fails also on text that
+/// is not UTF-8, which the decoder does not check.
 auto parseCbor(std::string_view Bytes) -> Result<nlohmann::json>;
 
+/// Writes a value as a JSON text. Bytes that are not UTF-8 are replaced, where
+/// Json::dump would throw.
+auto writeJson(const nlohmann::json &Value) -> std::string;
+
+/// Whether \p Bytes is a well-formed UTF-8 text.
+auto isUtf8(std::string_view Bytes) -> bool;
+
 /// Returns an integer of a JSON or CBOR value. Throws Json::exception if the
 /// value is none or out of the type's range, where Json::get would convert it
 /// to another number.
--- a/lib/Config/ConfigRecord.cpp
+++ b/lib/Config/ConfigRecord.cpp
@@ -1,5 +1,6 @@
 #include "buckthornring/Config/ConfigRecord.h"
 
+#include "Common/JsonText.h"
 #include "buckthornring/Config/CallerKeys.h"
 #include "buckthornring/Config/SettingsReader.h"
 
@@ -91,11 +92,10 @@
   json Updates = json::array();
   for (const auto &Each : History)
     Updates.push_back(json::array({Each.Generation, Each.Id}));
-  return json{{"generation", Generation},
-              {"digest", Digest},
-              {"history", std::move(Updates)},
-              {"content", Content.value()}}
-      .dump();
+  return writeJson(json{{"generation", Generation},
+                        {"digest", Digest},
+                        {"history", std::move(Updates)},
+                        {"content", Content.value()}});
 }
 
 auto ConfigRecord::baseGeneration() const -> std::uint64_t {
--- a/lib/Entry/EntryInstance.cpp
+++ b/lib/Entry/EntryInstance.cpp
@@ -1,5 +1,6 @@
 #include "Entry/EntryInstance.h"
 
+#include "Common/JsonText.h"
 #include "Entry/EntryMetrics.h"
 #include "Entry/SnapshotBuilder.h"
 #include "IO/Endpoint.h"
@@ -295,7 +296,7 @@
     Open += Thread->connections();
   Status["caller_connections"] = Open;
   Control->describe(Status);
-  return Status.dump() + "\n";
+  return writeJson(Status) + "\n";
 }
 
 auto EntryInstance::metricsText() const -> std::string {
--- a/lib/Fleet/TargetAnnouncements.h
+++ b/lib/Fleet/TargetAnnouncements.h
@@ -22,6 +22,7 @@
   std::optional<Duration> RequestedPause;
   /// The target has asked for a pause whose length cannot be read.
   bool UnreadablePause = false;
+  bool UnreadableHandover = false;
 };
 
 /// What one incarnation of a target has announced so far.
--- a/lib/Gateway/AnnouncementRecorder.cpp
+++ b/lib/Gateway/AnnouncementRecorder.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// Interval of log lines on pauses that cannot be read; a faulty target may
+/// Interval of log lines on fields that cannot be read; a faulty target may
 /// send one in each response.
 constexpr Duration UnreadableLineInterval = std::chrono::seconds(10);
 
@@ -22,7 +22,11 @@
   const TimePoint Now = bootNow();
   const TargetNotices Notices = Protocol.ReadNotices(Status, Fields);
   if (Notices.UnreadablePause)
-    onUnreadablePause(Target, Now);
+    onUnreadable(Target, "target-pause-unreadable", Total.UnreadablePauses,
+                 Now);
+  if (Notices.UnreadableHandover)
+    onUnreadable(Target, "target-handover-unreadable",
+                 Total.UnreadableHandovers, Now);
   if (!Notices.Leaving && !Notices.RequestedPause)
     return;
   const AnnouncementChange Change = Targets.announced(Target, Notices, Now);
@@ -59,16 +63,17 @@
                    .field("pause_ms", Pause));
 }
 
-auto AnnouncementRecorder::onUnreadablePause(const TargetRecord &Target,
-                                             TimePoint Now) -> void {
-  ++Total.UnreadablePauses;
+auto AnnouncementRecorder::onUnreadable(const TargetRecord &Target,
+                                        const char *Event, std::uint64_t &Count,
+                                        TimePoint Now) -> void {
+  ++Count;
   if (Now < NextUnreadableLineAt)
     return;
   NextUnreadableLineAt = Now + UnreadableLineInterval;
-  Events.write(EventLine("target-pause-unreadable")
+  Events.write(EventLine(Event)
                    .field("target", Target.Id.str())
                    .field("service", Target.Service.str())
-                   .field("count", Total.UnreadablePauses));
+                   .field("count", Count));
 }
 
 } // namespace buckthornring
--- a/lib/Gateway/AnnouncementRecorder.h
+++ b/lib/Gateway/AnnouncementRecorder.h
@@ -18,6 +18,7 @@
     std::uint64_t Leaving = 0; ///< Targets that have begun to leave.
     std::uint64_t Pauses = 0;
     std::uint64_t UnreadablePauses = 0;
+    std::uint64_t UnreadableHandovers = 0;
   };
 
   AnnouncementRecorder(const PlatformProtocol &Protocol, TargetTable &Targets,
@@ -44,7 +45,9 @@
   /// \p Source is the instance that the target has told.
   auto logChange(const TargetRecord &Target, const char *Notice, Duration Pause,
                  std::string_view Source) -> void;
-  auto onUnreadablePause(const TargetRecord &Target, TimePoint Now) -> void;
+  /// Counts a header field that cannot be read, and logs \p Event.
+  auto onUnreadable(const TargetRecord &Target, const char *Event,
+                    std::uint64_t &Count, TimePoint Now) -> void;
 
   const PlatformProtocol &Protocol;
   TargetTable &Targets;
--- a/lib/Gateway/ChangeRelay.cpp
+++ b/lib/Gateway/ChangeRelay.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/ChangeRelay.h"
 
+#include "Common/JsonText.h"
 #include "IO/BootClock.h"
 #include "IO/Deflate.h"
 
@@ -88,7 +89,7 @@
     for (const auto &[Name, Object] : Feed.objects())
       Add(Object);
   }
-  Last = {Asked, Feed.changeCount(), Objects.dump(), false};
+  Last = {Asked, Feed.changeCount(), writeJson(Objects), false};
   Last.Compressed =
       Asked.AcceptsDeflate && Last.Text.size() >= MinCompressedBytes;
   if (Last.Compressed)
--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -518,11 +518,10 @@
 }
 
 auto Gateway::Impl::stateJson() const -> std::string {
-  return Json{{"configuration", feedToJson(*ConfigurationFeed)},
-              {"targets", feedToJson(*TargetFeed)},
-              {"evacuations", feedToJson(*EvacuationFeed)},
-              {"own", feedToJson(*RouterObjectsFeed)}}
-      .dump();
+  return writeJson(Json{{"configuration", feedToJson(*ConfigurationFeed)},
+                        {"targets", feedToJson(*TargetFeed)},
+                        {"evacuations", feedToJson(*EvacuationFeed)},
+                        {"own", feedToJson(*RouterObjectsFeed)}});
 }
 
 auto Gateway::Impl::metricsText() const -> std::string {
@@ -552,6 +551,7 @@
   Text.sample({{"kind", "leaving"}}, Announced.Leaving);
   Text.sample({{"kind", "pause"}}, Announced.Pauses);
   Text.sample({{"kind", "unreadable-pause"}}, Announced.UnreadablePauses);
+  Text.sample({{"kind", "unreadable-handover"}}, Announced.UnreadableHandovers);
   Text.counterFamily("btr_target_crashes_total",
                      "Targets found to have crashed");
   const CrashMonitor::Counts &Crashed = Crashes.counts();
--- a/lib/Gateway/OrderSender.cpp
+++ b/lib/Gateway/OrderSender.cpp
@@ -181,11 +181,9 @@
           return finish(Pending, RangeOrderOutcome::Unanswered, "");
         if (Observer)
           Observer(Pending->Target, Response.Status, Response.Fields);
-        const auto Handover =
-            Response.Fields.find(Protocol.Orders.HandoverField);
         if (Response.Status == 200)
           return finish(Pending, RangeOrderOutcome::Accepted,
-                        std::string(Handover.value_or("")));
+                        Protocol.Orders.ReadHandover(Response.Fields));
         // 421: another target has the address now.
         const bool Refused = Response.Status == 409 || Response.Status == 421;
         finish(Pending,
--- a/lib/Gateway/Protocol.h
+++ b/lib/Gateway/Protocol.h
@@ -140,7 +140,9 @@
 /// Protocol of orders to targets that own keys: grants and releases.
 struct OrderProtocol {
   std::function<OrderRequest(const RangeOrder &)> Encode;
-  std::string HandoverField; ///< Header of the response to a release.
+  /// State that a target hands over in its response to a release. Empty: there
+  /// is none, or none that can be sent to another target.
+  std::function<std::string(const HttpHeaders &)> ReadHandover;
 };
 
 /// Everything specific to the platform that the router runs on.
--- a/lib/IO/PlatformClient.cpp
+++ b/lib/IO/PlatformClient.cpp
@@ -1,5 +1,6 @@
 #include "buckthornring/IO/PlatformClient.h"
 
+#include "Common/JsonText.h"
 #include "buckthornring/IO/HttpClient.h"
 
 #include <nlohmann/json.hpp>
@@ -238,10 +239,10 @@
                               std::function<void(PlatformWrite)> Done) -> void {
   auto Request = request(
       Options, "PUT", "/v1/instances/" + encodePercent(Entry.Instance.str()));
-  Request.Body = Json{{"address", Entry.Address},
-                      {"data_centre", Entry.DataCentre.str()},
-                      {"state", InstanceStateNames.name(Entry.State)}}
-                     .dump();
+  Request.Body =
+      writeJson(Json{{"address", Entry.Address},
+                     {"data_centre", Entry.DataCentre.str()},
+                     {"state", InstanceStateNames.name(Entry.State)}});
   CallClient->request(std::move(Request), callOptions(Options.TimeLimit),
                       [Done = std::move(Done)](const HttpOutcome &Outcome) {
                         Done(platformWrite(Outcome));
--- a/lib/Limits/RateAllocator.cpp
+++ b/lib/Limits/RateAllocator.cpp
@@ -1,5 +1,7 @@
 #include "buckthornring/Limits/RateAllocator.h"
 
+#include "Common/JsonText.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -62,7 +64,7 @@
     for (const auto &[DataCentre, Each] : ByDataCentre)
       Json[Workspace.str()][DataCentre.str()] = {
           Each.Amount.Rate, Each.Amount.Units, Each.Demand};
-  return Json.dump();
+  return writeJson(Json);
 }
 
 auto parseRateAllocations(std::string_view Text)
--- a/lib/Ownership/HomeMap.cpp
+++ b/lib/Ownership/HomeMap.cpp
@@ -1,5 +1,6 @@
 #include "buckthornring/Ownership/HomeMap.h"
 
+#include "Common/JsonText.h"
 #include "buckthornring/Common/Invariant.h"
 
 #include <nlohmann/json.hpp>
@@ -119,7 +120,7 @@
   Json["terms"] = nlohmann::json::object();
   for (const auto &[Name, Term] : Terms)
     Json["terms"][Name.str()] = Term;
-  return Json.dump();
+  return writeJson(Json);
 }
 
 auto HomeMap::home(std::uint32_t Slice) const -> const DataCentreId & {
--- a/lib/Ownership/LeaseMessage.cpp
+++ b/lib/Ownership/LeaseMessage.cpp
@@ -1,5 +1,7 @@
 #include "buckthornring/Ownership/LeaseMessage.h"
 
+#include "Common/JsonText.h"
+
 #include <nlohmann/json.hpp>
 
 #include <stdexcept>
@@ -36,14 +38,17 @@
 } // namespace
 
 auto leaseMessageText(const LeaseMessage &Message) -> std::string {
-  return Json{
-      {"target", Message.Target.str()}, {"service", Message.Service.str()},
-      {"sender", Message.Sender.str()}, {"term", Message.Term},
-      {"sequence", Message.Sequence},   {"start", Message.Start},
-      {"clock_us", Message.ClockUs},    {"lease_us", Message.LeaseUs},
-      {"grant", rows(Message.Grant)},   {"release", rows(Message.Release)},
-      {"report", Message.Report}}
-      .dump();
+  return writeJson(Json{{"target", Message.Target.str()},
+                        {"service", Message.Service.str()},
+                        {"sender", Message.Sender.str()},
+                        {"term", Message.Term},
+                        {"sequence", Message.Sequence},
+                        {"start", Message.Start},
+                        {"clock_us", Message.ClockUs},
+                        {"lease_us", Message.LeaseUs},
+                        {"grant", rows(Message.Grant)},
+                        {"release", rows(Message.Release)},
+                        {"report", Message.Report}});
 }
 
 auto parseLeaseMessage(std::string_view Text) -> Result<LeaseMessage> {
@@ -68,17 +73,16 @@
 }
 
 auto leaseReplyText(const LeaseReply &Reply) -> std::string {
-  return Json{{"term", Reply.Term},
-              {"sequence", Reply.Sequence},
-              {"applied", Reply.Applied},
-              {"start", Reply.Start},
-              {"clock_us", Reply.ClockUs},
-              {"refusal", LeaseRefusalNames.name(Reply.Refusal)},
-              {"reported", Reply.Reported},
-              {"held", rows(Reply.Held)},
-              {"running", Reply.Running},
-              {"lapses", Reply.Lapses}}
-      .dump();
+  return writeJson(Json{{"term", Reply.Term},
+                        {"sequence", Reply.Sequence},
+                        {"applied", Reply.Applied},
+                        {"start", Reply.Start},
+                        {"clock_us", Reply.ClockUs},
+                        {"refusal", LeaseRefusalNames.name(Reply.Refusal)},
+                        {"reported", Reply.Reported},
+                        {"held", rows(Reply.Held)},
+                        {"running", Reply.Running},
+                        {"lapses", Reply.Lapses}});
 }
 
 auto parseLeaseReply(std::string_view Text) -> Result<LeaseReply> {
--- a/lib/Ownership/SliceMap.cpp
+++ b/lib/Ownership/SliceMap.cpp
@@ -1,4 +1,6 @@
 #include "buckthornring/Ownership/SliceMap.h"
+
+#include "Common/JsonText.h"
 #include "buckthornring/Common/Invariant.h"
 
 #include <nlohmann/json.hpp>
@@ -145,10 +147,12 @@
     Rows.push_back({Table.index(Entry.Owner), Table.index(Entry.Successor),
                     Entry.At.Term, Entry.At.Sequence});
   }
-  return Json{{"service", Service.str()}, {"slices", slices()},
-              {"segment", Segment},       {"term", WriterTerm},
-              {"targets", Table.names()}, {"entries", std::move(Rows)}}
-      .dump();
+  return writeJson(Json{{"service", Service.str()},
+                        {"slices", slices()},
+                        {"segment", Segment},
+                        {"term", WriterTerm},
+                        {"targets", Table.names()},
+                        {"entries", std::move(Rows)}});
 }
 
 auto SliceMap::loadSegment(std::string_view Text) -> Result<std::uint64_t> {
--- a/lib/Ownership/TermRecord.cpp
+++ b/lib/Ownership/TermRecord.cpp
@@ -1,5 +1,7 @@
 #include "buckthornring/Ownership/TermRecord.h"
 
+#include "Common/JsonText.h"
+
 #include <nlohmann/json.hpp>
 
 namespace buckthornring {
@@ -8,11 +10,10 @@
   nlohmann::json Unsettled = nlohmann::json::array();
   for (const InstanceId &Each : Record.Unsettled)
     Unsettled.push_back(Each.str());
-  return nlohmann::json{{"term", Record.Term},
-                        {"leader", Record.Leader.str()},
-                        {"deputy", Record.Deputy.str()},
-                        {"unsettled", std::move(Unsettled)}}
-      .dump();
+  return writeJson(nlohmann::json{{"term", Record.Term},
+                                  {"leader", Record.Leader.str()},
+                                  {"deputy", Record.Deputy.str()},
+                                  {"unsettled", std::move(Unsettled)}});
 }
 
 auto parseTermRecord(std::string_view Text) -> Result<TermRecord> {
--- a/tests/support/GatewayFixture.cpp
+++ b/tests/support/GatewayFixture.cpp
@@ -32,7 +32,7 @@
   Protocol.Kinds = platform::objectKinds();
   Protocol.ReadLoad = platform::readLoad;
   Protocol.ReadNotices = platform::readNotices;
-  Protocol.Orders = {platform::encodeOrder, "Handover"};
+  Protocol.Orders = {platform::encodeOrder, platform::readHandover};
   return Protocol;
 }
 
--- a/tests/unit/FaultyTargetTest.cpp
+++ b/tests/unit/FaultyTargetTest.cpp
@@ -192,7 +192,7 @@
   boost::asio::io_context Io;
   PlatformProtocol Protocol;
   Protocol.Headers = platform::headerNames();
-  Protocol.Orders = {platform::encodeOrder, "Handover"};
+  Protocol.Orders = {platform::encodeOrder, platform::readHandover};
   OrderSender Sender(Io, Protocol);
   TargetRecord Record;
   Record.Id = TargetId("t1");
@@ -366,4 +366,43 @@
   EXPECT_TRUE(View.has("body-p3;")) << View.Bytes;
 }
 
+// Guards against a response to a release whose handed-over state is no text: it
+// ended the leading instance, and with it all requests that it was processing.
+TEST(FaultyTargetTest, HandoverThatIsNoTextDoesNotEndTheLeader) {
+  std::atomic<int> Released = 0;
+  std::atomic<int> GrantsAfter = 0;
+  const auto Owner = [&](Socket &To, const std::string &Request) {
+    if (Request.starts_with("POST /v1/grant") && Released > 0)
+      ++GrantsAfter;
+    if (Request.starts_with("POST /v1/grant"))
+      return ScriptedTarget::send(To, OrderAccepted);
+    if (Request.starts_with("POST /v1/release")) {
+      ++Released;
+      return ScriptedTarget::send(
+          To, "HTTP/1.1 200 OK\r\nHandover: 5c0e\xff\xfe\r\n"
+              "Content-Length: 0\r\n\r\n");
+    }
+    return ScriptedTarget::send(
+        To,
+        GatewayFixture::response(GatewayFixture::requestId(Request), "done"));
+  };
+  ScriptedTarget Leaving(Owner);
+  ScriptedTarget Staying(Owner);
+  GatewayFixture Fixture;
+  Fixture.addTarget("stock", "o1", Leaving);
+  Fixture.configure(1);
+  const auto Serves = [&Fixture] {
+    return Fixture.exchange("GET", "/owned/1", "Shard-Key: 7\r\n").has("done");
+  };
+  ASSERT_TRUE(eventually(Serves));
+  Fixture.addTarget("stock", "o2", Staying);
+  Fixture.addTarget("stock", "o1", Leaving, "draining", 2);
+  ASSERT_TRUE(eventually([&] { return Released > 0; }));
+  EXPECT_TRUE(eventually([&] { return GrantsAfter > 0; }));
+  EXPECT_TRUE(eventually(Serves));
+  const std::string Metrics = Fixture.askAsPeer("/metrics");
+  EXPECT_NE(Metrics.find("\"unreadable-handover\"} "), std::string::npos);
+  EXPECT_EQ(Metrics.find("\"unreadable-handover\"} 0"), std::string::npos);
+}
+
 } // namespace
--- a/tests/unit/GatewayTest.cpp
+++ b/tests/unit/GatewayTest.cpp
@@ -686,7 +686,7 @@
 
   OrderSenderTest() {
     Protocol.Headers = platform::headerNames();
-    Protocol.Orders = {platform::encodeOrder, "Handover"};
+    Protocol.Orders = {platform::encodeOrder, platform::readHandover};
     Order.Target = TargetId("t1");
     Order.HoldPeriod = 3s;
   }
--- a/tests/unit/PlatformTest.cpp
+++ b/tests/unit/PlatformTest.cpp
@@ -91,6 +91,29 @@
       platform::readNotices(200, {{"Retry-After", "x"}}).UnreadablePause);
 }
 
+// Guards against the end of the leading instance: the bytes that a target hands
+// over are sent to the next owner in a JSON body, which holds only UTF-8.
+TEST(PlatformTest, HandoverThatCannotBeSentOnIsUnreadable) {
+  RangeOrder Grant;
+  for (const std::string Text : {"\xff\xfe", "caf\xe9", "\xed\xa0\x80",
+                                 "\xf4\x90\x80\x80", "5c0e\xc3"}) {
+    const HttpHeaders Fields = {{"Handover", Text}};
+    EXPECT_EQ(platform::readHandover(Fields), "");
+    EXPECT_TRUE(platform::readNotices(200, Fields).UnreadableHandover);
+    Grant.Handover = Text;
+    EXPECT_NO_THROW(platform::encodeOrder(Grant));
+  }
+  const HttpHeaders TooLong = {{"Handover", std::string(5000, 'a')}};
+  EXPECT_EQ(platform::readHandover(TooLong), "");
+  EXPECT_TRUE(platform::readNotices(200, TooLong).UnreadableHandover);
+  for (const std::string Text : {"", "5c0e7a21d94b36f8", "caf\xc3\xa9"}) {
+    const HttpHeaders Fields = {{"Handover", Text}};
+    EXPECT_EQ(platform::readHandover(Fields), Text);
+    EXPECT_FALSE(platform::readNotices(200, Fields).UnreadableHandover);
+  }
+  EXPECT_FALSE(platform::readNotices(200, {}).UnreadableHandover);
+}
+
 TEST(PlatformTest, InvalidConfigurationIsRejectedAsAWhole) {
   for (
       const char *Patch :
