Refuse requests that may outlast a planned stop

Cause: the stop was known to the listener and the connections; a request did not compare its deadline with the end of the process. Ruled out: requests on idle kept connections, which are closed when the listener is, and new connections, which are not accepted then.

Change: StopWindow. Once the listener is closed, a request that has not been sent to a target is sent only if its deadline lies before the end of the stop. Any other is refused at once as not run, with the shortest Retry-After, since another instance can run it.

Before, on: GatewayTest.RequestThatMayOutlastAPlannedStopIsRefusedAtOnce failed: the request, complete 3 s after SIGTERM, ran and was answered 2.3 s later, not with 503. After: it passes.

--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -417,6 +417,9 @@
   StopStartedAt = bootNow();
   Events.write(EventLine("stop-began").field("requests", Flows.size()));
   Member->leave();
+  Requests.Stop =
+      StopWindow{StopStartedAt + StopAcceptPeriod,
+                 StopStartedAt + Settings.Bounds.StopGrace - AbandonMargin};
   const auto OpenSessions = Sessions;
   for (const auto &Session : OpenSessions)
     Session->drain(false);
@@ -434,7 +437,7 @@
     for (const auto &Session : OpenSessions)
       Session->drain(true);
   }
-  if (Elapsed >= Settings.Bounds.StopGrace - AbandonMargin && !Flows.empty()) {
+  if (Now >= Requests.Stop->End && !Flows.empty()) {
     const auto RunningFlows = Flows;
     Events.write(
         EventLine("requests-abandoned").field("requests", Flows.size()));
@@ -444,11 +447,18 @@
   // The callers of the last sessions may still be reading their responses.
   const bool Done = !Listener.is_open() && Sessions.empty() &&
                     Now - LastSessionEndedAt >= CallerSession::LingerTimeout;
-  if (Done || Elapsed >= Settings.Bounds.StopGrace - StopMargin) {
+  const TimePoint ProcessEnd =
+      Requests.Stop->End + CallerSession::LingerTimeout;
+  if (Done || Now >= ProcessEnd) {
     Events.write(EventLine("stop").field("sessions", Sessions.size()));
     return Io.stop();
   }
-  StopTimer.expires_after(StopCheckInterval);
+  // A later check would shorten the time that is left after these two.
+  Duration NextCheck = StopCheckInterval;
+  for (const TimePoint Step : {Requests.Stop->End, ProcessEnd})
+    if (Step > Now)
+      NextCheck = std::min(NextCheck, Step - Now);
+  StopTimer.expires_after(NextCheck);
   StopTimer.async_wait([this](const error_code &Cancelled) {
     if (!Cancelled)
       continueStop();
--- a/lib/Gateway/RefusalTable.cpp
+++ b/lib/Gateway/RefusalTable.cpp
@@ -49,6 +49,9 @@
 }
 
 auto retryAfter(RefusalReason Reason, Duration TargetLatency) -> Duration {
+  // Another instance can run the request at once.
+  if (Reason == RefusalReason::ShuttingDown)
+    return MinRetryAfter;
   const Duration Preferred =
       Reason == RefusalReason::NoOwner ? NoOwnerRetryAfter : TargetLatency / 2;
   return std::clamp(Preferred, MinRetryAfter, MaxRetryAfter);
--- a/lib/Gateway/RequestContext.h
+++ b/lib/Gateway/RequestContext.h
@@ -24,6 +24,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_map>
 
@@ -52,6 +53,13 @@
   std::unordered_map<std::uint64_t, TimePoint> MovingSince;
 };
 
+/// The last part of a planned stop. A request that has not been sent to a
+/// target by its begin is sent only if it ends before the instance does.
+struct StopWindow {
+  TimePoint Begin;
+  TimePoint End; ///< Requests that are still in progress are broken off.
+};
+
 /// State shared by the requests of one instance. Used by one thread.
 struct RequestContext {
   boost::asio::io_context &Io;
@@ -89,6 +97,8 @@
 
   /// Whether another instance has read a newer configuration than this one.
   std::function<bool()> ConfigurationOutdated = [] { return false; };
+  /// Set when a planned stop begins.
+  std::optional<StopWindow> Stop = std::nullopt;
 
   auto retries(const ServiceId &Service) -> RetryAllowance & {
     return Retries.try_emplace(Service, RetryBounds).first->second;
--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -211,6 +211,10 @@
   if (Done)
     return true;
   const TimePoint Now = bootNow();
+  if (tooLateForStop(Now)) {
+    refuse(RefusalReason::ShuttingDown);
+    return true;
+  }
   const auto Admitted =
       Context.Crashes.admission(Fingerprint, CopyCounted ? 1 : 0, Now);
   if (Admitted == CrashMonitor::Admission::Refuse) {
@@ -232,6 +236,11 @@
   return true;
 }
 
+auto RequestFlow::tooLateForStop(TimePoint Now) const -> bool {
+  return Context.Stop && Now >= Context.Stop->Begin &&
+         ResponseDeadline > Context.Stop->End && PossibleRuns == 0;
+}
+
 auto RequestFlow::selectTarget(TimePoint Now) -> TargetSelection {
   if (Key)
     return selectOwner(Now);
--- a/lib/Gateway/RequestFlow.h
+++ b/lib/Gateway/RequestFlow.h
@@ -59,6 +59,9 @@
   // Target selection.
   auto sendOrWait() -> void;
   auto trySend() -> bool;
+  /// Whether the instance may end before the request, which has not been sent
+  /// to a target yet.
+  auto tooLateForStop(TimePoint Now) const -> bool;
   auto selectTarget(TimePoint Now) -> TargetSelection;
   auto selectOwner(TimePoint Now) -> TargetSelection;
   /// Whether a target has crashed, or may have, while it ran the request.
--- a/tests/unit/GatewayTest.cpp
+++ b/tests/unit/GatewayTest.cpp
@@ -834,4 +834,44 @@
   EXPECT_EQ(CutOff, 0);
 }
 
+// Guards against requests that are passed on late in a planned stop and broken
+// off at its end, among them some that must not be repeated. This one begins to
+// arrive while connections are still accepted.
+TEST(GatewayTest, RequestThatMayOutlastAPlannedStopIsRefusedAtOnce) {
+  std::atomic<int> Runs = 0;
+  ScriptedTarget Target([&Runs](Socket &To, const std::string &Request) {
+    if (Request.starts_with("POST /unsafe/")) {
+      ++Runs;
+      std::this_thread::sleep_for(3s);
+    }
+    return ScriptedTarget::send(
+        To, GatewayFixture::response(GatewayFixture::requestId(Request), "ok"));
+  });
+  GatewayFixture Fixture;
+  Fixture.addTarget("pay", "t1", Target);
+  Fixture.configure(1);
+  auto Config = Fixture.store().value("config", "main").value();
+  for (auto &Rule : Config["listeners"][0]["route_rules"])
+    Rule["action"]["timeout_s"] = 5.0;
+  Config["limits"]["header_timeout_s"] = 5.0;
+  Config["version"] = "r2";
+  Fixture.store().set("config", "main", Config);
+  ASSERT_TRUE(Fixture.waitUntilServing());
+  std::this_thread::sleep_for(300ms);
+  ::kill(::getpid(), SIGTERM);
+  RawCaller Caller = Fixture.connect();
+  const std::string Request =
+      GatewayFixture::request("POST", "/unsafe/1", "late", "", "x");
+  Caller.send(Request.substr(0, 20));
+  std::this_thread::sleep_for(3s);
+  const auto SentAt = std::chrono::steady_clock::now();
+  Caller.send(Request.substr(20));
+  const auto View = Caller.readAll();
+  EXPECT_TRUE(View.has("HTTP/1.1 503 ")) << View.Bytes;
+  EXPECT_TRUE(View.has("Btr-Run: not-run")) << View.Bytes;
+  EXPECT_TRUE(View.has("Retry-After: ")) << View.Bytes;
+  EXPECT_LT(std::chrono::steady_clock::now() - SentAt, 1s);
+  EXPECT_EQ(Runs, 0);
+}
+
 } // namespace
