Bound every read buffer

Another operator reported a target that sent bytes without end, in a head or in a body, until the machine that had called it ran out of memory. Connections to targets of the users' platform were bounded already. Others were not: the parser asks for more as long as an element is incomplete, and the buffers of the HTTP client (health, leases, store, peers), of responses on the older control path, and of callers' requests grew with chunk extensions and trailers without end. Interim responses without end took processor time until the time limit.

Change: every read buffer has a limit, and eight interim responses end an exchange. A quarter of the memory for response bodies is reserved for small ones, since bodies without end could take all of it.

--- a/lib/Gateway/CallerSession.cpp
+++ b/lib/Gateway/CallerSession.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/CallerSession.h"
 
 #include "IO/BootClock.h"
+#include "IO/HttpWire.h"
 #include "IO/SocketOptions.h"
 
 #include <boost/asio/bind_cancellation_slot.hpp>
@@ -13,6 +14,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <optional>
 
@@ -81,7 +83,8 @@
         const RequestLimits &Limits)
       : Socket(std::move(Socket)), Timer(this->Socket.get_executor()),
         WriteTimer(this->Socket.get_executor()), Handler(Handler),
-        Limits(Limits) {}
+        Limits(Limits),
+        Buffer(std::max(MaxUnparsedBytes, 2 * std::size_t{Limits.HeadBytes})) {}
 
   asio::ip::tcp::socket Socket;
   asio::steady_timer Timer;
--- a/lib/Gateway/TargetConnection.cpp
+++ b/lib/Gateway/TargetConnection.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/TargetConnection.h"
 
 #include "IO/BootClock.h"
+#include "IO/HttpWire.h"
 #include "IO/SocketOptions.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -29,13 +30,6 @@
 constexpr std::uint64_t MaxResponseBodyBytes = 64ULL * 1024 * 1024;
 constexpr std::uint32_t MaxResponseHeadBytes = 64 * 1024;
 
-/// Largest part of a response that is held before it is parsed: a head, or the
-/// extensions and trailer fields of a chunked body.
-constexpr std::size_t MaxUnparsedBytes = 128UL * 1024;
-
-/// Interim (1xx) responses after which a target counts as faulty.
-constexpr int MaxInterimResponses = 8;
-
 /// Responses to other requests that are skipped before the connection counts as
 /// out of sync.
 constexpr int MaxSkippedResponses = 4;
--- a/lib/Gateway/TargetConnection.h
+++ b/lib/Gateway/TargetConnection.h
@@ -31,7 +31,8 @@
 };
 
 /// Memory for the response bodies that are being received on all connections of
-/// a pool together. A faulty target may send a body without end.
+/// a pool together. A faulty target may send a body without end, so a part is
+/// reserved for small bodies.
 class BodyBudget {
 public:
   explicit BodyBudget(std::size_t Limit) : Limit(Limit) {}
@@ -39,7 +40,9 @@
   /// Sets the bytes that one connection holds from \p Held to \p Wanted. Leaves
   /// \p Held unchanged and returns false when that exceeds the limit.
   auto resize(std::size_t &Held, std::size_t Wanted) -> bool {
-    if (Wanted > Held && Used + (Wanted - Held) > Limit)
+    const std::size_t Available =
+        Wanted > LargestSmallBody ? Limit - Limit / ReserveDivisor : Limit;
+    if (Wanted > Held && Used + (Wanted - Held) > Available)
       return false;
     Used += Wanted - Held;
     Held = Wanted;
@@ -47,6 +50,9 @@
   }
 
 private:
+  static constexpr std::size_t LargestSmallBody = 64UL * 1024;
+  static constexpr std::size_t ReserveDivisor = 4;
+
   std::size_t Limit;
   std::size_t Used = 0;
 };
--- a/lib/IO/CallerStream.cpp
+++ b/lib/IO/CallerStream.cpp
@@ -1,5 +1,7 @@
 #include "IO/CallerStream.h"
 
+#include "IO/HttpWire.h"
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -8,6 +10,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <algorithm>
 #include <array>
 #include <optional>
 #include <sys/socket.h>
@@ -73,7 +76,9 @@
 struct CallerStream::State {
   State(asio::ip::tcp::socket Socket, const CallerLimits &Limits)
       : Socket(std::move(Socket)), Timer(this->Socket.get_executor()),
-        WriteTimer(this->Socket.get_executor()), Limits(Limits) {}
+        WriteTimer(this->Socket.get_executor()), Limits(Limits),
+        Buffer(std::max<std::size_t>(MaxUnparsedBytes,
+                                     2 * std::size_t{Limits.HeadBytes})) {}
 
   asio::ip::tcp::socket Socket;
   asio::steady_timer Timer;
--- a/lib/IO/HttpExchange.cpp
+++ b/lib/IO/HttpExchange.cpp
@@ -167,8 +167,9 @@
         }
         const auto Status = Self->Response->get().result_int();
         if (Status >= 100 && Status < 200 && Status != 101) {
-          Self->readHead();
-          return;
+          if (++Self->InterimResponses > MaxInterimResponses)
+            return Self->fail("too many interim responses");
+          return Self->readHead();
         }
         Self->enterPhase(HttpPhase::Receiving);
         if (!Self->Finished)
--- a/lib/IO/HttpExchange.h
+++ b/lib/IO/HttpExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "IO/HttpWire.h"
 #include "buckthornring/IO/HttpClient.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -75,12 +76,13 @@
   HttpClient::Callback OnOutcome;
   boost::asio::ip::tcp::socket Socket;
   boost::asio::steady_timer Timer;
-  boost::beast::flat_buffer Buffer;
+  boost::beast::flat_buffer Buffer{MaxUnparsedBytes};
   std::optional<Parser> Response;
   std::string Output;
   std::chrono::steady_clock::time_point StartedAt;
   std::chrono::steady_clock::time_point BodyBegunAt;
   bool PartArrived = false; ///< Since the stall timer was armed.
+  int InterimResponses = 0;
   HttpOutcome Outcome;
   bool Finished = false;
 };
--- a/lib/IO/HttpSession.h
+++ b/lib/IO/HttpSession.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "IO/HttpWire.h"
 #include "buckthornring/IO/HttpServer.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -84,7 +85,7 @@
   boost::asio::ip::tcp::socket Socket;
   boost::asio::steady_timer Timer;
   std::shared_ptr<HttpServerState> Server;
-  boost::beast::flat_buffer Buffer;
+  boost::beast::flat_buffer Buffer{MaxUnparsedBytes};
   std::optional<Parser> Request;
   std::string Output;
   std::function<void()> OnDisconnect;
--- a/lib/IO/HttpWire.h
+++ b/lib/IO/HttpWire.h
@@ -4,8 +4,18 @@
 
 #include <boost/beast/http/fields.hpp>
 
+#include <cstddef>
+
 namespace buckthornring {
 
+/// Largest part of a message that is held before it is parsed: a head, or the
+/// extensions and trailer fields of a chunked body. A faulty peer may send any
+/// of them without end.
+inline constexpr std::size_t MaxUnparsedBytes = 128UL * 1024;
+
+/// Interim (1xx) responses after which a peer counts as faulty.
+inline constexpr int MaxInterimResponses = 8;
+
 /// Whether a field is omitted from sent messages: those that the sender sets
 /// itself, and malformed ones. A line break, for example, would start a new
 /// field.
--- a/lib/IO/UpstreamConnection.cpp
+++ b/lib/IO/UpstreamConnection.cpp
@@ -1,5 +1,6 @@
 #include "IO/UpstreamConnection.h"
 
+#include "IO/HttpWire.h"
 #include "IO/SocketOptions.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -54,11 +55,12 @@
 
   asio::ip::tcp::socket Socket;
   asio::steady_timer Timer;
-  boost::beast::flat_buffer Buffer;
+  boost::beast::flat_buffer Buffer{MaxUnparsedBytes};
   std::optional<Parser> Response;
   ResponseHead Head;
   std::array<char, BodyChunkBytes> Body{};
   std::string Output;
+  int InterimResponses = 0;
   bool HeadOnly = false;
   bool Used = false;
 };
@@ -93,6 +95,7 @@
   Impl->HeadOnly = HeadOnly;
   Impl->Used = true;
   Impl->Response.reset();
+  Impl->InterimResponses = 0;
 }
 
 auto UpstreamConnection::write(std::string Head, std::string_view Body,
@@ -122,9 +125,10 @@
         State &Impl = *Self->Impl;
         const unsigned Status = Impl.Response->get().result_int();
         // 101 is final; it cannot follow, since Upgrade is never forwarded.
-        if (!Failure && Status >= 100 && Status < 200 && Status != 101)
+        if (!Failure && Status >= 100 && Status < 200 && Status != 101 &&
+            ++Impl.InterimResponses <= MaxInterimResponses)
           return Self->readHead(std::move(Done));
-        Done(!Failure && Status != 101 &&
+        Done(!Failure && Status >= 200 &&
              copyHead(*Impl.Response, Impl.HeadOnly, Impl.Head));
       });
 }
--- a/tests/unit/CallerSessionTest.cpp
+++ b/tests/unit/CallerSessionTest.cpp
@@ -200,6 +200,22 @@
   EXPECT_EQ(Bytes.size() - Bytes.find("\r\n\r\n") - 4, LargeBody);
 }
 
+// Guards against parts of a request without end that fill the memory.
+TEST_F(CallerSessionTest, RequestWithoutEndIsRefused) {
+  Session->start();
+  send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4;e=");
+  const std::string Part(64UL * 1024, 'a');
+  Caller.non_blocking(true);
+  for (int Count = 0; Count < 500 && Handler.Ended == 0; ++Count) {
+    boost::system::error_code Ignored;
+    Caller.write_some(boost::asio::buffer(Part), Ignored);
+    Io.restart();
+    Io.poll();
+  }
+  EXPECT_EQ(Handler.Ended, 1);
+  EXPECT_EQ(Handler.Received, 0);
+}
+
 class ImpatientCallerSessionTest : public CallerSessionTest {
 protected:
   ImpatientCallerSessionTest() : CallerSessionTest(limits()) {}
--- a/tests/unit/GatewayTest.cpp
+++ b/tests/unit/GatewayTest.cpp
@@ -3,6 +3,7 @@
 #include "HeaderFields.h"
 #include "IO/Endpoint.h"
 #include "Records.h"
+#include "support/EndlessResponses.h"
 #include "support/GatewayFixture.h"
 
 #include <boost/asio/read.hpp>
@@ -571,48 +572,16 @@
   }
 }
 
-/// Sends \p Start and then \p Repeated until the caller closes, and counts the
-/// bytes.
-auto withoutEnd(const std::string &Start, std::string Repeated,
-                std::atomic<std::size_t> &Sent) -> ScriptedTarget::Script {
-  while (Repeated.size() < 4096)
-    Repeated += Repeated;
-  return [=, &Sent](Socket &To, const std::string &) {
-    if (!ScriptedTarget::send(To, Start))
-      return false;
-    while (ScriptedTarget::send(To, Repeated))
-      Sent += Repeated.size();
-    return false;
-  };
-}
-
 // A server in trouble sends bytes without end, in any part of a response. The
 // exchange ends long before they fill the memory.
 TEST(TargetConnectionTest, ResponseWithoutEndIsAbandoned) {
   constexpr std::size_t Budget = 1024UL * 1024;
   // Beyond the budget: the buffers of both sockets.
   constexpr std::size_t MostSent = 16 * Budget;
-  const std::string Head = "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n";
-  const std::map<std::string, std::pair<std::string, std::string>> Parts = {
-      {"head", {Head, "X-Noise: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n"}},
-      {"field", {Head + "X-Noise: ", "a"}},
-      {"status line", {"HTTP/1.1 200 ", "a"}},
-      {"sized body", {Head + "Content-Length: 60000000\r\n\r\n", "a"}},
-      {"unsized body", {Head + "\r\n", "a"}},
-      {"chunks",
-       {Head + "Transfer-Encoding: chunked\r\n\r\n", "4\r\naaaa\r\n"}},
-      {"chunk extension",
-       {Head + "Transfer-Encoding: chunked\r\n\r\n4;e=", "a"}},
-      {"trailer",
-       {Head + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
-        "X-Noise: aaaaaaaaaaaaaaaaaaaaa\r\n"}},
-      {"interim responses", {"", "HTTP/1.1 102 Processing\r\n\r\n"}},
-      {"other responses",
-       {"", "HTTP/1.1 200 OK\r\nAttempt-Id: b\r\nContent-Length: 0\r\n\r\n"}}};
-  for (const auto &[Name, Bytes] : Parts) {
+  for (const auto &[Name, Response] : endlessResponses()) {
     SCOPED_TRACE(Name);
     std::atomic<std::size_t> Sent = 0;
-    ScriptedTarget Target(withoutEnd(Bytes.first, Bytes.second, Sent));
+    ScriptedTarget Target(Response.script(Sent));
     boost::asio::io_context Io;
     auto Connection = std::make_shared<TargetConnection>(
         Io.get_executor(), std::make_shared<BodyBudget>(Budget));
@@ -646,6 +615,21 @@
   EXPECT_TRUE(Budget.resize(Second, 100));
 }
 
+// Guards against responses of sound targets that are dropped because faulty
+// ones send bodies without end.
+TEST(TargetConnectionTest, LargeBodiesLeaveRoomForSmallOnes) {
+  constexpr std::size_t Limit = 4UL * 1024 * 1024;
+  BodyBudget Budget(Limit);
+  std::size_t Large = 0;
+  while (Budget.resize(Large, Large + 64 * 1024))
+    ;
+  EXPECT_GE(Large, Limit / 2);
+  std::size_t Small = 0;
+  EXPECT_TRUE(Budget.resize(Small, 64 * 1024));
+  std::size_t Medium = 0;
+  EXPECT_FALSE(Budget.resize(Medium, 65 * 1024));
+}
+
 // Guards against taking a late second copy of a rejection for the response to
 // the same request when it is sent again: it would be run once more.
 TEST(GatewayTest, SecondCopyOfARejectionIsNotTakenForTheNextResponse) {
