End orders to targets with the authority of their leader

Cause: a next leader waits until the authority of the one before (10 s) and its last grant (3.06 s, 0.15 s of transit) have ended. The authority was checked when an order was chosen, but the order could reach its target 0.75 s later: 0.25 s for a new connection, 0.5 s until it is reset without a response, and more where the instance is short of processor time. A leader that is cut off together with some of its targets renewed their grants by up to 0.6 s beyond the time for which the next leader waits. Ruled out by reading: confirmations are counted from the request to the store, not from its response, and splits keep the fencing token of the part that stays, so no order is lost there.

Change: orders carry the end of the authority. They are not sent after it, and their connections are reset by then.

--- a/lib/Fleet/RangeAssigner.cpp
+++ b/lib/Fleet/RangeAssigner.cpp
@@ -377,15 +377,17 @@
   return false;
 }
 
-auto RangeAssigner::hasAuthority(TimePoint ConfirmedAt, TimePoint Now) const
-    -> bool {
-  return !TakingOver && Now - ConfirmedAt <= Times.AuthorityPeriod &&
-         (RenewUntil == LongAgo || Now <= RenewUntil);
+auto RangeAssigner::authorityEnd(TimePoint ConfirmedAt) const -> TimePoint {
+  if (TakingOver)
+    return LongAgo;
+  const TimePoint End = ConfirmedAt + Times.AuthorityPeriod;
+  return RenewUntil == LongAgo ? End : std::min(End, RenewUntil);
 }
 
 auto RangeAssigner::nextRelease(const TargetId &Target, TimePoint ConfirmedAt,
                                 TimePoint Now) -> std::optional<RangeOrder> {
-  if (!hasAuthority(ConfirmedAt, Now))
+  const TimePoint AuthorityEnd = authorityEnd(ConfirmedAt);
+  if (Now > AuthorityEnd)
     return std::nullopt;
   for (std::size_t Index = 0; Index < Current.Ranges.size(); ++Index) {
     const KeyRange &Range = Current.Ranges[Index];
@@ -403,6 +405,7 @@
     Order.From = Range.From;
     Order.To = Range.To;
     Order.Fence = Range.PreviousOwnerFence;
+    Order.AuthorityEnd = AuthorityEnd;
     return Order;
   }
   return std::nullopt;
@@ -413,15 +416,16 @@
   LastConfirmedAt = std::max(LastConfirmedAt, ConfirmedAt);
   if (inRetryPause(Target, Now))
     return std::nullopt;
-  const bool Authority = hasAuthority(ConfirmedAt, Now);
+  const TimePoint AuthorityEnd = authorityEnd(ConfirmedAt);
   const auto Incarnation = CurrentView.Incarnations.find(Target);
   for (std::size_t Index = 0; Index < Current.Ranges.size(); ++Index) {
     const KeyRange &Range = Current.Ranges[Index];
     State &RangeState = States[Index];
     if (Range.Owner != Target || Now < RangeState.NextGrantAt)
       continue;
-    if (!renewableWhileWaiting(RangeState, Now) &&
-        (!Authority || !previousOwnerGone(Range, RangeState, Now) ||
+    const bool RenewsWhileWaiting = renewableWhileWaiting(RangeState, Now);
+    if (!RenewsWhileWaiting &&
+        (Now > AuthorityEnd || !previousOwnerGone(Range, RangeState, Now) ||
          changedByProposal(Range)))
       continue;
     // A restarted target needs a recorded assignment to its new incarnation.
@@ -447,6 +451,7 @@
     Order.To = Range.To;
     Order.Fence = Range.Fence;
     Order.HoldPeriod = Times.HoldPeriod;
+    Order.AuthorityEnd = RenewsWhileWaiting ? RenewUntil : AuthorityEnd;
     Order.Handover = RangeState.Handover;
     Order.Renewal = RangeState.GrantAccepted;
     return Order;
--- a/lib/Fleet/RangeAssigner.h
+++ b/lib/Fleet/RangeAssigner.h
@@ -22,8 +22,8 @@
   Duration RenewInterval = std::chrono::milliseconds(1000);
   /// Delay before an order that got no answer is repeated.
   Duration RetryInterval = std::chrono::milliseconds(300);
-  /// Time after the last confirmation of leadership during which the leader may
-  /// send orders.
+  /// Time after the last confirmation of leadership during which orders of the
+  /// leader may reach targets.
   Duration AuthorityPeriod = std::chrono::seconds(10);
   /// Fraction by which a target's clock may run slow.
   double ClockRateError = 0.02;
@@ -62,6 +62,9 @@
   std::uint32_t To = 0;
   std::uint64_t Fence = 0;
   Duration HoldPeriod{0};
+  /// End of the authority to send the order. It must not reach the target
+  /// later, so its connection is reset by then if there is no response.
+  TimePoint AuthorityEnd = TimePoint::max();
   std::string Handover; ///< State handed over by the previous owner.
   /// The target has accepted the same grant before.
   bool Renewal = false;
@@ -236,8 +239,8 @@
   /// Takes the own record over like that of another leader, but renews the
   /// grants of its owners until RenewUntil.
   auto takeOverOwnRecord(std::uint64_t AtRevision, TimePoint Now) -> void;
-  /// Whether this leader may still send orders.
-  auto hasAuthority(TimePoint ConfirmedAt, TimePoint Now) const -> bool;
+  /// Time until which this leader may send orders.
+  auto authorityEnd(TimePoint ConfirmedAt) const -> TimePoint;
   /// Whether this leader may renew the range's grant while it waits for earlier
   /// owners.
   auto renewableWhileWaiting(const State &RangeState, TimePoint Now) const
--- a/lib/Gateway/OrderSender.cpp
+++ b/lib/Gateway/OrderSender.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
+
 namespace buckthornring {
 
 namespace {
@@ -76,7 +78,9 @@
   Pending->OnDone = std::move(OnDone);
   Pending->Generation = Generation;
   Pending->StartGeneration = *Generation;
-  Pending->Timer.expires_after(ConnectTimeout + replyTimeout(Order));
+  Pending->Timer.expires_after(
+      std::clamp(Order.AuthorityEnd - bootNow(), Duration(0),
+                 ConnectTimeout + replyTimeout(Order)));
   Pending->Timer.async_wait(
       [this, Pending](const boost::system::error_code &Cancelled) {
         if (!Cancelled)
@@ -169,7 +173,8 @@
     Pending->Connection->close();
     return;
   }
-  if (!Success)
+  // An instance that is short of processor time may get here late.
+  if (!Success || bootNow() > Pending->Order.AuthorityEnd)
     return finish(Pending, RangeOrderOutcome::NotSent, "");
   Pending->Sent = true;
   Pending->Connection->exchange(
--- a/lib/Gateway/OrderSender.h
+++ b/lib/Gateway/OrderSender.h
@@ -17,7 +17,8 @@
 /// nothing else.
 ///
 /// A connection whose order got no answer in time is reset, so the order can
-/// arrive only for a short time after that (RangeTimes::TransitLimit).
+/// arrive only for a short time after that (RangeTimes::TransitLimit). The same
+/// holds at RangeOrder::AuthorityEnd: a later leader counts on it.
 ///
 /// Responses to orders carry no id, and a target may send a second copy of one
 /// late. Only renewals reuse a connection: for them, such a copy tells nothing
--- a/tests/property/RangeAssignerPropertyTest.cpp
+++ b/tests/property/RangeAssignerPropertyTest.cpp
@@ -91,6 +91,26 @@
       });
 }
 
+// Guards against grants of a replaced leader that reach their targets after the
+// end of its authority, because their connections were slow or because the
+// leader was: the next leader granted the keys to others meanwhile.
+TEST(RangeAssignerPropertyTest, NoKeyHasTwoHoldersWhenOrdersArriveSlowly) {
+  test::forEachSeed(
+      "RangeAssignerPropertyTest.NoKeyHasTwoHoldersWhenOrdersArriveSlowly", 60,
+      [](std::uint64_t Seed) {
+        RangeFaults Faults;
+        Faults.SlowOrder = 0.2;
+        Faults.LeaderCutOff = 1;
+        Faults.LeaderChange = 0.0005;
+        Faults.TargetRestart = 0;
+        Faults.TargetUnreachable = 0;
+        Faults.TargetDrain = 0;
+        RangeSimulation Simulation(Seed, Faults);
+        const auto Violation = Simulation.run(4000);
+        EXPECT_FALSE(Violation) << *Violation;
+      });
+}
+
 // Guards against a replaced leader without contact to the store that renews
 // keys at a target which has restarted and knows no later fencing token.
 TEST(RangeAssignerPropertyTest, ReplacedLeaderDoesNotRenewAtRestartedTargets) {
--- a/tests/support/RangeSimulation.h
+++ b/tests/support/RangeSimulation.h
@@ -34,6 +34,12 @@
   /// Whether a superseded leader that knows no later record of a target
   /// reaches its later incarnations.
   bool EarlierLeadersReachRestarted = true;
+  /// The connection is slow, or the leader is short of processor time: the
+  /// order arrives at any time before its connection ends.
+  double SlowOrder = 0;
+  /// Per leader change: a part of the targets is reached by the earlier leaders
+  /// only, for longer than those have authority. The others are not.
+  double LeaderCutOff = 0;
 };
 
 /// Simulates the range assigners of several leaders, targets that hold keys,
@@ -43,6 +49,8 @@
 public:
   static constexpr std::uint32_t Keys = 256;
   static constexpr Duration Timeout = std::chrono::milliseconds(500);
+  /// Time for opening a connection and for the response to an order on it.
+  static constexpr Duration LongestOrder = std::chrono::milliseconds(750);
   /// Time without a sign of a target after which its record is removed.
   static constexpr Duration RecordLifetime = std::chrono::milliseconds(3000);
   static constexpr Duration SupersededWriteLimit =
@@ -150,6 +158,11 @@
       Next->StaleUntil = Now + std::chrono::milliseconds(Random.below(4000));
     }
     Leaders.push_back(std::move(Next));
+    if (Faults.LeaderCutOff > 0 && Random.chance(Faults.LeaderCutOff))
+      for (auto &[Id, Each] : Targets)
+        if (Random.chance(0.5))
+          Each.UnreachableUntil = Now + Times.AuthorityPeriod + RecordLifetime +
+                                  Times.maxHoldPeriod();
   }
 
   /// Loses some of the last writes. Then the leader claims again in the new
@@ -381,12 +394,21 @@
     };
     const Target &Receiver = Targets.at(Order.Target.str());
     if (Receiver.listedAt(Leader.recordsOf(Now)) != Order.StartedAt ||
-        Now < Receiver.UnreachableUntil ||
+        !reaches(Leader, Receiver) ||
         (Leader.Superseded && !Faults.EarlierLeadersReachRestarted &&
          Receiver.Incarnation != Order.StartedAt))
       return Finish(Timeout, RangeOrderOutcome::NotSent, "");
     if (Random.chance(Faults.LostOrder))
       return Finish(Timeout, RangeOrderOutcome::Unanswered, "");
+    if (Faults.SlowOrder > 0 && Random.chance(Faults.SlowOrder)) {
+      const Duration Limit = std::min(LongestOrder, Order.AuthorityEnd - Now);
+      const Duration Transit = std::chrono::milliseconds(Random.below(750));
+      if (Transit < Limit)
+        schedule(Transit, [this, Order, Peer = Receiver.Incarnation] {
+          apply(Order, Peer, Now);
+        });
+      return Finish(Limit, RangeOrderOutcome::Unanswered, "");
+    }
     const bool ResponseLost = Random.chance(Faults.LostResponse);
     const bool Late = Order.Type == RangeOrder::Kind::Grant &&
                       Random.chance(Faults.LateOrder);
@@ -405,6 +427,13 @@
     });
   }
 
+  auto reaches(const LeaderProcess &Leader, const Target &Receiver) const
+      -> bool {
+    const bool Reachable = Now >= Receiver.UnreachableUntil;
+    const bool OnOtherSide = Leader.Superseded && Faults.LeaderCutOff > 0;
+    return Reachable != OnOtherSide;
+  }
+
   /// Applies an order that arrived at the target at \p Arrived on a connection
   /// to the incarnation \p Peer.
   auto apply(const RangeOrder &Order, std::int64_t Peer, TimePoint Arrived)
--- a/tests/unit/GatewayTest.cpp
+++ b/tests/unit/GatewayTest.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/OrderSender.h"
 #include "Gateway/TargetConnection.h"
 #include "HeaderFields.h"
+#include "IO/BootClock.h"
 #include "IO/Endpoint.h"
 #include "Records.h"
 #include "support/EndlessResponses.h"
@@ -770,6 +771,35 @@
                                                 "accepted "}));
 }
 
+// Guards against grants that reach a target after the end of the leader's
+// authority, when another leader may have granted the keys to another target.
+TEST_F(OrderSenderTest, OrderEndsWithTheAuthorityOfTheLeader) {
+  std::atomic<bool> Closed = false;
+  ScriptedTarget Target([&Closed](Socket &To, const std::string &) {
+    char Byte = 0;
+    boost::system::error_code Failure;
+    To.read_some(boost::asio::buffer(&Byte, 1), Failure);
+    Closed = static_cast<bool>(Failure);
+    return false;
+  });
+  Order.AuthorityEnd = bootNow() + 100ms;
+  send(Target);
+  run(250ms);
+  EXPECT_EQ(Outcomes, std::vector<std::string>{"unanswered "});
+  EXPECT_TRUE(eventually([&Closed] { return Closed.load(); }));
+}
+
+// The same if the leader gets to send the order too late.
+TEST_F(OrderSenderTest, OrderIsNotSentAfterTheAuthorityOfTheLeader) {
+  ScriptedTarget Target(ScriptedTarget::answering(Granted));
+  Order.AuthorityEnd = bootNow() + 20ms;
+  send(Target);
+  std::this_thread::sleep_for(50ms);
+  run(200ms);
+  EXPECT_EQ(Outcomes, std::vector<std::string>{"not-sent "});
+  EXPECT_TRUE(Target.requests().empty());
+}
+
 // A planned stop under load: callers go on using open connections and opening
 // new ones until the instance is gone. Whoever gets a connection gets a
 // response to the first request on it, also when that arrives a moment after
