Satisfy the linter in the tests of endless responses

Reserves the vector of callers and multiplies sizes in their own type. No check changes: the number of callers that the last expectation compares with has a name now.

--- a/tests/unit/EndlessResponseTest.cpp
+++ b/tests/unit/EndlessResponseTest.cpp
@@ -120,8 +120,10 @@
   Fixture.configure(1, "other");
   ASSERT_TRUE(Fixture.waitUntilServing());
   std::atomic<bool> Done = false;
+  constexpr int CallerCount = 6;
   std::vector<std::thread> Callers;
-  for (int Index = 0; Index < 6; ++Index)
+  Callers.reserve(CallerCount);
+  for (int Index = 0; Index < CallerCount; ++Index)
     Callers.emplace_back([&] {
       while (!Done)
         Fixture.exchange("GET", "/safe/1");
@@ -135,7 +137,7 @@
   for (std::thread &Each : Callers)
     Each.join();
   EXPECT_EQ(Served, Requests);
-  EXPECT_GT(Count, 6);
+  EXPECT_GT(Count, CallerCount);
 }
 
 } // namespace
--- a/tests/unit/GatewayTest.cpp
+++ b/tests/unit/GatewayTest.cpp
@@ -622,13 +622,13 @@
   constexpr std::size_t Limit = 4UL * 1024 * 1024;
   BodyBudget Budget(Limit);
   std::size_t Large = 0;
-  while (Budget.resize(Large, Large + 64 * 1024))
+  while (Budget.resize(Large, Large + 64UL * 1024))
     ;
   EXPECT_GE(Large, Limit / 2);
   std::size_t Small = 0;
-  EXPECT_TRUE(Budget.resize(Small, 64 * 1024));
+  EXPECT_TRUE(Budget.resize(Small, 64UL * 1024));
   std::size_t Medium = 0;
-  EXPECT_FALSE(Budget.resize(Medium, 65 * 1024));
+  EXPECT_FALSE(Budget.resize(Medium, 65UL * 1024));
 }
 
 // Guards against taking a late second copy of a rejection for the response to
