Name the leader's own address to instances that are behind

Cause: the leader's reply names an instance that has seen the newest changes. When that was the leader itself, the address was empty, since its report to itself carries none, and such a reply was ignored.

Before: OutdatedConfigurationTest.LeaderNamesItselfToInstancesThatAreBehind failed (SeenByAddress was "").

--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -205,7 +205,7 @@
                        Seen.Targets > Reply.Seen.Targets ||
                        Seen.Evacuations > Reply.Seen.Evacuations;
     if (Newer && Id != Report.Instance)
-      Reply.SeenByAddress = Other.Address;
+      Reply.SeenByAddress = addressOf(Id, Other);
     Reply.Seen.Configuration =
         std::max(Reply.Seen.Configuration, Seen.Configuration);
     Reply.Seen.Targets = std::max(Reply.Seen.Targets, Seen.Targets);
--- a/tests/unit/OutdatedConfigurationTest.cpp
+++ b/tests/unit/OutdatedConfigurationTest.cpp
@@ -94,4 +94,26 @@
       [&] { return Fixture.exchange("GET", "/new/1").has(" 404 "); }));
 }
 
+// Guards against an instance that goes on with a withdrawn key until its silent
+// watch times out: it ignored that the leader had seen a newer configuration,
+// since the leader had named itself without an address.
+TEST(OutdatedConfigurationTest, LeaderNamesItselfToInstancesThatAreBehind) {
+  GatewayFixture Leader;
+  FleetPeer Behind("dc1");
+  // The instance reports to the peer until it claims the leadership itself.
+  Leader.store().set("buckthornring", "leader", Behind.leaderObject());
+  ASSERT_TRUE(eventually([&] { return !Behind.lastSender().empty(); }));
+  Leader.configure(1);
+  const std::string Address = Behind.lastSender();
+  FleetReply Last;
+  ASSERT_TRUE(eventually([&] {
+    Behind.report(Address);
+    const auto Replies = Behind.received<FleetReply>();
+    if (!Replies.empty())
+      Last = Replies.back();
+    return Last.Seen.Configuration > 0;
+  }));
+  EXPECT_NE(Last.SeenByAddress, "");
+}
+
 } // namespace
