Reset a response without a length when the process is killed

Cause: the system ends the connections of a killed process in order, and the end of the connection is the only end of such a response. Weighed and left: a length, or chunks, promise more than the instance knows of the target's response (FaultyTargetTest.ResponseWithoutLengthIsNotForwardedWithOne, unchanged), and callers of HTTP/1.0 read no chunks.

Change: while such a response is written, the socket is set to be reset when it is closed, which holds for the end of the process too. The option is taken back for the orderly end.

--- a/lib/Gateway/CallerSession.cpp
+++ b/lib/Gateway/CallerSession.cpp
@@ -306,6 +306,7 @@
     return;
   Pimpl->Output.clear();
   bool Close = false;
+  bool EndsUnframed = false;
   while (!Pimpl->PendingResponses.empty() &&
          Pimpl->PendingResponses.front().Response && !Close) {
     const State::PendingResponse Pending =
@@ -319,6 +320,7 @@
         Pending.Response->EndsWithClose && Pimpl->PendingResponses.empty();
     if (UntilClose)
       onLastRequestRead();
+    EndsUnframed = UntilClose;
     Close = Pimpl->LastRequestRead && Pimpl->PendingResponses.empty();
     Pimpl->Output.append("HTTP/1.1 ")
         .append(std::to_string(Pending.Response->Status))
@@ -341,6 +343,8 @@
   if (Pimpl->Output.empty())
     return;
   Pimpl->Writing = true;
+  if (EndsUnframed)
+    setResetOnClose(true);
   Pimpl->WriteTimer.expires_after(WriteTimeout);
   Pimpl->WriteTimer.async_wait(
       [Weak = weak_from_this()](const error_code &Cancelled) {
@@ -361,6 +365,13 @@
                     });
 }
 
+// The orderly end of the connection is the only end of a response without a
+// length, and the system ends the connections of a killed process in order too.
+auto CallerSession::setResetOnClose(bool Reset) -> void {
+  error_code Ignored;
+  Pimpl->Socket.set_option(asio::socket_base::linger(Reset, 0), Ignored);
+}
+
 auto CallerSession::onWritten(bool Close) -> void {
   if (Close)
     return close(false);
@@ -395,8 +406,8 @@
   Pimpl->Timer.cancel();
   Pimpl->WriteTimer.cancel();
   error_code Ignored;
+  setResetOnClose(Reset);
   if (Reset) {
-    Pimpl->Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
     Pimpl->Socket.close(Ignored);
   } else {
     Pimpl->Socket.shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
--- a/tests/unit/CallerSessionTest.cpp
+++ b/tests/unit/CallerSessionTest.cpp
@@ -6,8 +6,12 @@
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include <csignal>
+#include <memory>
 #include <optional>
 #include <string>
+#include <sys/wait.h>
+#include <unistd.h>
 
 using namespace buckthornring;
 using namespace std::chrono_literals;
@@ -239,4 +243,49 @@
   EXPECT_NE(Bytes.find("HTTP/1.1 408 "), std::string::npos);
 }
 
+/// Serves one connection and answers its first request with a large response
+/// without a length. Runs until the process is killed.
+auto serveWithoutLength(int ListeningSocket) -> void {
+  boost::asio::io_context Io;
+  tcp::acceptor Listener(Io, tcp::v4(), ListeningSocket);
+  CountingHandler Handler;
+  const auto Session = std::make_shared<CallerSession>(
+      Listener.accept(), Handler, RequestLimits());
+  Session->start();
+  while (Handler.Received == 0)
+    Io.run_one();
+  CallerResponse Response;
+  Response.Status = 200;
+  Response.Body = std::string(16UL * 1024 * 1024, 'x');
+  Response.EndsWithClose = true;
+  Session->respond(Handler.LastNumber, std::move(Response));
+  while (true)
+    Io.run_one_for(1s);
+}
+
+// Guards against a response without a length that looks complete although the
+// process was killed while it wrote it.
+TEST(CallerSessionEndTest, KilledProcessResetsAResponseWithoutLength) {
+  boost::asio::io_context Io;
+  tcp::acceptor Listener(Io, {boost::asio::ip::address_v4::loopback(), 0});
+  const ::pid_t Process = ::fork();
+  ASSERT_GE(Process, 0);
+  if (Process == 0) {
+    serveWithoutLength(::dup(Listener.native_handle()));
+    ::_exit(0);
+  }
+  tcp::socket Caller(Io);
+  Caller.connect(Listener.local_endpoint());
+  boost::asio::write(Caller, boost::asio::buffer(std::string(
+                                 "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")));
+  std::string Bytes(1000, ' ');
+  boost::asio::read(Caller, boost::asio::buffer(Bytes));
+  EXPECT_EQ(Bytes.find("Content-Length"), std::string::npos);
+  ::kill(Process, SIGKILL);
+  ::waitpid(Process, nullptr, 0);
+  boost::system::error_code End;
+  boost::asio::read(Caller, boost::asio::dynamic_buffer(Bytes), End);
+  EXPECT_EQ(End, boost::asio::error::connection_reset);
+}
+
 } // namespace
