Split the serialization of a response from its sending

CallerSession::flush decided which response is the last, serialized it and wrote it; appendResponse has the second part now, without a change.

--- a/lib/Gateway/CallerSession.cpp
+++ b/lib/Gateway/CallerSession.cpp
@@ -70,6 +70,26 @@
   return Head;
 }
 
+/// Appends a response with its framing. \p UntilClose: its body ends with the
+/// connection.
+auto appendResponse(std::string &Output, const CallerResponse &Response,
+                    bool HeadOnly, bool UntilClose, bool Close) -> void {
+  Output.append("HTTP/1.1 ")
+      .append(std::to_string(Response.Status))
+      .append(" ")
+      .append(http::obsolete_reason(static_cast<http::status>(Response.Status)))
+      .append("\r\n");
+  for (const auto &[Name, Value] : Response.Fields)
+    appendField(Output, Name, Value);
+  if (Response.Status != 204 && Response.Status != 304 && !UntilClose)
+    appendField(Output, "Content-Length", std::to_string(Response.Body.size()));
+  if (Close)
+    appendField(Output, "Connection", "close");
+  Output.append("\r\n");
+  if (!HeadOnly)
+    Output.append(Response.Body);
+}
+
 } // namespace
 
 struct CallerSession::State {
@@ -322,23 +342,8 @@
       onLastRequestRead();
     EndsUnframed = UntilClose;
     Close = Pimpl->LastRequestRead && Pimpl->PendingResponses.empty();
-    Pimpl->Output.append("HTTP/1.1 ")
-        .append(std::to_string(Pending.Response->Status))
-        .append(" ")
-        .append(http::obsolete_reason(
-            static_cast<http::status>(Pending.Response->Status)))
-        .append("\r\n");
-    for (const auto &[Name, Value] : Pending.Response->Fields)
-      appendField(Pimpl->Output, Name, Value);
-    if (Pending.Response->Status != 204 && Pending.Response->Status != 304 &&
-        !UntilClose)
-      appendField(Pimpl->Output, "Content-Length",
-                  std::to_string(Pending.Response->Body.size()));
-    if (Close)
-      appendField(Pimpl->Output, "Connection", "close");
-    Pimpl->Output.append("\r\n");
-    if (!Pending.HeadOnly)
-      Pimpl->Output.append(Pending.Response->Body);
+    appendResponse(Pimpl->Output, *Pending.Response, Pending.HeadOnly,
+                   UntilClose, Close);
   }
   if (Pimpl->Output.empty())
     return;
--- a/lib/Gateway/CallerSession.h
+++ b/lib/Gateway/CallerSession.h
@@ -105,8 +105,8 @@
   auto armTimer(Duration Timeout) -> void;
   auto disarmTimer() -> void;
   auto flush() -> void;
-  /// Whether the system resets the connection when the socket is closed, also
-  /// by the end of the process.
+  /// Sets whether the system resets the connection when the socket is closed,
+  /// also by the end of the process.
   auto setResetOnClose(bool Reset) -> void;
   auto onWritten(bool Close) -> void;
   auto onDisconnected() -> void;
