Share the handler of the tests of caller sessions

The unit and the property test counted callbacks by two copies of one class, and two tests repeated their steps.

--- a/tests/property/CallerSessionPropertyTest.cpp
+++ b/tests/property/CallerSessionPropertyTest.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/CallerSession.h"
 #include "Seeds.h"
 #include "buckthornring/Common/Random.h"
+#include "support/CountingHandler.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
@@ -16,6 +17,7 @@
 #include <vector>
 
 using namespace buckthornring;
+using namespace buckthornring::test;
 using namespace std::chrono_literals;
 using boost::asio::ip::tcp;
 using boost::system::error_code;
@@ -25,35 +27,22 @@
 namespace http = boost::beast::http;
 
 /// Keeps the requests that were passed on.
-class RecordingHandler final : public CallerHandler {
+class RecordingHandler final : public CountingHandler {
 public:
   struct Request {
     std::uint64_t Number;
     bool HeadOnly;
   };
 
-  auto onRequest(const std::shared_ptr<CallerSession> &, std::uint64_t Number,
-                 CallerRequest Passed) -> void override {
+  auto onRequest(const std::shared_ptr<CallerSession> &Session,
+                 std::uint64_t Number, CallerRequest Passed) -> void override {
     PassedOn.push_back({Number, Passed.Head.Method == "HEAD"});
     Unanswered.push_back(Number);
-  }
-  auto onCallerDisconnected(const CallerSession &, std::uint64_t)
-      -> void override {
-    ++Disconnected;
-  }
-  auto makeErrorResponse(unsigned Status) -> CallerResponse override {
-    CallerResponse Response;
-    Response.Status = Status;
-    return Response;
-  }
-  auto onSessionEnded(const std::shared_ptr<CallerSession> &) -> void override {
-    Ended = true;
+    CountingHandler::onRequest(Session, Number, std::move(Passed));
   }
 
   std::vector<Request> PassedOn;
   std::vector<std::uint64_t> Unanswered;
-  int Disconnected = 0;
-  bool Ended = false;
 };
 
 /// One generated session: a caller that pipelines, targets that answer in any
--- a/tests/unit/CallerSessionTest.cpp
+++ b/tests/unit/CallerSessionTest.cpp
@@ -1,4 +1,5 @@
 #include "Gateway/CallerSession.h"
+#include "support/CountingHandler.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
@@ -14,38 +15,12 @@
 #include <unistd.h>
 
 using namespace buckthornring;
+using namespace buckthornring::test;
 using namespace std::chrono_literals;
 using boost::asio::ip::tcp;
 
 namespace {
 
-/// Counts the callbacks of a session. Requests are answered by the tests.
-class CountingHandler final : public CallerHandler {
-public:
-  auto onRequest(const std::shared_ptr<CallerSession> &, std::uint64_t Number,
-                 CallerRequest) -> void override {
-    ++Received;
-    LastNumber = Number;
-  }
-  auto onCallerDisconnected(const CallerSession &, std::uint64_t)
-      -> void override {
-    ++Disconnected;
-  }
-  auto makeErrorResponse(unsigned Status) -> CallerResponse override {
-    CallerResponse Response;
-    Response.Status = Status;
-    return Response;
-  }
-  auto onSessionEnded(const std::shared_ptr<CallerSession> &) -> void override {
-    ++Ended;
-  }
-
-  int Received = 0;
-  std::uint64_t LastNumber = 0;
-  int Disconnected = 0;
-  int Ended = 0;
-};
-
 class CallerSessionTest : public testing::Test {
 protected:
   /// Larger than the buffers of both sockets.
@@ -103,6 +78,18 @@
     return Holds();
   }
 
+  /// Sends a second request while the first one gets a large response.
+  auto expectNothingIsReadBehind() -> void {
+    runFor(50ms);
+    send("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    runFor(50ms);
+    EXPECT_EQ(Handler.Received, 1);
+    // The unread request must not make the end of the connection a reset
+    // either, by which the caller would lose the rest of the response.
+    const std::string Bytes = readAll();
+    EXPECT_EQ(Bytes.size() - Bytes.find("\r\n\r\n") - 4, LargeBody);
+  }
+
   boost::asio::io_context Io;
   tcp::acceptor Listener;
   tcp::socket Caller;
@@ -180,14 +167,7 @@
 TEST_F(CallerSessionTest, NoRequestIsReadBehindAResponseWithoutLength) {
   Session->start();
   answer(sendRequest("/a"), std::string(LargeBody, 'x'), true);
-  runFor(50ms);
-  send("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
-  runFor(50ms);
-  EXPECT_EQ(Handler.Received, 1);
-  // The unread request must not make the end of the connection a reset either,
-  // by which the caller would lose the rest of the response.
-  const std::string Bytes = readAll();
-  EXPECT_EQ(Bytes.size() - Bytes.find("\r\n\r\n") - 4, LargeBody);
+  expectNothingIsReadBehind();
   EXPECT_EQ(Handler.Disconnected, 0);
 }
 
@@ -196,12 +176,7 @@
   Session->start();
   Session->drain(false);
   answer(sendRequest("/a"), std::string(LargeBody, 'x'));
-  runFor(50ms);
-  send("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
-  runFor(50ms);
-  EXPECT_EQ(Handler.Received, 1);
-  const std::string Bytes = readAll();
-  EXPECT_EQ(Bytes.size() - Bytes.find("\r\n\r\n") - 4, LargeBody);
+  expectNothingIsReadBehind();
 }
 
 // Guards against parts of a request without end that fill the memory.
