Do not count the first read of the store as lagging behind

Since the leader names itself to instances that are behind, all instances of a starting fleet took themselves for behind 0.4 s after the leader had read the store: their first reads, through relays that wait for their own, were in progress. They distrusted the relays and read the store themselves.

Ruled out: processor time and new connections, which are the same.

Change: StoreFeed::isBehind waits for the first read until it fails.

Before, the test could not be built (StoreFeedTest.FirstReadInProgressIsNotBehind calls the new function).

--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -407,7 +407,7 @@
        {EvacuationFeed.get(), Others.Evacuations}}};
   std::vector<StoreFeed *> Behind;
   for (const auto &[Feed, Revision] : Feeds)
-    if (Feed->revision() < Revision && !Feed->receiving())
+    if (Feed->isBehind(Revision))
       Behind.push_back(Feed);
   // Otherwise the missing changes are arriving.
   if (Behind.empty())
--- a/lib/Gateway/StoreFeed.h
+++ b/lib/Gateway/StoreFeed.h
@@ -84,6 +84,13 @@
   /// Whether the response to the open call is arriving.
   auto receiving() const -> bool { return OpenRead && OpenRead->receiving(); }
   auto loaded() const -> bool { return Loaded; }
+  /// Whether changes up to \p Others, which another instance has read, are
+  /// missing and are not arriving either. The first read may take longer than
+  /// any change does, so it is waited for until it fails.
+  auto isBehind(std::uint64_t Others) const -> bool {
+    const bool FirstRead = !Loaded && Failures == 0;
+    return Revision < Others && !FirstRead && !receiving();
+  }
   auto connected() const -> bool { return Connected; }
   /// Time at which the last answered call was sent. The state of the store at
   /// that time is known; the answer itself may have been delayed on its way.
--- a/tests/unit/StoreFeedTest.cpp
+++ b/tests/unit/StoreFeedTest.cpp
@@ -265,4 +265,16 @@
   EXPECT_EQ(Changes->size(), 1U);
 }
 
+// Guards against a whole fleet that distrusts its relays and reads the store
+// again when it starts, since the leader has read it first.
+TEST_F(StoreFeedTest, FirstReadInProgressIsNotBehind) {
+  EXPECT_FALSE(Feed.isBehind(5));
+  Store.answer(StoreChanges());
+  EXPECT_TRUE(Feed.isBehind(5));
+  waitForCall();
+  Store.answer(done({}, 7));
+  EXPECT_FALSE(Feed.isBehind(7));
+  EXPECT_TRUE(Feed.isBehind(8));
+}
+
 } // namespace
