Keep a lag when the next leader knows of fewer changes

A reply that it had reached ended the lag. A new leader has not heard from all instances, so in a series of leaders, each of 1.1 to 1.7 s, every change of the leader ended it.

Change: a lag lasts until the revisions that began it have been reached. LagDetector returns them, since the last reply may name older ones.

Test: LagDetectorTest.LeaderThatKnowsLessDoesNotEndALag failed with the old condition under the new signature and passes now.

--- a/lib/Fleet/LagDetector.h
+++ b/lib/Fleet/LagDetector.h
@@ -3,6 +3,8 @@
 #include "Fleet/FleetMessage.h"
 #include "buckthornring/Common/Time.h"
 
+#include <optional>
+
 namespace buckthornring {
 
 /// Detects that an instance does not receive the changes that others have seen.
@@ -17,23 +19,25 @@
   explicit LagDetector(Duration Timeout) : Timeout(Timeout) {}
 
   /// Records the newest revisions of other instances. \p HasSeen tells whether
-  /// this instance has reached given revisions. Returns whether it has failed
-  /// to reach the same revisions for the time-out; starts anew then.
+  /// this instance has reached given revisions. Returns the revisions that it
+  /// has failed to reach for the time-out, if any; starts anew then.
   template <class Function>
   auto update(const SeenRevisions &Others, Function HasSeen, TimePoint Now)
-      -> bool {
-    if (HasSeen(Others)) {
+      -> std::optional<SeenRevisions> {
+    // A new leader may know of fewer changes than its predecessor did.
+    const bool Lagging = Since != LongAgo && !HasSeen(Expected);
+    if (!Lagging && HasSeen(Others)) {
       Since = LongAgo;
-      return false;
+      return std::nullopt;
     }
-    if (Since == LongAgo || HasSeen(Expected)) {
+    if (!Lagging) {
       Since = Now;
       Expected = Others;
     }
     if (Now - Since < Timeout)
-      return false;
+      return std::nullopt;
     Since = LongAgo;
-    return true;
+    return Expected;
   }
 
 private:
--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -398,9 +398,10 @@
 
 auto FleetMember::checkBehind(const SeenRevisions &Others,
                               const std::string &From) -> void {
-  if (From.empty() || !Lag.update(Others, Context.HasSeen, bootNow()))
+  if (From.empty())
     return;
-  Context.OnBehind(Others, From);
+  if (const auto Missing = Lag.update(Others, Context.HasSeen, bootNow()))
+    Context.OnBehind(*Missing, From);
 }
 
 auto FleetMember::onLeaderObjectChanged(const StoredObject *Object) -> void {
--- a/tests/unit/LagDetectorTest.cpp
+++ b/tests/unit/LagDetectorTest.cpp
@@ -49,4 +49,18 @@
   EXPECT_EQ(Reports, 4);
 }
 
+// Guards against a lag that is never reported because each new leader, which
+// has not heard from all instances yet, knows of fewer changes than the last.
+TEST(LagDetectorTest, LeaderThatKnowsLessDoesNotEndALag) {
+  LagDetector Lag(400ms);
+  const auto HasSeen = [](const SeenRevisions &Revisions) {
+    return Revisions.Configuration <= 5;
+  };
+  EXPECT_FALSE(Lag.update({9, 0, 0}, HasSeen, Start));
+  EXPECT_FALSE(Lag.update({5, 0, 0}, HasSeen, Start + 300ms));
+  const auto Missing = Lag.update({5, 0, 0}, HasSeen, Start + 500ms);
+  ASSERT_TRUE(Missing);
+  EXPECT_EQ(Missing->Configuration, 9U);
+}
+
 } // namespace
