Send further orders only to the targets that an ended order concerns

Cause, one of three found in that matter: a leader that takes over grants all key ranges anew. After each order that ended it looked at all targets, and for each target at all ranges: with 109 targets and 528 ranges the log of a leader has one ended order each 4.5 ms, so that the takeover took longer than the 0.9 s after which the others replace a leader that does not reply. Class: work that is begun again by whoever replaces the one that it delayed, so that it never ends.

Ruled out: lost datagrams (57 of 60 instances had heard of each leader), an outage that lasted (the store answered every call from 26.0 s on).

Change: RangeAssigner keeps the ranges of each target, and targetsAfter() names the targets that an ended order concerns: its own, and the owners of the keys that it names.

Evidence: the two tests name a function that did not exist before.

--- a/bench/measure/CapacityMeasures.cpp
+++ b/bench/measure/CapacityMeasures.cpp
@@ -3,6 +3,8 @@
 
 #include "Measurement.h"
 
+#include "Fleet/RangeAssigner.h"
+
 #include "buckthornring/Common/Invariant.h"
 #include "buckthornring/Config/CallerKeys.h"
 #include "buckthornring/Limits/ShareHolder.h"
@@ -366,6 +368,70 @@
        "bytes", 0, Bound::AtLeast});
 }
 
+/// Ranges of one target of a busy divided service.
+constexpr std::uint32_t RangesPerTarget = 5;
+
+auto makeRanges(std::uint32_t Targets) -> RangeRecord {
+  constexpr std::uint32_t Width = 16;
+  RangeRecord Record;
+  for (std::uint32_t I = 0; I < Targets * RangesPerTarget; ++I) {
+    KeyRange Range;
+    Range.From = I * Width;
+    Range.To = Range.From + Width - 1;
+    Range.Owner = targetName(I % Targets);
+    Range.Fence = Record.NextFence++;
+    Record.Ranges.push_back(Range);
+  }
+  return Record;
+}
+
+/// Returns the processor time of granting all ranges anew, as a leader does
+/// that takes over. \p AllTargets: looks at all targets after each order,
+/// instead of those that it concerns.
+auto takeoverMicroseconds(std::uint32_t Targets, bool AllTargets) -> double {
+  const TimePoint Now{std::chrono::seconds(10)};
+  const RangeRecord Record = makeRanges(Targets);
+  return minimumCpuMicroseconds([&] {
+    RangeAssigner Assigner(Record.Ranges.back().To + 1, RangeTimes());
+    Assigner.takeOver(Record, 7, Now);
+    Assigner.writeDone(8, Now);
+    std::vector<RangeOrder> Open;
+    std::set<TargetId> Granting;
+    const auto Send = [&](const std::set<TargetId> &To) {
+      for (const TargetId &Target : To)
+        if (!Granting.contains(Target))
+          if (const auto Order = Assigner.nextGrant(Target, Now, Now)) {
+            Granting.insert(Target);
+            Open.push_back(*Order);
+          }
+    };
+    Send(Assigner.involvedTargets());
+    while (!Open.empty()) {
+      const RangeOrder Ended = std::move(Open.back());
+      Open.pop_back();
+      Granting.erase(Ended.Target);
+      Assigner.onOrderEnded(Ended, RangeOrderOutcome::Accepted, "", Now);
+      Send(AllTargets ? Assigner.involvedTargets()
+                      : Assigner.targetsAfter(Ended));
+    }
+    const auto Granted = Assigner.takeGranted().size();
+    invariant(Granted == Record.Ranges.size(), "all ranges were granted");
+  });
+}
+
+auto measureTakeover(Measurements &Results) -> void {
+  for (const std::uint32_t Targets : {25U, 50U, 100U, 200U})
+    for (const bool AllTargets : {false, true})
+      Results.push_back(
+          {"capacity.takeover.time_per_range",
+           std::string(AllTargets ? "baseline" : "concerned-targets") +
+               ",size=" + std::to_string(Targets * RangesPerTarget),
+           1,
+           takeoverMicroseconds(Targets, AllTargets) /
+               (Targets * RangesPerTarget),
+           "us", 0, Bound::AtLeast});
+}
+
 auto measureConfiguration(Measurements &Results) -> void {
   std::vector<Point> Memory;
   std::vector<Point> Lookup;
@@ -400,6 +466,7 @@
   measureDelta(Results);
   measureLeader(Results);
   measureShares(Results);
+  measureTakeover(Results);
   measureConfiguration(Results);
   return Results;
 }
--- a/lib/Fleet/RangeAssigner.cpp
+++ b/lib/Fleet/RangeAssigner.cpp
@@ -94,6 +94,7 @@
   for (std::size_t Index = 0; Index < States.size(); ++Index)
     if (Current.Ranges[Index].Owner.empty())
       States[Index] = State();
+  indexRanges();
   Proposed.reset();
   TakingOver = numberOf(AtRevision) != 0 || WaitingForEarlierOwners;
   if (TakingOver && !WaitingForEarlierOwners)
@@ -238,6 +239,7 @@
     Next.push_back(stateOf(Current, Range));
   Current = std::move(*Proposed);
   States = std::move(Next);
+  indexRanges();
   Proposed.reset();
   ChangedAt = Now;
   Revision = NewRevision;
@@ -389,7 +391,7 @@
   const TimePoint AuthorityEnd = authorityEnd(ConfirmedAt);
   if (Now > AuthorityEnd)
     return std::nullopt;
-  for (std::size_t Index = 0; Index < Current.Ranges.size(); ++Index) {
+  for (const std::size_t Index : rangesOf(Target)) {
     const KeyRange &Range = Current.Ranges[Index];
     State &RangeState = States[Index];
     if (Range.PreviousOwner != Target || Range.Owner == Target ||
@@ -418,7 +420,7 @@
     return std::nullopt;
   const TimePoint AuthorityEnd = authorityEnd(ConfirmedAt);
   const auto Incarnation = CurrentView.Incarnations.find(Target);
-  for (std::size_t Index = 0; Index < Current.Ranges.size(); ++Index) {
+  for (const std::size_t Index : rangesOf(Target)) {
     const KeyRange &Range = Current.Ranges[Index];
     State &RangeState = States[Index];
     if (Range.Owner != Target || Now < RangeState.NextGrantAt)
@@ -463,7 +465,7 @@
                                  RangeOrderOutcome Outcome, TimePoint Now)
     -> void {
   // The ranges may have been split or moved while the order was in flight.
-  for (std::size_t Index = 0; Index < Current.Ranges.size(); ++Index) {
+  for (const std::size_t Index : rangesOf(Order.Target)) {
     const KeyRange &Range = Current.Ranges[Index];
     State &RangeState = States[Index];
     if (Range.To < Order.From || Range.From > Order.To)
@@ -509,7 +511,7 @@
                                    RangeOrderOutcome Outcome,
                                    const std::string &Handover, TimePoint Now)
     -> void {
-  for (std::size_t Index = 0; Index < Current.Ranges.size(); ++Index) {
+  for (const std::size_t Index : rangesOf(Order.Target)) {
     const KeyRange &Range = Current.Ranges[Index];
     State &RangeState = States[Index];
     if (Range.PreviousOwner != Order.Target ||
@@ -560,6 +562,36 @@
          Now - Found->second.FirstAt > NoResponseTimeout;
 }
 
+auto RangeAssigner::rangesOf(const TargetId &Target) const
+    -> const std::vector<std::size_t> & {
+  static const std::vector<std::size_t> None;
+  const auto Found = RangesByTarget.find(Target);
+  return Found == RangesByTarget.end() ? None : Found->second;
+}
+
+auto RangeAssigner::indexRanges() -> void {
+  RangesByTarget.clear();
+  for (std::size_t Index = 0; Index < Current.Ranges.size(); ++Index) {
+    const KeyRange &Range = Current.Ranges[Index];
+    RangesByTarget[Range.Owner].push_back(Index);
+    if (Range.PreviousOwner != Range.Owner)
+      RangesByTarget[Range.PreviousOwner].push_back(Index);
+  }
+  RangesByTarget.erase(TargetId());
+}
+
+auto RangeAssigner::targetsAfter(const RangeOrder &Ended) const
+    -> std::set<TargetId> {
+  std::set<TargetId> Out = {Ended.Target};
+  for (const std::size_t Index : rangesOf(Ended.Target)) {
+    const KeyRange &Range = Current.Ranges[Index];
+    if (Range.From <= Ended.To && Range.To >= Ended.From &&
+        !Range.Owner.empty())
+      Out.insert(Range.Owner);
+  }
+  return Out;
+}
+
 auto RangeAssigner::involvedTargets() const -> std::set<TargetId> {
   std::set<TargetId> Out;
   for (std::size_t Index = 0; Index < Current.Ranges.size(); ++Index) {
--- a/lib/Fleet/RangeAssigner.h
+++ b/lib/Fleet/RangeAssigner.h
@@ -166,6 +166,9 @@
   /// Returns the owners of all ranges, and the previous owners of ranges whose
   /// owner has not been sent a grant.
   auto involvedTargets() const -> std::set<TargetId>;
+  /// Returns the targets for which further orders may be due since \p Ended has
+  /// ended: its own, and the owners of the keys that it names.
+  auto targetsAfter(const RangeOrder &Ended) const -> std::set<TargetId>;
   /// Whether the target has not answered orders for longer than
   /// NoResponseTimeout. False again some time after the last failed order, so
   /// that the target is retried.
@@ -229,6 +232,11 @@
   auto movable(const KeyRange &Range, const State &RangeState,
                TimePoint Now) const -> bool;
   auto stateOf(const RangeRecord &Record, const KeyRange &Range) const -> State;
+  /// Indices of the ranges of which the target is the owner or previous owner.
+  auto rangesOf(const TargetId &Target) const
+      -> const std::vector<std::size_t> &;
+  /// Updates RangesByTarget. To be called when Current.Ranges has changed.
+  auto indexRanges() -> void;
   /// Returns the record without the previous owners that can no longer hold
   /// keys, for ranges whose owner has accepted a grant.
   auto withoutGonePreviousOwners(TimePoint Now) const -> RangeRecord;
@@ -257,6 +265,9 @@
   RangeTimes Times;
   RangeRecord Current;
   std::vector<State> States; ///< Parallel to Current.Ranges.
+  /// Each order looks for the ranges of one target, and the number of orders
+  /// grows with that of all ranges.
+  std::unordered_map<TargetId, std::vector<std::size_t>> RangesByTarget;
   std::uint64_t Revision = 0;
   std::optional<RangeRecord> Proposed;
   bool TakingOver = false;
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -604,19 +604,23 @@
 
 auto Leader::sendOrders(const ServiceId &Id, ServiceState &State, TimePoint Now)
     -> void {
-  for (const TargetId &Target : State.Keeper.involvedTargets()) {
-    if (!State.PendingGrants.contains(Target))
-      if (const auto Call = State.Keeper.nextGrant(Target, ConfirmedAt, Now)) {
-        State.PendingGrants.insert(Target);
-        sendOrder(Id, *Call);
-      }
-    while (State.PendingReleases < MaxPendingReleases) {
-      const auto Call = State.Keeper.nextRelease(Target, ConfirmedAt, Now);
-      if (!Call)
-        break;
-      ++State.PendingReleases;
+  for (const TargetId &Target : State.Keeper.involvedTargets())
+    sendOrdersTo(Target, Id, State, Now);
+}
+
+auto Leader::sendOrdersTo(const TargetId &Target, const ServiceId &Id,
+                          ServiceState &State, TimePoint Now) -> void {
+  if (!State.PendingGrants.contains(Target))
+    if (const auto Call = State.Keeper.nextGrant(Target, ConfirmedAt, Now)) {
+      State.PendingGrants.insert(Target);
       sendOrder(Id, *Call);
     }
+  while (State.PendingReleases < MaxPendingReleases) {
+    const auto Call = State.Keeper.nextRelease(Target, ConfirmedAt, Now);
+    if (!Call)
+      break;
+    ++State.PendingReleases;
+    sendOrder(Id, *Call);
   }
 }
 
@@ -664,6 +668,7 @@
     -> void {
   ServiceState &State = Services.at(Id);
   const TimePoint Now = bootNow();
+  const bool ReleasesWereFull = State.PendingReleases == MaxPendingReleases;
   if (Call.Type == RangeOrder::Kind::Grant)
     State.PendingGrants.erase(Call.Target);
   else
@@ -674,7 +679,10 @@
   if (Answer == RangeOrderOutcome::Refused)
     return onSuperseded(Id);
   announceGrants(Id, State);
-  sendOrders(Id, State, Now);
+  if (ReleasesWereFull && State.PendingReleases < MaxPendingReleases)
+    return sendOrders(Id, State, Now);
+  for (const TargetId &Target : State.Keeper.targetsAfter(Call))
+    sendOrdersTo(Target, Id, State, Now);
 }
 
 auto Leader::logOrder(const ServiceId &Id, const RangeOrder &Call,
--- a/lib/Gateway/Leader.h
+++ b/lib/Gateway/Leader.h
@@ -185,6 +185,8 @@
       -> bool;
   auto sendOrders(const ServiceId &Id, ServiceState &State, TimePoint Now)
       -> void;
+  auto sendOrdersTo(const TargetId &Target, const ServiceId &Id,
+                    ServiceState &State, TimePoint Now) -> void;
   auto sendOrder(const ServiceId &Id, const RangeOrder &Call) -> void;
   /// Logs why the previous owner of the keys is known to hold them no longer.
   auto logFirstGrant(const ServiceId &Id, const RangeOrder &Call) -> void;
--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -419,6 +419,43 @@
   EXPECT_FALSE(Record.isOwner(TargetId("old")));
 }
 
+// Guards against a leader that looks at all targets after each order: granting
+// the ranges of a large service took longer than the fleet waits for its
+// leader, and the next leader began again.
+TEST(RangeAssignerTest, EndOfAnOrderConcernsOnlyTheTargetsItNames) {
+  constexpr int TargetCount = 100;
+  RangeAssigner Assigner(65'536, RangeTimes());
+  Assigner.takeOver(firstRecord(TargetCount), 7, Start);
+  Assigner.writeDone(8, Start);
+  ASSERT_EQ(Assigner.involvedTargets().size(), std::size_t{TargetCount});
+  std::size_t Granted = 0;
+  for (const TargetId &Id : Assigner.involvedTargets())
+    while (const auto Grant = Assigner.nextGrant(Id, Start, Start)) {
+      Assigner.onOrderEnded(*Grant, RangeOrderOutcome::Accepted, "", Start);
+      EXPECT_EQ(Assigner.targetsAfter(*Grant), std::set<TargetId>{Id});
+      ++Granted;
+    }
+  EXPECT_EQ(Granted, Assigner.record().Ranges.size());
+}
+
+// The keys of a release are granted to their next owner at once.
+TEST(RangeAssignerTest, EndOfAReleaseConcernsTheNextOwner) {
+  RangeRecord Record = firstRecord(3);
+  KeyRange &Moved = Record.Ranges.front();
+  Moved.PreviousOwner = std::exchange(Moved.Owner, Record.Ranges.back().Owner);
+  Moved.PreviousOwnerFence = std::exchange(Moved.Fence, Record.NextFence++);
+  RangeAssigner Assigner(65'536, RangeTimes());
+  Assigner.takeOver(Record, 7, Start);
+  Assigner.writeDone(8, Start);
+  RangeOrder Release;
+  Release.Type = RangeOrder::Kind::Release;
+  Release.Target = Moved.PreviousOwner;
+  Release.From = Moved.From;
+  Release.To = Moved.To;
+  const std::set<TargetId> Expected = {Moved.PreviousOwner, Moved.Owner};
+  EXPECT_EQ(Assigner.targetsAfter(Release), Expected);
+}
+
 // Guards against a leader that returns after another one has moved keys, and
 // after the store has lost that: its record was taken for the last one, and its
 // keys were granted to a second target.
