Bound direct reads in place of a relay

Callers were served by an old configuration for up to 12 s after an outage of the store. Readers whose relays had no contact read the store directly, with the full time-out of the watch (25 s), and that read stayed open on a connection that the store never answered again. The feed counted as connected meanwhile, and neither the store's return nor a new relay ended the read.

A direct watch in place of a relay that failed now ends after 1.5 s and the relays are tried again by a later read. Where no relay is named the long watch stays, since calls to the store are charged. Open direct reads move to a relay that becomes usable by being named. A line store-read-direct tells when a read goes to the store although relays are named.

The fake store can be silent: calls end at the time limits of the platform's adapter.

--- a/lib/Gateway/RelayedStore.cpp
+++ b/lib/Gateway/RelayedStore.cpp
@@ -35,6 +35,11 @@
 /// that leave, so it reads the store itself if its relay is slower.
 constexpr Duration RelayTransferLimit = std::chrono::milliseconds(2500);
 
+/// Longest direct watch in place of one through a relay that failed. The
+/// connection to the store may be silent too, and an open watch counts as
+/// contact until it fails.
+constexpr Duration FallbackWatchTimeout = std::chrono::milliseconds(1500);
+
 /// Time for which a failed relay is not called again.
 constexpr Duration DistrustPeriod = std::chrono::seconds(5);
 
@@ -98,17 +103,23 @@
     return Call.receiving() || (DirectRead && DirectRead->receiving());
   }
   auto cancel() -> void override {
+    ++Attempts;
     Call.cancel();
     if (DirectRead)
       DirectRead->cancel();
+    DirectRead = nullptr;
+    Direct = false;
   }
 
+  std::string Kind;
   std::string Query;
   Duration Timeout{0}; ///< Until a relay begins to answer.
   ChangesHandler OnDone;
   std::function<ReadPtr(ChangesHandler)> ReadDirectly;
   HttpCall Call;
   ReadPtr DirectRead;
+  bool Direct = false;        ///< The store has not answered the read yet.
+  std::uint64_t Attempts = 0; ///< Answers to earlier attempts are ignored.
 };
 
 auto RelayedStore::useRelays(const std::string &Primary,
@@ -130,6 +141,23 @@
     else
       Relays[Index] = connectTo(Addresses[Index]);
   }
+  moveDirectReads();
+}
+
+auto RelayedStore::moveDirectReads() -> void {
+  if (!usableRelay())
+    return;
+  for (const auto &Each : std::exchange(DirectReads, {})) {
+    const auto Read = Each.lock();
+    if (!Read || !Read->Direct)
+      continue;
+    if (Read->receiving()) {
+      DirectReads.push_back(Read);
+      continue;
+    }
+    Read->cancel();
+    send(Read);
+  }
 }
 
 auto RelayedStore::connectTo(const std::string &Address) const -> Relay {
@@ -169,12 +197,38 @@
   return nullptr;
 }
 
+auto RelayedStore::hasRelay() const -> bool {
+  return std::any_of(Relays.begin(), Relays.end(),
+                     [](const Relay &Each) { return Each.Client != nullptr; });
+}
+
+auto RelayedStore::sendDirectly(const std::shared_ptr<RelayedRead> &Read)
+    -> void {
+  if (hasRelay())
+    Events.write(EventLine("store-read-direct").field("kind", Read->Kind));
+  std::erase_if(DirectReads, [](const std::weak_ptr<RelayedRead> &Each) {
+    const auto Open = Each.lock();
+    return !Open || !Open->Direct;
+  });
+  DirectReads.push_back(Read);
+  Read->Direct = true;
+  // The read may not be kept by its caller, and keeps the direct one itself.
+  Read->DirectRead = Read->ReadDirectly(
+      [WeakRead = std::weak_ptr<RelayedRead>(Read), OnDone = Read->OnDone,
+       Number = ++Read->Attempts](StoreChanges Changes) {
+        if (const auto Open = WeakRead.lock()) {
+          if (Open->Attempts != Number)
+            return;
+          Open->Direct = false;
+        }
+        OnDone(std::move(Changes));
+      });
+}
+
 auto RelayedStore::send(const std::shared_ptr<RelayedRead> &Read) -> void {
   const Relay *Used = usableRelay();
-  if (!Used) {
-    Read->DirectRead = Read->ReadDirectly(Read->OnDone);
-    return;
-  }
+  if (!Used)
+    return sendDirectly(Read);
   HttpRequest Request;
   Request.Target = std::string(ChangeRelay::Path) + "?" + Read->Query;
   Request.Headers.set("Accept-Encoding", "deflate");
@@ -215,6 +269,7 @@
 auto RelayedStore::list(const std::string &Kind, ChangesHandler OnDone)
     -> ReadPtr {
   const auto Read = std::make_shared<RelayedRead>();
+  Read->Kind = Kind;
   Read->Query = "kind=" + encodePercent(Kind);
   Read->Timeout = RelayReplyTimeout;
   Read->OnDone = std::move(OnDone);
@@ -229,13 +284,16 @@
                          Duration Wait, ChangesHandler OnDone) -> ReadPtr {
   const Duration RelayedWait = std::min(Wait, RelayWatchTimeout);
   const auto Read = std::make_shared<RelayedRead>();
+  Read->Kind = Kind;
   Read->Query = "kind=" + encodePercent(Kind) +
                 "&since=" + std::to_string(Revision) +
                 "&wait_ms=" + milliseconds(RelayedWait);
   Read->Timeout = RelayedWait + RelayReplyTimeout;
   Read->OnDone = std::move(OnDone);
   Read->ReadDirectly = [this, Kind, Revision, Wait](ChangesHandler Callback) {
-    return DirectStore->watch(Kind, Revision, Wait, std::move(Callback));
+    const Duration DirectWait =
+        hasRelay() ? std::min(Wait, FallbackWatchTimeout) : Wait;
+    return DirectStore->watch(Kind, Revision, DirectWait, std::move(Callback));
   };
   send(Read);
   return Read;
--- a/lib/Gateway/RelayedStore.h
+++ b/lib/Gateway/RelayedStore.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace buckthornring {
 
@@ -24,7 +25,8 @@
       : Io(Io), DirectStore(std::move(DirectStore)), Events(Events) {}
 
   /// Reads through the instance at \p Primary from now on, and through the one
-  /// at \p Backup while the first does not respond. Empty: there is none.
+  /// at \p Backup while the first does not respond. Empty: there is none. Open
+  /// reads that go to the store move to a new relay.
   auto useRelays(const std::string &Primary, const std::string &Backup) -> void;
   /// The relays are behind other instances: reads go to the store for a while.
   auto distrust(const char *Reason) -> void;
@@ -48,9 +50,13 @@
   auto distrust(Relay &Failed, const char *Reason) -> void;
   /// Returns the first relay that is not distrusted, or null.
   auto usableRelay() -> Relay *;
+  /// Whether a relay is named, trusted or not.
+  auto hasRelay() const -> bool;
   /// Sends the read to the first usable relay, then to the next one if that
   /// gives no usable answer, and at last to the store.
   auto send(const std::shared_ptr<RelayedRead> &Read) -> void;
+  auto sendDirectly(const std::shared_ptr<RelayedRead> &Read) -> void;
+  auto moveDirectReads() -> void;
   auto onAnswer(const std::shared_ptr<RelayedRead> &Read,
                 const HttpClient *UsedClient, const HttpOutcome &Outcome)
       -> void;
@@ -59,6 +65,7 @@
   std::unique_ptr<ObjectStore> DirectStore;
   EventLog &Events;
   std::array<Relay, 2> Relays; ///< Primary and backup.
+  std::vector<std::weak_ptr<RelayedRead>> DirectReads;
 };
 
 } // namespace buckthornring
--- a/tests/support/FakeObjectStore.h
+++ b/tests/support/FakeObjectStore.h
@@ -60,6 +60,12 @@
     const std::lock_guard Guard(Mutex);
     Down = IsDown;
   }
+  /// While silent, calls are accepted and never answered. They end at their
+  /// own time limits, even if the store answers new calls before.
+  auto setSilent(bool IsSilent) -> void {
+    const std::lock_guard Guard(Mutex);
+    Silent = IsSilent;
+  }
   auto dropHistory() -> void {
     const std::lock_guard Guard(Mutex);
     Held.OldestKeptRevision = Held.Revision + 1;
@@ -102,6 +108,7 @@
   std::uint64_t Era = 0;
   std::size_t Calls = 0;
   bool Down = false;
+  bool Silent = false;
 };
 
 /// One instance's client of the contents. Like the platform's adapter it
@@ -116,6 +123,8 @@
     StoreChanges Changes;
     const std::lock_guard Guard(Contents->Mutex);
     ++Contents->Calls;
+    if (Contents->Silent)
+      return postLate(CallTimeout, std::move(Done), std::move(Changes));
     if (!Contents->Down) {
       noteEra();
       Changes.Status = StoreStatus::Done;
@@ -154,6 +163,10 @@
       Write.Status = StoreStatus::Conflict;
     } else {
       ++Contents->Calls;
+      if (Contents->Silent) {
+        postLate(CallTimeout, std::move(Done), std::move(Write));
+        return;
+      }
       if (!Contents->Down)
         Write = replace(Kind, Name, numberOf(Expected), std::move(Value));
     }
@@ -161,6 +174,24 @@
   }
 
 private:
+  /// Time limits of the platform's adapter.
+  static constexpr auto CallTimeout = std::chrono::milliseconds(1500);
+  static constexpr auto WatchMargin = std::chrono::milliseconds(500);
+
+  template <class Handler, class Answer>
+  auto postLate(std::chrono::steady_clock::duration Delay, Handler Done,
+                Answer Result) -> ReadPtr {
+    auto Timer = std::make_shared<boost::asio::steady_timer>(Context);
+    Timer->expires_after(Delay);
+    Timer->async_wait(
+        [Timer, Done = std::move(Done), Result = std::move(Result)](
+            const boost::system::error_code &Cancelled) {
+          if (!Cancelled)
+            Done(Result);
+        });
+    return nullptr;
+  }
+
   template <class Handler, class Answer>
   auto postAnswer(Handler Done, Answer Result) -> void {
     boost::asio::post(Context, [Done = std::move(Done),
@@ -209,6 +240,11 @@
     StoreChanges Changes;
     {
       const std::lock_guard Guard(Contents->Mutex);
+      if (Contents->Silent) {
+        postLate(Until + WatchMargin - std::chrono::steady_clock::now(),
+                 std::move(Done), std::move(Changes));
+        return;
+      }
       if (!Contents->Down)
         Changes = changesSince(Kind, Revision);
       const bool TimedOut = std::chrono::steady_clock::now() >= Until;
--- a/tests/unit/RelayedStoreTest.cpp
+++ b/tests/unit/RelayedStoreTest.cpp
@@ -118,6 +118,46 @@
   EXPECT_LE(bootNow() - Down, 1000ms);
 }
 
+// Guards against a read in place of a failed relay that stays open on a silent
+// connection, and counts as contact, long after the store answers again.
+TEST_F(RelayedStoreTest, ReadInPlaceOfARelayIsShort) {
+  Follower.start();
+  ASSERT_TRUE(until([this] { return Follower.loaded(); }));
+  DirectContents->setSilent(true);
+  RelayContents->setDown(true);
+  const std::size_t Calls = DirectContents->calls();
+  ASSERT_TRUE(until([&] { return DirectContents->calls() > Calls; }));
+  DirectContents->setSilent(false);
+  DirectContents->set(Kind, "c0", 0);
+  DirectContents->set(Kind, "c1", 1);
+  EXPECT_TRUE(until([this] { return followerHas("c1"); }, 3s));
+}
+
+// Guards against calls to the store at short intervals, which are charged,
+// where no relay is named.
+TEST_F(RelayedStoreTest, ReadWithoutARelayIsLong) {
+  Store.useRelays("", "");
+  Follower.start();
+  ASSERT_TRUE(until([this] { return Follower.loaded(); }));
+  until([] { return false; }, 3s);
+  EXPECT_EQ(DirectContents->calls(), 2U);
+}
+
+// Guards against a read that stays open on a silent connection to the store
+// although a relay has been named since.
+TEST_F(RelayedStoreTest, OpenReadMovesToANewRelay) {
+  Store.useRelays("", "");
+  DirectContents->set(Kind, "a", 1);
+  Follower.start();
+  ASSERT_TRUE(until([this] { return DirectContents->calls() == 2; }));
+  until([] { return false; }, 50ms);
+  DirectContents->setSilent(true);
+  Store.useRelays("127.0.0.1:" + std::to_string(Server->port()), "");
+  RelayContents->set(Kind, "b", 2);
+  EXPECT_TRUE(until([this] { return followerHas("b"); }, 1s));
+  EXPECT_EQ(DirectContents->calls(), 2U);
+}
+
 TEST_F(RelayedStoreTest, BackupRelayIsUsedBeforeTheStore) {
   // Nothing listens at the discard port.
   Store.useRelays("127.0.0.1:9", "127.0.0.1:" + std::to_string(Server->port()));
