Read all objects anew after a write without an answer

A claim of the leadership or a record of key ranges that the store did not answer was evidence of lost contact that no feed learned of: their watches stayed open on silent connections and counted as contact, so callers were served by an old configuration after the outage.

RelayedStore now reports writes that end as unknown or unreachable, and the gateway rechecks all feeds. Each lists its objects, through the relay where there is one, and loses contact within the time limit of that call.

Before the change WriteWithoutAnAnswerIsReported failed: 0 reports instead of 1 (run with the report left out).

--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -187,6 +187,7 @@
           }},
       Times, Settings.Bounds.Rates);
   Requests.OnLoadAdded = [this] { Member->scheduleLoadNotice(); };
+  Store->onWriteUnanswered([this] { recheckFeeds(); });
   Announcements.setHandler(
       [this](const TargetRecord &Target) { Member->onAnnounced(Target); });
   Requests.RequestRateFromReserve = [this](const WorkspaceId &Workspace,
--- a/lib/Gateway/GatewayImpl.h
+++ b/lib/Gateway/GatewayImpl.h
@@ -74,6 +74,10 @@
   auto onStoreContactChanged(const std::string &Kind, bool Connected,
                              const char *Reason) -> void;
 
+  /// Open watches may have lost their connections like a call that had no
+  /// answer: reads all objects anew.
+  auto recheckFeeds() -> void;
+
   // Peers.
   auto seenChanges() const -> SeenRevisions;
   /// Whether this instance has read the store up to these changes.
--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -133,16 +133,21 @@
           .field("reason", Reason));
   if (!Connected)
     Relay->onContactLost();
+  if (!Connected)
+    return recheckFeeds();
+  if (!FeedsStarted)
+    return;
+  for (const auto *Feed :
+       {&ConfigurationFeed, &TargetFeed, &EvacuationFeed, &RouterObjectsFeed})
+    (*Feed)->retry();
+}
+
+auto Gateway::Impl::recheckFeeds() -> void {
   if (!FeedsStarted)
     return;
   for (const auto *Feed :
        {&ConfigurationFeed, &TargetFeed, &EvacuationFeed, &RouterObjectsFeed})
-    if (Connected)
-      (*Feed)->retry();
-    else
-      // The failure that ended or silenced one connection may have silenced the
-      // others.
-      (*Feed)->recheck();
+    (*Feed)->recheck();
 }
 
 auto Gateway::Impl::onConfigurationChanged(const StoredObject &Object) -> void {
--- a/lib/Gateway/RelayedStore.cpp
+++ b/lib/Gateway/RelayedStore.cpp
@@ -302,7 +302,14 @@
 auto RelayedStore::write(const std::string &Kind, const std::string &Name,
                          std::uint64_t Expected, Json Value,
                          WriteHandler OnDone) -> void {
-  DirectStore->write(Kind, Name, Expected, std::move(Value), std::move(OnDone));
+  DirectStore->write(
+      Kind, Name, Expected, std::move(Value),
+      [this, OnDone = std::move(OnDone)](const StoreWriteResult &Answer) {
+        OnDone(Answer);
+        if (Answer.Status == StoreStatus::Unknown ||
+            Answer.Status == StoreStatus::Unreachable)
+          WriteUnanswered();
+      });
 }
 
 } // namespace buckthornring
--- a/lib/Gateway/RelayedStore.h
+++ b/lib/Gateway/RelayedStore.h
@@ -28,6 +28,10 @@
   /// at \p Backup while the first does not respond. Empty: there is none. Open
   /// reads that go to the store move to a new relay.
   auto useRelays(const std::string &Primary, const std::string &Backup) -> void;
+  /// \p Handler is called when a write has ended without an answer.
+  auto onWriteUnanswered(std::function<void()> Handler) -> void {
+    WriteUnanswered = std::move(Handler);
+  }
   /// The relays are behind other instances: reads go to the store for a while.
   auto distrust(const char *Reason) -> void;
 
@@ -66,6 +70,7 @@
   EventLog &Events;
   std::array<Relay, 2> Relays; ///< Primary and backup.
   std::vector<std::weak_ptr<RelayedRead>> DirectReads;
+  std::function<void()> WriteUnanswered = [] {};
 };
 
 } // namespace buckthornring
--- a/tests/unit/RelayedStoreTest.cpp
+++ b/tests/unit/RelayedStoreTest.cpp
@@ -321,6 +321,27 @@
   EXPECT_TRUE(DirectContents->value(Kind, "w").has_value());
 }
 
+// Guards against watches that stay open on silent connections after a write has
+// shown that the store does not answer.
+TEST_F(RelayedStoreTest, WriteWithoutAnAnswerIsReported) {
+  int Reports = 0;
+  int Writes = 0;
+  Store.onWriteUnanswered([&Reports] { ++Reports; });
+  const auto Write = [&] {
+    Store.write(Kind, "w", 0, 1,
+                [&Writes](const StoreWriteResult &) { ++Writes; });
+  };
+  Write();
+  ASSERT_TRUE(until([&] { return Writes == 1; }));
+  Write();
+  ASSERT_TRUE(until([&] { return Writes == 2; }));
+  EXPECT_EQ(Reports, 0);
+  DirectContents->setDown(true);
+  Write();
+  ASSERT_TRUE(until([&] { return Writes == 3; }));
+  EXPECT_EQ(Reports, 1);
+}
+
 // Guards against readers of a relay that take what a copy lacks for removed: to
 // them, too, the restoration has to be visible.
 TEST_F(RelayedStoreTest, ReadersOfARelayNoticeThatTheStoreWasRestored) {
