Claim the leadership only with recent contact

During an outage of the store instances claimed the leadership again and again, each claim ending as unknown after 1.5 s, while their open watches counted as contact. A claim that waited at the store was carried out when it came back and began a series of leaders, which kept the news of a newer configuration from the others.

A claim now needs an answer of the store to a call that was sent after the leader was last heard, or lost its own contact, and after the last claim without an answer. If there is none, the router's own objects are read once, during the delay of the claim and through the relay where there is one. A read that fails ends the contact of that feed, and the others are rechecked.

--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -50,6 +50,10 @@
 /// A leader that has had no contact with the store for this long is replaced.
 constexpr Duration StoreLossTimeout = std::chrono::milliseconds(800);
 
+/// Least interval of reads that confirm the contact with the store before a
+/// claim. A read fails within this time.
+constexpr Duration ContactCheckInterval = std::chrono::milliseconds(1600);
+
 /// A leader that is replaced within ShortLeadershipLimit of its claim does not
 /// reach what the others reach, so it makes no claim for ClaimPausePeriod.
 constexpr Duration ShortLeadershipLimit = std::chrono::seconds(10);
@@ -452,7 +456,7 @@
   const TimePoint Now = bootNow();
   if (Rose)
     RestoredAt = Now;
-  if (Context.LocalLeader.leading())
+  if (Context.LocalLeader.leading() || (ClaimAt != LongAgo && Now >= ClaimAt))
     considerClaim(Now);
 }
 
@@ -539,9 +543,10 @@
   // An earlier process of this instance was the leader, so there is none now.
   const bool LedByEarlierProcess =
       CurrentLeader.Instance == Context.Self.Instance;
-  const bool LeaderAbsent =
-      LeaderResigned || LedByEarlierProcess ||
+  const bool LeaderSilent =
       Now - LastReplyAt > (LeaderReplied ? LeaderTimeout : FirstReplyTimeout);
+  const bool LeaderAbsent =
+      LeaderResigned || LedByEarlierProcess || LeaderSilent;
   const bool LeaderLostStore = LeaderLostStoreAt != LongAgo &&
                                Now - LeaderLostStoreAt > StoreLossTimeout;
   if (CurrentLeader.Term != 0 && !LeaderAbsent && !LeaderLostStore) {
@@ -552,12 +557,15 @@
     ClaimAt = LongAgo;
     return;
   }
+  const bool Confirmed = confirmContact(Now, LeaderLostStore ? LeaderLostStoreAt
+                                             : LeaderSilent  ? LastReplyAt
+                                                             : LongAgo);
   if (ClaimAt == LongAgo) {
     const Duration Stagger = claimDelay();
     ClaimAt = Now + Stagger;
     // This instance knows for certain that there is no leader, so it claims
     // without delay.
-    if (LedByEarlierProcess)
+    if (LedByEarlierProcess && Confirmed)
       return claimLeadership();
     ClaimTimer.expires_after(Stagger);
     ClaimTimer.async_wait([this](const boost::system::error_code &Cancelled) {
@@ -566,10 +574,22 @@
     });
     return;
   }
-  if (Now >= ClaimAt)
+  if (Now >= ClaimAt && Confirmed)
     claimLeadership();
 }
 
+auto FleetMember::confirmContact(TimePoint Now, TimePoint LeaderLostAt)
+    -> bool {
+  if (Context.RouterObjectsFeed.confirmedAt() >=
+      std::max(LeaderLostAt, UnansweredClaimAt))
+    return true;
+  if (Now - ContactCheckedAt >= ContactCheckInterval) {
+    ContactCheckedAt = Now;
+    Context.CheckStoreContact();
+  }
+  return false;
+}
+
 auto FleetMember::considerHandover(TimePoint Now) -> void {
   if (Now - ClaimedAt < MinTimeBeforeHandover ||
       LargestCapacity < HandoverFactor * Context.Capacity)
@@ -603,6 +623,9 @@
       leaderToJson(Context.Self, storeEra()),
       [this, Condition, Reason](const StoreWriteResult &Answer) {
         Claiming = false;
+        const bool Answered = Answer.Status != StoreStatus::Unknown &&
+                              Answer.Status != StoreStatus::Unreachable;
+        UnansweredClaimAt = Answered ? LongAgo : ClaimedAt;
         Context.Requests.Events.write(
             EventLine("lead-claimed")
                 .field("reason", Reason)
--- a/lib/Gateway/FleetMember.h
+++ b/lib/Gateway/FleetMember.h
@@ -43,6 +43,8 @@
     /// Whether this instance has seen all these changes.
     std::function<bool(const SeenRevisions &)> HasSeen;
     std::function<bool()> StoreReachable;
+    /// Reads the router's own objects anew, as a proof of contact.
+    std::function<void()> CheckStoreContact;
     /// Selects the relays through which the store is read: FleetReply::Relay
     /// and BackupRelay.
     std::function<void(const std::string &Relay, const std::string &Backup)>
@@ -128,6 +130,10 @@
   auto mayLackRecords() const -> bool;
   /// Revision that the leader object has to have for a claim; 0: none.
   auto claimCondition() const -> std::uint64_t;
+  /// Whether a claim is likely to be answered: the store has answered since the
+  /// leader was last heard and since the last claim without an answer. Reads
+  /// the store otherwise.
+  auto confirmContact(TimePoint Now, TimePoint LeaderLostAt) -> bool;
   auto claimLeadership() -> void;
   auto followLeader(LeaderInfo Next) -> void;
 
@@ -157,6 +163,8 @@
   TimePoint ClaimAt = LongAgo;           ///< LongAgo: no claim planned.
   TimePoint NoClaimBefore = LongAgo;
   TimePoint ClaimedAt = LongAgo;
+  TimePoint UnansweredClaimAt = LongAgo; ///< Of the last claim; LongAgo: none.
+  TimePoint ContactCheckedAt = LongAgo;
   std::uint64_t KnownEra = 0; ///< Of the router's own objects last read.
   bool EraKnown = false;
   /// When a restoration of the store was noticed; LongAgo: never.
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -214,6 +214,7 @@
             return isUpToDateWith(Others);
           },
           [this] { return storeReachable(); },
+          [this] { RouterObjectsFeed->recheck(); },
           [this](const std::string &Primary, const std::string &Backup) {
             useRelays(Primary, Backup);
           },
--- a/tests/support/FakeObjectStore.h
+++ b/tests/support/FakeObjectStore.h
@@ -83,6 +83,10 @@
     const std::lock_guard Guard(Mutex);
     return Calls;
   }
+  auto writes() const -> std::size_t {
+    const std::lock_guard Guard(Mutex);
+    return Writes;
+  }
 
 private:
   friend class FakeObjectStore;
@@ -107,6 +111,7 @@
   Copy Held;
   std::uint64_t Era = 0;
   std::size_t Calls = 0;
+  std::size_t Writes = 0; ///< Among the calls.
   bool Down = false;
   bool Silent = false;
 };
@@ -163,6 +168,7 @@
       Write.Status = StoreStatus::Conflict;
     } else {
       ++Contents->Calls;
+      ++Contents->Writes;
       if (Contents->Silent) {
         postLate(CallTimeout, std::move(Done), std::move(Write));
         return;
--- a/tests/unit/OutdatedConfigurationTest.cpp
+++ b/tests/unit/OutdatedConfigurationTest.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <thread>
 
 using namespace buckthornring;
 using namespace buckthornring::test;
@@ -36,10 +37,13 @@
     SeenConfiguration = Revision;
     Replies = 0;
   }
+  auto setSilent(bool IsSilent) -> void { Silent = IsSilent; }
   auto replies() const -> int { return Replies; }
 
 private:
   auto reply(const FleetReport &Report, const std::string &To) -> void {
+    if (Silent)
+      return;
     FleetReply Reply;
     Reply.Leader = Report.Leader;
     Reply.StoreReachable = true;
@@ -53,6 +57,7 @@
   std::string Address;
   std::atomic<std::uint64_t> SeenConfiguration = 0;
   std::atomic<int> Replies = 0;
+  std::atomic<bool> Silent = false;
   std::unique_ptr<PeerSocket> Socket;
   std::thread Serving;
 };
@@ -116,4 +121,57 @@
   EXPECT_NE(Last.SeenByAddress, "");
 }
 
+/// An instance that follows a leader until the leader and the store fall silent
+/// together.
+class SilentStoreTest : public testing::Test {
+protected:
+  SilentStoreTest() : Old(GatewayFixture::answering("old")) {
+    Fixture.store().set("buckthornring", "leader", Leader.object());
+    Fixture.addTarget("pay", "t1", Old);
+    Fixture.addTarget("other", "t2", New);
+    Fixture.configure(5);
+    EXPECT_TRUE(Fixture.waitUntilServing());
+    EXPECT_TRUE(eventually([&] { return Leader.replies() > 1; }));
+    // Watches that have just been sent are not rechecked.
+    std::this_thread::sleep_for(300ms);
+    WritesBefore = Fixture.store().writes();
+    Fixture.store().setSilent(true);
+    Leader.setSilent(true);
+  }
+
+  auto claims() -> std::size_t {
+    return Fixture.store().writes() - WritesBefore;
+  }
+
+  ScriptedTarget Old;
+  ScriptedTarget New{GatewayFixture::answering("new")};
+  LeaderStandIn Leader;
+  GatewayFixture Fixture;
+  std::size_t WritesBefore = 0;
+};
+
+// Guards against claims of the leadership, one after the other, by an instance
+// that has no contact with the store.
+TEST_F(SilentStoreTest, NothingIsClaimedWithoutContact) {
+  std::this_thread::sleep_for(5s);
+  EXPECT_EQ(claims(), 0U);
+  Fixture.store().setSilent(false);
+  EXPECT_TRUE(eventually([&] { return claims() > 0; }));
+}
+
+// Guards against an old configuration that stays in force after an outage while
+// watches are open on silent connections.
+TEST_F(SilentStoreTest, ConfigurationIsReadSoonAfterAnOutage) {
+  std::this_thread::sleep_for(4s);
+  Fixture.store().setSilent(false);
+  Fixture.configure(6, "other");
+  const auto Until = std::chrono::steady_clock::now() + 3s;
+  const auto InForce = [&] {
+    return Fixture.exchange("GET", "/safe/1").has("new");
+  };
+  while (!InForce() && std::chrono::steady_clock::now() < Until)
+    std::this_thread::sleep_for(50ms);
+  EXPECT_TRUE(InForce());
+}
+
 } // namespace
