Log how a caller's connection ended when it left something undone

CallerSession keeps the cause of its end and what was left: requests without a response, a response half written, input unread. The gateway writes `caller-connection-cut` if anything was left, within the limit of failure lines, and nothing for connections that end with all answered.

--- a/lib/Gateway/CallerSession.cpp
+++ b/lib/Gateway/CallerSession.cpp
@@ -128,6 +128,7 @@
   /// is closed after its response.
   bool LastRequestRead = false;
   bool Ended = false;
+  SessionEnding Ending;
 };
 
 CallerSession::CallerSession(asio::ip::tcp::socket Socket,
@@ -205,7 +206,7 @@
             Self->disarmTimer();
             if (Current.TimedOut && Failure == asio::error::operation_aborted)
               return Current.RequestParser->got_some() ? Self->failRead(408)
-                                                       : Self->close(false);
+                                                       : Self->close(false, SessionEnd::IdleTimeout);
             if (Failure)
               return Self->failRead(readErrorStatus(Failure));
             Self->onHeadRead();
@@ -333,7 +334,7 @@
         std::move(Pimpl->PendingResponses.front());
     Pimpl->PendingResponses.pop_front();
     if (Pending.Response->Abort)
-      return close(true);
+      return close(true, SessionEnd::Aborted);
     // Requests behind it may be running already, and the end of the connection
     // would lose their responses.
     const bool UntilClose =
@@ -355,7 +356,7 @@
       [Weak = weak_from_this()](const error_code &Cancelled) {
         const auto Self = Weak.lock();
         if (!Cancelled && Self && !Self->Pimpl->Ended)
-          Self->onDisconnected();
+          Self->close(true, SessionEnd::WriteTimeout);
       });
   asio::async_write(Pimpl->Socket, asio::buffer(Pimpl->Output),
                     [Self = shared_from_this(),
@@ -379,7 +380,7 @@
 
 auto CallerSession::onWritten(bool Close) -> void {
   if (Close)
-    return close(false);
+    return close(false, SessionEnd::LastResponse);
   flush();
   if (Pimpl->Ended)
     return;
@@ -399,14 +400,24 @@
       !(Pimpl->RequestParser && Pimpl->RequestParser->got_some()) &&
       !hasUnreadInput(Pimpl->Socket);
   if (CloseIdle && Idle)
-    close(false);
+    close(false, SessionEnd::Drained);
+}
+
+auto CallerSession::onDisconnected() -> void {
+  close(true, SessionEnd::CallerLeft);
 }
 
-auto CallerSession::onDisconnected() -> void { close(true); }
+auto CallerSession::ending() const -> const SessionEnding & {
+  return Pimpl->Ending;
+}
 
-auto CallerSession::close(bool Reset) -> void {
+auto CallerSession::close(bool Reset, SessionEnd Cause) -> void {
   if (std::exchange(Pimpl->Ended, true))
     return;
+  Pimpl->Ending = {Cause, Pimpl->PendingResponses.size(), Pimpl->Writing,
+                   (Pimpl->Reading && Pimpl->RequestParser->got_some()) ||
+                       Pimpl->Buffer.size() > 0 ||
+                       hasUnreadInput(Pimpl->Socket)};
   const auto Self = shared_from_this();
   Pimpl->Timer.cancel();
   Pimpl->WriteTimer.cancel();
--- a/lib/Gateway/CallerSession.h
+++ b/lib/Gateway/CallerSession.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "IO/MessageHead.h"
+#include "buckthornring/Common/EnumNames.h"
 #include "buckthornring/Common/Time.h"
 #include "buckthornring/Config/Configuration.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -34,6 +36,33 @@
   bool Abort = false;
 };
 
+/// Why a connection ended.
+enum class SessionEnd {
+  LastResponse, ///< The response that ends the connection was written.
+  IdleTimeout,
+  Drained, ///< An idle connection was closed by CallerSession::drain.
+  CallerLeft,
+  WriteTimeout,
+  Aborted, ///< CallerResponse::Abort.
+};
+
+inline constexpr EnumNames<SessionEnd, 6>
+    SessionEndNames({"last-response", "idle-timeout", "drained", "caller-left",
+                     "write-timeout", "aborted"});
+
+/// What the end of a connection left undone.
+struct SessionEnding {
+  SessionEnd Cause = SessionEnd::LastResponse;
+  std::size_t UnansweredRequests = 0; ///< Whose responses were not begun.
+  bool ResponseCut = false;           ///< A response was being written.
+  bool UnreadInput = false; ///< A further request had arrived, or a part of it.
+
+  auto complete() const -> bool {
+    return UnansweredRequests == 0 && !ResponseCut && !UnreadInput &&
+           Cause != SessionEnd::Aborted;
+  }
+};
+
 class CallerSession;
 
 /// Handles the requests of all sessions. Called on the sessions' thread.
@@ -83,6 +112,9 @@
   /// not read yet.
   auto drain(bool CloseIdle) -> void;
 
+  /// Valid from CallerHandler::onSessionEnded.
+  auto ending() const -> const SessionEnding &;
+
 private:
   struct State;
   using DiscardedInput = std::array<char, 4096>;
@@ -110,7 +142,7 @@
   auto setResetOnClose(bool Reset) -> void;
   auto onWritten(bool Close) -> void;
   auto onDisconnected() -> void;
-  auto close(bool Reset) -> void;
+  auto close(bool Reset, SessionEnd Cause) -> void;
   auto discardInput(const std::shared_ptr<DiscardedInput> &Input) -> void;
   /// Closes the socket after LingerTimeout, or later, up to \p Latest, while
   /// the caller has not acknowledged the whole response.
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -308,6 +308,13 @@
     const std::shared_ptr<CallerSession> &Session) -> void {
   Sessions.erase(Session);
   LastSessionEndedAt = bootNow();
+  const SessionEnding &Ending = Session->ending();
+  if (!Ending.complete() && Events.admits(EventClass::Failure, bootNow()))
+    Events.write(EventLine("caller-connection-cut")
+                     .field("cause", SessionEndNames.name(Ending.Cause))
+                     .field("unanswered", Ending.UnansweredRequests)
+                     .field("response_cut", Ending.ResponseCut)
+                     .field("unread_input", Ending.UnreadInput));
 }
 
 auto Gateway::Impl::armDispatchTimer() -> void {
--- a/tests/support/CountingHandler.h
+++ b/tests/support/CountingHandler.h
@@ -24,14 +24,17 @@
     Response.Status = Status;
     return Response;
   }
-  auto onSessionEnded(const std::shared_ptr<CallerSession> &) -> void override {
+  auto onSessionEnded(const std::shared_ptr<CallerSession> &Session)
+      -> void override {
     ++Ended;
+    Ending = Session->ending();
   }
 
   int Received = 0;
   std::uint64_t LastNumber = 0;
   int Disconnected = 0;
   int Ended = 0;
+  SessionEnding Ending; ///< Of the session that ended last.
 };
 
 } // namespace buckthornring::test
--- a/tests/unit/CallerSessionTest.cpp
+++ b/tests/unit/CallerSessionTest.cpp
@@ -195,6 +195,28 @@
   EXPECT_EQ(Handler.Received, 0);
 }
 
+TEST_F(CallerSessionTest, EndingTellsWhatWasLeftUndone) {
+  Session->start();
+  sendRequest("/a");
+  sendRequest("/b");
+  Caller.close();
+  ASSERT_TRUE(runUntil([this] { return Handler.Ended == 1; }));
+  EXPECT_EQ(Handler.Ending.Cause, SessionEnd::CallerLeft);
+  EXPECT_EQ(Handler.Ending.UnansweredRequests, 2U);
+  EXPECT_FALSE(Handler.Ending.ResponseCut);
+  EXPECT_FALSE(Handler.Ending.UnreadInput);
+  EXPECT_FALSE(Handler.Ending.complete());
+}
+
+TEST_F(CallerSessionTest, EndingOfAnAnsweredConnectionIsComplete) {
+  Session->start();
+  Session->drain(false);
+  answer(sendRequest("/a"), "a");
+  ASSERT_TRUE(runUntil([this] { return Handler.Ended == 1; }));
+  EXPECT_EQ(Handler.Ending.Cause, SessionEnd::LastResponse);
+  EXPECT_TRUE(Handler.Ending.complete());
+}
+
 class ImpatientCallerSessionTest : public CallerSessionTest {
 protected:
   ImpatientCallerSessionTest() : CallerSessionTest(limits()) {}
