Keep a request that arrives as the idle time-out expires

Callers saw a kept connection close right after they had sent a request.

Cause: an instance that is short of processor time handles an expired timer before the input that has arrived meanwhile. The session was then closed as idle, and the request was read and discarded while lingering. A head was refused with 408 in the same way. Besides, the idle time before a request counted as time for its head: a caller that reused a connection after four fifths of the limit had only the last fifth.

An expired timer now looks for unread input first, and allows one head time-out for it, once. A head that began within the idle time has the whole head time-out from its end.

Evidence: IdleTimeoutKeepsARequestThatWasNotReadYet, HeadTimeoutKeepsAHeadThatWasNotReadYet and HeadHasItsFullTimeAfterAnIdleTime failed on (the session ended, the request was not passed on). The first two have a timer of their own send the bytes in the same batch of expired timers, so they do not depend on load. IdleConnectionIsClosed and SlowHeadIsRefused held before and guard against connections and heads without end.

--- a/lib/Gateway/CallerSession.cpp
+++ b/lib/Gateway/CallerSession.cpp
@@ -122,6 +122,8 @@
   std::uint64_t LastRequestNumber = 0;
   bool Reading = false;
   bool TimedOut = false;
+  bool Idle = false; ///< The timer counts the time without a request.
+  bool TimerExtended = false;
   bool Writing = false;
   bool Draining = false;
   /// The last request has been read: none is read after it, and the connection
@@ -145,6 +147,8 @@
 
 auto CallerSession::armTimer(Duration Timeout) -> void {
   Pimpl->TimedOut = false;
+  Pimpl->Idle = false;
+  Pimpl->TimerExtended = false;
   Pimpl->Timer.expires_after(Timeout);
   Pimpl->Timer.async_wait(
       [Weak = weak_from_this(),
@@ -154,13 +158,35 @@
         if (Cancelled || !Self || Self->Pimpl->Ended ||
             Self->Pimpl->TimerGeneration != Generation)
           return;
-        Self->Pimpl->TimedOut = true;
-        Self->cancelRead();
+        Self->onTimerExpired();
       });
 }
 
+auto CallerSession::armHeadTimer() -> void {
+  const bool Began =
+      Pimpl->Buffer.size() > 0 || Pimpl->RequestParser->got_some();
+  armTimer(Began ? Pimpl->Limits.HeadTimeout : Pimpl->Limits.IdleTimeout);
+  Pimpl->Idle = !Began;
+}
+
+auto CallerSession::onTimerExpired() -> void {
+  // An instance that is short of processor time may handle the timer before
+  // input that has arrived in time.
+  const bool Unread = hasUnreadInput(Pimpl->Socket);
+  if (Pimpl->Idle && (Unread || Pimpl->RequestParser->got_some()))
+    return armTimer(Pimpl->Limits.HeadTimeout);
+  if (Unread && !Pimpl->TimerExtended) {
+    armTimer(Pimpl->Limits.HeadTimeout);
+    Pimpl->TimerExtended = true;
+    return;
+  }
+  Pimpl->TimedOut = true;
+  cancelRead();
+}
+
 auto CallerSession::disarmTimer() -> void {
   ++Pimpl->TimerGeneration;
+  Pimpl->Idle = false;
   Pimpl->Timer.cancel();
 }
 
@@ -191,8 +217,7 @@
   Pimpl->RequestParser->body_limit(Pimpl->Limits.BodyBytes);
   // A connection with pending responses is not idle.
   if (Pimpl->PendingResponses.empty())
-    armTimer(Pimpl->Buffer.size() > 0 ? Pimpl->Limits.HeadTimeout
-                                      : Pimpl->Limits.IdleTimeout);
+    armHeadTimer();
   else
     disarmTimer();
   http::async_read_header(
@@ -385,7 +410,7 @@
   if (Pimpl->Ended)
     return;
   if (Pimpl->Reading && Pimpl->PendingResponses.empty() && !Pimpl->Writing)
-    armTimer(Pimpl->Limits.IdleTimeout);
+    armHeadTimer();
   readHead();
 }
 
--- a/lib/Gateway/CallerSession.h
+++ b/lib/Gateway/CallerSession.h
@@ -135,6 +135,8 @@
   auto watchForDisconnect() -> void;
   auto failRead(unsigned Status) -> void;
   auto armTimer(Duration Timeout) -> void;
+  auto armHeadTimer() -> void;
+  auto onTimerExpired() -> void;
   auto disarmTimer() -> void;
   auto flush() -> void;
   /// Sets whether the system resets the connection when the socket is closed,
--- a/tests/unit/CallerSessionTest.cpp
+++ b/tests/unit/CallerSessionTest.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
@@ -12,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <sys/wait.h>
+#include <thread>
 #include <unistd.h>
 
 using namespace buckthornring;
@@ -240,6 +242,81 @@
   EXPECT_NE(Bytes.find("HTTP/1.1 408 "), std::string::npos);
 }
 
+class IdleCallerSessionTest : public CallerSessionTest {
+protected:
+  IdleCallerSessionTest() : CallerSessionTest(limits()) {}
+
+  static auto limits() -> RequestLimits {
+    RequestLimits Limits;
+    Limits.HeadTimeout = 300ms;
+    Limits.IdleTimeout = 200ms;
+    return Limits;
+  }
+
+  /// Sends \p Bytes after the timer of the session has expired, and before the
+  /// session is told so.
+  auto sendAsTimerExpires(const std::string &Bytes,
+                          std::chrono::milliseconds Timeout) -> void {
+    boost::asio::steady_timer Sooner(Io, 10ms);
+    Sooner.async_wait(
+        [&](const boost::system::error_code &) { send(Bytes); });
+    std::this_thread::sleep_for(Timeout + 20ms);
+    runFor(20ms);
+  }
+};
+
+// Guards against closing a connection on which a request has just arrived when
+// an instance that is short of processor time handles the timer first.
+TEST_F(IdleCallerSessionTest, IdleTimeoutKeepsARequestThatWasNotReadYet) {
+  Session->start();
+  Io.poll();
+  sendAsTimerExpires("GET /a HTTP/1.1\r\nHost: h\r\n\r\n", 200ms);
+  EXPECT_TRUE(runUntil([this] { return Handler.Received == 1; }));
+  EXPECT_EQ(Handler.Ended, 0);
+}
+
+// The same for the rest of a request's head.
+TEST_F(IdleCallerSessionTest, HeadTimeoutKeepsAHeadThatWasNotReadYet) {
+  Session->start();
+  answer(sendRequest("/a"), "a");
+  send("GET /b HTTP/1.1\r\n");
+  runFor(250ms);
+  sendAsTimerExpires("Host: h\r\n\r\n", 300ms);
+  EXPECT_TRUE(runUntil([this] { return Handler.Received == 2; }));
+  EXPECT_EQ(Handler.Ended, 0);
+}
+
+// Guards against counting the idle time of a connection as time for the head.
+TEST_F(IdleCallerSessionTest, HeadHasItsFullTimeAfterAnIdleTime) {
+  Session->start();
+  runFor(150ms);
+  send("GET /a HTTP/1.1\r\n");
+  runFor(150ms);
+  send("Host: h\r\n\r\n");
+  EXPECT_TRUE(runUntil([this] { return Handler.Received == 1; }));
+}
+
+TEST_F(IdleCallerSessionTest, IdleConnectionIsClosed) {
+  Session->start();
+  EXPECT_EQ(readAll(), "");
+  EXPECT_EQ(Handler.Ended, 1);
+}
+
+// Guards against heads without end.
+TEST_F(IdleCallerSessionTest, SlowHeadIsRefused) {
+  Session->start();
+  send("GET /a HTTP/1.1\r\n");
+  const std::string Field = "X: y\r\n";
+  for (int Count = 0; Count < 20 && Handler.Ended == 0; ++Count) {
+    boost::system::error_code Ignored;
+    Caller.write_some(boost::asio::buffer(Field), Ignored);
+    runFor(50ms);
+  }
+  EXPECT_EQ(Handler.Ended, 1);
+  EXPECT_EQ(Handler.Received, 0);
+  EXPECT_NE(readAll().find("HTTP/1.1 408 "), std::string::npos);
+}
+
 /// Serves one connection and answers its first request with a large response
 /// without a length. Runs until the process is killed.
 auto serveWithoutLength(int ListeningSocket) -> void {
