Do not count the writing of a response as idle time

Callers that had 16 requests in progress saw the last response end in the middle when they needed longer than the idle limit to read it.

Cause: with 16 requests in progress nothing is read. When the responses to the rest of them were being written, the next read began and armed the idle timer, since no response was pending any more, and its end shut the connection down under the write.

The idle timer is not armed while a response is written; the end of the write arms it.

--- a/lib/Gateway/CallerSession.cpp
+++ b/lib/Gateway/CallerSession.cpp
@@ -215,8 +215,8 @@
   Pimpl->RequestParser.emplace();
   Pimpl->RequestParser->header_limit(Pimpl->Limits.HeadBytes);
   Pimpl->RequestParser->body_limit(Pimpl->Limits.BodyBytes);
-  // A connection with pending responses is not idle.
-  if (Pimpl->PendingResponses.empty())
+  // A connection with responses to be written is not idle.
+  if (Pimpl->PendingResponses.empty() && !Pimpl->Writing)
     armHeadTimer();
   else
     disarmTimer();
--- a/tests/unit/CallerSessionTest.cpp
+++ b/tests/unit/CallerSessionTest.cpp
@@ -317,6 +317,20 @@
   EXPECT_NE(readAll().find("HTTP/1.1 408 "), std::string::npos);
 }
 
+// Guards against an idle time-out that breaks off the response to the last of
+// several requests, at the most that are in progress at the same time.
+TEST_F(IdleCallerSessionTest, ConnectionIsNotIdleWhileAResponseIsWritten) {
+  Session->start();
+  std::uint64_t Last = 0;
+  for (int Count = 0; Count < 16; ++Count)
+    Last = sendRequest("/a");
+  for (std::uint64_t Number = Last - 15; Number < Last; ++Number)
+    answer(Number, "a");
+  answer(Last, std::string(LargeBody, 'x'));
+  runFor(500ms);
+  EXPECT_GT(readAll().size(), LargeBody);
+}
+
 /// Serves one connection and answers its first request with a large response
 /// without a length. Runs until the process is killed.
 auto serveWithoutLength(int ListeningSocket) -> void {
