Keep the time-out of an upload when an earlier response is written

Callers that pipeline saw 408 for an upload that was within its time.

Cause: the end of writing an earlier response armed the idle timer if a read was in progress, also the read of a body, whose time-out it replaced.

Only the read of a head gets the idle or head time-out now.

Evidence: EarlierResponseKeepsTheTimeoutOfAnUpload failed on: the upload was not passed on.

--- a/lib/Gateway/CallerSession.cpp
+++ b/lib/Gateway/CallerSession.cpp
@@ -409,7 +409,8 @@
   flush();
   if (Pimpl->Ended)
     return;
-  if (Pimpl->Reading && Pimpl->PendingResponses.empty() && !Pimpl->Writing)
+  if (Pimpl->Reading && !Pimpl->RequestParser->is_header_done() &&
+      Pimpl->PendingResponses.empty() && !Pimpl->Writing)
     armHeadTimer();
   readHead();
 }
--- a/tests/unit/CallerSessionTest.cpp
+++ b/tests/unit/CallerSessionTest.cpp
@@ -331,6 +331,19 @@
   EXPECT_GT(readAll().size(), LargeBody);
 }
 
+// Guards against the idle time-out replacing the time-out of an upload when an
+// earlier response has been written.
+TEST_F(IdleCallerSessionTest, EarlierResponseKeepsTheTimeoutOfAnUpload) {
+  Session->start();
+  const std::uint64_t First = sendRequest("/a");
+  send("POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n\r\npart");
+  runFor(50ms);
+  answer(First, "a");
+  runFor(600ms);
+  send("part");
+  EXPECT_TRUE(runUntil([this] { return Handler.Received == 2; }));
+}
+
 /// Serves one connection and answers its first request with a large response
 /// without a length. Runs until the process is killed.
 auto serveWithoutLength(int ListeningSocket) -> void {
