Apply the limits of a new configuration to open connections

Callers that followed a raised idle limit sent requests on connections that the instance was closing by the limit in force when they were accepted. A raised limit on heads or bodies was not applied to them either: 431 and 413, which callers do not retry.

A new configuration now sets the limits of all sessions. An idle connection gets a longer idle limit at once; a shorter one counts from its next idle time, so that no request crosses an earlier close. The other limits hold for the next request.

GatewayTest.ConfigurationChangeKeepsARequestInProgress shows that a change of route and limits keeps the request in progress and its connection.

--- a/lib/Gateway/CallerSession.cpp
+++ b/lib/Gateway/CallerSession.cpp
@@ -207,14 +207,34 @@
     watchForDisconnect();
 }
 
+auto CallerSession::setLimits(const RequestLimits &Limits) -> void {
+  const Duration Longer = Limits.IdleTimeout - Pimpl->Limits.IdleTimeout;
+  Pimpl->Limits = Limits;
+  if (Pimpl->Ended || !Pimpl->Reading || Pimpl->RequestParser->got_some())
+    return;
+  limitParser();
+  if (!Pimpl->Idle || Longer <= Duration(0))
+    return;
+  armTimer(std::chrono::duration_cast<Duration>(
+               Pimpl->Timer.expiry() - std::chrono::steady_clock::now()) +
+           Longer);
+  Pimpl->Idle = true;
+}
+
+auto CallerSession::limitParser() -> void {
+  Pimpl->RequestParser->header_limit(Pimpl->Limits.HeadBytes);
+  Pimpl->RequestParser->body_limit(Pimpl->Limits.BodyBytes);
+  Pimpl->Buffer.max_size(std::max(Pimpl->Buffer.max_size(),
+                                  2 * std::size_t{Pimpl->Limits.HeadBytes}));
+}
+
 auto CallerSession::readHead() -> void {
   if (Pimpl->Ended || Pimpl->LastRequestRead || Pimpl->Reading ||
       Pimpl->PendingResponses.size() >= MaxPipelinedRequests)
     return;
   Pimpl->Reading = true;
   Pimpl->RequestParser.emplace();
-  Pimpl->RequestParser->header_limit(Pimpl->Limits.HeadBytes);
-  Pimpl->RequestParser->body_limit(Pimpl->Limits.BodyBytes);
+  limitParser();
   // A connection with responses to be written is not idle.
   if (Pimpl->PendingResponses.empty() && !Pimpl->Writing)
     armHeadTimer();
--- a/lib/Gateway/CallerSession.h
+++ b/lib/Gateway/CallerSession.h
@@ -112,6 +112,10 @@
   /// not read yet.
   auto drain(bool CloseIdle) -> void;
 
+  /// Applies the limits of a new configuration, the idle limit to an idle
+  /// connection too if it is longer, and all others from the next request on.
+  auto setLimits(const RequestLimits &Limits) -> void;
+
   /// Valid from CallerHandler::onSessionEnded.
   auto ending() const -> const SessionEnding &;
 
@@ -134,6 +138,8 @@
   /// Detects a disconnect of the caller after the last request that is read.
   auto watchForDisconnect() -> void;
   auto failRead(unsigned Status) -> void;
+  /// Applies the limits to the request that is read next.
+  auto limitParser() -> void;
   auto armTimer(Duration Timeout) -> void;
   auto armHeadTimer() -> void;
   auto onTimerExpired() -> void;
--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -194,6 +194,8 @@
   Requests.Splits.reset();
   Requests.CurrentConfig =
       std::make_shared<const ActiveConfig>(std::move(Accepted));
+  for (const auto &Session : Sessions)
+    Session->setLimits(Requests.CurrentConfig->Config.Limits);
   for (const auto &[Name, Object] : RouterObjectsFeed->objects())
     onRouterObjectChanged(Object);
   WaitingRequests.dispatch();
--- a/tests/support/GatewayFixture.cpp
+++ b/tests/support/GatewayFixture.cpp
@@ -106,8 +106,8 @@
                  {"born", 1000}});
 }
 
-auto GatewayFixture::configure(int Version, const std::string &Service)
-    -> void {
+auto GatewayFixture::configure(int Version, const std::string &Service,
+                               double IdleTimeoutSeconds) -> void {
   const Json Rules = Json::array({rule("safe", "safe", Service, false),
                                   rule("unsafe", "unsafe", "pay", false),
                                   rule("owned", "safe", "stock", false),
@@ -120,7 +120,7 @@
         {{"max_header_bytes", 4096},
          {"max_body_bytes", 100000},
          {"header_timeout_s", 1.0},
-         {"idle_timeout_s", 5.0}}},
+         {"idle_timeout_s", IdleTimeoutSeconds}}},
        {"tenants", Json::array({Tenant})},
        {"listeners",
         Json::array({Json{{"host", "h"}, {"route_rules", Rules}}})},
--- a/tests/support/GatewayFixture.h
+++ b/tests/support/GatewayFixture.h
@@ -37,7 +37,8 @@
                  int Sequence = 1) -> void;
   /// Writes a configuration with the given version that routes /safe/ to \p
   /// Service.
-  auto configure(int Version, const std::string &Service = "pay") -> void;
+  auto configure(int Version, const std::string &Service = "pay",
+                 double IdleTimeoutSeconds = 5.0) -> void;
   /// Waits until the instance serves the route /safe/.
   auto waitUntilServing() -> bool;
 
--- a/tests/unit/GatewayTest.cpp
+++ b/tests/unit/GatewayTest.cpp
@@ -51,6 +51,47 @@
   EXPECT_TRUE(View.has("Retry-After: ")) << View.Bytes;
 }
 
+// Guards against closing open connections at the idle limit of an earlier
+// configuration.
+TEST(GatewayTest, OpenConnectionsFollowTheIdleLimit) {
+  GatewayFixture Fixture;
+  ScriptedTarget Target(GatewayFixture::answering());
+  Fixture.addTarget("pay", "t1", Target);
+  Fixture.configure(1, "pay", 1.0);
+  ASSERT_TRUE(Fixture.waitUntilServing());
+  RawCaller Caller = Fixture.connect();
+  Caller.send(GatewayFixture::request("GET", "/safe/1", "a1"));
+  ASSERT_TRUE(Caller.readUntil("ok").has(" 200 "));
+  Fixture.configure(2, "pay", 5.0);
+  std::this_thread::sleep_for(2s);
+  Caller.send(GatewayFixture::request("GET", "/safe/2", "a2"));
+  EXPECT_TRUE(Caller.readUntil("ok").has(" 200 "));
+}
+
+// Guards against breaking off a request, or closing its connection, because a
+// configuration changes its route and shortens the limits.
+TEST(GatewayTest, ConfigurationChangeKeepsARequestInProgress) {
+  GatewayFixture Fixture;
+  ScriptedTarget Target([](Socket &Connection, const std::string &Request) {
+    const std::string Id = GatewayFixture::requestId(Request);
+    if (Id != "ping")
+      std::this_thread::sleep_for(500ms);
+    boost::asio::write(Connection,
+                       boost::asio::buffer(GatewayFixture::response(Id, "ok")));
+    return true;
+  });
+  Fixture.addTarget("pay", "t1", Target);
+  Fixture.configure(1);
+  ASSERT_TRUE(Fixture.waitUntilServing());
+  RawCaller Caller = Fixture.connect();
+  Caller.send(GatewayFixture::request("GET", "/safe/1", "a1"));
+  ASSERT_TRUE(eventually([&] { return requestsAt(Target).size() == 1; }));
+  Fixture.configure(2, "other", 0.2);
+  EXPECT_TRUE(Caller.readUntil("ok").has(" 200 "));
+  Caller.send(GatewayFixture::request("GET", "/unsafe/2", "a2"));
+  EXPECT_TRUE(Caller.readUntil("ok").has(" 200 "));
+}
+
 // The platform may change the settings file without a signal.
 TEST(GatewayTest, ChangedSettingsFileIsReadWithoutASignal) {
   GatewayFixture Fixture;
