Let callers read a long response slowly

Callers on slow links saw a response end after 5 s, in the middle, while they were reading it.

Cause: the whole write had to complete within 5 s, whatever the size.

The write time-out now ends a connection on which the caller has acknowledged nothing for 5 s. The whole write is bounded by 60 s, since its response stays in memory. Acknowledged bytes count, because the system accepts more only when a large part of its buffer is free.

Evidence: SlowReaderGetsTheWholeResponse, at 5 MB a second, failed on: the session ended at 5.0 s, with 25,000,000 of 33,554,432 bytes.

--- a/lib/Gateway/CallerSession.cpp
+++ b/lib/Gateway/CallerSession.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/completion_condition.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -34,9 +35,13 @@
 /// time-out for its head; the configuration limits only the size of the body.
 constexpr int BodyTimeoutFactor = 4;
 
-/// Time within which a write to a caller has to complete.
+/// Time within which a caller has to read a part of a response.
 constexpr Duration WriteTimeout = std::chrono::seconds(5);
 
+/// Time within which a write to a caller has to complete. Bounds the time for
+/// which slow readers occupy memory.
+constexpr Duration MaxWriteTime = std::chrono::seconds(60);
+
 /// A caller's connection counts as dead after this time without
 /// acknowledgements.
 constexpr Duration CallerSilenceTimeout = std::chrono::seconds(5);
@@ -119,6 +124,8 @@
   TimePoint HeadReceivedAt;
   std::deque<PendingResponse> PendingResponses;
   std::string Output;
+  std::size_t WrittenBytes = 0; ///< Of Output, as far as the system took them.
+  TimePoint WriteStartedAt = LongAgo;
   std::uint64_t LastRequestNumber = 0;
   bool Reading = false;
   bool TimedOut = false;
@@ -250,8 +257,9 @@
             State &Current = *Self->Pimpl;
             Self->disarmTimer();
             if (Current.TimedOut && Failure == asio::error::operation_aborted)
-              return Current.RequestParser->got_some() ? Self->failRead(408)
-                                                       : Self->close(false, SessionEnd::IdleTimeout);
+              return Current.RequestParser->got_some()
+                         ? Self->failRead(408)
+                         : Self->close(false, SessionEnd::IdleTimeout);
             if (Failure)
               return Self->failRead(readErrorStatus(Failure));
             Self->onHeadRead();
@@ -396,14 +404,16 @@
   Pimpl->Writing = true;
   if (EndsUnframed)
     setResetOnClose(true);
-  Pimpl->WriteTimer.expires_after(WriteTimeout);
-  Pimpl->WriteTimer.async_wait(
-      [Weak = weak_from_this()](const error_code &Cancelled) {
-        const auto Self = Weak.lock();
-        if (!Cancelled && Self && !Self->Pimpl->Ended)
-          Self->close(true, SessionEnd::WriteTimeout);
-      });
-  asio::async_write(Pimpl->Socket, asio::buffer(Pimpl->Output),
+  Pimpl->WrittenBytes = 0;
+  Pimpl->WriteStartedAt = bootNow();
+  armWriteTimer(0);
+  const auto ObserveProgress =
+      [Self = shared_from_this()](const error_code &Failure,
+                                  std::size_t Written) {
+        Self->Pimpl->WrittenBytes = Written;
+        return asio::transfer_all()(Failure, Written);
+      };
+  asio::async_write(Pimpl->Socket, asio::buffer(Pimpl->Output), ObserveProgress,
                     [Self = shared_from_this(),
                      Close](const error_code &Failure, std::size_t) {
                       Self->Pimpl->Writing = false;
@@ -416,6 +426,25 @@
                     });
 }
 
+auto CallerSession::armWriteTimer(std::size_t Acknowledged) -> void {
+  Pimpl->WriteTimer.expires_after(WriteTimeout);
+  Pimpl->WriteTimer.async_wait(
+      [Weak = weak_from_this(), Acknowledged](const error_code &Cancelled) {
+        const auto Self = Weak.lock();
+        if (Cancelled || !Self || Self->Pimpl->Ended || !Self->Pimpl->Writing)
+          return;
+        State &Current = *Self->Pimpl;
+        // Earlier responses may be unacknowledged too.
+        const std::size_t Now =
+            Current.WrittenBytes -
+            std::min(Current.WrittenBytes, unacknowledgedBytes(Current.Socket));
+        if (Now <= Acknowledged ||
+            bootNow() - Current.WriteStartedAt >= MaxWriteTime)
+          return Self->close(true, SessionEnd::WriteTimeout);
+        Self->armWriteTimer(Now);
+      });
+}
+
 // The orderly end of the connection is the only end of a response without a
 // length, and the system ends the connections of a killed process in order too.
 auto CallerSession::setResetOnClose(bool Reset) -> void {
--- a/lib/Gateway/CallerSession.h
+++ b/lib/Gateway/CallerSession.h
@@ -145,6 +145,9 @@
   auto onTimerExpired() -> void;
   auto disarmTimer() -> void;
   auto flush() -> void;
+  /// Ends the connection when the caller reads nothing for WriteTimeout.
+  /// \p Acknowledged: bytes of the output that the caller had received before.
+  auto armWriteTimer(std::size_t Acknowledged) -> void;
   /// Sets whether the system resets the connection when the socket is closed,
   /// also by the end of the process.
   auto setResetOnClose(bool Reset) -> void;
--- a/lib/IO/SocketOptions.cpp
+++ b/lib/IO/SocketOptions.cpp
@@ -57,10 +57,16 @@
   return peek(Socket) == PendingInput::Bytes;
 }
 
-auto hasUnsentOutput(boost::asio::ip::tcp::socket &Socket) -> bool {
+auto unacknowledgedBytes(boost::asio::ip::tcp::socket &Socket) -> std::size_t {
   int Unacknowledged = 0;
-  return ::ioctl(Socket.native_handle(), SIOCOUTQ, &Unacknowledged) == 0 &&
-         Unacknowledged > 0;
+  const bool Known =
+      ::ioctl(Socket.native_handle(), SIOCOUTQ, &Unacknowledged) == 0;
+  return Known && Unacknowledged > 0 ? static_cast<std::size_t>(Unacknowledged)
+                                     : 0;
+}
+
+auto hasUnsentOutput(boost::asio::ip::tcp::socket &Socket) -> bool {
+  return unacknowledgedBytes(Socket) > 0;
 }
 
 auto endedByPeer(boost::asio::ip::tcp::socket &Socket) -> bool {
--- a/lib/IO/SocketOptions.h
+++ b/lib/IO/SocketOptions.h
@@ -4,6 +4,8 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <cstddef>
+
 namespace buckthornring {
 
 /// Makes the kernel close a connection whose peer no longer responds, since
@@ -24,6 +26,10 @@
 /// Whether bytes from the peer have arrived that were not read yet.
 auto hasUnreadInput(boost::asio::ip::tcp::socket &Socket) -> bool;
 
+/// Number of sent bytes that the peer has not acknowledged yet. Zero where the
+/// system does not tell.
+auto unacknowledgedBytes(boost::asio::ip::tcp::socket &Socket) -> std::size_t;
+
 /// Whether sent bytes have not been acknowledged by the peer yet. False where
 /// the system does not tell.
 auto hasUnsentOutput(boost::asio::ip::tcp::socket &Socket) -> bool;
