Log an exception in a handler before the instance ends

Callers saw all connections of the process end.

It is now logged as "handler-failed" with its type, its text and the number of requests and connections that end with it. The process still ends at once: what the handler was changing may be half changed, and an instance that goes on with it could break exclusive ownership. The daemon exits with status 1.

The gateways of the fixture abort the test program when run() fails, as the exception did before.

--- a/daemons/buckthornringd/Main.cpp
+++ b/daemons/buckthornringd/Main.cpp
@@ -6,6 +6,7 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <exception>
 #include <fstream>
 #include <optional>
 #include <sstream>
@@ -71,8 +72,7 @@
     return GatewaySettings::check(*NewDocument).result();
   };
   Instance.value()->setReload(Reload, Path);
-  Instance.value()->run();
-  return 0;
+  return Instance.value()->run() ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
 /// Runs an entry instance with the project's own platform and targets.
@@ -98,6 +98,10 @@
   const auto Document = readDocument(*Path);
   if (!Document)
     return fail(Document.error());
-  return GatewaySettings::describes(*Document) ? runGateway(*Document, *Path)
-                                               : runEntry(*Document);
+  try {
+    return GatewaySettings::describes(*Document) ? runGateway(*Document, *Path)
+                                                 : runEntry(*Document);
+  } catch (const std::exception &Failure) {
+    return fail(Error(std::string("unexpected error: ") + Failure.what()));
+  }
 }
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -5,7 +5,11 @@
 #include "IO/BootClock.h"
 #include "IO/Endpoint.h"
 
+#include <boost/core/demangle.hpp>
+
 #include <algorithm>
+#include <exception>
+#include <typeinfo>
 #include <unistd.h>
 
 namespace buckthornring {
@@ -512,9 +516,20 @@
   return endpointText(Endpoint);
 }
 
-auto Gateway::run() -> void {
-  Pimpl->start();
-  Pimpl->Io.run();
+auto Gateway::run() -> bool {
+  try {
+    Pimpl->start();
+    Pimpl->Io.run();
+    return true;
+  } catch (const std::exception &Failure) {
+    Pimpl->Events.write(
+        EventLine("handler-failed")
+            .field("type", boost::core::demangle(typeid(Failure).name()))
+            .field("reason", Failure.what())
+            .field("requests", Pimpl->Flows.size())
+            .field("sessions", Pimpl->Sessions.size()));
+    return false;
+  }
 }
 
 } // namespace buckthornring
--- a/lib/Gateway/Gateway.h
+++ b/lib/Gateway/Gateway.h
@@ -31,8 +31,10 @@
   Gateway(const Gateway &) = delete;
   auto operator=(const Gateway &) -> Gateway & = delete;
 
-  /// Serves until a stop signal has been handled.
-  auto run() -> void;
+  /// Serves until a stop signal has been handled. Returns whether it was: an
+  /// exception in a handler is logged and ends the instance at once, since what
+  /// the handler was changing may be half changed.
+  auto run() -> bool;
 
   /// Called when the settings file has changed or SIGHUP arrived.
   using SettingsReload = std::function<Result<GatewaySettings>()>;
--- a/tests/support/GatewayFixture.cpp
+++ b/tests/support/GatewayFixture.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstdlib>
 #include <fstream>
 #include <unistd.h>
 
@@ -15,7 +16,20 @@
 
 namespace {
 
-auto settings() -> GatewaySettings {
+auto rule(const std::string &Name, const std::string &Kind,
+          const std::string &Service, bool Open) -> Json {
+  return {{"name", Name},
+          {"kind", Kind},
+          {"target_latency_s", 0.2},
+          {"public", Open},
+          {"match", {{"path_prefix", "/" + Name + "/"}}},
+          {"action",
+           {{"service", Service}, {"timeout_s", 1.0}, {"max_attempts", 2}}}};
+}
+
+} // namespace
+
+auto GatewayFixture::settings() -> GatewaySettings {
   GatewaySettings Settings;
   Settings.Instance = InstanceId("i1");
   Settings.DataCentre = DataCentreId("dc1");
@@ -26,7 +40,7 @@
   return Settings;
 }
 
-auto protocol() -> PlatformProtocol {
+auto GatewayFixture::protocol() -> PlatformProtocol {
   PlatformProtocol Protocol;
   Protocol.Headers = platform::headerNames();
   Protocol.Kinds = platform::objectKinds();
@@ -36,19 +50,6 @@
   return Protocol;
 }
 
-auto rule(const std::string &Name, const std::string &Kind,
-          const std::string &Service, bool Open) -> Json {
-  return {{"name", Name},
-          {"kind", Kind},
-          {"target_latency_s", 0.2},
-          {"public", Open},
-          {"match", {{"path_prefix", "/" + Name + "/"}}},
-          {"action",
-           {{"service", Service}, {"timeout_s", 1.0}, {"max_attempts", 2}}}};
-}
-
-} // namespace
-
 GatewayFixture::GatewayFixture(int Restorations) {
   for (int Count = 0; Count < Restorations; ++Count)
     Contents->restore(Contents->copy());
@@ -70,7 +71,10 @@
         return settings();
       },
       SettingsFile);
-  ServingThread = std::thread([this] { Instance->run(); });
+  ServingThread = std::thread([this] {
+    if (!Instance->run())
+      std::abort();
+  });
 }
 
 GatewayFixture::~GatewayFixture() {
--- a/tests/support/GatewayFixture.h
+++ b/tests/support/GatewayFixture.h
@@ -24,6 +24,10 @@
   explicit GatewayFixture(int Restorations = 0);
   ~GatewayFixture();
 
+  /// Those of the instance. All its ports are chosen by the system.
+  static auto settings() -> GatewaySettings;
+  static auto protocol() -> PlatformProtocol;
+
   auto store() -> StoreContents & { return *Contents; }
   /// Rewrites the settings file.
   auto touchSettings() -> void;
