End the process without destroying the gateway

After the line the destructors of connections, tables and configuration ran; an instance that has used up its share of the processor may need several times as long for them as an idle one.

The program now ends right after run(): the system frees memory and sockets. Asio's destructors also switch SO_LINGER off, so a response without a length that is being written ends in order and looks complete; by reading, its connection is now reset, as when the process is killed (no run shows it). All log lines are written when they are logged, as far as the reader takes them, so none is lost by this.

--- a/daemons/buckthornringd/Main.cpp
+++ b/daemons/buckthornringd/Main.cpp
@@ -72,7 +72,10 @@
     return GatewaySettings::check(*NewDocument).result();
   };
   Instance.value()->setReload(Reload, Path);
-  return Instance.value()->run() ? EXIT_SUCCESS : EXIT_FAILURE;
+  const bool Stopped = Instance.value()->run();
+  // Destroying all connections and tables may last beyond the grace period, and
+  // it ends a response without a length in order instead of resetting it.
+  std::_Exit(Stopped ? EXIT_SUCCESS : EXIT_FAILURE);
 }
 
 /// Runs an entry instance with the project's own platform and targets.
