End a stopped process only when its callers have read their responses

A process that stopped ended half a second after its last session, although callers could still be reading the last response. The end of the process closes their sockets, and whatever a caller sends after that, such as a pipelined request, makes the system reset the connection, which discards the part of the response that was not acknowledged: a caller that read 1 MB slowly got the first 3991 bytes and a reset.

The session reports when its socket has been closed, which it does only when the response has been acknowledged or the caller has closed, and the stop waits for that, up to the end of the grace time as before. The line `stop` tells how many responses were still being read.

GatewayTest.PlannedStopWaitsForCallersThatReadSlowly failed before.

--- a/lib/Gateway/CallerSession.cpp
+++ b/lib/Gateway/CallerSession.cpp
@@ -498,9 +498,7 @@
   Pimpl->WriteTimer.cancel();
   error_code Ignored;
   setResetOnClose(Reset);
-  if (Reset) {
-    Pimpl->Socket.close(Ignored);
-  } else {
+  if (!Reset) {
     Pimpl->Socket.shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
     cancelRead();
     discardInput(std::make_shared<DiscardedInput>());
@@ -511,6 +509,16 @@
     if (!Pending.Response)
       Pimpl->Handler.onCallerDisconnected(*this, Pending.RequestNumber);
   Pimpl->Handler.onSessionEnded(Self);
+  if (Reset)
+    closeSocket();
+}
+
+auto CallerSession::closeSocket() -> void {
+  if (!Pimpl->Socket.is_open())
+    return;
+  error_code Ignored;
+  Pimpl->Socket.close(Ignored);
+  Pimpl->Handler.onSocketClosed();
 }
 
 auto CallerSession::discardInput(const std::shared_ptr<DiscardedInput> &Input)
@@ -521,8 +529,7 @@
                                   if (!Failure)
                                     return Self->discardInput(Input);
                                   Self->Pimpl->Timer.cancel();
-                                  error_code Ignored;
-                                  Self->Pimpl->Socket.close(Ignored);
+                                  Self->closeSocket();
                                 });
 }
 
@@ -534,8 +541,7 @@
           return;
         if (hasUnsentOutput(Self->Pimpl->Socket) && bootNow() < Latest)
           return Self->closeAfterLinger(Latest);
-        error_code Ignored;
-        Self->Pimpl->Socket.close(Ignored);
+        Self->closeSocket();
       });
 }
 
--- a/lib/Gateway/CallerSession.h
+++ b/lib/Gateway/CallerSession.h
@@ -80,8 +80,12 @@
                                     std::uint64_t RequestNumber) -> void = 0;
   /// Builds the response to a request that cannot be read.
   virtual auto makeErrorResponse(unsigned Status) -> CallerResponse = 0;
+  /// No further request is read or answered. The socket may stay open for the
+  /// caller to read the last response.
   virtual auto onSessionEnded(const std::shared_ptr<CallerSession> &Session)
       -> void = 0;
+  /// The socket of an ended session was closed.
+  virtual auto onSocketClosed() -> void = 0;
 };
 
 /// One caller's HTTP/1.1 connection with pipelining: reads further requests
@@ -154,6 +158,7 @@
   auto onWritten(bool Close) -> void;
   auto onDisconnected() -> void;
   auto close(bool Reset, SessionEnd Cause) -> void;
+  auto closeSocket() -> void;
   auto discardInput(const std::shared_ptr<DiscardedInput> &Input) -> void;
   /// Closes the socket after LingerTimeout, or later, up to \p Latest, while
   /// the caller has not acknowledged the whole response.
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -311,7 +311,7 @@
 auto Gateway::Impl::onSessionEnded(
     const std::shared_ptr<CallerSession> &Session) -> void {
   Sessions.erase(Session);
-  LastSessionEndedAt = bootNow();
+  ++LingeringSessions;
   const SessionEnding &Ending = Session->ending();
   if (!Ending.complete() && Events.admits(EventClass::Failure, bootNow()))
     Events.write(EventLine("caller-connection-cut")
@@ -321,6 +321,8 @@
                      .field("unread_input", Ending.UnreadInput));
 }
 
+auto Gateway::Impl::onSocketClosed() -> void { --LingeringSessions; }
+
 auto Gateway::Impl::armDispatchTimer() -> void {
   if (WaitingRequests.empty() || std::exchange(DispatchTimerArmed, true))
     return;
@@ -457,13 +459,16 @@
     for (const auto &[FlowKey, Flow] : RunningFlows)
       Flow->abandon();
   }
-  // The callers of the last sessions may still be reading their responses.
-  const bool Done = !Listener.is_open() && Sessions.empty() &&
-                    Now - LastSessionEndedAt >= CallerSession::LingerTimeout;
+  // The end of the process resets connections on which input arrives later, and
+  // with them the responses that were not acknowledged.
+  const bool Done =
+      !Listener.is_open() && Sessions.empty() && LingeringSessions == 0;
   const TimePoint ProcessEnd =
       Requests.Stop->End + CallerSession::LingerTimeout;
   if (Done || Now >= ProcessEnd) {
-    Events.write(EventLine("stop").field("sessions", Sessions.size()));
+    Events.write(EventLine("stop")
+                     .field("sessions", Sessions.size())
+                     .field("lingering", LingeringSessions));
     return Io.stop();
   }
   // A later check would shorten the time that is left after these two.
--- a/lib/Gateway/GatewayImpl.h
+++ b/lib/Gateway/GatewayImpl.h
@@ -37,6 +37,7 @@
   auto makeErrorResponse(unsigned Status) -> CallerResponse override;
   auto onSessionEnded(const std::shared_ptr<CallerSession> &Session)
       -> void override;
+  auto onSocketClosed() -> void override;
 
   auto bind(const StoreFactory &MakeStore) -> Result<bool>;
   auto start() -> void;
@@ -157,7 +158,8 @@
            std::shared_ptr<RequestFlow>>
       Flows;
   TimePoint StopStartedAt = LongAgo; ///< LongAgo: not stopping.
-  TimePoint LastSessionEndedAt = LongAgo;
+  /// Ended sessions whose callers may still be reading the last response.
+  std::size_t LingeringSessions = 0;
   std::uint64_t IgnoredRecords = 0;
   std::uint64_t StoreRestorations = 0;
   std::uint64_t RestoredEra = 0; ///< Era after the last of them.
--- a/tests/support/CountingHandler.h
+++ b/tests/support/CountingHandler.h
@@ -29,6 +29,7 @@
     ++Ended;
     Ending = Session->ending();
   }
+  auto onSocketClosed() -> void override {}
 
   int Received = 0;
   std::uint64_t LastNumber = 0;
--- a/tests/support/GatewayFixture.cpp
+++ b/tests/support/GatewayFixture.cpp
@@ -78,11 +78,18 @@
 }
 
 GatewayFixture::~GatewayFixture() {
-  Instance->stop();
-  ServingThread.join();
+  if (Instance) {
+    Instance->stop();
+    ServingThread.join();
+  }
   std::filesystem::remove(SettingsFile);
 }
 
+auto GatewayFixture::waitForEnd() -> void {
+  ServingThread.join();
+  Instance.reset();
+}
+
 auto GatewayFixture::touchSettings() -> void {
   std::ofstream(SettingsFile) << "{}";
 }
--- a/tests/support/GatewayFixture.h
+++ b/tests/support/GatewayFixture.h
@@ -46,6 +46,10 @@
   /// Waits until the instance serves the route /safe/.
   auto waitUntilServing() -> bool;
 
+  /// Waits until the instance has ended by itself and destroys it, which closes
+  /// its sockets as the end of its process does.
+  auto waitForEnd() -> void;
+
   /// Address at which callers connect.
   auto endpoint() const -> boost::asio::ip::tcp::endpoint;
   auto connect() -> RawCaller;
--- a/tests/unit/GatewayTest.cpp
+++ b/tests/unit/GatewayTest.cpp
@@ -889,6 +889,45 @@
   EXPECT_EQ(CutOff, 0);
 }
 
+// Guards against a process that ends while its callers are still reading their
+// responses, which input that arrives afterwards would reset.
+TEST(GatewayTest, PlannedStopWaitsForCallersThatReadSlowly) {
+  constexpr std::size_t BodySize = 1024UL * 1024;
+  ScriptedTarget Target([](Socket &To, const std::string &Request) {
+    const bool Slow = Request.starts_with("GET /safe/slow");
+    if (Slow)
+      std::this_thread::sleep_for(300ms);
+    return ScriptedTarget::send(
+        To, GatewayFixture::response(GatewayFixture::requestId(Request),
+                                     std::string(Slow ? BodySize : 2, 'x')));
+  });
+  GatewayFixture Fixture;
+  Fixture.addTarget("pay", "t1", Target);
+  Fixture.configure(1);
+  ASSERT_TRUE(Fixture.waitUntilServing());
+  boost::asio::io_context Io;
+  Socket Caller(Io);
+  Caller.open(Fixture.endpoint().protocol());
+  Caller.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+  Caller.connect(Fixture.endpoint());
+  boost::asio::write(Caller, boost::asio::buffer(GatewayFixture::request(
+                                 "GET", "/safe/slow", "a1")));
+  std::this_thread::sleep_for(100ms);
+  ::kill(::getpid(), SIGTERM);
+  std::thread Ending([&Fixture] { Fixture.waitForEnd(); });
+  std::this_thread::sleep_for(3500ms);
+  boost::system::error_code Failure;
+  boost::asio::write(
+      Caller,
+      boost::asio::buffer(GatewayFixture::request("GET", "/safe/2", "a2")),
+      Failure);
+  std::string Bytes;
+  boost::asio::read(Caller, boost::asio::dynamic_buffer(Bytes), Failure);
+  Ending.join();
+  EXPECT_EQ(Failure, boost::asio::error::eof);
+  EXPECT_EQ(Bytes.size() - Bytes.find("\r\n\r\n") - 4, BodySize);
+}
+
 // Guards against requests that are passed on late in a planned stop and broken
 // off at its end, among them some that must not be repeated. This one begins to
 // arrive while connections are still accepted.
