Test time limits of callers' connections and ends of targets' ones

TimeLimitsKeepRequestsThatArePassedOn plays generated sessions with limits of a few milliseconds that change, bursts of responses and pauses of the process. The draws of EveryRequestThatIsPassedOnIsAnswered are unchanged.

--- a/tests/property/CallerSessionPropertyTest.cpp
+++ b/tests/property/CallerSessionPropertyTest.cpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace buckthornring;
@@ -45,18 +46,24 @@
   std::vector<std::uint64_t> Unanswered;
 };
 
+/// Whether a session is played with limits of a few milliseconds that change,
+/// by a process that is short of processor time.
+enum class TimeLimits { Long, Short };
+
 /// One generated session: a caller that pipelines, targets that answer in any
 /// order, and a planned stop at any moment.
 class GeneratedSession {
 public:
-  explicit GeneratedSession(std::uint64_t Seed)
-      : Random(Seed),
+  GeneratedSession(std::uint64_t Seed, TimeLimits Limits)
+      : Random(Seed), Limits(Limits),
         Listener(Io, {boost::asio::ip::address_v4::loopback(), 0}), Caller(Io) {
     Caller.connect(Listener.local_endpoint());
     Caller.non_blocking(true);
     Session = std::make_shared<CallerSession>(Listener.accept(), Handler,
                                               RequestLimits());
-    const auto Count = 1 + Random.below(8);
+    if (Limits == TimeLimits::Short)
+      Session->setLimits(shortLimits());
+    const auto Count = 1 + Random.below(Limits == TimeLimits::Short ? 24 : 8);
     for (std::uint64_t Index = 0; Index < Count; ++Index)
       Unsent += request();
   }
@@ -66,12 +73,18 @@
     for (int Step = 0; Step < 200 && !CallerEnd; ++Step) {
       if (Random.chance(0.5))
         sendPart();
-      if (Random.chance(0.3))
+      if (Limits == TimeLimits::Short)
+        answerInBursts();
+      else if (Random.chance(0.3))
         answerAny();
-      if (Random.chance(0.02))
+      if (Random.chance(Limits == TimeLimits::Short ? 0.002 : 0.02))
         Session->drain(Random.chance(0.3));
       if (Random.chance(0.5))
         readPart();
+      if (Limits == TimeLimits::Short && Random.chance(0.1))
+        Session->setLimits(shortLimits());
+      if (Limits == TimeLimits::Short && Random.chance(0.1))
+        std::this_thread::sleep_for(milliseconds(8));
       Io.restart();
       Io.poll();
     }
@@ -108,8 +121,20 @@
   }
 
 private:
+  auto milliseconds(std::uint64_t Most) -> std::chrono::milliseconds {
+    return std::chrono::milliseconds(1 + Random.below(Most));
+  }
+  auto shortLimits() -> RequestLimits {
+    RequestLimits Short;
+    Short.IdleTimeout = milliseconds(8);
+    Short.HeadTimeout = milliseconds(8);
+    return Short;
+  }
   auto request() -> std::string {
     const std::string Fields = "Host: h\r\n";
+    // Most sessions with short limits are to reach them.
+    if (Limits == TimeLimits::Short && Random.chance(0.9))
+      return "GET / HTTP/1.1\r\n" + Fields + "\r\n";
     switch (Random.below(12)) {
     case 0:
       return "HEAD / HTTP/1.1\r\n" + Fields + "\r\n";
@@ -155,6 +180,12 @@
     Bodies[Number] = Response.Body.size();
     Session->respond(Number, std::move(Response));
   }
+  /// Lets the session reach the most requests that it reads at the same time.
+  auto answerInBursts() -> void {
+    if (Random.chance(0.03))
+      while (!Handler.Unanswered.empty())
+        answerAny();
+  }
   auto readPart() -> void {
     std::string Part(256UL * 1024, ' ');
     error_code Failure;
@@ -165,6 +196,7 @@
   }
 
   RandomSource Random;
+  TimeLimits Limits;
   boost::asio::io_context Io;
   tcp::acceptor Listener;
   tcp::socket Caller;
@@ -182,7 +214,19 @@
   test::forEachSeed(
       "CallerSessionPropertyTest.EveryRequestThatIsPassedOnIsAnswered", 200,
       [](std::uint64_t Seed) {
-        GeneratedSession Session(Seed);
+        GeneratedSession Session(Seed, TimeLimits::Long);
+        Session.play();
+        Session.check();
+      });
+}
+
+// Guards against time-outs that end a connection before the responses to its
+// requests.
+TEST(CallerSessionPropertyTest, TimeLimitsKeepRequestsThatArePassedOn) {
+  test::forEachSeed(
+      "CallerSessionPropertyTest.TimeLimitsKeepRequestsThatArePassedOn", 100,
+      [](std::uint64_t Seed) {
+        GeneratedSession Session(Seed, TimeLimits::Short);
         Session.play();
         Session.check();
       });
--- a/tests/unit/FaultyTargetTest.cpp
+++ b/tests/unit/FaultyTargetTest.cpp
@@ -311,6 +311,35 @@
   EXPECT_LT(Cut, Third);
 }
 
+// Guards against ending a caller's kept connection because a target ends its
+// own, or sends more or less than a response.
+TEST(FaultyTargetTest, EndOfATargetConnectionKeepsThatOfTheCaller) {
+  ScriptedTarget Target([](Socket &To, const std::string &Request) {
+    const std::string Id = GatewayFixture::requestId(Request);
+    const std::string Whole = GatewayFixture::response(
+        Id, "body-" + Id + ";", Id == "p1" ? "Connection: close\r\n" : "");
+    if (Id == "p3") {
+      ScriptedTarget::send(To, Whole.substr(0, Whole.size() - 2));
+      return false;
+    }
+    ScriptedTarget::send(To, Id == "p2" ? Whole + "extra" : Whole);
+    return Id != "p1";
+  });
+  GatewayFixture Fixture;
+  Fixture.addTarget("pay", "t1", Target);
+  Fixture.configure(1);
+  ASSERT_TRUE(Fixture.waitUntilServing());
+  RawCaller Caller = Fixture.connect();
+  for (const std::string Id : {"p1", "p2", "p4"}) {
+    Caller.send(GatewayFixture::request("GET", "/safe/1", Id));
+    EXPECT_TRUE(Caller.readUntil("body-" + Id + ";").has(" 200 ")) << Id;
+  }
+  Caller.send(GatewayFixture::request("POST", "/unsafe/1", "p3", "", "x"));
+  EXPECT_TRUE(Caller.readUntil("\r\n\r\n").has(" 502 "));
+  Caller.send(GatewayFixture::request("GET", "/safe/1", "p5"));
+  EXPECT_TRUE(Caller.readUntil("body-p5;").has(" 200 "));
+}
+
 // Guards against a response without a length whose end nobody can tell from a
 // failure of the target, and that callers got as a whole one.
 TEST(FaultyTargetTest, ResponseWithoutLengthIsNotForwardedWithOne) {
