--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -13,6 +13,10 @@
 /// Deadline of a request without a deadline header.
 constexpr Duration DefaultDeadline = std::chrono::seconds(10);
 
+/// Longer deadlines are shortened to this one. Some callers send the largest
+/// number for "none", which does not fit into a Duration.
+constexpr std::uint64_t MaxDeadlineMs = 24ULL * 60 * 60 * 1000;
+
 /// Longest idle time of a pooled connection that is used for a non-idempotent
 /// request: an older connection may have failed unnoticed, and then it is
 /// unknown whether the request ran.
@@ -168,9 +172,10 @@
   const auto Milliseconds = Header ? parseNumber(*Header) : std::nullopt;
   CallerDeadline =
       Request.ReceivedAt +
-      (Milliseconds ? std::chrono::milliseconds(*Milliseconds)
-                    : std::chrono::duration_cast<std::chrono::milliseconds>(
-                          DefaultDeadline));
+      (Milliseconds
+           ? std::chrono::milliseconds(std::min(*Milliseconds, MaxDeadlineMs))
+           : std::chrono::duration_cast<std::chrono::milliseconds>(
+                 DefaultDeadline));
   ResponseDeadline = CallerDeadline;
   if (Route->Timeout)
     ResponseDeadline =
--- a/tests/unit/GatewayTest.cpp
+++ b/tests/unit/GatewayTest.cpp
@@ -92,6 +92,24 @@
   EXPECT_TRUE(Caller.readUntil("ok").has(" 200 "));
 }
 
+// Guards against deadlines that overflow and count as passed.
+TEST(GatewayTest, LargestDeadlineDoesNotOverflow) {
+  GatewayFixture Fixture;
+  ScriptedTarget Target(GatewayFixture::answering());
+  Fixture.addTarget("pay", "p1", Target);
+  Fixture.configure(1);
+  ASSERT_TRUE(Fixture.waitUntilServing());
+  for (const char *Milliseconds :
+       {"9223372036854775807", "9223372036854776", "18446744073709551615"}) {
+    RawCaller Caller = Fixture.connect();
+    Caller.send("GET /safe/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: a1\r\n"
+                "Api-Key: secret\r\nConnection: close\r\nDeadline-Ms: " +
+                std::string(Milliseconds) + "\r\n\r\n");
+    const auto View = Caller.readAll();
+    EXPECT_TRUE(View.has("HTTP/1.1 200")) << Milliseconds << View.Bytes;
+  }
+}
+
 // The platform may change the settings file without a signal.
 TEST(GatewayTest, ChangedSettingsFileIsReadWithoutASignal) {
   GatewayFixture Fixture;
