Wait before accepting again after a failed accept

Without free file descriptors the instance accepted in a busy loop, which took the processor from the requests in progress, and wrote nothing about it. It now waits 50 ms, as HttpServer does, and logs "accept-failed".

--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -51,6 +51,8 @@
 /// updates trigger this as well.
 constexpr Duration DispatchRetryInterval = std::chrono::milliseconds(25);
 
+constexpr Duration AcceptRetryDelay = std::chrono::milliseconds(50);
+
 /// Period after the stop signal in which new connections are still accepted:
 /// the load balancer notices the stop within two readiness checks, one per
 /// second.
@@ -107,7 +109,7 @@
                {},
                {}},
       Listener(Io), Signals(Io, SIGTERM, SIGINT, SIGHUP), TickTimer(Io),
-      DispatchTimer(Io), StopTimer(Io), FeedStartTimer(Io) {}
+      AcceptTimer(Io), DispatchTimer(Io), StopTimer(Io), FeedStartTimer(Io) {}
 
 auto Gateway::Impl::bind(const StoreFactory &MakeStore) -> Result<bool> {
   auto CreatedStore = MakeStore(Io, Settings.StoreAddress);
@@ -246,12 +248,25 @@
   Listener.async_accept([this](const error_code &Failure, tcp::socket Socket) {
     if (Failure == boost::asio::error::operation_aborted || !Listener.is_open())
       return;
-    if (!Failure)
-      startSession(std::move(Socket));
+    if (Failure)
+      return retryAccept(Failure);
+    startSession(std::move(Socket));
     accept();
   });
 }
 
+// Without free file descriptors, an immediate retry would fail as well and take
+// the processor from the open connections.
+auto Gateway::Impl::retryAccept(const error_code &Cause) -> void {
+  if (Events.admits(EventClass::Failure, bootNow()))
+    Events.write(EventLine("accept-failed").field("reason", Cause.message()));
+  AcceptTimer.expires_after(AcceptRetryDelay);
+  AcceptTimer.async_wait([this](const error_code &Cancelled) {
+    if (!Cancelled && Listener.is_open())
+      accept();
+  });
+}
+
 auto Gateway::Impl::startSession(tcp::socket Socket) -> void {
   const RequestLimits Limits = Requests.CurrentConfig
                                    ? Requests.CurrentConfig->Config.Limits
--- a/lib/Gateway/GatewayImpl.h
+++ b/lib/Gateway/GatewayImpl.h
@@ -42,6 +42,7 @@
   auto bind(const StoreFactory &MakeStore) -> Result<bool>;
   auto start() -> void;
   auto accept() -> void;
+  auto retryAccept(const boost::system::error_code &Cause) -> void;
   auto startSession(boost::asio::ip::tcp::socket Socket) -> void;
 
   // Store updates.
@@ -145,6 +146,7 @@
   boost::asio::ip::tcp::acceptor Listener;
   boost::asio::signal_set Signals;
   boost::asio::steady_timer TickTimer;
+  boost::asio::steady_timer AcceptTimer;
   boost::asio::steady_timer DispatchTimer;
   boost::asio::steady_timer StopTimer;
   boost::asio::steady_timer FeedStartTimer;
