Keep closing connections open while their callers send

Half a second after the last response of a connection had been acknowledged, its socket was closed. A caller that reads slowly and goes on sending has not read yet that the response was the last one; the next bytes that it sent made the system reset the connection.

CallerSessionTest.CallerThatStillSendsIsNotReset failed before.

--- a/lib/Gateway/CallerSession.cpp
+++ b/lib/Gateway/CallerSession.cpp
@@ -138,6 +138,8 @@
   bool LastRequestRead = false;
   bool Ended = false;
   SessionEnding Ending;
+  /// Input has arrived since the last check of the linger time.
+  bool InputDiscarded = false;
 };
 
 CallerSession::CallerSession(asio::ip::tcp::socket Socket,
@@ -526,8 +528,10 @@
   Pimpl->Socket.async_read_some(asio::buffer(*Input),
                                 [Self = shared_from_this(), Input](
                                     const error_code &Failure, std::size_t) {
-                                  if (!Failure)
+                                  if (!Failure) {
+                                    Self->Pimpl->InputDiscarded = true;
                                     return Self->discardInput(Input);
+                                  }
                                   Self->Pimpl->Timer.cancel();
                                   Self->closeSocket();
                                 });
@@ -535,14 +539,15 @@
 
 auto CallerSession::closeAfterLinger(TimePoint Latest) -> void {
   Pimpl->Timer.expires_after(LingerTimeout);
-  Pimpl->Timer.async_wait(
-      [Self = shared_from_this(), Latest](const error_code &Cancelled) {
-        if (Cancelled)
-          return;
-        if (hasUnsentOutput(Self->Pimpl->Socket) && bootNow() < Latest)
-          return Self->closeAfterLinger(Latest);
-        Self->closeSocket();
-      });
+  Pimpl->Timer.async_wait([Self = shared_from_this(),
+                           Latest](const error_code &Cancelled) {
+    if (Cancelled)
+      return;
+    const bool Sending = std::exchange(Self->Pimpl->InputDiscarded, false);
+    if ((Sending || hasUnsentOutput(Self->Pimpl->Socket)) && bootNow() < Latest)
+      return Self->closeAfterLinger(Latest);
+    Self->closeSocket();
+  });
 }
 
 } // namespace buckthornring
--- a/lib/Gateway/CallerSession.h
+++ b/lib/Gateway/CallerSession.h
@@ -161,7 +161,8 @@
   auto closeSocket() -> void;
   auto discardInput(const std::shared_ptr<DiscardedInput> &Input) -> void;
   /// Closes the socket after LingerTimeout, or later, up to \p Latest, while
-  /// the caller has not acknowledged the whole response.
+  /// the caller has not acknowledged the whole response or sends requests, so
+  /// has not read that it was the last one.
   auto closeAfterLinger(TimePoint Latest) -> void;
 };
 
--- a/tests/unit/CallerSessionTest.cpp
+++ b/tests/unit/CallerSessionTest.cpp
@@ -181,6 +181,23 @@
   expectNothingIsReadBehind();
 }
 
+// Guards against a reset of a connection whose caller has not read yet that the
+// response is the last one, and sends further requests.
+TEST_F(CallerSessionTest, CallerThatStillSendsIsNotReset) {
+  Session->start();
+  Session->drain(false);
+  answer(sendRequest("/a"), "last");
+  boost::system::error_code Failure;
+  for (int Count = 0; Count < 8; ++Count) {
+    runFor(200ms);
+    boost::asio::write(Caller,
+                       boost::asio::buffer(std::string("GET /b HTTP/1.1\r\n")),
+                       Failure);
+    EXPECT_FALSE(Failure);
+  }
+  EXPECT_TRUE(readAll().ends_with("last"));
+}
+
 // Guards against parts of a request without end that fill the memory.
 TEST_F(CallerSessionTest, RequestWithoutEndIsRefused) {
   Session->start();
