Soak planned work beside slow pipelining callers

--focus planned injects only stops, reloads and changes, in series that overlap. A second kind of caller pipelines up to 8 requests, sends heads and bodies in pieces, reads slowly, polls idle connections below their limit and keeps its connections until they end; targets answer it with large bodies and without a length. The invariant lost follows the rule on requests around planned work. Runs without this focus have the same callers and faults as before.

An instance that two faults restart at the same time is started once.

--- a/bench/soak/invariants.py
+++ b/bench/soak/invariants.py
@@ -12,6 +12,7 @@
 ORDER_DELAY_LIMIT = 3.0  # maximum delay of orders to a target with a fault
 CALL_LIMITS = {"reads": 2000, "writes": 400}  # store calls a second
 PRINTED = 6              # printed violations of one invariant
+LARGE_RESPONSE = 2000    # bodies in a large response
 SPREAD_LIMIT = 0.5       # between the threads of a process
 KEYS = (17, 18, 900, 30000, 30001, 65000)  # all keyed requests use these
 
@@ -30,8 +31,13 @@
         self.sent_at = time.monotonic()
         self.runs = []        # (target, time)
         self.completed = None  # when a target finished running it
+        self.shape, self.work = "plain", 0.0  # of its response; seconds
         self.status = None
 
+    def repeats(self):
+        """How often the response repeats the body."""
+        return LARGE_RESPONSE if self.shape == "large" else 1
+
 
 class Invariants:
     def __init__(self):
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -27,6 +27,7 @@
 from instance_log import InstanceLog
 from invariants import Invariants
 from notices import Notices
+from pipelining import PLANNED, ROUTE_TIMEOUT, PipeliningCaller
 from proxy import Proxy
 from store import Store
 from wire import ConnectionFailed, free_ports, message, read_message
@@ -56,8 +57,10 @@
         self.data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
         self.port, self.ready_port, self.peer, store = soak.ports(4)
         self.store = Proxy(store, soak.store.port)
-        self.process, self.ready, self.end_expected = None, False, False
+        self.process, self.starting = None, False
+        self.ready, self.end_expected = False, False
         self.stop_sent, self.graceful_stops = None, []
+        self.stops, self.reloads = [], []  # when the signals were sent
         self.settings = os.path.join(soak.folder, f"{self.name}.json")
         log = os.path.join(soak.folder, f"{self.name}.log")
         self.log, self.starts = open(log, "ab"), 0
@@ -84,8 +87,9 @@
                            "longest_hold_s": 10}}, file)
 
     async def start(self):
-        if self.process or self.soak.ending:
+        if self.process or self.starting or self.soak.ending:
             return
+        self.starting = True
         self.soak.invariants.disturb(self.name, 1.0)
         self.write_settings()
         self.end_expected, self.stop_sent = False, None
@@ -93,6 +97,7 @@
         self.process = await asyncio.create_subprocess_exec(
             os.path.join(self.soak.build, "buckthornringd"),
             "--settings", self.settings, stdout=self.log, stderr=self.log)
+        self.starting = False
         asyncio.ensure_future(self.watch(self.process))
 
     async def watch(self, process):
@@ -113,6 +118,9 @@
             self.end_expected = True
         if number == signal.SIGTERM:
             self.stop_sent, self.ready = time.monotonic(), False
+            self.stops.append(self.stop_sent)
+        if number == signal.SIGHUP:
+            self.reloads.append(time.monotonic())
         self.process.send_signal(number)
 
     def stopping_gracefully(self, sent_at):
@@ -154,6 +162,7 @@
         # The faults do not depend on how requests interleave.
         self.schedule = random.Random(options.seed)
         self.focus = [each for each in FAULTS if each[0] == options.focus]
+        self.planned_only = options.focus == PLANNED[0]
         self.build, self.folder = options.build, folder
         self.free_ports = free_ports(400)
         self.invariants = Invariants()
@@ -188,7 +197,8 @@
         rules = [{"name": route, "kind": "unsafe" if route == "unsafe" else
                   "safe", "target_latency_s": 0.3, "priority": 1,
                   "public": False, "match": {"path_prefix": f"/{route}/"},
-                  "action": {"service": service, "timeout_s": 2.5,
+                  "action": {"service": service, "timeout_s": ROUTE_TIMEOUT
+                             if self.planned_only else 2.5,
                              "max_attempts": 2}}
                  for route, service in (self.routes | bulk).items()]
         now = time.monotonic()
@@ -230,8 +240,8 @@
         while time.monotonic() < until:
             await asyncio.sleep(self.schedule.expovariate(1.2))
             focused = self.focus and self.schedule.random() < FOCUS_SHARE
-            name, fault = self.schedule.choice(
-                self.focus if focused else FAULTS)
+            name, fault = PLANNED if self.planned_only else \
+                self.schedule.choice(self.focus if focused else FAULTS)
             print(f"{time.monotonic() - self.started_at:7.2f} {name}",
                   flush=True)
             # A task keeps the context in which it was created.
@@ -274,6 +284,8 @@
         await self.targets.start()
         for number in range(3 * len(self.instances)):
             self.background(Caller(self, number).run())
+        for number in range(2 * len(self.instances) * self.planned_only):
+            self.background(PipeliningCaller(self, number).run())
         await self.wait_until_served()
         await self.inject(seconds)
         await self.recover()
@@ -296,8 +308,9 @@
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--instances", type=int, default=5)
     parser.add_argument("--build", default="build")
-    parser.add_argument("--focus", choices=sorted({each[0] for each in FAULTS}),
-                        help="a fault that is to occur more often")
+    parser.add_argument("--focus", choices=sorted(
+        {each[0] for each in FAULTS + [PLANNED]}),
+        help="a fault that is to occur more often; planned: only planned work")
     parser.add_argument("--logs", help="folder for the instances' logs")
     options = parser.parse_args()
     print(f"seed {options.seed}: tools/soak --seed {options.seed} --seconds "
--- a/bench/soak/targets.py
+++ b/bench/soak/targets.py
@@ -218,7 +218,8 @@
             return False
         random = self.soak.random
         await asyncio.sleep(self.service_time * self.slowdown
-                            * random.uniform(0.6, 1.4))
+                            * random.uniform(0.6, 1.4)
+                            + (record.work if record else 0.0))
         if not self.up or random.random() < self.response_loss:
             return False
         failed = random.random() < self.error_share
@@ -227,9 +228,23 @@
                 **self.notice()}
         if self.draining:
             self.soak.notices.on_leaving_response(self, attempt)
-        writer.write(response(500 if failed else 200, head, body_for(attempt)))
+        writer.write(self.response_to(record, 500 if failed else 200, head,
+                                      body_for(attempt)))
         if record and not failed:
             record.completed = time.monotonic()
         if random.random() < self.duplicate_share:
             writer.write(response(200, head, b"once more"))
+        if record and record.shape == "open":
+            await writer.drain()
+            writer.write_eof()
         return True
+
+    def response_to(self, record, status, fields, body):
+        """The response in the form that the request asks for."""
+        if record is None:
+            return response(status, fields, body)
+        body *= record.repeats()
+        if record.shape == "open":
+            return response(status, fields, body).replace(
+                f"Content-Length: {len(body)}\r\n".encode(), b"", 1)
+        return response(status, fields, body)
--- a/bench/soak/wire.py
+++ b/bench/soak/wire.py
@@ -12,8 +12,10 @@
     """The peer closed or reset the connection or sent a malformed message."""
 
 
-async def read_message(reader):
-    """Returns the first line, the lower-case header fields and the body."""
+async def read_message(reader, with_body=True):
+    """Returns the first line, the lower-case header fields and the body, which
+    is None if it is left to the caller, also when it ends with the connection.
+    """
     try:
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
         first, *lines = head[:-4].split("\r\n")
@@ -21,6 +23,9 @@
         for line in lines:
             name, _, value = line.partition(":")
             fields[name.strip().lower()] = value.strip()
+        if not with_body or (first.startswith("HTTP/") and
+                             "content-length" not in fields):
+            return first, fields, None
         size = int(fields.get("content-length", "0"))
         return first, fields, await reader.readexactly(size) if size else b""
     except (asyncio.IncompleteReadError, asyncio.LimitOverrunError,
