Ignore the answer to a write of ranges that was replaced meanwhile

Cause: the answer to a write of the ranges was matched by term and service only. A refused order while the write is open makes the leader forget the service and load it anew within the same term; the answer then counted the new state as written, and read a proposal that may not exist.

Change: the generation of the state is compared too, as for orders. No test brings it about: that takes a store that holds an answer back while a target refuses, which the stand-ins cannot combine yet.

--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -535,19 +535,18 @@
   Context.Store.write(
       Context.Protocol.Kinds.Own, rangeObjectName(Id),
       numberOf(Recorded) == 0 ? 0 : Recorded, recordToWrite(State),
-      [this, Id, SentAt, Term = Self.Term](const StoreWriteResult &Answer) {
-        if (Self.Term == Term)
-          onRangesWritten(Id, Answer, SentAt);
+      [this, Id, SentAt, Term = Self.Term,
+       Generation = State.Generation](const StoreWriteResult &Answer) {
+        const auto Found = Services.find(Id);
+        if (Self.Term == Term && Found != Services.end() &&
+            Found->second.Generation == Generation)
+          onRangesWritten(Id, Found->second, Answer, SentAt);
       });
 }
 
-auto Leader::onRangesWritten(const ServiceId &Id,
+auto Leader::onRangesWritten(const ServiceId &Id, ServiceState &State,
                              const StoreWriteResult &Answer, TimePoint SentAt)
     -> void {
-  const auto Found = Services.find(Id);
-  if (Found == Services.end())
-    return;
-  ServiceState &State = Found->second;
   const TimePoint Now = bootNow();
   State.WritePending = false;
   Context.Events.write(
--- a/lib/Gateway/Leader.h
+++ b/lib/Gateway/Leader.h
@@ -177,8 +177,9 @@
   /// this leader's.
   auto onRangesNotWritten(const ServiceId &Id, ServiceState &State,
                           const StoreWriteResult &Answer) -> void;
-  auto onRangesWritten(const ServiceId &Id, const StoreWriteResult &Answer,
-                       TimePoint SentAt) -> void;
+  auto onRangesWritten(const ServiceId &Id, ServiceState &State,
+                       const StoreWriteResult &Answer, TimePoint SentAt)
+      -> void;
   /// Whether the store holds a later record than the one that this leader has
   /// written.
   auto recordOverwritten(const ServiceId &Id, const ServiceState &State) const
