Test slow readers whose earlier response is still in the system's buffer

SlowReaderOfAnEarlierResponseGetsTheNextOne: the progress of a write counts only bytes of the current response beyond all unacknowledged ones, so it stays zero while the caller reads the earlier response.

SlowReaderThatStillSendsGetsTheLastResponse: the socket is closed 5 s after the last response was handed to the system, and input that arrives afterwards resets the connection with the rest of the response.

--- a/tests/unit/CallerSessionTest.cpp
+++ b/tests/unit/CallerSessionTest.cpp
@@ -380,6 +380,53 @@
   EXPECT_EQ(Handler.Ended, 0);
 }
 
+// Guards against breaking off a response because its caller is still reading an
+// earlier one, which the system has taken but not delivered.
+TEST_F(CallerSessionTest, SlowReaderOfAnEarlierResponseGetsTheNextOne) {
+  Caller.set_option(boost::asio::socket_base::receive_buffer_size(64 * 1024));
+  Session->start();
+  const std::uint64_t First = sendRequest("/a");
+  const std::uint64_t Second = sendRequest("/b");
+  const std::size_t FirstBody = 2'000'000;
+  answer(First, std::string(FirstBody, 'x'));
+  answer(Second, std::string(LargeBody, 'y'));
+  std::size_t Bytes = 0;
+  std::string Part(10'000, ' ');
+  boost::system::error_code Failure;
+  Caller.non_blocking(true);
+  for (int Count = 0; Count < 150 && Handler.Ended == 0; ++Count) {
+    runFor(50ms);
+    Bytes += boost::asio::read(Caller, boost::asio::buffer(Part), Failure);
+    if (Failure && Failure != boost::asio::error::would_block)
+      break;
+  }
+  EXPECT_EQ(Handler.Ended, 0) << "after " << Bytes << " bytes";
+}
+
+// The same when the response is the last one of a connection on which its caller
+// goes on sending.
+TEST_F(CallerSessionTest, SlowReaderThatStillSendsGetsTheLastResponse) {
+  Caller.set_option(boost::asio::socket_base::receive_buffer_size(64 * 1024));
+  Session->start();
+  Session->drain(false);
+  const std::size_t Body = 2'000'000;
+  answer(sendRequest("/a"), std::string(Body, 'x'));
+  std::size_t Bytes = 0;
+  std::string Part(10'000, ' ');
+  boost::system::error_code Failure;
+  Caller.non_blocking(true);
+  for (int Count = 0; Count < 250 && Bytes < Body; ++Count) {
+    runFor(50ms);
+    Caller.write_some(boost::asio::buffer("x", 1), Failure);
+    if (Failure)
+      break;
+    Bytes += boost::asio::read(Caller, boost::asio::buffer(Part), Failure);
+    if (Failure && Failure != boost::asio::error::would_block)
+      break;
+  }
+  EXPECT_GE(Bytes, Body) << Failure.message();
+}
+
 /// Serves one connection and answers its first request with a large response
 /// without a length. Runs until the process is killed.
 auto serveWithoutLength(int ListeningSocket) -> void {
