--- a/tests/unit/CallerSessionTest.cpp
+++ b/tests/unit/CallerSessionTest.cpp
@@ -403,8 +403,8 @@
   EXPECT_EQ(Handler.Ended, 0) << "after " << Bytes << " bytes";
 }
 
-// The same when the response is the last one of a connection on which its caller
-// goes on sending.
+// The same when the response is the last one of a connection on which its
+// caller goes on sending.
 TEST_F(CallerSessionTest, SlowReaderThatStillSendsGetsTheLastResponse) {
   Caller.set_option(boost::asio::socket_base::receive_buffer_size(64 * 1024));
   Session->start();
