Test that silence of the store is noticed despite rechecks and relays

OutdatedConfigurationTest.PeerIsAskedWhileTheStoreIsSilent: an instance that is behind begins its read anew every 0.8 s. No read lasts until its time limit of 1.5 s, so the feed counts as connected (7 times behind-peers with store_reachable true in 6 s) and the peer that has the configuration is not asked.

RelayedStoreTest.RecheckedReadOfASilentStoreFails: the same for one feed, which was connected after 8 s of silence.

RelayedStoreTest.SilenceOfRelaysAndStoreIsNoticedInTime: the limits of primary, backup and direct watch add up to 4.2 s.

--- a/tests/unit/OutdatedConfigurationTest.cpp
+++ b/tests/unit/OutdatedConfigurationTest.cpp
@@ -37,6 +37,10 @@
     SeenConfiguration = Revision;
     Replies = 0;
   }
+  /// To be called before instances report.
+  auto setSeenBy(std::string PeerAddress) -> void {
+    SeenBy = std::move(PeerAddress);
+  }
   auto setSilent(bool IsSilent) -> void { Silent = IsSilent; }
   auto replies() const -> int { return Replies; }
 
@@ -48,13 +52,14 @@
     Reply.Leader = Report.Leader;
     Reply.StoreReachable = true;
     Reply.Seen.Configuration = SeenConfiguration;
-    Reply.SeenByAddress = "127.0.0.1:9";
+    Reply.SeenByAddress = SeenBy;
     Socket->send(To, Reply);
     ++Replies;
   }
 
   boost::asio::io_context Io;
   std::string Address;
+  std::string SeenBy = "127.0.0.1:9";
   std::atomic<std::uint64_t> SeenConfiguration = 0;
   std::atomic<int> Replies = 0;
   std::atomic<bool> Silent = false;
@@ -121,6 +126,34 @@
   EXPECT_NE(Last.SeenByAddress, "");
 }
 
+// Guards against an instance that knows that it is behind, reads a silent store
+// again and again, and never asks the peer that is not behind.
+TEST(OutdatedConfigurationTest, PeerIsAskedWhileTheStoreIsSilent) {
+  ScriptedTarget Target(GatewayFixture::answering());
+  std::atomic<int> Asked = 0;
+  ScriptedTarget Peer(
+      [&Asked](ScriptedTarget::Tcp::socket &Socket, const std::string &) {
+        ++Asked;
+        return ScriptedTarget::send(
+            Socket, "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n");
+      });
+  LeaderStandIn Leader;
+  Leader.setSeenBy(Peer.address());
+  GatewayFixture Fixture;
+  Fixture.store().set("buckthornring", "leader", Leader.object());
+  Fixture.addTarget("pay", "t1", Target);
+  Fixture.configure(5);
+  ASSERT_TRUE(Fixture.waitUntilServing());
+  ASSERT_TRUE(eventually([&] { return Leader.replies() > 1; }));
+  std::this_thread::sleep_for(300ms);
+  Fixture.store().setSilent(true);
+  Leader.setSeenConfiguration(40);
+  const auto Until = std::chrono::steady_clock::now() + 6s;
+  while (Asked == 0 && std::chrono::steady_clock::now() < Until)
+    std::this_thread::sleep_for(50ms);
+  EXPECT_GT(Asked, 0);
+}
+
 /// An instance that follows a leader until the leader and the store fall silent
 /// together.
 class SilentStoreTest : public testing::Test {
--- a/tests/unit/RelayedStoreTest.cpp
+++ b/tests/unit/RelayedStoreTest.cpp
@@ -133,6 +133,38 @@
   EXPECT_TRUE(until([this] { return followerHas("c1"); }, 3s));
 }
 
+// Guards against time limits of both relays and of the store that add up while
+// the feed counts as connected.
+TEST_F(RelayedStoreTest, SilenceOfRelaysAndStoreIsNoticedInTime) {
+  ScriptedTarget Backup([](ScriptedTarget::Tcp::socket &, const std::string &) {
+    std::this_thread::sleep_for(6s);
+    return false;
+  });
+  Store.useRelays("127.0.0.1:" + std::to_string(Server->port()),
+                  Backup.address());
+  Follower.start();
+  ASSERT_TRUE(until([this] { return Follower.loaded(); }));
+  DirectContents->setSilent(true);
+  const TimePoint Silent = bootNow();
+  Server->silenceConnections();
+  ASSERT_TRUE(until([this] { return !Follower.connected(); }, 10s));
+  EXPECT_LE(bootNow() - Silent, 2500ms);
+}
+
+// Guards against rechecks that end each read before its time limit, so that a
+// silent store counts as connected for as long as they go on.
+TEST_F(RelayedStoreTest, RecheckedReadOfASilentStoreFails) {
+  Store.useRelays("", "");
+  Follower.start();
+  ASSERT_TRUE(until([this] { return Follower.loaded(); }));
+  DirectContents->setSilent(true);
+  for (int Count = 0; Count < 10 && Follower.connected(); ++Count) {
+    until([this] { return !Follower.connected(); }, 800ms);
+    Follower.recheck();
+  }
+  EXPECT_FALSE(Follower.connected());
+}
+
 // Guards against calls to the store at short intervals, which are charged,
 // where no relay is named.
 TEST_F(RelayedStoreTest, ReadWithoutARelayIsLong) {
