Test that unanswered writes do not hide a silent store

Fails: two writers that repeat their writes at different times begin the read anew before its limit of 1.5 s each time; the feed counts as connected after 8 s of silence.

--- a/tests/unit/RelayedStoreTest.cpp
+++ b/tests/unit/RelayedStoreTest.cpp
@@ -165,6 +165,31 @@
   EXPECT_FALSE(Follower.connected());
 }
 
+// The same for the rechecks after writes without an answer: two services whose
+// ranges are written again 0.4 s after each failure, at different times.
+TEST_F(RelayedStoreTest, UnansweredWritesDoNotHideASilentStore) {
+  Store.useRelays("", "");
+  Store.onWriteUnanswered([this] { Follower.recheck(); });
+  Follower.start();
+  ASSERT_TRUE(until([this] { return Follower.loaded(); }));
+  until([] { return false; }, 200ms);
+  DirectContents->setSilent(true);
+  std::map<std::string, TimePoint> NextWriteAt = {{"a", bootNow()},
+                                                  {"b", bootNow() + 800ms}};
+  const TimePoint End = bootNow() + 8s;
+  while (Follower.connected() && bootNow() < End) {
+    for (auto &[Name, At] : NextWriteAt)
+      if (bootNow() >= At) {
+        At = TimePoint::max();
+        Store.write(Kind, Name, 0, 1, [&At](const StoreWriteResult &) {
+          At = bootNow() + 400ms;
+        });
+      }
+    until([] { return false; }, 20ms);
+  }
+  EXPECT_FALSE(Follower.connected());
+}
+
 // Guards against calls to the store at short intervals, which are charged,
 // where no relay is named.
 TEST_F(RelayedStoreTest, ReadWithoutARelayIsLong) {
