Do not begin a list again while it is open

A recheck of a feed began its list again, whatever was open. An instance that is behind rechecks every 0.8 s, and one whose writes get no answer each 1.9 s or less, so no list reached its limit of 1.5 s: the feed counted as connected without end, and the state of a peer was never read.

Change: a recheck leaves an open list alone. It ends within its limits, and shows that contact is lost.

--- a/lib/Gateway/StoreFeed.cpp
+++ b/lib/Gateway/StoreFeed.cpp
@@ -91,6 +91,7 @@
   cancelOpenRead();
   RequestedAt = bootNow();
   BackingOff = false;
+  Listing = true;
   OpenRead = Store.list(Settings.Kind,
                         [this, Number = ++CallNumber,
                          AliveFlag = Alive](const StoreChanges &Changes) {
@@ -107,7 +108,10 @@
 }
 
 auto StoreFeed::recheck() -> void {
-  if (!Connected || receiving() || bootNow() - RequestedAt < CallRetryAge)
+  // A list that gets no answer ends soon, and shows that contact is lost; begun
+  // again, it never would.
+  if (!Connected || Listing || receiving() ||
+      bootNow() - RequestedAt < CallRetryAge)
     return;
   reread();
 }
@@ -222,6 +226,7 @@
 auto StoreFeed::watch() -> void {
   cancelOpenRead();
   RequestedAt = bootNow();
+  Listing = false;
   OpenRead = Store.watch(Settings.Kind, Revision, Settings.WatchTimeout,
                          [this, Number = ++CallNumber,
                           AliveFlag = Alive](const StoreChanges &Changes) {
--- a/lib/Gateway/StoreFeed.h
+++ b/lib/Gateway/StoreFeed.h
@@ -71,7 +71,8 @@
   auto retry() -> void;
 
   /// The connection of the open watch may be dead: lists all objects in place
-  /// of the watch, unless its response is arriving.
+  /// of the watch, unless its response is arriving. Does nothing while a list
+  /// is open.
   auto recheck() -> void;
 
   /// Lists all objects at once, whatever call is unanswered, or after the
@@ -168,6 +169,7 @@
   std::uint32_t Failures = 0;
   std::uint64_t CallNumber = 0;  ///< Number of the call whose answer is used.
   ObjectStore::ReadPtr OpenRead; ///< The call of that number.
+  bool Listing = false;          ///< The open call is a list.
   bool ListNext = false;         ///< The call after the open one is a list.
   bool BackingOff = false;       ///< A call failed; the next one is scheduled.
   bool Loaded = false;
