Count what a caller has received over the whole connection

Cause: the progress of a write was the response's own bytes less all that was unacknowledged. While an earlier response was still in the system's buffer this stayed 0, and the write time-out reset the connection after 5 s. And the linger after the last response ended after 5 s, whether or not the caller went on reading.

Change: both count the acknowledged bytes of the connection, and give 5 s from the last progress, 60 s at most.

Evidence: CallerSessionTest.SlowReaderOfAnEarlierResponseGetsTheNextOne (reset after 5.02 s, about 1 MB read) and SlowReaderThatStillSendsGetsTheLastResponse (1,000,000 of 2,000,000 bytes) failed on and pass now, as do the other 36 tests of caller sessions.

--- a/lib/Gateway/CallerSession.cpp
+++ b/lib/Gateway/CallerSession.cpp
@@ -124,7 +124,8 @@
   TimePoint HeadReceivedAt;
   std::deque<PendingResponse> PendingResponses;
   std::string Output;
-  std::size_t WrittenBytes = 0; ///< Of Output, as far as the system took them.
+  std::size_t WrittenBefore = 0; ///< Bytes of all earlier responses.
+  std::size_t WrittenBytes = 0;  ///< Of Output, as far as the system took them.
   TimePoint WriteStartedAt = LongAgo;
   std::uint64_t LastRequestNumber = 0;
   bool Reading = false;
@@ -140,6 +141,8 @@
   SessionEnding Ending;
   /// Input has arrived since the last check of the linger time.
   bool InputDiscarded = false;
+  TimePoint LingerUntil = LongAgo;
+  std::size_t LingerAcknowledged = 0; ///< acknowledgedBytes() of that check.
 };
 
 CallerSession::CallerSession(asio::ip::tcp::socket Socket,
@@ -408,7 +411,7 @@
     setResetOnClose(true);
   Pimpl->WrittenBytes = 0;
   Pimpl->WriteStartedAt = bootNow();
-  armWriteTimer(0);
+  armWriteTimer(acknowledgedBytes());
   const auto ObserveProgress =
       [Self = shared_from_this()](const error_code &Failure,
                                   std::size_t Written) {
@@ -418,9 +421,12 @@
   asio::async_write(Pimpl->Socket, asio::buffer(Pimpl->Output), ObserveProgress,
                     [Self = shared_from_this(),
                      Close](const error_code &Failure, std::size_t) {
-                      Self->Pimpl->Writing = false;
-                      Self->Pimpl->WriteTimer.cancel();
-                      if (Self->Pimpl->Ended)
+                      State &Current = *Self->Pimpl;
+                      Current.Writing = false;
+                      Current.WriteTimer.cancel();
+                      Current.WrittenBefore +=
+                          std::exchange(Current.WrittenBytes, 0);
+                      if (Current.Ended)
                         return;
                       if (Failure)
                         return Self->onDisconnected();
@@ -428,6 +434,11 @@
                     });
 }
 
+auto CallerSession::acknowledgedBytes() -> std::size_t {
+  const std::size_t Written = Pimpl->WrittenBefore + Pimpl->WrittenBytes;
+  return Written - std::min(Written, unacknowledgedBytes(Pimpl->Socket));
+}
+
 auto CallerSession::armWriteTimer(std::size_t Acknowledged) -> void {
   Pimpl->WriteTimer.expires_after(WriteTimeout);
   Pimpl->WriteTimer.async_wait(
@@ -436,10 +447,7 @@
         if (Cancelled || !Self || Self->Pimpl->Ended || !Self->Pimpl->Writing)
           return;
         State &Current = *Self->Pimpl;
-        // Earlier responses may be unacknowledged too.
-        const std::size_t Now =
-            Current.WrittenBytes -
-            std::min(Current.WrittenBytes, unacknowledgedBytes(Current.Socket));
+        const std::size_t Now = Self->acknowledgedBytes();
         if (Now <= Acknowledged ||
             bootNow() - Current.WriteStartedAt >= MaxWriteTime)
           return Self->close(true, SessionEnd::WriteTimeout);
@@ -504,7 +512,9 @@
     Pimpl->Socket.shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
     cancelRead();
     discardInput(std::make_shared<DiscardedInput>());
-    closeAfterLinger(bootNow() + WriteTimeout);
+    Pimpl->LingerUntil = bootNow() + WriteTimeout;
+    Pimpl->LingerAcknowledged = acknowledgedBytes();
+    closeAfterLinger();
   }
   const auto PendingResponses = std::exchange(Pimpl->PendingResponses, {});
   for (const State::PendingResponse &Pending : PendingResponses)
@@ -537,15 +547,22 @@
                                 });
 }
 
-auto CallerSession::closeAfterLinger(TimePoint Latest) -> void {
+auto CallerSession::closeAfterLinger() -> void {
   Pimpl->Timer.expires_after(LingerTimeout);
-  Pimpl->Timer.async_wait([Self = shared_from_this(),
-                           Latest](const error_code &Cancelled) {
+  Pimpl->Timer.async_wait([Self = shared_from_this()](
+                              const error_code &Cancelled) {
     if (Cancelled)
       return;
-    const bool Sending = std::exchange(Self->Pimpl->InputDiscarded, false);
-    if ((Sending || hasUnsentOutput(Self->Pimpl->Socket)) && bootNow() < Latest)
-      return Self->closeAfterLinger(Latest);
+    State &Current = *Self->Pimpl;
+    const TimePoint Now = bootNow();
+    const std::size_t Acknowledged = Self->acknowledgedBytes();
+    if (std::exchange(Current.LingerAcknowledged, Acknowledged) < Acknowledged)
+      Current.LingerUntil =
+          std::min(Now + WriteTimeout, Current.WriteStartedAt + MaxWriteTime);
+    const bool Sending = std::exchange(Current.InputDiscarded, false);
+    if ((Sending || hasUnsentOutput(Current.Socket)) &&
+        Now < Current.LingerUntil)
+      return Self->closeAfterLinger();
     Self->closeSocket();
   });
 }
--- a/lib/Gateway/CallerSession.h
+++ b/lib/Gateway/CallerSession.h
@@ -149,8 +149,10 @@
   auto onTimerExpired() -> void;
   auto disarmTimer() -> void;
   auto flush() -> void;
+  /// Bytes of all responses that the caller's system has received.
+  auto acknowledgedBytes() -> std::size_t;
   /// Ends the connection when the caller reads nothing for WriteTimeout.
-  /// \p Acknowledged: bytes of the output that the caller had received before.
+  /// \p Acknowledged: acknowledgedBytes() of the last check.
   auto armWriteTimer(std::size_t Acknowledged) -> void;
   /// Sets whether the system resets the connection when the socket is closed,
   /// also by the end of the process.
@@ -160,10 +162,10 @@
   auto close(bool Reset, SessionEnd Cause) -> void;
   auto closeSocket() -> void;
   auto discardInput(const std::shared_ptr<DiscardedInput> &Input) -> void;
-  /// Closes the socket after LingerTimeout, or later, up to \p Latest, while
-  /// the caller has not acknowledged the whole response or sends requests, so
-  /// has not read that it was the last one.
-  auto closeAfterLinger(TimePoint Latest) -> void;
+  /// Closes the socket after LingerTimeout, or later while the caller still
+  /// reads the response, or sends requests and so has not read that it was the
+  /// last one.
+  auto closeAfterLinger() -> void;
 };
 
 } // namespace buckthornring
