Ignore SIGHUP until the instance handles it

Cause: the signal's default action ends the process, and the handler is only installed once the settings have been read.

Change: the program ignores the signal from its first statement on. What remains is the time until main() begins.

--- a/daemons/buckthornringd/Main.cpp
+++ b/daemons/buckthornringd/Main.cpp
@@ -4,6 +4,7 @@
 
 #include <cxxopts.hpp>
 
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
@@ -95,6 +96,8 @@
 } // namespace
 
 auto main(int Count, char **Arguments) -> int {
+  // The instance handles it once it runs, and the settings are read later.
+  std::signal(SIGHUP, SIG_IGN);
   const auto Path = settingsPath(Count, Arguments);
   if (!Path)
     return fail(Path.error());
