--- a/tests/unit/RelayedStoreTest.cpp
+++ b/tests/unit/RelayedStoreTest.cpp
@@ -181,8 +181,8 @@
     for (auto &[Name, At] : NextWriteAt)
       if (bootNow() >= At) {
         At = TimePoint::max();
-        Store.write(Kind, Name, 0, 1, [&At](const StoreWriteResult &) {
-          At = bootNow() + 400ms;
+        Store.write(Kind, Name, 0, 1, [&Next = At](const StoreWriteResult &) {
+          Next = bootNow() + 400ms;
         });
       }
     until([] { return false; }, 20ms);
