Test the loss of contact once

Two tests of the same condition followed each other. Behaviour is the same: the file is formatted and builds, and 14 tests of feeds and of a silent store passed.

--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -131,10 +131,10 @@
       EventLine(Connected ? "store-contact-regained" : "store-contact-lost")
           .field("kind", Kind)
           .field("reason", Reason));
-  if (!Connected)
+  if (!Connected) {
     Relay->onContactLost();
-  if (!Connected)
     return recheckFeeds();
+  }
   if (!FeedsStarted)
     return;
   for (const auto *Feed :
