Keep retries within the limit while instances restart

Each new process began with a whole part of the slack although the process that it replaced had used its part within the window, and the slack was divided by the instances that ran at the moment, 3 to 5 of 10. Ruled out: the ratio alone; it counts only requests of the own process. Change: a process uses no slack within one window of its start, unless the whole fleet starts for the first time, and the slack is divided by the largest size of the fleet within the window.

--- a/lib/Config/FieldReader.cpp
+++ b/lib/Config/FieldReader.cpp
@@ -74,7 +74,8 @@
     -> const nlohmann::json * {
   ReadKeys.insert(Key);
   const auto Found = Value.find(Key);
-  if (Found != Value.end())
+  if (Found != Value.end() &&
+      !(Needed == Presence::Nullable && Found->is_null()))
     return &*Found;
   if (Needed == Presence::Required)
     report(Key, "nothing", "this key is required");
--- a/lib/Config/FieldReader.h
+++ b/lib/Config/FieldReader.h
@@ -15,7 +15,11 @@
 namespace buckthornring {
 
 /// Whether a key has to be present.
-enum class Presence { Required, Optional };
+enum class Presence {
+  Required,
+  Optional,
+  Nullable, ///< It may also be null, which counts as absent.
+};
 
 /// Reads the keys of one settings object into variables, and reports each key
 /// that is missing, unknown, of the wrong type or out of range.
--- a/lib/Fleet/RetryAllowance.cpp
+++ b/lib/Fleet/RetryAllowance.cpp
@@ -16,9 +16,11 @@
 } // namespace
 
 auto RetryAllowance::tryTake(std::uint32_t Instances, TimePoint Now) -> bool {
+  const double Slack =
+      Now < SlackFrom ? 0 : Limit.Slack / std::max(1U, Instances);
   const double Allowed =
-      UsedShare * (Limit.Ratio * static_cast<double>(Requests.count(Now)) +
-                   Limit.Slack / std::max(1U, Instances));
+      UsedShare *
+      (Limit.Ratio * static_cast<double>(Requests.count(Now)) + Slack);
   if (static_cast<double>(Retries.count(Now)) + 1 > Allowed)
     return false;
   Retries.add(Now);
--- a/lib/Fleet/RetryAllowance.h
+++ b/lib/Fleet/RetryAllowance.h
@@ -19,12 +19,18 @@
 /// instance, and the slack is divided by the number of instances.
 class RetryAllowance {
 public:
-  explicit RetryAllowance(const RetryLimit &Limit)
-      : Limit(Limit), Requests(Limit.Window), Retries(Limit.Window) {}
+  /// No slack is used before \p SlackFrom: one window after the start of a
+  /// process that may have replaced another one, whose retries count until
+  /// then.
+  RetryAllowance(const RetryLimit &Limit, TimePoint SlackFrom)
+      : Limit(Limit), SlackFrom(SlackFrom), Requests(Limit.Window),
+        Retries(Limit.Window) {}
 
   auto requestSeen(TimePoint Now) -> void { Requests.add(Now); }
 
-  /// Takes one retry if it is within this instance's part of the limit.
+  /// Takes one retry if it is within this instance's part of the limit. \p
+  /// Instances is the largest size of the fleet within the window: instances
+  /// that have ended since may have used their parts.
   auto tryTake(std::uint32_t Instances, TimePoint Now) -> bool;
 
   /// Takes one optional retry, such as a hedged request. Optional retries use
@@ -34,6 +40,7 @@
 
 private:
   RetryLimit Limit;
+  TimePoint SlackFrom;
   SlidingWindowCounter Requests;
   SlidingWindowCounter Retries;
 };
--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -385,6 +385,7 @@
   RateKeeper = Reply.RateKeeper;
   Context.Requests.Targets.setFleetSize(
       {Reply.Instances, Reply.InstancesInDataCentre}, bootNow());
+  Context.Requests.RecentInstances.set(Reply.Instances, bootNow());
   Context.Requests.Rates.setShares(Reply.WorkspaceShares, Reply.DefaultShare,
                                    Reply.RateHolders, bootNow());
 }
--- a/lib/Gateway/GatewaySettings.cpp
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -17,14 +17,14 @@
 
 auto readSeconds(FieldReader &Fields, const std::string &Key, Duration &Out)
     -> void {
-  double Value = 0;
-  Fields.number(Key, Value, 0.001, MaxSeconds, Presence::Required);
+  double Value = std::chrono::duration<double>(Out).count();
+  Fields.number(Key, Value, 0.001, MaxSeconds, Presence::Nullable);
   Out = Duration(std::llround(Value * 1e6));
 }
 
 auto readBounds(FieldReader &Fields, ServiceLevelBounds &Out) -> void {
   const auto ReadNumber = [&Fields](const char *Key, double &Value) {
-    Fields.number(Key, Value, 0, MaxCount, Presence::Required);
+    Fields.number(Key, Value, 0, MaxCount, Presence::Nullable);
   };
   ReadNumber("retry_ratio", Out.Retries.Ratio);
   ReadNumber("retry_slack", Out.Retries.Slack);
@@ -62,8 +62,6 @@
   Root.number("processor_share", Out.ProcessorShare, 0.001, MaxProcessorShare,
               Presence::Required);
   Root.boolean("first_start", Out.FirstStart);
-  if (!Root.has("bounds"))
-    Root.report("bounds", "nothing", "an object");
   Root.object("bounds",
               [&Out](FieldReader &Fields) { readBounds(Fields, Out.Bounds); });
   Root.finish();
--- a/lib/Gateway/GatewaySettings.h
+++ b/lib/Gateway/GatewaySettings.h
@@ -10,12 +10,13 @@
 
 namespace buckthornring {
 
-/// Service level bounds set by the operator of the platform.
+/// Service level bounds set by the operator of the platform. A deployment may
+/// leave out any of them; without a tolerance, the limit itself applies.
 struct ServiceLevelBounds {
-  RetryLimit Retries;
-  RateTolerance Rates;
-  double ColdExcess = 1.5; ///< Factor on a cold target's request rate limit.
-  double ColdSlack = 5;    ///< Requests per second added to that limit.
+  RetryLimit Retries{.Slack = 0};
+  RateTolerance Rates{.Excess = 0, .Slack = 0};
+  double ColdExcess = 1; ///< Factor on a cold target's request rate limit.
+  double ColdSlack = 0;  ///< Requests per second added to that limit.
   /// Time limit from the stop signal to the end of the process.
   Duration StopGrace = std::chrono::seconds(6);
   Duration MaxGrantHold = std::chrono::seconds(10); ///< Longest grant.
--- a/lib/Gateway/RequestContext.h
+++ b/lib/Gateway/RequestContext.h
@@ -5,6 +5,7 @@
 #include "Fleet/KeyRanges.h"
 #include "Fleet/RateShares.h"
 #include "Fleet/RetryAllowance.h"
+#include "Fleet/SlidingWindowMaximum.h"
 #include "Fleet/SplitBalancer.h"
 #include "Fleet/TargetTable.h"
 #include "Gateway/AnnouncementRecorder.h"
@@ -72,6 +73,10 @@
   CrashSuspects &Suspects;
   CrashMonitor &Crashes;
   RetryLimit RetryBounds;
+  /// No retry uses the slack of the limit before.
+  TimePoint RetrySlackFrom;
+  /// Sizes of the fleet, over the window of the retry limit.
+  SlidingWindowMaximum<std::uint32_t> RecentInstances;
   std::string Instance;
 
   std::shared_ptr<const ActiveConfig>
@@ -101,7 +106,16 @@
   std::optional<StopWindow> Stop = std::nullopt;
 
   auto retries(const ServiceId &Service) -> RetryAllowance & {
-    return Retries.try_emplace(Service, RetryBounds).first->second;
+    return Retries.try_emplace(Service, RetryBounds, RetrySlackFrom)
+        .first->second;
+  }
+
+  /// Takes one retry of the service if it is within this instance's part of the
+  /// limit.
+  auto tryTakeRetry(const ServiceId &Service, TimePoint Now) -> bool {
+    return retries(Service).tryTake(
+        RecentInstances.maximum(Targets.fleetSize().estimatedInstances(), Now),
+        Now);
   }
 };
 
--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -569,9 +569,7 @@
     CurrentHop->Target->Load.failed();
   if (!ActiveHops.empty())
     return;
-  if (Rejections >= MaxRejections ||
-      !Context.retries(Service).tryTake(
-          Context.Targets.fleetSize().estimatedInstances(), bootNow()))
+  if (Rejections >= MaxRejections || !Context.tryTakeRetry(Service, bootNow()))
     return refuse(Misdirected ? RefusalReason::NoOwner
                               : RefusalReason::TargetShed);
   Context.CounterStripe.add(Misdirected ? RetryReason::RefusedNoLease
@@ -636,8 +634,7 @@
 
 auto RequestFlow::tryTakeRetry(TimePoint Now) -> bool {
   return committedSends() < Route->MaxAttempts && Now < ResponseDeadline &&
-         Context.retries(Service).tryTake(
-             Context.Targets.fleetSize().estimatedInstances(), Now);
+         Context.tryTakeRetry(Service, Now);
 }
 
 auto RequestFlow::removeHop(const HopPtr &CurrentHop) -> void {
