Let a new fleet use the slack of retries at once

Cause: without `first_start` no process used the slack for its first 10 s, and bounds that a deployment leaves out have no slack. Two tests of crashing requests, whose gateway leaves out its bounds, had no retries any more. Change: a process that finds no object of the router in the store has replaced nobody and uses its part at once. The fixture states the bounds that it relied on.

--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -111,6 +111,9 @@
   RouterObjectsFeed = makeFeed(
       Protocol.Kinds.Own,
       {[this](const ObjectMap &Objects) {
+         // A fleet without any object has had no earlier processes.
+         if (Objects.empty() && eraOf(RouterObjectsFeed->revision()) == 0)
+           Requests.RetrySlackFrom = LongAgo;
          for (const auto &[Name, Object] : Objects)
            onRouterObjectChanged(Object);
          Member->onRouterObjectsRead();
--- a/tests/support/GatewayFixture.cpp
+++ b/tests/support/GatewayFixture.cpp
@@ -37,6 +37,11 @@
   Settings.ReadyAddress = "127.0.0.1:0";
   Settings.PeerAddress = "127.0.0.1:0";
   Settings.StoreAddress = "127.0.0.1:1";
+  // The tolerances of a small deployment.
+  Settings.Bounds.Retries = RetryLimit();
+  Settings.Bounds.Rates = RateTolerance();
+  Settings.Bounds.ColdExcess = 1.5;
+  Settings.Bounds.ColdSlack = 5;
   return Settings;
 }
 
