Limit hedges by shares of requests and of the targets' time

Nobody could set or see the limit.

Change: HedgePlanner (lib/Hedge, no I/O) decides. A request is hedged once it has lasted longer than a quantile of the last 10 s of its route and service; hedging.extra_requests gives the quantile and the share, hedging.extra_time the share of the targets' time. Both are optional and may be null, default 0.02; 0 switches off. Each instance earns its allowance by its own requests, and hedges still count towards the retry limit. There is no hedge without room or recent samples. Counters by result and reason, a log line, and the field `hedge` of the line `request`.

--- a/lib/Config/FieldReader.cpp
+++ b/lib/Config/FieldReader.cpp
@@ -192,9 +192,9 @@
 }
 
 auto FieldReader::object(const std::string &Key,
-                         const std::function<void(FieldReader &)> &Read)
-    -> void {
-  const auto *Field = lookUp(Key, Presence::Optional);
+                         const std::function<void(FieldReader &)> &Read,
+                         Presence Needed) -> void {
+  const auto *Field = lookUp(Key, Needed);
   if (Field == nullptr)
     return;
   if (!Field->is_object())
--- a/lib/Config/FieldReader.h
+++ b/lib/Config/FieldReader.h
@@ -76,7 +76,8 @@
 
   /// Reads the nested object of the key, when present.
   auto object(const std::string &Key,
-              const std::function<void(FieldReader &)> &Read) -> void;
+              const std::function<void(FieldReader &)> &Read,
+              Presence Needed = Presence::Optional) -> void;
 
   /// Reads an object whose keys are identifiers chosen by the operator.
   auto entries(const std::string &Key, const EntryReader &Read,
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -113,7 +113,9 @@
           {},
           {}},
       Listener(Io), Signals(Io, SIGTERM, SIGINT, SIGHUP), TickTimer(Io),
-      AcceptTimer(Io), DispatchTimer(Io), StopTimer(Io), FeedStartTimer(Io) {}
+      AcceptTimer(Io), DispatchTimer(Io), StopTimer(Io), FeedStartTimer(Io) {
+  Requests.Hedges.setLimits(Settings.Hedging);
+}
 
 auto Gateway::Impl::bind(const StoreFactory &MakeStore) -> Result<bool> {
   auto CreatedStore = MakeStore(Io, Settings.StoreAddress);
@@ -366,6 +368,7 @@
     WaitingRequests.dispatch();
   Pool.closeExpired(Now);
   Suspects.expire(Now);
+  Requests.Hedges.expire(Now);
   reloadChangedFile(Now);
   armDispatchTimer();
   Events.flush();
@@ -424,6 +427,8 @@
       // Addresses stay the same until the process ends.
       Settings.Bounds = Next->Bounds;
       Requests.RetryBounds = Settings.Bounds.Retries;
+      Settings.Hedging = Next->Hedging;
+      Requests.Hedges.setLimits(Settings.Hedging);
     } else {
       Line.field("reason", Next.error().message());
     }
--- a/lib/Gateway/GatewaySettings.cpp
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -38,6 +38,11 @@
   readSeconds(Fields, "longest_hold_s", Out.MaxGrantHold);
 }
 
+auto readHedging(FieldReader &Fields, HedgeLimits &Out) -> void {
+  Fields.number("extra_requests", Out.ExtraRequests, 0, 1, Presence::Nullable);
+  Fields.number("extra_time", Out.ExtraTime, 0, 1, Presence::Nullable);
+}
+
 } // namespace
 
 auto GatewaySettings::describes(const SettingsDocument &Document) -> bool {
@@ -64,6 +69,10 @@
   Root.boolean("first_start", Out.FirstStart);
   Root.object("bounds",
               [&Out](FieldReader &Fields) { readBounds(Fields, Out.Bounds); });
+  Root.object(
+      "hedging",
+      [&Out](FieldReader &Fields) { readHedging(Fields, Out.Hedging); },
+      Presence::Nullable);
   Root.finish();
   if (!Errors.empty())
     return {std::nullopt, std::move(Errors)};
--- a/lib/Gateway/GatewaySettings.h
+++ b/lib/Gateway/GatewaySettings.h
@@ -3,6 +3,7 @@
 #include "Fleet/RangeAssigner.h"
 #include "Fleet/RateShares.h"
 #include "Fleet/RetryAllowance.h"
+#include "Hedge/HedgeAllowance.h"
 #include "buckthornring/Common/Ids.h"
 #include "buckthornring/Config/SettingsDocument.h"
 
@@ -36,6 +37,7 @@
   double ProcessorShare = 1;
   bool FirstStart = false; ///< The whole fleet starts for the first time.
   ServiceLevelBounds Bounds;
+  HedgeLimits Hedging;
 
   /// Checks the document and reports all errors at once.
   static auto check(const SettingsDocument &Document)
--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -54,6 +54,28 @@
   return Objects;
 }
 
+auto addHedges(PrometheusText &Text, const HedgePlanner::Counts &Hedges)
+    -> void {
+  Text.counterFamily("btr_hedges_total", "Hedges by their result");
+  Text.sample({{"result", "sent"}}, Hedges.of(HedgeVerdict::Sent));
+  Text.sample({{"result", "won"}}, Hedges.Won);
+  Text.sample({{"result", "lost"}}, Hedges.Lost);
+  Text.counterFamily("btr_hedges_refused_total",
+                     "Requests that were not hedged, by reason");
+  for (std::size_t Index = 1; Index < HedgeVerdictNames.size(); ++Index) {
+    const auto Verdict = static_cast<HedgeVerdict>(Index);
+    Text.sample({{"reason", std::string(HedgeVerdictNames.name(Verdict))}},
+                Hedges.of(Verdict));
+  }
+  const auto Seconds = [](Duration Time) {
+    return std::chrono::duration<double>(Time).count();
+  };
+  Text.counterFamily("btr_attempt_seconds_total",
+                     "Time of attempts at targets");
+  Text.sample({{"kind", "first"}}, Seconds(Hedges.TargetTime));
+  Text.sample({{"kind", "hedge"}}, Seconds(Hedges.ExtraTime));
+}
+
 } // namespace
 
 auto Gateway::Impl::makeFeed(const std::string &Kind,
@@ -574,6 +596,7 @@
   Text.counterFamily("btr_suspects_learned_total",
                      "Requests accused or cleared by other instances");
   Text.sample({}, Member->suspectExchange().learned());
+  addHedges(Text, Requests.Hedges.counts());
   Text.gaugeFamily("btr_leading", "Whether this instance leads");
   Text.sample({}, std::uint64_t{LocalLeader->leading() ? 1U : 0U});
   Text.gaugeFamily("btr_store_reachable", "Whether the store answers");
--- a/lib/Gateway/RequestContext.h
+++ b/lib/Gateway/RequestContext.h
@@ -13,6 +13,7 @@
 #include "Gateway/Protocol.h"
 #include "Gateway/TargetConnectionPool.h"
 #include "Gateway/WaitQueue.h"
+#include "Hedge/HedgePlanner.h"
 #include "IO/EventLog.h"
 #include "buckthornring/Config/CallerKeys.h"
 #include "buckthornring/Config/Configuration.h"
@@ -104,6 +105,7 @@
   std::function<bool()> ConfigurationOutdated = [] { return false; };
   /// Set when a planned stop begins.
   std::optional<StopWindow> Stop = std::nullopt;
+  HedgePlanner Hedges = HedgePlanner();
 
   auto retries(const ServiceId &Service) -> RetryAllowance & {
     return Retries.try_emplace(Service, RetryBounds, RetrySlackFrom)
--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -46,13 +46,6 @@
 /// (GrantNotice).
 constexpr Duration AssumedMovePeriod = std::chrono::milliseconds(700);
 
-/// An idempotent request is sent to a second target (hedged) after HedgeFactor
-/// times its expected duration, clamped to these fractions of the route's
-/// TargetLatency.
-constexpr double HedgeFactor = 1.5;
-constexpr double MinHedgeFraction = 0.3;
-constexpr double MaxHedgeFraction = 0.6;
-
 constexpr unsigned GatewayTimeout = 504;
 
 auto remainingMs(TimePoint Until, TimePoint Now) -> std::int64_t {
@@ -118,6 +111,7 @@
   const TimePoint Now = bootNow();
   Service = Context.Splits.next(*Route);
   Context.retries(Service).requestSeen(Now);
+  Context.Hedges.requestSeen(Service);
   if (!readKey())
     return;
   DeadlineTimer.expires_after(ResponseDeadline - Now);
@@ -343,8 +337,9 @@
   WaitTimer.cancel();
 }
 
-auto RequestFlow::send(const TargetPtr &Target) -> void {
+auto RequestFlow::send(const TargetPtr &Target, bool Hedge) -> void {
   auto CurrentHop = std::make_shared<Hop>();
+  CurrentHop->Hedge = Hedge;
   const TimePoint Now = bootNow();
   CurrentHop->Target = Target;
   CurrentHop->TargetStartedAtMs = Target->Record.StartedAtMs;
@@ -420,7 +415,7 @@
                                               TargetResponse Response) {
         Self->onExchangeEnded(CurrentHop, Outcome, std::move(Response));
       });
-  armHedge(*CurrentHop);
+  armHedge();
 }
 
 auto RequestFlow::serializeRequest(const Hop &CurrentHop, TimePoint Now) const
@@ -453,41 +448,6 @@
   return Message;
 }
 
-auto RequestFlow::armHedge(const Hop &CurrentHop) -> void {
-  if (!Idempotent || Key || ActiveHops.size() != 1 ||
-      committedSends() >= Route->MaxAttempts)
-    return;
-  const auto Latency = static_cast<double>(Route->TargetLatency.count());
-  const double Expected =
-      HedgeFactor *
-      static_cast<double>(
-          Context.Targets.expectedTime(*CurrentHop.Target, bootNow()).count());
-  HedgeTimer.expires_after(Duration(static_cast<std::int64_t>(std::clamp(
-      Expected, MinHedgeFraction * Latency, MaxHedgeFraction * Latency))));
-  HedgeTimer.async_wait(
-      [Self = shared_from_this()](const boost::system::error_code &Cancelled) {
-        if (!Cancelled && !Self->Done && Self->ActiveHops.size() == 1 &&
-            Self->ActiveHops.front()->SentAt != LongAgo &&
-            Self->committedSends() < Self->Route->MaxAttempts)
-          Self->sendHedge();
-      });
-}
-
-auto RequestFlow::sendHedge() -> void {
-  const TimePoint Now = bootNow();
-  if (accused(Now))
-    return;
-  const TargetSelection Selected = selectTarget(Now);
-  // A hedge helps only on a target that can run it at once.
-  if (!Selected.Target ||
-      Selected.Target->Load.queue(Now) >= Selected.Target->Record.Slots ||
-      Now + Selected.Expected > ResponseDeadline ||
-      !Context.retries(Service).tryTakeOptional(Now))
-    return;
-  Context.CounterStripe.add(RetryReason::Hedge);
-  send(Selected.Target);
-}
-
 auto RequestFlow::recordLoad(const Hop &CurrentHop,
                              const TargetResponse &Response, TimePoint Now)
     -> void {
@@ -541,6 +501,7 @@
     Context.Crashes.exchangeCompleted(monitored());
   if (Response.Status < 500) {
     Context.Targets.answered(*CurrentHop->Target, Latency);
+    recordAttempt(*CurrentHop, Latency, true);
     if (Key)
       Context.RespondingOwners.insert(CurrentHop->Target->Record.Id);
   } else {
@@ -639,6 +600,8 @@
 
 auto RequestFlow::removeHop(const HopPtr &CurrentHop) -> void {
   std::erase(ActiveHops, CurrentHop);
+  if (CurrentHop->Hedge)
+    Hedge.EndedAt = bootNow();
   if (std::exchange(CurrentHop->Suspect, false))
     Context.Crashes.suspectEnded(CurrentHop->Target->Record.Id);
 }
@@ -650,6 +613,7 @@
                                : bootNow() - CurrentHop->SentAt;
   CurrentHop->Target->Load.abandoned(Elapsed, CurrentHop->QueueAtSend,
                                      CurrentHop->Target->Record.Slots);
+  recordAttempt(*CurrentHop, Elapsed, false);
   if (CurrentHop->Connection)
     std::exchange(CurrentHop->Connection, nullptr)->close();
 }
@@ -659,8 +623,9 @@
     abandonHop(ActiveHops.back());
 }
 
-auto RequestFlow::forwardResponse(const Hop & /*CurrentHop*/,
+auto RequestFlow::forwardResponse(const Hop &CurrentHop,
                                   TargetResponse Response) -> void {
+  settleHedge(CurrentHop.Hedge);
   const HeaderNames &Names = Context.Protocol.Headers;
   CallerResponse Out;
   Out.Status = Response.Status;
@@ -730,6 +695,7 @@
   stopWaiting();
   DeadlineTimer.cancel();
   HedgeTimer.cancel();
+  settleHedge(false);
   if (std::exchange(CopyCounted, false))
     Context.Crashes.copyEnded(Fingerprint);
   log(Class, Response.Status, Outcome, Reason);
@@ -769,6 +735,7 @@
       .field("status", Status)
       .field("duration_ms", Now - Request.ReceivedAt)
       .field("sends", Sends)
+      .field("hedge", hedgeOutcome())
       .field("may_have_run", PossibleRuns)
       .field("waiting", Context.WaitingRequests.size())
       .field("config", Config ? Config->Config.Generation : 0);
--- a/lib/Gateway/RequestFlow.h
+++ b/lib/Gateway/RequestFlow.h
@@ -3,6 +3,7 @@
 #include "Gateway/CallerSession.h"
 #include "Gateway/RequestContext.h"
 #include "Gateway/WaitQueue.h"
+#include "Hedge/HedgePlanner.h"
 #include "buckthornring/Observe/Reasons.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -43,9 +44,21 @@
     std::int64_t TargetStartedAtMs = 0;
     bool Reused = false;
     bool Suspect = false; ///< By CrashMonitor::suspectStarted().
+    bool Hedge = false;
   };
   using HopPtr = std::shared_ptr<Hop>;
 
+  /// The hedge of the request. There is at most one.
+  struct HedgeState {
+    std::optional<Duration> Delay; ///< After the send of the first attempt.
+    /// Set when the delay has passed.
+    std::optional<HedgeVerdict> Verdict;
+    Duration Expected{0};
+    TimePoint SentAt = LongAgo;
+    std::optional<TimePoint> EndedAt;
+    std::optional<bool> Won; ///< Set when it has been settled.
+  };
+
   // Before the first send.
   auto resolveRoute() -> bool;
   /// Refuses a request whose route or caller key is not in the configuration.
@@ -80,14 +93,22 @@
   auto waitLimit() const -> Duration;
 
   // Sending.
-  auto send(const TargetPtr &Target) -> void;
+  auto send(const TargetPtr &Target, bool Hedge = false) -> void;
   auto onConnected(const HopPtr &CurrentHop,
                    TargetConnectionPool::ConnectionPtr Connection, bool Opened)
       -> void;
   auto serializeRequest(const Hop &CurrentHop, TimePoint Now) const
       -> std::string;
-  auto armHedge(const Hop &CurrentHop) -> void;
+
+  // Hedging (RequestHedge.cpp).
+  auto hedgeRequest(TimePoint Now) const -> HedgeRequest;
+  auto armHedge() -> void;
   auto sendHedge() -> void;
+  /// Reports the time of an attempt that is no hedge to the HedgePlanner.
+  auto recordAttempt(const Hop &CurrentHop, Duration Elapsed, bool Complete)
+      -> void;
+  auto settleHedge(bool Won) -> void;
+  auto hedgeOutcome() const -> std::string_view;
 
   // Responses.
   auto onExchangeEnded(const HopPtr &CurrentHop, ExchangeResult Outcome,
@@ -144,6 +165,7 @@
   std::uint32_t PossibleRuns = 0; ///< Sends that may have run.
   std::uint32_t Rejections = 0;
   std::uint32_t LostExchanges = 0;
+  HedgeState Hedge;
   bool Held = false;        ///< The request waits because it is suspected.
   bool CopyCounted = false; ///< By CrashMonitor::copyStarted().
   NoTargetReason LastSelectionReason = NoTargetReason::None;
--- a/lib/Gateway/WaitQueue.h
+++ b/lib/Gateway/WaitQueue.h
@@ -47,6 +47,11 @@
 
   auto empty() const -> bool { return Entries.empty(); }
   auto size() const -> std::size_t { return Entries.size(); }
+  /// Whether requests of the service wait.
+  auto waiting(const ServiceId &Service) const -> bool {
+    const auto First = Entries.lower_bound(Key{Service, 0, 0});
+    return First != Entries.end() && std::get<0>(First->first) == Service;
+  }
 
 private:
   using Key = std::tuple<ServiceId, std::uint32_t, Ticket>;
--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -764,6 +764,27 @@
   EXPECT_EQ(Read.Value->Bounds.Retries.Window, seconds(10));
 }
 
+// Guards against instances that do not start where the platform leaves out the
+// limits on hedges or fills in null.
+TEST(GatewaySettingsTest, HedgingMayBeMissingOrNull) {
+  auto Document = nlohmann::json::parse(ValidSettings);
+  for (const char *Text :
+       {"null", "{}", R"({"extra_requests": null, "extra_time": null})"}) {
+    Document["hedging"] = nlohmann::json::parse(Text);
+    const auto Read = GatewaySettings::read(Document.dump(), "s.json");
+    ASSERT_TRUE(Read) << settingsErrorText(Read.Errors);
+    EXPECT_EQ(Read.Value->Hedging.ExtraRequests, 0.02);
+    EXPECT_EQ(Read.Value->Hedging.ExtraTime, 0.02);
+  }
+  Document["hedging"] = {{"extra_requests", 0}, {"extra_time", 0.05}};
+  const auto Read = GatewaySettings::read(Document.dump(), "s.json");
+  ASSERT_TRUE(Read) << settingsErrorText(Read.Errors);
+  EXPECT_TRUE(Read.Value->Hedging.off());
+  EXPECT_EQ(Read.Value->Hedging.ExtraTime, 0.05);
+  Document["hedging"] = {{"extra_requests", 1.5}};
+  EXPECT_FALSE(GatewaySettings::read(Document.dump(), "s.json"));
+}
+
 TEST(GatewaySettingsTest, NamesEachMissingOrWrongKeyWithItsLine) {
   std::string Text = ValidSettings;
   Text.replace(Text.find("\"i1\""), 4, "null");
