Bound the wait of a new leader by evidence that earlier ones have ended

Cause: a new leader waited for the whole authority of the earlier one (10 s) and a grant (3.21 s) before keys of owners that it cannot reach moved, also when the earlier leader had told that it is replaced, or had restarted.

Change: the leader object lists the leaders whose orders may still be in force ("earlier", "earlier_complete"); its writes are conditional, so the list is exact. A process follows the later leader and resets the connections of its orders before it answers; a process that has started at the recorded address answers for the earlier one there. AuthorityEvidence (no I/O) combines the answers, and RangeAssigner::earlierLeadersEnded() shortens the wait to one grant from the last order. Without an answer of each earlier leader, after a restoration of the store, or after own orders for a service the full wait stays. Order connections are reset by the kernel when the process ends, which TransitLimit relies on.

--- a/lib/Fleet/FleetMessage.cpp
+++ b/lib/Fleet/FleetMessage.cpp
@@ -233,6 +233,24 @@
   return {{"t", 7}, {"u", encodeSuspects(Notice)}};
 }
 
+auto encode(const AuthorityQuery &Query) -> Json {
+  return {{"t", 8}, {"l", encodeLeader(Query.Leader)}, {"p", Query.Process}};
+}
+
+auto encode(const AuthorityAnswer &Answer) -> Json {
+  return {{"t", 9},
+          {"r", Answer.Term},
+          {"p", Answer.Process},
+          {"e", Answer.Ended},
+          {"a", Answer.LastOrderAgeMs}};
+}
+
+auto decodeAuthorityAnswer(const Json &Value) -> AuthorityAnswer {
+  return {integer<std::uint64_t>(Value.at("r")),
+          Value.at("p").get<std::string>(), Value.at("e").get<bool>(),
+          integer<std::uint32_t>(Value.at("a"))};
+}
+
 auto decodeLoads(const Json &Value) -> LoadNotice {
   LoadNotice Notice;
   for (const auto &[Id, Load] : Value.at("l").items())
@@ -344,6 +362,11 @@
       return FleetMessage(decodeLoads(Value));
     case 7:
       return FleetMessage(decodeSuspects(Value.at("u")));
+    case 8:
+      return FleetMessage(AuthorityQuery{decodeLeader(Value.at("l")),
+                                         Value.at("p").get<std::string>()});
+    case 9:
+      return FleetMessage(decodeAuthorityAnswer(Value));
     default:
       return Error("unknown message type");
     }
--- a/lib/Fleet/FleetMessage.h
+++ b/lib/Fleet/FleetMessage.h
@@ -128,9 +128,28 @@
   std::map<TargetId, LoadReport> Loads;
 };
 
+/// A new leader asks the process of an earlier one whether it has ended its
+/// leadership. Repeated until it is answered.
+struct AuthorityQuery {
+  LeaderInfo Leader;   ///< The sender.
+  std::string Process; ///< LeaderInfo::Process of the earlier leader.
+};
+
+/// Answers an AuthorityQuery. The sender is the process asked about, or a later
+/// one at its address.
+struct AuthorityAnswer {
+  std::uint64_t Term = 0; ///< Of AuthorityQuery::Leader.
+  std::string Process;    ///< AuthorityQuery::Process.
+  /// The process sends no more orders for terms up to Term.
+  bool Ended = false;
+  /// Time since its last order was answered or reset, or since it has ended.
+  std::uint32_t LastOrderAgeMs = 0;
+};
+
 using FleetMessage =
     std::variant<FleetReport, FleetReply, GrantNotice, RateReserveRequest,
-                 RateReserveReply, LoadNotice, SuspectNotice>;
+                 RateReserveReply, LoadNotice, SuspectNotice, AuthorityQuery,
+                 AuthorityAnswer>;
 
 /// Maximum number of suspects in one message, which has to fit into one packet
 /// beside the other content of a report, and of crashes of each.
--- a/lib/Fleet/RangeAssigner.cpp
+++ b/lib/Fleet/RangeAssigner.cpp
@@ -99,9 +99,33 @@
   TakingOver = numberOf(AtRevision) != 0 || WaitingForEarlierOwners;
   if (TakingOver && !WaitingForEarlierOwners)
     Proposed = withNewFences(Current);
+  EarlierLeadersKnown = !WaitingForEarlierOwners;
+}
+
+auto RangeAssigner::earlierLeadersEnded(TimePoint LastOrderEnd, TimePoint Now)
+    -> void {
+  const TimePoint Previous = EarlierOwnersUntil;
+  const TimePoint Latest = LastOrderEnd + Times.maxHoldPeriod();
+  // Before that, no own grant ends as late as Previous, so a time that is equal
+  // to it comes from the takeover.
+  if (!EarlierLeadersKnown || Latest >= Previous ||
+      Now + Times.maxHoldPeriod() >= Previous)
+    return;
+  EarlierOwnersUntil = Latest;
+  const auto Shorten = [&](TimePoint &End, TimePoint OwnEnd) {
+    if (End == Previous)
+      End = std::max(Latest, OwnEnd);
+  };
+  for (State &Each : States) {
+    Shorten(Each.HoldEnd, Each.OwnHoldEnd);
+    Shorten(Each.UnansweredHoldEnd, Each.OwnHoldEnd);
+    Shorten(Each.PreviousHoldEnd, Each.OwnPreviousHoldEnd);
+    Shorten(Each.PreviousUnansweredHoldEnd, Each.OwnPreviousHoldEnd);
+  }
 }
 
 auto RangeAssigner::restored(std::uint64_t AtRevision, TimePoint Now) -> void {
+  EarlierLeadersKnown = false;
   // The authority of a leader whose claim the copy lacks ends by then.
   const TimePoint Latest = Now + Times.AuthorityPeriod + Times.maxHoldPeriod();
   if (WaitingForEarlierOwners) {
@@ -154,6 +178,7 @@
     Renewable.push_back(Each.GrantAccepted);
   Current.Era = RangeRecord::UnknownEra;
   takeOver(std::move(Current), AtRevision, Now);
+  EarlierLeadersKnown = false;
   for (std::size_t Index = 0; Index < States.size(); ++Index)
     States[Index].Renewable = Renewable[Index];
 }
@@ -206,9 +231,14 @@
                                           ? RangeState.PreviousUnansweredHoldEnd
                                           : RangeState.UnansweredHoldEnd;
     // The owner may hold the keys by grants to its earlier incarnation.
-    if (!SamePreviousOwner && Old.PreviousOwner == Old.Owner)
+    Moved.OwnPreviousHoldEnd = SamePreviousOwner ? RangeState.OwnPreviousHoldEnd
+                                                 : RangeState.OwnHoldEnd;
+    if (!SamePreviousOwner && Old.PreviousOwner == Old.Owner) {
       Moved.PreviousHoldEnd =
           std::max(Moved.PreviousHoldEnd, RangeState.PreviousHoldEnd);
+      Moved.OwnPreviousHoldEnd =
+          std::max(Moved.OwnPreviousHoldEnd, RangeState.OwnPreviousHoldEnd);
+    }
     if (Range.PreviousOwner == Range.Owner)
       Moved.PreviousHoldEnd =
           std::max(Moved.PreviousHoldEnd, EarlierOwnersUntil);
@@ -225,6 +255,9 @@
     Joined.HoldEnd = std::max(Joined.HoldEnd, States[Index].HoldEnd);
     Joined.UnansweredHoldEnd =
         std::max(Joined.UnansweredHoldEnd, States[Index].UnansweredHoldEnd);
+    Joined.OwnUnansweredHoldEnd = std::max(Joined.OwnUnansweredHoldEnd,
+                                           States[Index].OwnUnansweredHoldEnd);
+    Joined.OwnHoldEnd = std::max(Joined.OwnHoldEnd, States[Index].OwnHoldEnd);
     Joined.GrantSent = Joined.GrantSent || States[Index].GrantSent;
     Joined.GrantInFlight = Joined.GrantInFlight || States[Index].GrantInFlight;
   }
@@ -493,8 +526,10 @@
       RangeState.MovableFrom = LongAgo;
     }
     if (Outcome == RangeOrderOutcome::Accepted ||
-        Outcome == RangeOrderOutcome::Unanswered)
+        Outcome == RangeOrderOutcome::Unanswered) {
       End = std::max(End, Latest);
+      (Owns ? RangeState.OwnHoldEnd : RangeState.OwnPreviousHoldEnd) = Latest;
+    }
     if (Outcome == RangeOrderOutcome::Unanswered) {
       UnansweredEnd = std::max(UnansweredEnd, Latest);
       if (Owns)
--- a/lib/Fleet/RangeAssigner.h
+++ b/lib/Fleet/RangeAssigner.h
@@ -38,6 +38,12 @@
                                                 (1 + ClockRateError)) +
            TransitLimit;
   }
+  /// Longest AuthorityPeriod of another instance by the own clock, when both
+  /// clocks are wrong.
+  auto maxAuthorityPeriod() const -> Duration {
+    return std::chrono::duration_cast<Duration>(AuthorityPeriod *
+                                                (1 + 2 * ClockRateError));
+  }
 };
 
 /// Why the previous owner of a range no longer holds its keys.
@@ -111,6 +117,12 @@
   auto takeOver(RangeRecord Recorded, std::uint64_t Revision, TimePoint Now)
       -> void;
 
+  /// No earlier leader has sent an order since \p LastOrderEnd, and none ever
+  /// will: after takeOver(), only the grants that they may have sent until then
+  /// are waited for. Has no effect on a record that may lack owners, or after
+  /// restored(), since leaders may be unknown then.
+  auto earlierLeadersEnded(TimePoint LastOrderEnd, TimePoint Now) -> void;
+
   /// Goes on leading after the store was restored, or after a late write of an
   /// earlier era has replaced the record: the known state is written again.
   /// Owners keep their fencing tokens, so their grants go on meanwhile. \p
@@ -194,6 +206,9 @@
     TimePoint OwnUnansweredHoldEnd = LongAgo;
     TimePoint PreviousHoldEnd = LongAgo;
     TimePoint PreviousUnansweredHoldEnd = LongAgo;
+    /// HoldEnd and PreviousHoldEnd by the grants of this leader only.
+    TimePoint OwnHoldEnd = LongAgo;
+    TimePoint OwnPreviousHoldEnd = LongAgo;
     TimePoint NextGrantAt = LongAgo;
     /// The range is not moved before.
     TimePoint MovableFrom = LongAgo;
@@ -275,6 +290,8 @@
   bool WaitingForEarlierOwners = false;
   /// Also the latest time until which the record stays unconfirmed.
   TimePoint EarlierOwnersUntil = LongAgo;
+  /// All leaders before the takeover are recorded.
+  bool EarlierLeadersKnown = false;
   /// Latest confirmation of leadership that an order was based on.
   TimePoint LastConfirmedAt = LongAgo;
   /// End of the authority before an absence of the store that was longer than
--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -85,11 +85,35 @@
 /// keys have been moved make room for others.
 constexpr std::size_t MaxReportedNotices = 16;
 
-auto leaderToJson(const LeaderInfo &Leader, std::uint64_t Era) -> Json {
+auto leaderToJson(const LeaderInfo &Leader, std::uint64_t Era,
+                  const EarlierLeaders &Earlier) -> Json {
+  Json Listed = Json::array();
+  for (const LeaderInfo &Each : Earlier.Leaders)
+    Listed.push_back(
+        {Each.Instance.str(), Each.Process, Each.Address, Each.Term});
   return {{"instance", Leader.Instance.str()},
           {"process", Leader.Process},
           {"address", Leader.Address},
-          {"era", Era}};
+          {"era", Era},
+          {"earlier", std::move(Listed)},
+          {"earlier_complete", !Earlier.MayBeMore}};
+}
+
+/// Returns no leaders when the object lists none, as those of earlier versions
+/// of the router, or is malformed.
+auto parseEarlier(const StoredObject &Object) -> EarlierLeaders {
+  try {
+    EarlierLeaders Out;
+    for (const Json &Each : Object.Value.at("earlier"))
+      Out.Leaders.push_back({InstanceId(Each.at(0).get<std::string>()),
+                             Each.at(1).get<std::string>(),
+                             Each.at(2).get<std::string>(),
+                             Each.at(3).get<std::uint64_t>()});
+    Out.MayBeMore = !Object.Value.at("earlier_complete").get<bool>();
+    return Out;
+  } catch (const Json::exception &) {
+    return {};
+  }
 }
 
 auto parseLeader(const StoredObject &Object) -> Result<LeaderInfo> {
@@ -115,7 +139,8 @@
           },
           [this] { onRateTimeout(); }),
       Lag(BehindTimeout), ReportTimer(Io), ClaimTimer(Io), LoadTimer(Io),
-      SuspectTimer(Io), Suspects(makeSuspectExchange()), Random(Seed) {
+      SuspectTimer(Io), Suspects(makeSuspectExchange()), Random(Seed),
+      Terms(RangeTimes()) {
   this->Context.Requests.Suspects.setChangeHandler(
       [this](CrashSuspects::Change Kind) { Suspects.onChanged(Kind); });
 }
@@ -250,6 +275,10 @@
     onGrantNotice(*Notice);
   else if (const auto *Answer = std::get_if<RateReserveReply>(&Message))
     onRateReply(*Answer);
+  else if (const auto *Query = std::get_if<AuthorityQuery>(&Message))
+    onAuthorityQuery(*Query, From);
+  else if (const auto *Ended = std::get_if<AuthorityAnswer>(&Message))
+    Context.LocalLeader.onAuthorityAnswer(*Ended);
   else if (const auto *Loads = std::get_if<LoadNotice>(&Message))
     onLoadNotice(*Loads);
   else if (const auto *Request = std::get_if<RateReserveRequest>(&Message))
@@ -330,6 +359,18 @@
   });
 }
 
+auto FleetMember::onAuthorityQuery(const AuthorityQuery &Query,
+                                   const std::string &From) -> void {
+  // Ends an earlier leadership of this process before it answers.
+  if (Query.Leader.Term > CurrentLeader.Term)
+    followLeader(Query.Leader);
+  const AuthorityAnswer Answer =
+      Context.LocalLeader.answer(Query, Context.Self.Process);
+  if (Answer.Ended)
+    EndedThrough = std::max(EndedThrough, Answer.Term);
+  Context.Peers.send(From, Answer);
+}
+
 auto FleetMember::onReport(const FleetReport &Report, const std::string &From)
     -> void {
   // The sender may know of a newer leader than this instance, which may be cut
@@ -490,6 +531,7 @@
 auto FleetMember::followLeader(LeaderInfo Next) -> void {
   const TimePoint Now = bootNow();
   const LeaderInfo Previous = std::exchange(CurrentLeader, std::move(Next));
+  Terms.seen(CurrentLeader.Term, Now);
   LastReplyAt = Now;
   ClaimAt = LongAgo;
   LeaderLostStoreAt = LongAgo;
@@ -502,11 +544,12 @@
           .field("leader", CurrentLeader.Instance.str())
           .field("term", CurrentLeader.Term)
           .field("self", SelfLeads));
-  if (SelfLeads && !Leaving) {
+  if (SelfLeads && !Leaving && CurrentLeader.Term > EndedThrough) {
     if (Context.LocalLeader.leading())
       Context.LocalLeader.continueAs(CurrentLeader, ClaimedAt);
     else
-      Context.LocalLeader.start(CurrentLeader, ClaimedAt, mayLackRecords());
+      Context.LocalLeader.start(CurrentLeader, ClaimedAt, mayLackRecords(),
+                                BeforeClaim);
     return Context.OnLeadershipTaken();
   }
   considerClaim(Now);
@@ -612,16 +655,33 @@
       MaxClaimStagger * Random.unit() + MaxCapacityDelay * CapacityShortfall);
 }
 
+auto FleetMember::leadersBefore(std::uint64_t Condition) const
+    -> EarlierLeaders {
+  const auto &Objects = Context.RouterObjectsFeed.objects();
+  const auto Found = Objects.find(LeaderObjectName);
+  if (Condition == 0)
+    return {{}, !Context.FirstStart || !Terms.empty() || storeEra() != 0};
+  const TimePoint Now = bootNow();
+  if (Found != Objects.end() && Found->second.Revision == Condition &&
+      !fromEarlierEra(Found->second))
+    if (auto Replaced = parseLeader(Found->second))
+      return Terms.leadersBefore(*Replaced, parseEarlier(Found->second), Now);
+  if (Condition == CurrentLeader.Term)
+    return Terms.leadersBefore(CurrentLeader, {}, Now);
+  return {};
+}
+
 auto FleetMember::claimLeadership() -> void {
   Claiming = true;
   ClaimedAt = bootNow();
   ClaimAt = LongAgo;
   const std::uint64_t Condition = claimCondition();
+  BeforeClaim = leadersBefore(Condition);
   const char *Reason =
       Context.LocalLeader.leading() ? "own claim lost" : "no leader";
   Context.Store.write(
       Context.Requests.Protocol.Kinds.Own, LeaderObjectName, Condition,
-      leaderToJson(Context.Self, storeEra()),
+      leaderToJson(Context.Self, storeEra(), BeforeClaim),
       [this, Condition, Reason](const StoreWriteResult &Answer) {
         Claiming = false;
         const bool Answered = Answer.Status != StoreStatus::Unknown &&
--- a/lib/Gateway/FleetMember.h
+++ b/lib/Gateway/FleetMember.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Fleet/AuthorityEvidence.h"
 #include "Fleet/FleetMessage.h"
 #include "Fleet/LagDetector.h"
 #include "Fleet/StoreRevision.h"
@@ -103,6 +104,8 @@
   /// leader's reserve.
   auto onRateRequest(const RateReserveRequest &Request, const std::string &From)
       -> void;
+  auto onAuthorityQuery(const AuthorityQuery &Query, const std::string &From)
+      -> void;
   auto onRateReply(const RateReserveReply &Reply) -> void;
   auto onRateTimeout() -> void;
   auto applyReply(const FleetReply &Reply) -> void;
@@ -134,6 +137,9 @@
   /// leader was last heard and since the last claim without an answer. Reads
   /// the store otherwise.
   auto confirmContact(TimePoint Now, TimePoint LeaderLostAt) -> bool;
+  /// Returns the leaders before a claim that replaces the leader object of the
+  /// revision; 0: there is none.
+  auto leadersBefore(std::uint64_t Condition) const -> EarlierLeaders;
   auto claimLeadership() -> void;
   auto followLeader(LeaderInfo Next) -> void;
 
@@ -155,6 +161,12 @@
   std::uint64_t NeighboursVersion = 0;
   RandomSource Random;
   LeaderInfo CurrentLeader;
+  TermHistory Terms;
+  /// Leaders before this instance's last claim.
+  EarlierLeaders BeforeClaim;
+  /// A later leader was told that this process has ended its leadership for
+  /// terms up to this one.
+  std::uint64_t EndedThrough = 0;
   TimePoint LastReplyAt = LongAgo;
   TimePoint LastReportAt = LongAgo;
   bool LeaderReplied = false;  ///< The leader has replied to this process.
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -68,7 +68,7 @@
 }
 
 auto Leader::start(LeaderInfo NewSelf, TimePoint ClaimSentAt,
-                   bool StoreRestored) -> void {
+                   bool StoreRestored, const EarlierLeaders &Earlier) -> void {
   Self = std::move(NewSelf);
   StartedAt = bootNow();
   MayLackRecords = StoreRestored;
@@ -81,7 +81,17 @@
   OwnerPauses.clear();
   Rates = RateDivider();
   Reserve = RateReserve(Tolerance);
-  Context.Events.write(EventLine("leadership-taken").field("term", Self.Term));
+  OrderedServices.clear();
+  Evidence.begin(Earlier, Self.Term, StartedAt);
+  Evidence.ended(Self.Process, OrdersEndedAt);
+  // Its address is used by one process at a time.
+  for (const LeaderInfo &Each : Earlier.Leaders)
+    if (Each.Address == Self.Address && Each.Process != Self.Process)
+      Evidence.ended(Each.Process, CreatedAt);
+  Context.Events.write(EventLine("leadership-taken")
+                           .field("term", Self.Term)
+                           .field("earlier_leaders", Earlier.Leaders.size())
+                           .field("earlier_unknown", Earlier.MayBeMore));
 }
 
 auto Leader::continueAs(LeaderInfo NewSelf, TimePoint ClaimSentAt) -> void {
@@ -99,6 +109,8 @@
   }
   for (auto &[Id, State] : Services)
     State.Keeper.claimedAgain(ConfirmedAt, Now);
+  // Leaders whose claims are lost are unknown.
+  Evidence.begin({}, Self.Term, Now);
   MayLackRecords = true;
   ConfirmedAt = std::max(ConfirmedAt, ClaimSentAt);
   NextSizeCheckAt = Now;
@@ -115,9 +127,59 @@
   Context.Events.write(EventLine("leadership-left").field("term", Self.Term));
   Self = LeaderInfo();
   Orders.clear();
+  OrdersEndedAt = bootNow();
   Services.clear();
 }
 
+auto Leader::answer(const AuthorityQuery &Query,
+                    const std::string &OwnProcess) const -> AuthorityAnswer {
+  // The process named was this one, or an earlier one at its address, which had
+  // ended before this one opened its socket there.
+  const TimePoint EndedAt =
+      Query.Process == OwnProcess ? OrdersEndedAt : CreatedAt;
+  constexpr Duration LongestAge = std::chrono::hours(24);
+  const Duration Age = std::min(bootNow() - EndedAt, LongestAge);
+  const bool Ended = Query.Process != OwnProcess || !leading();
+  return {Query.Leader.Term, Query.Process, Ended,
+          static_cast<std::uint32_t>(Age / std::chrono::milliseconds(1))};
+}
+
+auto Leader::askEarlierLeaders(TimePoint Now) -> void {
+  for (const LeaderInfo &Each : Evidence.dueQueries(Now))
+    Context.Send(Each.Address, AuthorityQuery{Self, Each.Process});
+}
+
+auto Leader::onAuthorityAnswer(const AuthorityAnswer &Answer) -> void {
+  const TimePoint Now = bootNow();
+  const bool WasKnown = Evidence.lastOrderEnd().has_value();
+  if (!leading() || !Evidence.onAnswer(Answer, Now))
+    return;
+  Context.Events.write(
+      EventLine("earlier-leader-ended")
+          .field("process", Answer.Process)
+          .field("term", Answer.Term)
+          .field("last_order_age_ms", Answer.LastOrderAgeMs)
+          .field("all_ended", Evidence.lastOrderEnd().has_value()));
+  if (WasKnown)
+    return;
+  for (auto &[Id, State] : Services)
+    applyEvidence(Id, State, Now);
+}
+
+auto Leader::applyEvidence(const ServiceId &Id, ServiceState &State,
+                           TimePoint Now) -> void {
+  const auto LastOrderEnd = Evidence.lastOrderEnd();
+  if (!LastOrderEnd || !State.FirstTakeover)
+    return;
+  State.Keeper.earlierLeadersEnded(*LastOrderEnd, Now);
+  Context.Events.write(
+      EventLine("earlier-grants-bounded")
+          .field("service", Id.str())
+          .field("left_ms",
+                 std::max(*LastOrderEnd + Times.maxHoldPeriod() - Now,
+                          Duration(0))));
+}
+
 auto Leader::resign() -> void {
   for (const auto &[Name, Other] : Members) {
     FleetReply Notice;
@@ -399,6 +461,7 @@
   if (!Recorded)
     return nullptr;
   const StoredObject *Object = recordOf(Id);
+  const std::uint64_t WriterTerm = Recorded->WriterTerm;
   auto &Added = Services
                     .try_emplace(Id, RangeAssigner(Config.NumberedKeys, Times),
                                  ++LastGeneration)
@@ -406,6 +469,9 @@
   Added.Keeper.takeOver(
       std::move(*Recorded),
       Object ? Object->Revision : makeRevision(eraOf(Self.Term), 0), Now);
+  Added.FirstTakeover =
+      !OrderedServices.contains(Id) && WriterTerm <= Self.Term;
+  applyEvidence(Id, Added, Now);
   return &Added;
 }
 
@@ -460,6 +526,7 @@
     return;
   }
   recordFleetSize(Now);
+  askEarlierLeaders(Now);
   for (const auto &[Id, Settings] : Config.Services) {
     if (Settings.Kind != ServiceKind::Divided || Settings.NumberedKeys == 0)
       continue;
@@ -641,6 +708,7 @@
   }
   if (!Call.PreviousOwner.empty())
     logFirstGrant(Id, Call);
+  OrderedServices.insert(Id);
   Orders.send(Target->Record, Call, OnEnded);
 }
 
--- a/lib/Gateway/Leader.h
+++ b/lib/Gateway/Leader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Fleet/AuthorityEvidence.h"
 #include "Fleet/FleetMessage.h"
 #include "Fleet/KeyLoad.h"
 #include "Fleet/RangeAssigner.h"
@@ -9,6 +10,7 @@
 #include "Gateway/OrderSender.h"
 #include "Gateway/Protocol.h"
 #include "Gateway/StoreFeed.h"
+#include "IO/BootClock.h"
 #include "IO/EventLog.h"
 #include "buckthornring/Config/Configuration.h"
 
@@ -49,7 +51,7 @@
 
   Leader(FleetContext Context, RangeTimes Times, const RateTolerance &Tolerance)
       : Context(std::move(Context)), Times(Times), Tolerance(Tolerance),
-        Reserve(Tolerance),
+        Reserve(Tolerance), Evidence(Times),
         Orders(this->Context.Io, this->Context.Protocol,
                [this](const TargetRecord &Target, unsigned Status,
                       const HttpHeaders &Fields) {
@@ -68,8 +70,8 @@
   /// Starts leading. \p ClaimSentAt is the time at which the write of the
   /// leader object was sent that made this instance the leader.
   /// \p StoreRestored tells that the store may lack records of key ranges.
-  auto start(LeaderInfo Self, TimePoint ClaimSentAt, bool StoreRestored)
-      -> void;
+  auto start(LeaderInfo Self, TimePoint ClaimSentAt, bool StoreRestored,
+             const EarlierLeaders &Earlier) -> void;
   /// Goes on leading by a later claim. Ranges and members stay known, unless
   /// the authority has lapsed meanwhile.
   auto continueAs(LeaderInfo NewSelf, TimePoint ClaimSentAt) -> void;
@@ -85,6 +87,12 @@
     ConfirmedAt = std::max(ConfirmedAt, SentAt);
   }
 
+  /// Answers a later leader. \p OwnProcess is LeaderInfo::Process of this
+  /// process.
+  auto answer(const AuthorityQuery &Query, const std::string &OwnProcess) const
+      -> AuthorityAnswer;
+  auto onAuthorityAnswer(const AuthorityAnswer &Answer) -> void;
+
   /// Records the report of the instance at \p Address and returns the reply.
   auto handleReport(const FleetReport &Report, const std::string &Address,
                     bool StoreReachable) -> FleetReply;
@@ -129,6 +137,9 @@
     bool WritePending = false;
     TimePoint NextWriteAt = LongAgo;
     TimePoint NextPlanAt = LongAgo;
+    /// This leadership had sent no orders for the service before it took the
+    /// record over, so only those of earlier leaders are to be waited for.
+    bool FirstTakeover = false;
   };
 
   auto addressOf(const InstanceId &Id, const Member &Instance) const
@@ -153,6 +164,11 @@
   auto recordFleetSize(TimePoint Now) -> void;
   /// Whether the store has the era in which this instance became the leader.
   auto inOwnEra() const -> bool;
+  /// Asks the earlier leaders that have not told yet that they have ended.
+  auto askEarlierLeaders(TimePoint Now) -> void;
+  /// Passes the evidence on earlier leaders to a service that was taken over.
+  auto applyEvidence(const ServiceId &Id, ServiceState &State, TimePoint Now)
+      -> void;
   auto recordOf(const ServiceId &Id) const -> const StoredObject *;
   /// Writes the ranges of a service again if the store lacks them since it was
   /// restored. Returns whether the state of the service is in force.
@@ -207,7 +223,14 @@
   RangeTimes Times;
   RateTolerance Tolerance;
   RateReserve Reserve;
+  AuthorityEvidence Evidence;
+  /// Services for which orders were sent in this leadership.
+  std::set<ServiceId> OrderedServices;
   OrderSender Orders;
+  /// When this process could first have sent an order.
+  const TimePoint CreatedAt = bootNow();
+  /// When the last order of its last leadership had ended.
+  TimePoint OrdersEndedAt = CreatedAt;
   LeaderInfo Self; ///< Term 0: this instance does not lead.
   TimePoint StartedAt = LongAgo;
   TimePoint ConfirmedAt = LongAgo;
--- a/lib/Gateway/OrderSender.cpp
+++ b/lib/Gateway/OrderSender.cpp
@@ -64,6 +64,12 @@
 
 auto OrderSender::clear() -> void {
   ++*Generation;
+  for (const auto &Pending : std::exchange(PendingOrders, {})) {
+    Pending->OnDone = nullptr;
+    Pending->Timer.cancel();
+    if (Pending->Connection)
+      Pending->Connection->close();
+  }
   for (auto &[Incarnation, Connections] : IdleConnections)
     for (const ConnectionPtr &Connection : Connections)
       Connection->close();
@@ -78,6 +84,7 @@
   Pending->OnDone = std::move(OnDone);
   Pending->Generation = Generation;
   Pending->StartGeneration = *Generation;
+  PendingOrders.insert(Pending);
   Pending->Timer.expires_after(
       std::clamp(Order.AuthorityEnd - bootNow(), Duration(0),
                  ConnectTimeout + replyTimeout(Order)));
@@ -105,7 +112,8 @@
   // An order that got no response must not arrive after its connection has
   // ended. Only a reset ensures this, so its own timer ends the connection.
   Pending->Connection->connect(
-      *Endpoint, ConnectTimeout, {.AwaitReset = false, .DetectSilence = false},
+      *Endpoint, ConnectTimeout,
+      {.AwaitReset = false, .DetectSilence = false, .ResetAtProcessEnd = true},
       [this, Pending](bool Success) { onConnected(Pending, Success); });
 }
 
@@ -205,6 +213,7 @@
     -> void {
   if (!Pending->OnDone)
     return;
+  PendingOrders.erase(Pending);
   Pending->Timer.cancel();
   if (!Pending->Connection) {
     // The order was not sent because the target may have restarted.
--- a/lib/Gateway/OrderSender.h
+++ b/lib/Gateway/OrderSender.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <unordered_map>
 
 namespace buckthornring {
@@ -47,9 +48,9 @@
 
   auto send(const TargetRecord &Target, const RangeOrder &Order, Handler OnDone)
       -> void;
-  /// Closes the idle connections. Orders that are still connecting are not
-  /// sent. Connections of sent orders are closed when the order ends. Handlers
-  /// of earlier orders are not called.
+  /// Resets the connections of all orders, so that none arrives after
+  /// RangeTimes::TransitLimit, and closes the idle ones. Orders that are still
+  /// connecting are not sent. Handlers of earlier orders are not called.
   auto clear() -> void;
 
 private:
@@ -74,6 +75,8 @@
   const PlatformProtocol &Protocol;
   ResponseObserver Observer;
   std::shared_ptr<BodyBudget> Budget;
+  /// Orders that have not ended.
+  std::set<std::shared_ptr<PendingOrder>> PendingOrders;
   /// Idle connections by incarnationKey().
   std::unordered_map<std::string, std::vector<ConnectionPtr>> IdleConnections;
   /// When a connection to the incarnation was last found lost or broken, by
--- a/lib/Gateway/TargetConnection.cpp
+++ b/lib/Gateway/TargetConnection.cpp
@@ -114,6 +114,10 @@
           return;
         if (Failure)
           return Done(false);
+        error_code Ignored;
+        if (Options.ResetAtProcessEnd)
+          Self->Pimpl->Socket.set_option(asio::socket_base::linger(true, 0),
+                                         Ignored);
         if (Options.DetectSilence)
           enableDeadPeerDetection(Self->Pimpl->Socket, TargetSilenceTimeout);
         Self->onConnected(bootNow() - StartedAt, Options.AwaitReset,
--- a/lib/Gateway/TargetConnection.h
+++ b/lib/Gateway/TargetConnection.h
@@ -79,6 +79,9 @@
     /// Ends the connection when the target's host acknowledges nothing for a
     /// second. Otherwise only close() ends an unresponsive connection.
     bool DetectSilence = true;
+    /// The kernel resets the connection when the process ends in any way.
+    /// Otherwise it goes on sending what the process has written.
+    bool ResetAtProcessEnd = false;
   };
 
   auto connect(const boost::asio::ip::tcp::endpoint &Peer, Duration Timeout,
--- a/tests/property/RangeAssignerPropertyTest.cpp
+++ b/tests/property/RangeAssignerPropertyTest.cpp
@@ -111,6 +111,60 @@
       });
 }
 
+/// Leaders change often, part of the targets is reached by the earlier leaders
+/// only, and new leaders ask the earlier ones.
+auto evidenceFaults() -> RangeFaults {
+  RangeFaults Faults;
+  Faults.SlowOrder = 0.3;
+  Faults.LeaderCutOff = 0.7;
+  Faults.LeaderChange = 0.002;
+  Faults.TargetRestart = 0;
+  Faults.TargetUnreachable = 0;
+  Faults.TargetDrain = 0;
+  Faults.EarlierAsked = 0.9;
+  Faults.LeaderKilled = 0.5;
+  return Faults;
+}
+
+// Guards against a new leader that takes an earlier one for ended too soon.
+TEST(RangeAssignerPropertyTest, NoKeyHasTwoHoldersAfterEvidence) {
+  int Evidenced = 0;
+  test::forEachSeed("RangeAssignerPropertyTest.NoKeyHasTwoHoldersAfterEvidence",
+                    200, [&](std::uint64_t Seed) {
+                      RangeFaults Faults = evidenceFaults();
+                      if (Seed % 2 == 0) {
+                        // All other faults as well.
+                        Faults.TargetRestart = RangeFaults().TargetRestart;
+                        Faults.TargetUnreachable =
+                            RangeFaults().TargetUnreachable;
+                        Faults.TargetDrain = RangeFaults().TargetDrain;
+                        Faults.StoreRestored = Seed % 4 == 0 ? 0.0005 : 0;
+                      }
+                      RangeSimulation Simulation(Seed, Faults);
+                      const auto Violation = Simulation.run(3000);
+                      EXPECT_FALSE(Violation) << *Violation;
+                      Evidenced += Simulation.evidencedTakeovers();
+                    });
+  EXPECT_GT(Evidenced, 0);
+}
+
+// Guards against schedules that would not notice wrong evidence.
+TEST(RangeAssignerPropertyTest, SchedulesNoticeWrongEvidence) {
+  for (const EvidenceFault Fault :
+       {EvidenceFault::AnswersBeforeStopping, EvidenceFault::TransitNotCounted,
+        EvidenceFault::OnlyLastLeader}) {
+    int Noticed = 0;
+    for (std::uint64_t Seed = 1; Seed <= 200 && Noticed == 0; ++Seed) {
+      RangeFaults Faults = evidenceFaults();
+      Faults.Evidence = Fault;
+      RangeSimulation Simulation(Seed, Faults);
+      if (Simulation.run(3000))
+        ++Noticed;
+    }
+    EXPECT_GT(Noticed, 0) << static_cast<int>(Fault);
+  }
+}
+
 // Guards against a replaced leader without contact to the store that renews
 // keys at a target which has restarted and knows no later fencing token.
 TEST(RangeAssignerPropertyTest, ReplacedLeaderDoesNotRenewAtRestartedTargets) {
--- a/tests/support/RangeSimulation.h
+++ b/tests/support/RangeSimulation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Fleet/AuthorityEvidence.h"
 #include "Fleet/RangeAssigner.h"
 #include "Fleet/StoreRevision.h"
 #include "buckthornring/Common/Random.h"
@@ -16,6 +17,15 @@
 
 namespace buckthornring {
 
+/// Faults of the evidence that earlier leaders have ended, which the schedules
+/// have to notice.
+enum class EvidenceFault {
+  None,
+  AnswersBeforeStopping, ///< An earlier leader stops after its answer only.
+  TransitNotCounted,     ///< Orders of an ended process arrive later.
+  OnlyLastLeader,        ///< Leaders before the last one are not asked.
+};
+
 /// Probabilities of the faults in one schedule.
 struct RangeFaults {
   double LostOrder = 0.02;     ///< The order never arrives.
@@ -40,6 +50,12 @@
   /// Per leader change: a part of the targets is reached by the earlier leaders
   /// only, for longer than those have authority. The others are not.
   double LeaderCutOff = 0;
+  /// Per new leader: it asks the earlier ones whether they have ended.
+  double EarlierAsked = 0;
+  /// Per leader change: the process of the earlier leader ends within seconds,
+  /// and mostly starts again.
+  double LeaderKilled = 0;
+  EvidenceFault Evidence = EvidenceFault::None;
 };
 
 /// Simulates the range assigners of several leaders, targets that hold keys,
@@ -83,7 +99,7 @@
 
   /// Stops all faults, so that the assignment becomes stable.
   auto stopFaults() -> void {
-    Faults = {0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, true};
+    Faults = {0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, true, 0, 0, 0, 0};
     for (auto &[Id, Each] : Targets) {
       Each.UnreachableUntil = LongAgo;
       Each.Draining = false;
@@ -94,6 +110,8 @@
   auto servedShare() const -> double {
     return Steps == 0 ? 0 : Served / static_cast<double>(Steps);
   }
+  /// Number of takeovers in which all earlier leaders were known to have ended.
+  auto evidencedTakeovers() const -> int { return Evidenced; }
   auto servedNow() const -> double { return heldKeys() / double{Keys}; }
 
 private:
@@ -114,7 +132,8 @@
     }
   };
   struct LeaderProcess {
-    explicit LeaderProcess(RangeTimes Times) : Assigner(Keys, Times) {}
+    explicit LeaderProcess(RangeTimes Times)
+        : Assigner(Keys, Times), Evidence(Times) {}
 
     RangeAssigner Assigner;
     KeyLoad Load;
@@ -124,10 +143,20 @@
     TimePoint PlanAt = LongAgo;
     std::set<TargetId> Granting;
     std::uint64_t Generation = 0; ///< Of the assigner whose answers are used.
+    /// The assigner waits for the grants of earlier leaders only.
+    bool FirstTakeover = true;
+    bool OrdersSent = false;
     bool Dropped =
         false; ///< Refused by a target; has not read the store since.
     bool Writing = false;
     std::uint64_t WriteNumber = 0; ///< Of the write whose answer is used.
+    AuthorityEvidence Evidence;
+    std::string Name;
+    double ClockRate = 1; ///< Of the ages that it tells.
+    bool Answers = true;
+    /// Orders on their way arrive until TransitLimit after that.
+    TimePoint EndedAt = TimePoint::max();
+    TimePoint RestartedAt = TimePoint::max();
     bool Stopped = false;
     bool Superseded = false; ///< Replaced by a new leader, without knowing it.
     TimePoint SupersededAt = LongAgo;
@@ -148,11 +177,16 @@
     }
     if (Leaders.size() > 2)
       Leaders.pop_front();
+    if (!Leaders.empty() && Faults.LeaderKilled > 0 &&
+        Random.chance(Faults.LeaderKilled))
+      killSoon(Leaders.back());
     auto Next = std::make_shared<LeaderProcess>(Times);
     Next->Term = ++LastTerm;
     Next->Era = eraOf(Revision);
     Next->ConfirmedAt = Now;
-    Next->Assigner.takeOver(Recorded, Revision, Now);
+    if (Faults.EarlierAsked > 0)
+      beginInquiry(Next);
+    takeOver(*Next, Recorded, Revision);
     if (Faults.StaleRecords > 0 && Random.chance(Faults.StaleRecords)) {
       Next->StaleFrom = Now - std::chrono::milliseconds(Random.below(6000));
       Next->StaleUntil = Now + std::chrono::milliseconds(Random.below(4000));
@@ -165,11 +199,115 @@
                                   Times.maxHoldPeriod();
   }
 
+  /// Starts the inquiry of a new leader by the leader object that it replaces.
+  auto beginInquiry(const LeaderPtr &NextPtr) -> void {
+    LeaderProcess &Next = *NextPtr;
+    Next.Name = "p" + std::to_string(Next.Term);
+    Next.ClockRate = 1 + 0.04 * Random.unit();
+    Next.Answers = Random.chance(0.9);
+    LeaderInfo Info{InstanceId(Next.Name), Next.Name, Next.Name, Next.Term};
+    EarlierLeaders Earlier;
+    if (RecordedLeader.Term != 0) {
+      // Some processes have started recently and know the last term only.
+      TermHistory Recent(Times);
+      Recent.seen(RecordedLeader.Term, Now);
+      Earlier = (Random.chance(0.5) ? Terms : Recent)
+                    .leadersBefore(RecordedLeader, RecordedEarlier, Now);
+    } else if (Next.Term == 1) {
+      Earlier.MayBeMore = false;
+    }
+    if (Faults.Evidence == EvidenceFault::OnlyLastLeader &&
+        !Earlier.Leaders.empty())
+      Earlier = {{Earlier.Leaders.front()}, false};
+    if (Random.chance(Faults.EarlierAsked))
+      Next.Evidence.begin(Earlier, Next.Term, Now);
+    RecordedLeader = Info;
+    RecordedEarlier = Earlier;
+    Processes[Next.Name] = NextPtr;
+    Terms.seen(Next.Term, Now);
+  }
+  auto killSoon(const LeaderPtr &Process) -> void {
+    schedule(std::chrono::milliseconds(Random.below(4000)), [this, Process] {
+      if (!Process->Superseded || Process->RestartedAt != TimePoint::max())
+        return;
+      endLeadership(*Process);
+      const TimePoint Restart =
+          Now + std::chrono::milliseconds(Random.below(2000));
+      Process->RestartedAt = Random.chance(0.8) ? Restart : TimePoint::max();
+      Process->Answers = Process->RestartedAt != TimePoint::max();
+    });
+  }
+  auto endLeadership(LeaderProcess &Process) -> void {
+    Process.Stopped = true;
+    Process.EndedAt = std::min(Process.EndedAt, Now);
+  }
+
+  /// Messages may be lost, late and out of order.
+  auto sendMessage(std::function<void()> Deliver) -> void {
+    if (!Random.chance(0.2))
+      schedule(Random.chance(0.1)
+                   ? std::chrono::milliseconds(Random.below(2000))
+                   : delay(),
+               std::move(Deliver));
+  }
+  auto ask(LeaderProcess &Leader) -> void {
+    for (const LeaderInfo &Earlier : Leader.Evidence.dueQueries(Now))
+      sendMessage([this, Name = Earlier.Process, Asking = Leader.Term,
+                   Weak = weakReference(Leader)] {
+        const auto Answer = answerOf(Name, Asking);
+        if (Answer)
+          sendMessage([this, Weak, Answer = *Answer] {
+            if (const auto Leader = Weak.lock())
+              receive(*Leader, Answer);
+          });
+      });
+  }
+  /// Returns what the process, or a later one at its address, answers.
+  auto answerOf(const std::string &Name, std::uint64_t Term)
+      -> std::optional<AuthorityAnswer> {
+    const LeaderPtr Process = Processes[Name];
+    if (!Process || !Process->Answers)
+      return std::nullopt;
+    const bool Killed = Process->RestartedAt != TimePoint::max();
+    if (Killed && Now < Process->RestartedAt)
+      return std::nullopt;
+    if (!Killed && Process->Term >= Term)
+      return AuthorityAnswer{Term, Name, false, 0};
+    Duration Age{0};
+    if (Killed)
+      Age = Now - Process->RestartedAt;
+    else if (Faults.Evidence != EvidenceFault::AnswersBeforeStopping)
+      endLeadership(*Process);
+    else
+      schedule(std::chrono::milliseconds(Random.below(1500)),
+               [this, Process] { endLeadership(*Process); });
+    if (!Killed && Process->EndedAt < Now)
+      Age = Now - Process->EndedAt;
+    return AuthorityAnswer{
+        Term, Name, true,
+        static_cast<std::uint32_t>(Age * Process->ClockRate /
+                                   std::chrono::milliseconds(1))};
+  }
+  auto receive(LeaderProcess &Leader, const AuthorityAnswer &Answer) -> void {
+    if (Leader.Evidence.onAnswer(Answer, Now))
+      applyEvidence(Leader);
+  }
+  auto applyEvidence(LeaderProcess &Leader) -> void {
+    auto LastOrderEnd = Leader.Evidence.lastOrderEnd();
+    if (!LastOrderEnd || !Leader.FirstTakeover)
+      return;
+    if (Faults.Evidence == EvidenceFault::TransitNotCounted)
+      *LastOrderEnd -= Times.TransitLimit;
+    ++Evidenced;
+    Leader.Assigner.earlierLeadersEnded(*LastOrderEnd, Now);
+  }
+
   /// Loses some of the last writes. Then the leader claims again in the new
   /// era, or another instance becomes the leader.
   auto restoreStore() -> void {
     for (auto Lost = Random.below(6); Lost > 0 && History.size() > 1; --Lost)
       History.pop_back();
+    RecordedLeader = LeaderInfo();
     const std::uint64_t Era = eraOf(Revision) + 1;
     Recorded = History.back().second;
     Revision = makeRevision(Era, History.back().first);
@@ -208,6 +346,11 @@
     Leader.ConfirmedAt = Now;
     Leader.Writing = false;
     ++Leader.WriteNumber;
+    Leader.Evidence.begin({}, Leader.Term, Now);
+    RecordedLeader = {InstanceId(Leader.Name), Leader.Name, Leader.Name,
+                      Leader.Term};
+    RecordedEarlier = EarlierLeaders();
+    Terms.seen(Leader.Term, Now);
     if (Lapsed || Leader.Dropped)
       reload(Leader);
     else
@@ -221,7 +364,14 @@
     Leader.Writing = false;
     Leader.Granting.clear();
     Leader.Assigner = RangeAssigner(Keys, Times);
-    Leader.Assigner.takeOver(Recorded, Revision, Now);
+    takeOver(Leader, Recorded, Revision);
+  }
+  auto takeOver(LeaderProcess &Leader, const RangeRecord &Stored,
+                std::uint64_t AtRevision) -> void {
+    Leader.FirstTakeover =
+        !Leader.OrdersSent && Stored.WriterTerm <= Leader.Term;
+    Leader.Assigner.takeOver(Stored, AtRevision, Now);
+    applyEvidence(Leader);
   }
   /// A target has refused an order, so another leader may have changed the
   /// ranges: the leader drops its state and reads the store.
@@ -232,7 +382,7 @@
   auto continueFrom(LeaderProcess &Leader, const RangeRecord &Stored,
                     std::uint64_t AtRevision) -> void {
     if (Stored.Era == eraOf(AtRevision) && numberOf(AtRevision) != 0)
-      Leader.Assigner.takeOver(Stored, AtRevision, Now);
+      takeOver(Leader, Stored, AtRevision);
     else
       Leader.Assigner.restored(AtRevision, Now);
   }
@@ -296,6 +446,7 @@
     }
     if (Leader.Dropped)
       return;
+    ask(Leader);
     if (Now >= Leader.PlanAt) {
       Leader.PlanAt = Now + std::chrono::milliseconds(250);
       Leader.Load.add(static_cast<std::uint32_t>(Random.below(20)), Now);
@@ -368,7 +519,7 @@
         if (Done)
           Leader->Assigner.writeDone(NewRevision, Now);
         else if (Leader->Superseded)
-          Leader->Stopped = true; // The leader record names another leader.
+          endLeadership(*Leader); // The leader record names another leader.
         else
           continueFrom(*Leader, Stored, NewRevision);
       });
@@ -392,6 +543,8 @@
           onRefused(*Leader);
       });
     };
+    const LeaderPtr Sender = WeakLeader.lock();
+    Leader.OrdersSent = true;
     const Target &Receiver = Targets.at(Order.Target.str());
     if (Receiver.listedAt(Leader.recordsOf(Now)) != Order.StartedAt ||
         !reaches(Leader, Receiver) ||
@@ -404,8 +557,9 @@
       const Duration Limit = std::min(LongestOrder, Order.AuthorityEnd - Now);
       const Duration Transit = std::chrono::milliseconds(Random.below(750));
       if (Transit < Limit)
-        schedule(Transit, [this, Order, Peer = Receiver.Incarnation] {
-          apply(Order, Peer, Now);
+        schedule(Transit, [this, Sender, Order, Peer = Receiver.Incarnation] {
+          if (arrives(*Sender))
+            apply(Order, Peer, Now);
         });
       return Finish(Limit, RangeOrderOutcome::Unanswered, "");
     }
@@ -414,7 +568,9 @@
                       Random.chance(Faults.LateOrder);
     // A connection ends with the incarnation that it leads to.
     const std::int64_t Peer = Receiver.Incarnation;
-    schedule(delay(), [this, Order, Peer, ResponseLost, Late, Finish] {
+    schedule(delay(), [this, Sender, Order, Peer, ResponseLost, Late, Finish] {
+      if (!arrives(*Sender))
+        return;
       const TimePoint Arrived = Now;
       if (Late) {
         schedule(std::chrono::milliseconds(500 + Random.below(4000)),
@@ -427,6 +583,12 @@
     });
   }
 
+  /// Whether an order that the process has sent may still arrive now.
+  auto arrives(const LeaderProcess &Sender) const -> bool {
+    return Sender.EndedAt == TimePoint::max() ||
+           Now <= Sender.EndedAt + Times.TransitLimit;
+  }
+
   auto reaches(const LeaderProcess &Leader, const Target &Receiver) const
       -> bool {
     const bool Reachable = Now >= Receiver.UnreachableUntil;
@@ -544,6 +706,12 @@
   TimePoint Now = TimePoint(std::chrono::seconds(1000));
   std::map<std::string, Target> Targets;
   std::deque<LeaderPtr> Leaders;
+  /// All leaders, also those that have ended.
+  std::map<std::string, LeaderPtr> Processes;
+  LeaderInfo RecordedLeader; ///< Term 0: none, or void.
+  EarlierLeaders RecordedEarlier;
+  TermHistory Terms{Times};
+  int Evidenced = 0;
   std::multimap<TimePoint, std::function<void()>> Events;
   RangeRecord Recorded;
   std::uint64_t LastTerm = 0;
