Tell in the log why no target was selected for a request

Cause: refusals with no-owner do not tell a key without an owner from an owner that is cold, down or pauses. Change: the field selection of the line request, with names of the reasons.

--- a/lib/Fleet/TargetTable.h
+++ b/lib/Fleet/TargetTable.h
@@ -4,6 +4,7 @@
 #include "Fleet/TargetAnnouncements.h"
 #include "Fleet/TargetLoad.h"
 #include "Fleet/TargetRecord.h"
+#include "buckthornring/Common/EnumNames.h"
 #include "buckthornring/Common/Random.h"
 
 #include <functional>
@@ -80,6 +81,9 @@
   Busy,   ///< Some targets are at their request limit; none can take one now.
 };
 
+inline constexpr EnumNames<NoTargetReason, 5>
+    NoTargetReasonNames({"none", "down", "paused", "cold", "busy"});
+
 /// What a call of TargetTable::announced() has changed.
 struct AnnouncementChange {
   bool Leaving = false; ///< The target has begun to leave.
--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -738,6 +738,7 @@
       .field("hedge", hedgeOutcome())
       .field("may_have_run", PossibleRuns)
       .field("waiting", Context.WaitingRequests.size())
+      .field("selection", NoTargetReasonNames.name(LastSelectionReason))
       .field("config", Config ? Config->Config.Generation : 0);
   if (const TargetPtr Target = Context.Targets.find(LastTarget))
     Line.field("target_queue", Target->Load.queue(Now))
