Keep the state of a service when an address has changed hands

At 21 s targets came back at addresses of ended ones, and the order for one of these was answered 421. The leader took this for a higher fencing token of a later leader, gave up what it knew of the service and waited 13 s for grants of earlier leaders before it moved keys of lost owners. Ruled out: the wait for the authority of the earlier leader (its end was known 14 ms after the claim), store writes (all done). Change: 421 is an outcome of its own, Misdirected. It had no effect, and the target counts as unresponsive at once. Only 409 makes the leader read the record anew. Result: OrderToAnAddressOfAnotherTargetIsNotRefused and KeysOfATargetWhoseAddressIsTakenMoveAtOnce; the outcome did not exist before, and the order was refused.

--- a/lib/Fleet/RangeAssigner.cpp
+++ b/lib/Fleet/RangeAssigner.cpp
@@ -570,14 +570,24 @@
       Outcome == RangeOrderOutcome::Refused)
     NoResponse.erase(Order.Target);
   else
-    NoResponse.try_emplace(Order.Target, NoResponsePeriod{Now, Now})
-        .first->second.LastAt = Now;
+    recordNoResponse(Order.Target, Outcome, Now);
   if (Order.Type == RangeOrder::Kind::Grant)
     onGrantEnded(Order, Outcome, Now);
   else
     onReleaseEnded(Order, Outcome, Handover, Now);
 }
 
+auto RangeAssigner::recordNoResponse(const TargetId &Target,
+                                     RangeOrderOutcome Outcome, TimePoint Now)
+    -> void {
+  NoResponsePeriod &Period =
+      NoResponse.try_emplace(Target, NoResponsePeriod{Now, Now}).first->second;
+  Period.LastAt = Now;
+  // A target whose address belongs to another one has ended.
+  if (Outcome == RangeOrderOutcome::Misdirected)
+    Period.FirstAt = std::min(Period.FirstAt, Now - 2 * NoResponseTimeout);
+}
+
 auto RangeAssigner::inRetryPause(const TargetId &Target, TimePoint Now) const
     -> bool {
   const auto Found = NoResponse.find(Target);
--- a/lib/Fleet/RangeAssigner.h
+++ b/lib/Fleet/RangeAssigner.h
@@ -87,15 +87,15 @@
 
 enum class RangeOrderOutcome {
   Accepted,
-  /// The target has seen a higher fencing token, or another target has the
-  /// address now.
-  Refused,
+  Refused,    ///< The target has seen a higher fencing token.
   Unanswered, ///< Sent without a usable answer; it may still take effect.
   NotSent,    ///< The target was not reached.
+  /// Another target has the address now, so the order had no effect.
+  Misdirected,
 };
 
-inline constexpr EnumNames<RangeOrderOutcome, 4>
-    RangeOrderOutcomeNames({"accepted", "refused", "unanswered", "not-sent"});
+inline constexpr EnumNames<RangeOrderOutcome, 5> RangeOrderOutcomeNames(
+    {"accepted", "refused", "unanswered", "not-sent", "misdirected"});
 
 /// Assigns the keys of one service to targets. Used by the current leader.
 ///
@@ -271,6 +271,8 @@
   /// Whether the pending record moves or splits the range or changes its
   /// fencing token.
   auto changedByProposal(const KeyRange &Range) const -> bool;
+  auto recordNoResponse(const TargetId &Target, RangeOrderOutcome Outcome,
+                        TimePoint Now) -> void;
   auto onGrantEnded(const RangeOrder &Order, RangeOrderOutcome Outcome,
                     TimePoint Now) -> void;
   auto onReleaseEnded(const RangeOrder &Order, RangeOrderOutcome Outcome,
--- a/lib/Gateway/OrderSender.cpp
+++ b/lib/Gateway/OrderSender.cpp
@@ -41,6 +41,18 @@
   return Order.Type == RangeOrder::Kind::Grant ? GrantTimeout : ReleaseTimeout;
 }
 
+/// Outcome of an order that was answered with another status than 200.
+auto refusalOutcome(unsigned Status) -> RangeOrderOutcome {
+  switch (Status) {
+  case 409:
+    return RangeOrderOutcome::Refused;
+  case 421:
+    return RangeOrderOutcome::Misdirected;
+  default:
+    return RangeOrderOutcome::Unanswered;
+  }
+}
+
 } // namespace
 
 struct OrderSender::PendingOrder {
@@ -197,12 +209,7 @@
         if (Response.Status == 200)
           return finish(Pending, RangeOrderOutcome::Accepted,
                         Protocol.Orders.ReadHandover(Response.Fields));
-        // 421: another target has the address now.
-        const bool Refused = Response.Status == 409 || Response.Status == 421;
-        finish(Pending,
-               Refused ? RangeOrderOutcome::Refused
-                       : RangeOrderOutcome::Unanswered,
-               "");
+        finish(Pending, refusalOutcome(Response.Status), "");
       });
 }
 
--- a/tests/unit/FaultyTargetTest.cpp
+++ b/tests/unit/FaultyTargetTest.cpp
@@ -215,6 +215,33 @@
                                             RangeOrderOutcome::Accepted}));
 }
 
+// Guards against a leader that gives up all its knowledge of a service because
+// another target has taken over the address of a lost owner: keys of owners
+// that it did not reach had no owner for 13 s.
+TEST(FaultyTargetTest, OrderToAnAddressOfAnotherTargetIsNotRefused) {
+  ScriptedTarget Target([](Socket &To, const std::string &) {
+    return ScriptedTarget::send(
+        To, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
+  });
+  boost::asio::io_context Io;
+  PlatformProtocol Protocol;
+  Protocol.Headers = platform::headerNames();
+  Protocol.Orders = {platform::encodeOrder, platform::readHandover};
+  OrderSender Sender(Io, Protocol);
+  TargetRecord Record;
+  Record.Id = TargetId("t1");
+  Record.Address = Target.address();
+  RangeOrder Order;
+  Order.Target = Record.Id;
+  std::optional<RangeOrderOutcome> Ended;
+  Sender.send(Record, Order,
+              [&Ended](RangeOrderOutcome Outcome, const std::string &) {
+                Ended = Outcome;
+              });
+  Io.run_for(200ms);
+  EXPECT_EQ(Ended, RangeOrderOutcome::Misdirected);
+}
+
 /// Sends a part of a response to one request, then ends the connection.
 auto exchangeWithCutResponse(const std::string &Part, bool Reset, bool HeadOnly)
     -> std::optional<ExchangeResult> {
--- a/tests/unit/RangeAssignerTest.cpp
+++ b/tests/unit/RangeAssignerTest.cpp
@@ -93,6 +93,24 @@
   }
 }
 
+// Guards against keys without an owner while the record of an ended target is
+// still listed: its address already belongs to another target.
+TEST(RangeAssignerTest, KeysOfATargetWhoseAddressIsTakenMoveAtOnce) {
+  LeaderDouble Leader(recordOf("t1", 1));
+  ASSERT_TRUE(Leader.grant("t1", Start));
+  const TimePoint Renewal = Start + milliseconds(1000);
+  const auto Order =
+      Leader.Assigner.nextGrant(TargetId("t1"), Renewal, Renewal);
+  ASSERT_TRUE(Order);
+  Leader.Assigner.onOrderEnded(*Order, RangeOrderOutcome::Misdirected, "",
+                               Renewal);
+  Leader.plan(viewOf({target("t1", 1), target("t2", 1)}), Renewal);
+  EXPECT_EQ(Leader.Assigner.record().Ranges.front().Owner.str(), "t2");
+  const TimePoint HoldEnd = Start + RangeTimes().maxHoldPeriod();
+  EXPECT_FALSE(Leader.grant("t2", HoldEnd));
+  EXPECT_TRUE(Leader.grant("t2", HoldEnd + milliseconds(1)));
+}
+
 // Guards against keys without an owner for good: the clock of the only target
 // went back between two lives, so its record is older than the ranges for ever.
 TEST(RangeAssignerTest, OlderRecordOfTheOnlyTargetGetsItsKeysInTheEnd) {
