Bound the grants of single targets by their last order

Cause: an earlier leader that lives sends orders until a later one asks it, so the wait for a grant begins then, also for owners that it has not reached since they were lost.

Change: AuthorityAnswer tells for up to 24 targets whose last order is more than a renewal older than the process's last one how long ago that was answered or reset. The wait for keys of such an owner counts from there.

--- a/lib/Fleet/AuthorityEvidence.cpp
+++ b/lib/Fleet/AuthorityEvidence.cpp
@@ -57,7 +57,7 @@
   MayBeMore = Earlier.MayBeMore;
   Inquiries.clear();
   for (const LeaderInfo &Each : Earlier.Leaders)
-    Inquiries.push_back({Each, std::nullopt});
+    Inquiries.push_back({Each, std::nullopt, {}});
   NextQueryAt = Now;
   // Evidence that comes later does not shorten the full wait.
   QueriesUntil = Now + Times.AuthorityPeriod;
@@ -94,22 +94,46 @@
     return false;
   // The delay of the answer makes the end appear later, which is safe. Both
   // clocks may be wrong.
-  const Duration Age = std::chrono::milliseconds(Answer.LastOrderAgeMs);
-  ended(Answer.Process, Now - std::chrono::duration_cast<Duration>(
-                                  Age * (1 - 2 * Times.ClockRateError)));
+  const auto Before = [&](std::uint32_t AgeMs) {
+    return Now - std::chrono::duration_cast<Duration>(
+                     std::chrono::milliseconds(AgeMs) *
+                     (1 - 2 * Times.ClockRateError));
+  };
+  ended(Answer.Process, Before(Answer.LastOrderAgeMs));
+  for (Inquiry &Each : Inquiries)
+    if (Each.Leader.Process == Answer.Process)
+      for (const auto &[Target, AgeMs] : Answer.OlderOrderAgesMs)
+        Each.OlderOrderEnds.try_emplace(Target, Before(AgeMs));
   return true;
 }
 
-auto AuthorityEvidence::lastOrderEnd() const -> std::optional<TimePoint> {
+auto AuthorityEvidence::Inquiry::lastOrderEnd(const TargetId &Target) const
+    -> TimePoint {
+  const auto Older = OlderOrderEnds.find(Target);
+  return Older == OlderOrderEnds.end() ? *LastOrderEnd
+                                       : std::min(Older->second, *LastOrderEnd);
+}
+
+auto AuthorityEvidence::lastOrderEnds() const
+    -> std::optional<EarlierOrderEnds> {
   if (MayBeMore)
     return std::nullopt;
-  TimePoint Latest = LongAgo;
+  EarlierOrderEnds Out;
   for (const Inquiry &Each : Inquiries) {
     if (!Each.LastOrderEnd)
       return std::nullopt;
-    Latest = std::max(Latest, *Each.LastOrderEnd);
+    Out.Latest = std::max(Out.Latest, *Each.LastOrderEnd);
   }
-  return Latest;
+  // An earlier leader that does not name the target may have sent it orders
+  // until its own end.
+  for (const Inquiry &Each : Inquiries)
+    for (const auto &[Target, End] : Each.OlderOrderEnds) {
+      TimePoint &Latest =
+          Out.ByTarget.try_emplace(Target, LongAgo).first->second;
+      for (const Inquiry &Other : Inquiries)
+        Latest = std::max(Latest, Other.lastOrderEnd(Target));
+    }
+  return Out;
 }
 
 } // namespace buckthornring
--- a/lib/Fleet/AuthorityEvidence.h
+++ b/lib/Fleet/AuthorityEvidence.h
@@ -60,14 +60,17 @@
   /// leadership, and says that it has ended.
   auto onAnswer(const AuthorityAnswer &Answer, TimePoint Now) -> bool;
 
-  /// Returns the time since which no earlier leader has sent an order, or
+  /// Returns the times since which no earlier leader has sent an order, or
   /// nothing while one of them may still send orders.
-  auto lastOrderEnd() const -> std::optional<TimePoint>;
+  auto lastOrderEnds() const -> std::optional<EarlierOrderEnds>;
 
 private:
   struct Inquiry {
     LeaderInfo Leader;
     std::optional<TimePoint> LastOrderEnd;
+    std::map<TargetId, TimePoint> OlderOrderEnds;
+
+    auto lastOrderEnd(const TargetId &Target) const -> TimePoint;
   };
 
   RangeTimes Times;
--- a/lib/Fleet/FleetMessage.cpp
+++ b/lib/Fleet/FleetMessage.cpp
@@ -242,13 +242,15 @@
           {"r", Answer.Term},
           {"p", Answer.Process},
           {"e", Answer.Ended},
-          {"a", Answer.LastOrderAgeMs}};
+          {"a", Answer.LastOrderAgeMs},
+          {"o", encodeMap(Answer.OlderOrderAgesMs)}};
 }
 
 auto decodeAuthorityAnswer(const Json &Value) -> AuthorityAnswer {
   return {integer<std::uint64_t>(Value.at("r")),
           Value.at("p").get<std::string>(), Value.at("e").get<bool>(),
-          integer<std::uint32_t>(Value.at("a"))};
+          integer<std::uint32_t>(Value.at("a")),
+          decodeMap<TargetId, std::uint32_t>(Value.at("o"))};
 }
 
 auto decodeLoads(const Json &Value) -> LoadNotice {
--- a/lib/Fleet/FleetMessage.h
+++ b/lib/Fleet/FleetMessage.h
@@ -144,6 +144,9 @@
   bool Ended = false;
   /// Time since its last order was answered or reset, or since it has ended.
   std::uint32_t LastOrderAgeMs = 0;
+  /// The same for single targets whose last order is older. Those that are lost
+  /// together with the sender's contact to the store are among them.
+  std::map<TargetId, std::uint32_t> OlderOrderAgesMs;
 };
 
 using FleetMessage =
@@ -156,6 +159,10 @@
 constexpr std::size_t MaxSuspectsInMessage = 10;
 constexpr std::size_t MaxCrashesInMessage = 4;
 
+/// Maximum number of AuthorityAnswer::OlderOrderAgesMs: 24 names of 20 bytes
+/// take 0.6 kB, so an answer fits into one packet.
+constexpr std::size_t MaxOlderOrderAges = 24;
+
 /// Returns a digest of the suspects and the targets that they crashed, without
 /// the times, which differ by the delay of messages; 0: there are none.
 auto digestOf(const SuspectNotice &Notice) -> std::uint64_t;
--- a/lib/Fleet/RangeAssigner.cpp
+++ b/lib/Fleet/RangeAssigner.cpp
@@ -102,25 +102,29 @@
   EarlierLeadersKnown = !WaitingForEarlierOwners;
 }
 
-auto RangeAssigner::earlierLeadersEnded(TimePoint LastOrderEnd, TimePoint Now)
-    -> void {
+auto RangeAssigner::earlierLeadersEnded(const EarlierOrderEnds &Ends,
+                                        TimePoint Now) -> void {
   const TimePoint Previous = EarlierOwnersUntil;
-  const TimePoint Latest = LastOrderEnd + Times.maxHoldPeriod();
+  const TimePoint Latest = Ends.Latest + Times.maxHoldPeriod();
   // Before that, no own grant ends as late as Previous, so a time that is equal
   // to it comes from the takeover.
   if (!EarlierLeadersKnown || Latest >= Previous ||
       Now + Times.maxHoldPeriod() >= Previous)
     return;
   EarlierOwnersUntil = Latest;
-  const auto Shorten = [&](TimePoint &End, TimePoint OwnEnd) {
-    if (End == Previous)
-      End = std::max(Latest, OwnEnd);
-  };
-  for (State &Each : States) {
-    Shorten(Each.HoldEnd, Each.OwnHoldEnd);
-    Shorten(Each.UnansweredHoldEnd, Each.OwnHoldEnd);
-    Shorten(Each.PreviousHoldEnd, Each.OwnPreviousHoldEnd);
-    Shorten(Each.PreviousUnansweredHoldEnd, Each.OwnPreviousHoldEnd);
+  for (std::size_t Index = 0; Index < States.size(); ++Index) {
+    const KeyRange &Range = Current.Ranges[Index];
+    State &Each = States[Index];
+    const auto Shorten = [&](TimePoint &End, const TargetId &Target,
+                             TimePoint OwnEnd) {
+      if (End == Previous)
+        End = std::max(Ends.of(Target) + Times.maxHoldPeriod(), OwnEnd);
+    };
+    Shorten(Each.HoldEnd, Range.Owner, Each.OwnHoldEnd);
+    Shorten(Each.UnansweredHoldEnd, Range.Owner, Each.OwnHoldEnd);
+    Shorten(Each.PreviousHoldEnd, Range.PreviousOwner, Each.OwnPreviousHoldEnd);
+    Shorten(Each.PreviousUnansweredHoldEnd, Range.PreviousOwner,
+            Each.OwnPreviousHoldEnd);
   }
 }
 
--- a/lib/Fleet/RangeAssigner.h
+++ b/lib/Fleet/RangeAssigner.h
@@ -6,6 +6,7 @@
 #include "buckthornring/Common/EnumNames.h"
 #include "buckthornring/Common/Time.h"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -97,6 +98,19 @@
 inline constexpr EnumNames<RangeOrderOutcome, 4>
     RangeOrderOutcomeNames({"accepted", "refused", "unanswered", "not-sent"});
 
+/// When the last orders of earlier leaders had been answered, or their
+/// connections reset.
+struct EarlierOrderEnds {
+  TimePoint Latest = LongAgo;
+  /// For targets that got no order after an earlier time.
+  std::map<TargetId, TimePoint> ByTarget;
+
+  auto of(const TargetId &Target) const -> TimePoint {
+    const auto Found = ByTarget.find(Target);
+    return Found == ByTarget.end() ? Latest : Found->second;
+  }
+};
+
 /// Assigns the keys of one service to targets. Used by the current leader.
 ///
 /// Each change of owners is written to the store, conditional on the revision,
@@ -117,11 +131,11 @@
   auto takeOver(RangeRecord Recorded, std::uint64_t Revision, TimePoint Now)
       -> void;
 
-  /// No earlier leader has sent an order since \p LastOrderEnd, and none ever
-  /// will: after takeOver(), only the grants that they may have sent until then
+  /// No earlier leader has sent an order since \p Ends, and none ever will:
+  /// after takeOver(), only the grants that they may have sent until then
   /// are waited for. Has no effect on a record that may lack owners, or after
   /// restored(), since leaders may be unknown then.
-  auto earlierLeadersEnded(TimePoint LastOrderEnd, TimePoint Now) -> void;
+  auto earlierLeadersEnded(const EarlierOrderEnds &Ends, TimePoint Now) -> void;
 
   /// Goes on leading after the store was restored, or after a late write of an
   /// earlier era has replaced the record: the known state is written again.
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -140,8 +140,28 @@
   constexpr Duration LongestAge = std::chrono::hours(24);
   const Duration Age = std::min(bootNow() - EndedAt, LongestAge);
   const bool Ended = Query.Process != OwnProcess || !leading();
-  return {Query.Leader.Term, Query.Process, Ended,
-          static_cast<std::uint32_t>(Age / std::chrono::milliseconds(1))};
+  AuthorityAnswer Answer;
+  Answer.Term = Query.Leader.Term;
+  Answer.Process = Query.Process;
+  Answer.Ended = Ended;
+  Answer.LastOrderAgeMs =
+      static_cast<std::uint32_t>(Age / std::chrono::milliseconds(1));
+  if (Query.Process == OwnProcess)
+    addOlderOrders(Answer);
+  return Answer;
+}
+
+auto Leader::addOlderOrders(AuthorityAnswer &Answer) const -> void {
+  for (const auto &[Target, EndedAt] : Orders.lastOrderEnds()) {
+    const auto AgeMs = static_cast<std::uint32_t>((bootNow() - EndedAt) /
+                                                  std::chrono::milliseconds(1));
+    const Duration Older =
+        std::chrono::milliseconds(AgeMs - Answer.LastOrderAgeMs);
+    // The orders of other owners have ended within the last interval.
+    if (AgeMs > Answer.LastOrderAgeMs && Older > Times.RenewInterval &&
+        Answer.OlderOrderAgesMs.size() < MaxOlderOrderAges)
+      Answer.OlderOrderAgesMs[Target] = AgeMs;
+  }
 }
 
 auto Leader::askEarlierLeaders(TimePoint Now) -> void {
@@ -151,7 +171,7 @@
 
 auto Leader::onAuthorityAnswer(const AuthorityAnswer &Answer) -> void {
   const TimePoint Now = bootNow();
-  const bool WasKnown = Evidence.lastOrderEnd().has_value();
+  const bool WasKnown = Evidence.lastOrderEnds().has_value();
   if (!leading() || !Evidence.onAnswer(Answer, Now))
     return;
   Context.Events.write(
@@ -159,7 +179,7 @@
           .field("process", Answer.Process)
           .field("term", Answer.Term)
           .field("last_order_age_ms", Answer.LastOrderAgeMs)
-          .field("all_ended", Evidence.lastOrderEnd().has_value()));
+          .field("all_ended", Evidence.lastOrderEnds().has_value()));
   if (WasKnown)
     return;
   for (auto &[Id, State] : Services)
@@ -168,16 +188,15 @@
 
 auto Leader::applyEvidence(const ServiceId &Id, ServiceState &State,
                            TimePoint Now) -> void {
-  const auto LastOrderEnd = Evidence.lastOrderEnd();
-  if (!LastOrderEnd || !State.FirstTakeover)
+  const auto Ends = Evidence.lastOrderEnds();
+  if (!Ends || !State.FirstTakeover)
     return;
-  State.Keeper.earlierLeadersEnded(*LastOrderEnd, Now);
+  State.Keeper.earlierLeadersEnded(*Ends, Now);
   Context.Events.write(
       EventLine("earlier-grants-bounded")
           .field("service", Id.str())
-          .field("left_ms",
-                 std::max(*LastOrderEnd + Times.maxHoldPeriod() - Now,
-                          Duration(0))));
+          .field("left_ms", std::max(Ends->Latest + Times.maxHoldPeriod() - Now,
+                                     Duration(0))));
 }
 
 auto Leader::resign() -> void {
--- a/lib/Gateway/Leader.h
+++ b/lib/Gateway/Leader.h
@@ -164,6 +164,9 @@
   auto recordFleetSize(TimePoint Now) -> void;
   /// Whether the store has the era in which this instance became the leader.
   auto inOwnEra() const -> bool;
+  /// Adds the targets to which this process sent no order shortly before its
+  /// end.
+  auto addOlderOrders(AuthorityAnswer &Answer) const -> void;
   /// Asks the earlier leaders that have not told yet that they have ended.
   auto askEarlierLeaders(TimePoint Now) -> void;
   /// Passes the evidence on earlier leaders to a service that was taken over.
--- a/lib/Gateway/OrderSender.cpp
+++ b/lib/Gateway/OrderSender.cpp
@@ -30,6 +30,10 @@
 /// heartbeat interval, the store's response time and the delay of the watch.
 constexpr Duration RestartDetectionPeriod = std::chrono::milliseconds(1100);
 
+/// Time for which the end of the last order to a target is kept: longer than a
+/// grant and the time until a lost leader is replaced.
+constexpr Duration OrderEndLifetime = std::chrono::seconds(20);
+
 /// Memory for the bodies of all responses to orders, which are short.
 constexpr std::size_t MaxReplyBytes = 1024UL * 1024;
 
@@ -69,6 +73,7 @@
     Pending->Timer.cancel();
     if (Pending->Connection)
       Pending->Connection->close();
+    recordEnd(*Pending);
   }
   for (auto &[Incarnation, Connections] : IdleConnections)
     for (const ConnectionPtr &Connection : Connections)
@@ -158,6 +163,16 @@
     Connection->close();
 }
 
+auto OrderSender::recordEnd(const PendingOrder &Pending) -> void {
+  if (!Pending.Sent)
+    return;
+  const TimePoint Now = bootNow();
+  LastOrderEnds[Pending.Target.Id] = Now;
+  std::erase_if(LastOrderEnds, [Now](const auto &Entry) {
+    return Now - Entry.second > OrderEndLifetime;
+  });
+}
+
 auto OrderSender::onConnectionEnded(const TargetRecord &Target) -> void {
   ConnectionEndedAt[incarnationKey(Target)] = bootNow();
   std::erase_if(ConnectionEndedAt, [](const auto &Entry) {
@@ -214,6 +229,7 @@
   if (!Pending->OnDone)
     return;
   PendingOrders.erase(Pending);
+  recordEnd(*Pending);
   Pending->Timer.cancel();
   if (!Pending->Connection) {
     // The order was not sent because the target may have restarted.
--- a/lib/Gateway/OrderSender.h
+++ b/lib/Gateway/OrderSender.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <unordered_map>
@@ -52,6 +53,12 @@
   /// RangeTimes::TransitLimit, and closes the idle ones. Orders that are still
   /// connecting are not sent. Handlers of earlier orders are not called.
   auto clear() -> void;
+  /// When the last order of this process to each target was answered, or its
+  /// connection closed. Targets without orders for OrderEndLifetime are left
+  /// out.
+  auto lastOrderEnds() const -> const std::map<TargetId, TimePoint> & {
+    return LastOrderEnds;
+  }
 
 private:
   struct PendingOrder;
@@ -66,6 +73,7 @@
   /// record to show a restart.
   auto mayHaveRestarted(const TargetRecord &Target) const -> bool;
   auto closeIdle(const TargetRecord &Target) -> void;
+  auto recordEnd(const PendingOrder &Pending) -> void;
   auto onConnectionEnded(const TargetRecord &Target) -> void;
   auto encodeRequest(const PendingOrder &Pending) const -> std::string;
   auto finish(const std::shared_ptr<PendingOrder> &Pending,
@@ -77,6 +85,7 @@
   std::shared_ptr<BodyBudget> Budget;
   /// Orders that have not ended.
   std::set<std::shared_ptr<PendingOrder>> PendingOrders;
+  std::map<TargetId, TimePoint> LastOrderEnds;
   /// Idle connections by incarnationKey().
   std::unordered_map<std::string, std::vector<ConnectionPtr>> IdleConnections;
   /// When a connection to the incarnation was last found lost or broken, by
--- a/tests/property/RangeAssignerPropertyTest.cpp
+++ b/tests/property/RangeAssignerPropertyTest.cpp
@@ -152,7 +152,7 @@
 TEST(RangeAssignerPropertyTest, SchedulesNoticeWrongEvidence) {
   for (const EvidenceFault Fault :
        {EvidenceFault::AnswersBeforeStopping, EvidenceFault::TransitNotCounted,
-        EvidenceFault::OnlyLastLeader}) {
+        EvidenceFault::OnlyLastLeader, EvidenceFault::UnansweredForgotten}) {
     int Noticed = 0;
     for (std::uint64_t Seed = 1; Seed <= 200 && Noticed == 0; ++Seed) {
       RangeFaults Faults = evidenceFaults();
--- a/tests/support/RangeSimulation.h
+++ b/tests/support/RangeSimulation.h
@@ -24,6 +24,7 @@
   AnswersBeforeStopping, ///< An earlier leader stops after its answer only.
   TransitNotCounted,     ///< Orders of an ended process arrive later.
   OnlyLastLeader,        ///< Leaders before the last one are not asked.
+  UnansweredForgotten,   ///< Ages for targets leave out unanswered orders.
 };
 
 /// Probabilities of the faults in one schedule.
@@ -157,6 +158,9 @@
     /// Orders on their way arrive until TransitLimit after that.
     TimePoint EndedAt = TimePoint::max();
     TimePoint RestartedAt = TimePoint::max();
+    /// When the last orders ended, and the targets of those that have not.
+    std::map<TargetId, TimePoint> OrderEnds;
+    std::multiset<TargetId> InFlight;
     bool Stopped = false;
     bool Superseded = false; ///< Replaced by a new leader, without knowing it.
     TimePoint SupersededAt = LongAgo;
@@ -240,6 +244,9 @@
   auto endLeadership(LeaderProcess &Process) -> void {
     Process.Stopped = true;
     Process.EndedAt = std::min(Process.EndedAt, Now);
+    for (const TargetId &Each : std::exchange(Process.InFlight, {}))
+      if (Faults.Evidence != EvidenceFault::UnansweredForgotten)
+        Process.OrderEnds[Each] = Now;
   }
 
   /// Messages may be lost, late and out of order.
@@ -272,7 +279,7 @@
     if (Killed && Now < Process->RestartedAt)
       return std::nullopt;
     if (!Killed && Process->Term >= Term)
-      return AuthorityAnswer{Term, Name, false, 0};
+      return AuthorityAnswer{Term, Name, false, 0, {}};
     Duration Age{0};
     if (Killed)
       Age = Now - Process->RestartedAt;
@@ -283,23 +290,29 @@
                [this, Process] { endLeadership(*Process); });
     if (!Killed && Process->EndedAt < Now)
       Age = Now - Process->EndedAt;
-    return AuthorityAnswer{
-        Term, Name, true,
-        static_cast<std::uint32_t>(Age * Process->ClockRate /
-                                   std::chrono::milliseconds(1))};
+    const auto AgeMs = [&](Duration Exact) {
+      return static_cast<std::uint32_t>(Exact * Process->ClockRate /
+                                        std::chrono::milliseconds(1));
+    };
+    AuthorityAnswer Answer{Term, Name, true, AgeMs(Age), {}};
+    if (!Killed)
+      for (const auto &[Target, End] : Process->OrderEnds)
+        if (Now - End > Age + Times.RenewInterval)
+          Answer.OlderOrderAgesMs[Target] = AgeMs(Now - End);
+    return Answer;
   }
   auto receive(LeaderProcess &Leader, const AuthorityAnswer &Answer) -> void {
     if (Leader.Evidence.onAnswer(Answer, Now))
       applyEvidence(Leader);
   }
   auto applyEvidence(LeaderProcess &Leader) -> void {
-    auto LastOrderEnd = Leader.Evidence.lastOrderEnd();
-    if (!LastOrderEnd || !Leader.FirstTakeover)
+    auto Ends = Leader.Evidence.lastOrderEnds();
+    if (!Ends || !Leader.FirstTakeover)
       return;
     if (Faults.Evidence == EvidenceFault::TransitNotCounted)
-      *LastOrderEnd -= Times.TransitLimit;
+      Ends->Latest -= Times.TransitLimit;
     ++Evidenced;
-    Leader.Assigner.earlierLeadersEnded(*LastOrderEnd, Now);
+    Leader.Assigner.earlierLeadersEnded(*Ends, Now);
   }
 
   /// Loses some of the last writes. Then the leader claims again in the new
@@ -529,10 +542,13 @@
   auto order(LeaderProcess &Leader, const RangeOrder &Order) -> void {
     const auto WeakLeader = weakReference(Leader);
     const auto Generation = Leader.Generation;
-    const auto Finish = [this, WeakLeader, Order,
+    const LeaderPtr Sender = WeakLeader.lock();
+    const auto Finish = [this, WeakLeader, Sender, Order,
                          Generation](Duration Delay, RangeOrderOutcome Outcome,
                                      const std::string &Handover) {
-      schedule(Delay, [this, WeakLeader, Order, Generation, Outcome, Handover] {
+      schedule(Delay, [this, WeakLeader, Sender, Order, Generation, Outcome,
+                       Handover] {
+        recordEnd(*Sender, Order.Target, Outcome);
         const auto Leader = WeakLeader.lock();
         if (!Leader || Leader->Generation != Generation)
           return;
@@ -543,7 +559,6 @@
           onRefused(*Leader);
       });
     };
-    const LeaderPtr Sender = WeakLeader.lock();
     Leader.OrdersSent = true;
     const Target &Receiver = Targets.at(Order.Target.str());
     if (Receiver.listedAt(Leader.recordsOf(Now)) != Order.StartedAt ||
@@ -551,6 +566,7 @@
         (Leader.Superseded && !Faults.EarlierLeadersReachRestarted &&
          Receiver.Incarnation != Order.StartedAt))
       return Finish(Timeout, RangeOrderOutcome::NotSent, "");
+    Sender->InFlight.insert(Order.Target);
     if (Random.chance(Faults.LostOrder))
       return Finish(Timeout, RangeOrderOutcome::Unanswered, "");
     if (Faults.SlowOrder > 0 && Random.chance(Faults.SlowOrder)) {
@@ -583,6 +599,17 @@
     });
   }
 
+  auto recordEnd(LeaderProcess &Sender, const TargetId &Target,
+                 RangeOrderOutcome Outcome) const -> void {
+    const auto Found = Sender.InFlight.find(Target);
+    if (Outcome == RangeOrderOutcome::NotSent || Found == Sender.InFlight.end())
+      return;
+    Sender.InFlight.erase(Found);
+    if (Outcome != RangeOrderOutcome::Unanswered ||
+        Faults.Evidence != EvidenceFault::UnansweredForgotten)
+      Sender.OrderEnds[Target] = Now;
+  }
+
   /// Whether an order that the process has sent may still arrive now.
   auto arrives(const LeaderProcess &Sender) const -> bool {
     return Sender.EndedAt == TimePoint::max() ||
--- a/tests/unit/AuthorityEvidenceTest.cpp
+++ b/tests/unit/AuthorityEvidenceTest.cpp
@@ -21,12 +21,19 @@
   Evidence.begin({{leader("b", 20), leader("a", 10)}, false}, 30, Start);
   EXPECT_EQ(Evidence.dueQueries(Start).size(), 2U);
   EXPECT_TRUE(Evidence.dueQueries(Start + milliseconds(10)).empty());
-  EXPECT_TRUE(Evidence.onAnswer({30, "b", true, 1000}, Start));
-  EXPECT_FALSE(Evidence.lastOrderEnd());
+  EXPECT_TRUE(Evidence.onAnswer(
+      {30, "b", true, 1000, {{TargetId("x"), 2000}, {TargetId("y"), 3000}}},
+      Start));
+  EXPECT_FALSE(Evidence.lastOrderEnds());
   EXPECT_EQ(Evidence.dueQueries(Start + milliseconds(200)).size(), 1U);
-  EXPECT_TRUE(Evidence.onAnswer({30, "a", true, 100}, Start));
+  EXPECT_TRUE(
+      Evidence.onAnswer({30, "a", true, 100, {{TargetId("x"), 1500}}}, Start));
   // The ages are shortened by the errors of both clocks.
-  EXPECT_EQ(Evidence.lastOrderEnd(), Start - milliseconds(96));
+  const auto Ends = Evidence.lastOrderEnds();
+  ASSERT_TRUE(Ends);
+  EXPECT_EQ(Ends->Latest, Start - milliseconds(96));
+  EXPECT_EQ(Ends->of(TargetId("x")), Start - milliseconds(1440));
+  EXPECT_EQ(Ends->of(TargetId("y")), Ends->Latest) << "a may have sent it one";
 }
 
 // Guards against evidence from answers to other leaderships, about other
@@ -34,13 +41,13 @@
 TEST(AuthorityEvidenceTest, OtherAnswersAreNoEvidence) {
   AuthorityEvidence Evidence{RangeTimes()};
   Evidence.begin({{leader("a", 10)}, false}, 30, Start);
-  EXPECT_FALSE(Evidence.onAnswer({29, "a", true, 0}, Start));
-  EXPECT_FALSE(Evidence.onAnswer({30, "c", true, 0}, Start));
-  EXPECT_FALSE(Evidence.onAnswer({30, "a", false, 0}, Start));
-  EXPECT_FALSE(Evidence.lastOrderEnd());
+  EXPECT_FALSE(Evidence.onAnswer({29, "a", true, 0, {}}, Start));
+  EXPECT_FALSE(Evidence.onAnswer({30, "c", true, 0, {}}, Start));
+  EXPECT_FALSE(Evidence.onAnswer({30, "a", false, 0, {}}, Start));
+  EXPECT_FALSE(Evidence.lastOrderEnds());
   Evidence.begin({{leader("a", 10)}, true}, 31, Start);
-  EXPECT_TRUE(Evidence.onAnswer({31, "a", true, 0}, Start));
-  EXPECT_FALSE(Evidence.lastOrderEnd()) << "there may be unknown leaders";
+  EXPECT_TRUE(Evidence.onAnswer({31, "a", true, 0, {}}, Start));
+  EXPECT_FALSE(Evidence.lastOrderEnds()) << "there may be unknown leaders";
 }
 
 // Guards against leaving out a leader whose authority may still last.
--- a/tests/unit/AuthorityMessagesTest.cpp
+++ b/tests/unit/AuthorityMessagesTest.cpp
@@ -39,7 +39,7 @@
   EXPECT_EQ(ownLeaderObject(Instance)["earlier"][0][1], Earlier.address());
   EXPECT_TRUE(ownLeaderObject(Instance)["earlier_complete"]);
   Earlier.send(Address,
-               AuthorityAnswer{Query.Leader.Term, Query.Process, true, 0});
+               AuthorityAnswer{Query.Leader.Term, Query.Process, true, 0, {}});
   std::this_thread::sleep_for(std::chrono::milliseconds(300));
   const auto Asked = Earlier.received<AuthorityQuery>().size();
   std::this_thread::sleep_for(std::chrono::milliseconds(500));
--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -71,14 +71,15 @@
   const LeaderInfo Leader{InstanceId("i2"), "i2-7", "10.0.0.1:7000", 42};
   const auto Query =
       decodeFleetMessage(encodeFleetMessage(AuthorityQuery{Leader, "i1-5"}));
-  const auto Answer = decodeFleetMessage(
-      encodeFleetMessage(AuthorityAnswer{42, "i1-5", true, 1200}));
+  const auto Answer = decodeFleetMessage(encodeFleetMessage(
+      AuthorityAnswer{42, "i1-5", true, 1200, {{TargetId("t"), 1300}}}));
   ASSERT_TRUE(Query && Answer);
   EXPECT_EQ(std::get<AuthorityQuery>(*Query).Leader.Term, 42U);
   EXPECT_EQ(std::get<AuthorityQuery>(*Query).Process, "i1-5");
   const auto &Copy = std::get<AuthorityAnswer>(*Answer);
   EXPECT_TRUE(Copy.Term == 42 && Copy.Process == "i1-5" && Copy.Ended &&
               Copy.LastOrderAgeMs == 1200);
+  EXPECT_EQ(Copy.OlderOrderAgesMs.at(TargetId("t")), 1300U);
 }
 
 auto fullNotice() -> SuspectNotice {
