State the times and the safety of ownership recovery

Cause: the times from each kind of loss to the first served request were not written down, and nothing tested them.

--- a/tests/property/RangeAssignerPropertyTest.cpp
+++ b/tests/property/RangeAssignerPropertyTest.cpp
@@ -111,6 +111,53 @@
       });
 }
 
+// Guards against waits that are longer than the grants that may be in force:
+// the bounds are those of docs/design/ownership-recovery.md.
+TEST(RangeAssignerPropertyTest, KeysOfALostOwnerAreServedAgainInTime) {
+  using End = RangeSimulation::LeaderEnd;
+  using std::chrono::milliseconds;
+  struct Case {
+    const char *Name;
+    std::optional<End> Leader;
+    milliseconds Claim;
+    milliseconds Restart;
+    milliseconds Limit;
+  };
+  for (const Case &Each :
+       {Case{"target", std::nullopt, {}, {}, milliseconds(4000)},
+        Case{"leader_lives",
+             End::Lives,
+             milliseconds(1700),
+             {},
+             milliseconds(4000)},
+        Case{"leader_restarts", End::Restarts, milliseconds(1700),
+             milliseconds(500), milliseconds(4000)},
+        Case{"leader_restarts_late", End::Restarts, milliseconds(1700),
+             milliseconds(2000), milliseconds(5500)},
+        Case{"leader_silent",
+             End::Silent,
+             milliseconds(1700),
+             {},
+             milliseconds(15'500)}}) {
+    std::vector<Duration> Times;
+    for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+      RangeFaults Faults{0, 0, 0, 0, 0, 0, 0, 0};
+      Faults.EarlierAsked = 1;
+      RangeSimulation Simulation(Seed, Faults);
+      ASSERT_FALSE(Simulation.run(2000));
+      Simulation.loseOwner();
+      if (Each.Leader)
+        Simulation.loseLeader(*Each.Leader, Each.Claim, Each.Restart);
+      Times.push_back(Simulation.timeToServed());
+    }
+    std::sort(Times.begin(), Times.end());
+    RecordProperty(Each.Name, std::to_string(Times[10].count() / 1000) +
+                                  " to " +
+                                  std::to_string(Times.back().count() / 1000));
+    EXPECT_LE(Times.back(), Each.Limit) << Each.Name;
+  }
+}
+
 /// Leaders change often, part of the targets is reached by the earlier leaders
 /// only, and new leaders ask the earlier ones.
 auto evidenceFaults() -> RangeFaults {
--- a/tests/support/RangeSimulation.h
+++ b/tests/support/RangeSimulation.h
@@ -107,6 +107,38 @@
     }
   }
 
+  /// What becomes of the process of a leader that is replaced.
+  enum class LeaderEnd {
+    Lives,    ///< It has lost the store only, and sends orders until asked.
+    Restarts, ///< It ends now, and another one answers at its address later.
+    Silent,   ///< It ends now, and nobody answers.
+  };
+  /// A target ends and does not come back. Its record is removed later.
+  auto loseOwner() -> void {
+    Target &Lost = Targets.begin()->second;
+    Lost.UnreachableUntil = TimePoint::max();
+    Lost.HeldUntil.clear();
+    schedule(RecordLifetime,
+             [this, &Lost] { Lost.Listings[Now] = std::nullopt; });
+  }
+  /// Another instance claims the leadership after \p Claim.
+  auto loseLeader(LeaderEnd End, Duration Claim, Duration Restart) -> void {
+    LeaderProcess &Last = *Leaders.back();
+    Last.Answers = End != LeaderEnd::Silent;
+    if (End == LeaderEnd::Restarts)
+      Last.RestartedAt = Now + Restart;
+    if (End != LeaderEnd::Lives)
+      endLeadership(Last);
+    schedule(Claim, [this] { changeLeader(); });
+  }
+  /// Returns the time until all keys have a holder.
+  auto timeToServed() -> Duration {
+    const TimePoint Start = Now;
+    while (servedNow() < 1 && Now - Start < std::chrono::seconds(60))
+      run(1);
+    return Now - Start;
+  }
+
   /// Average share of the keys that have a holder, over all steps.
   auto servedShare() const -> double {
     return Steps == 0 ? 0 : Served / static_cast<double>(Steps);
