Price moves that only balance the load

Cause: a move between targets with room costs its keys a pause and the leader orders, and earns nothing; nothing compared the two, and no log line told it.

Change: MovePrice compares the waiting that a move saves with what it causes; moves that cost more are skipped. A line keys-balanced tells moves, skipped moves, gain, cost, joins and busy keys of a plan. A home of a busy key takes other keys only if no other target takes any.

--- a/lib/Fleet/RangeAssigner.cpp
+++ b/lib/Fleet/RangeAssigner.cpp
@@ -348,6 +348,7 @@
 auto RangeAssigner::plan(View NewView, const KeyLoad &Load, TimePoint Now)
     -> void {
   CurrentView = std::move(NewView);
+  Figures = MoveFigures();
   if (Proposed || (WaitingForEarlierOwners && Now <= EarlierOwnersUntil))
     return;
   if (std::exchange(WaitingForEarlierOwners, false)) {
@@ -383,7 +384,7 @@
   };
   auto Next = RangePlanner::plan(
       {Base, CurrentView.Targets, Load, Keys, CurrentView.ProcessingSeconds,
-       MovableInCurrent, MayBalance, Now - ChangedAt > SettlePeriod});
+       MovableInCurrent, MayBalance, Now - ChangedAt > SettlePeriod, &Figures});
   if (Next)
     Proposed = std::move(Next);
   else if (Base.Ranges != Current.Ranges && Now - ChangedAt > SettlePeriod)
--- a/lib/Fleet/RangeAssigner.h
+++ b/lib/Fleet/RangeAssigner.h
@@ -207,6 +207,8 @@
   }
 
   auto record() const -> const RangeRecord & { return Current; }
+  /// Of the last plan.
+  auto figures() const -> const MoveFigures & { return Figures; }
 
 private:
   /// State of one recorded range, as known to this leader.
@@ -313,6 +315,7 @@
   TimePoint RenewUntil = LongAgo;
   TimePoint ChangedAt = LongAgo;
   View CurrentView;
+  MoveFigures Figures;
   struct NoResponsePeriod {
     TimePoint FirstAt;
     TimePoint LastAt;
--- a/lib/Fleet/RangePlanner.cpp
+++ b/lib/Fleet/RangePlanner.cpp
@@ -5,9 +5,9 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <map>
 #include <set>
+#include <utility>
 
 namespace buckthornring {
 
@@ -61,11 +61,15 @@
         Loads[Owner->Id] += estimatedRate(Range.From, Range.To);
     for (const BusyKey &Each : BusyKeys)
       Reserved.insert(Each.Home);
+    Figures.BusyKeys = BusyKeys.size();
   }
 
   /// Gives each busy key its home, and moves the other busy keys of the home
   /// away.
   auto isolateBusyKeys() -> void {
+    const PlanTarget *To = leastLoaded();
+    if (!To || Reserved.contains(To->Id))
+      return;
     for (const BusyKey &Each : BusyKeys) {
       std::vector<KeyRange> Moved;
       bool Arrives = false;
@@ -137,7 +141,6 @@
       const PlanTarget *From = mostLoaded();
       const PlanTarget *To = leastLoaded();
       if (!From || !To || From == To ||
-          rangesOf(From->Id) >= MaxRangesPerTarget ||
           rangesOf(To->Id) >= MaxRangesPerTarget ||
           utilisation(*From) < MinMoveUtilisation ||
           utilisation(*From) - utilisation(*To) < MinImbalance)
@@ -146,7 +149,8 @@
       // move, and the remaining load can go to other targets in the same plan.
       const double SpareLoad = Mean * To->Capacity - Loads[To->Id];
       // A target that can give nothing does not stop the others.
-      if (!moveLoad(*From, *To, SpareLoad))
+      if (rangesOf(From->Id) >= MaxRangesPerTarget ||
+          !moveLoad(*From, *To, SpareLoad))
         Passed.insert(From->Id);
     }
   }
@@ -171,12 +175,14 @@
       Previous->To = Range.To;
       Previous->Fence = Record.NextFence++;
       --JoinsLeft;
+      ++Figures.Joins;
       Changed = true;
     }
     Record.Ranges = std::move(Next);
   }
 
   auto changed() const -> bool { return Changed; }
+  auto figures() const -> const MoveFigures & { return Figures; }
   auto record() && -> RangeRecord { return std::move(Record); }
 
 private:
@@ -264,11 +270,14 @@
                        [](const PlanTarget &T) { return T.TakesNewKeys; });
   }
 
+  /// Returns the home of a busy key only if no other target takes new keys.
   auto leastLoaded() const -> const PlanTarget * {
     const PlanTarget *Selected = nullptr;
+    const auto Rank = [this](const PlanTarget &Target) {
+      return std::pair(Reserved.contains(Target.Id), relativeLoad(Target));
+    };
     for (const PlanTarget &Target : Inputs.Targets)
-      if (Target.TakesNewKeys && !Reserved.contains(Target.Id) &&
-          (!Selected || relativeLoad(Target) < relativeLoad(*Selected)))
+      if (Target.TakesNewKeys && (!Selected || Rank(Target) < Rank(*Selected)))
         Selected = &Target;
     return Selected;
   }
@@ -368,14 +377,31 @@
     Changed = true;
   }
 
-  /// Moves enough load to balance both targets by capacity, at most \p MaxLoad.
-  /// Returns false when nothing can be moved.
-  auto moveLoad(const PlanTarget &From, const PlanTarget &To,
-                double MaxLoad = std::numeric_limits<double>::infinity())
+  /// Whether the move earns more than it costs.
+  auto earns(const PlanTarget &From, const PlanTarget &To, double Moved)
       -> bool {
+    const MovePrice Price(Inputs.ProcessingSeconds);
+    const double Gain = Price.gain({Loads[From.Id], From.Capacity},
+                                   {Loads[To.Id], To.Capacity}, Moved);
+    const double Cost = Price.cost(Moved);
+    if (Gain <= Cost) {
+      ++Figures.Skipped;
+      return false;
+    }
+    ++Figures.Moves;
+    Figures.GainSeconds += Gain;
+    Figures.CostSeconds += Cost;
+    return true;
+  }
+
+  /// Moves enough load to balance both targets by capacity, at most \p MaxLoad,
+  /// if one is given, and if the move earns more than it costs. Returns false
+  /// when nothing is moved.
+  auto moveLoad(const PlanTarget &From, const PlanTarget &To,
+                std::optional<double> MaxLoad = std::nullopt) -> bool {
     const double Share = To.Capacity / (From.Capacity + To.Capacity);
-    const double Wanted =
-        std::min(MaxLoad, Loads[From.Id] * Share - Loads[To.Id] * (1 - Share));
+    const double Even = Loads[From.Id] * Share - Loads[To.Id] * (1 - Share);
+    const double Wanted = std::min(MaxLoad.value_or(Even), Even);
     KeyRange *Busiest = nullptr;
     for (KeyRange &Range : Record.Ranges)
       if (Range.Owner == From.Id && owner(Range) && movable(Range) &&
@@ -387,17 +413,19 @@
     const std::uint32_t End =
         maySplit() ? splitPoint(*Busiest, Wanted) : Busiest->To;
     KeyRange Moved = *Busiest;
-    if (End >= Busiest->To) {
-      // The whole range is moved, unless that would only exchange which of the
-      // two targets is overloaded.
-      if (estimatedRate(Moved.From, Moved.To) > 1.5 * Wanted)
-        return false;
-      std::erase(Record.Ranges, Moved);
-    } else {
+    const bool Whole = End >= Busiest->To;
+    if (!Whole)
       Moved.To = End;
+    const double Rate = estimatedRate(Moved.From, Moved.To);
+    // The whole range is moved, unless that would only exchange which of the
+    // two targets is overloaded.
+    if ((Whole && Rate > 1.5 * Wanted) || (MaxLoad && !earns(From, To, Rate)))
+      return false;
+    if (Whole)
+      std::erase(Record.Ranges, Moved);
+    else
       Busiest->From = End + 1;
-    }
-    Loads[From.Id] -= estimatedRate(Moved.From, Moved.To);
+    Loads[From.Id] -= Rate;
     assign(std::move(Moved), To);
     sort();
     return true;
@@ -418,6 +446,7 @@
   std::set<TargetId> Passed; ///< Targets that can give no keys away.
   double AssumedKeyRate = 0;
   std::map<TargetId, double> Loads;
+  MoveFigures Figures;
   bool Changed = false;
 };
 
@@ -436,6 +465,8 @@
   }
   if (Inputs.Join && !Next.changed())
     Next.joinNeighbours();
+  if (Inputs.Figures)
+    *Inputs.Figures = Next.figures();
   if (!Next.changed())
     return std::nullopt;
   RangeRecord Record = std::move(Next).record();
--- a/lib/Fleet/RangePlanner.h
+++ b/lib/Fleet/RangePlanner.h
@@ -2,6 +2,7 @@
 
 #include "Fleet/KeyLoad.h"
 #include "Fleet/KeyRanges.h"
+#include "Fleet/MoveFigures.h"
 
 #include <functional>
 #include <optional>
@@ -35,6 +36,8 @@
     bool Balance = true;
     /// Whether adjacent ranges of one owner may be joined.
     bool Join = false;
+    /// Set to the figures of the plan; null: not wanted.
+    MoveFigures *Figures = nullptr;
   };
 
   /// Returns the record with changed owners, or nothing when no change is
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -558,6 +558,7 @@
     if (Now >= State->NextPlanAt && !State->WritePending) {
       State->NextPlanAt = Now + PlanInterval;
       State->Keeper.plan(buildView(Id, *State, Now), State->Load, Now);
+      logBalance(Id, *State);
     }
     if (State->Keeper.pendingWrite() && !State->WritePending &&
         Now >= State->NextWriteAt)
@@ -566,6 +567,25 @@
   }
 }
 
+auto Leader::logBalance(const ServiceId &Id, const ServiceState &State)
+    -> void {
+  const MoveFigures &Figures = State.Keeper.figures();
+  if (!State.Keeper.pendingWrite() || Figures.Moves + Figures.Joins == 0)
+    return;
+  Context.Events.write(
+      EventLine("keys-balanced")
+          .field("service", Id.str())
+          .field("moves", Figures.Moves)
+          .field("skipped", Figures.Skipped)
+          .field("joins", Figures.Joins)
+          .field("busy_keys", Figures.BusyKeys)
+          .field("gain_ms",
+                 static_cast<std::int64_t>(Figures.GainSeconds * 1e3))
+          .field("cost_ms",
+                 static_cast<std::int64_t>(Figures.CostSeconds * 1e3))
+          .field("ranges", State.Keeper.pendingWrite()->Ranges.size()));
+}
+
 auto Leader::readFleetSize(const StoredObject &Object)
     -> Result<std::uint32_t> {
   const auto Size = Object.Value.find("instances");
--- a/lib/Gateway/Leader.h
+++ b/lib/Gateway/Leader.h
@@ -220,6 +220,8 @@
   /// which tells whether this instance still leads and from which record it has
   /// to continue.
   auto onSuperseded(const ServiceId &Id) -> void;
+  /// Logs what a plan has moved to balance the load, with its price.
+  auto logBalance(const ServiceId &Id, const ServiceState &State) -> void;
   auto announceGrants(const ServiceId &Id, ServiceState &State) -> void;
 
   FleetContext Context;
--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -440,6 +440,14 @@
   EXPECT_TRUE(!Next || Next->find(1000)->Fence == Record.find(1000)->Fence);
 }
 
+// Guards against moves between targets that have room, which only cost.
+TEST(RangePlannerTest, MoveIsWorthItsPriceOnlyWhereRequestsWait) {
+  const MovePrice Price(0.1);
+  EXPECT_GT(Price.gain({30, 4}, {10, 4}, 10), 10 * Price.cost(10));
+  EXPECT_LT(Price.gain({4, 4}, {2, 4}, 1), Price.cost(1));
+  EXPECT_LT(Price.gain({20, 4}, {20, 4}, 5), 0);
+}
+
 // Guards against ranges that are only ever split: 600 of them took the leader's
 // processor time.
 TEST(RangePlannerTest, RangesStayBoundedWhileBusyKeysChange) {
