Join and isolate ranges in the ownership schedules

Cause: the schedules had no load, so ranges were never moved for a busy key.

Change: NoKeyHasTwoHoldersWhileRangesAreJoined changes the busy key every 10 s beside all faults and bounds the number of ranges.

--- a/tests/property/RangeAssignerPropertyTest.cpp
+++ b/tests/property/RangeAssignerPropertyTest.cpp
@@ -195,6 +195,27 @@
   EXPECT_GT(Evidenced, 0);
 }
 
+// Guards against two holders of keys whose ranges are split, moved to the home
+// of a busy key, and joined again.
+TEST(RangeAssignerPropertyTest, NoKeyHasTwoHoldersWhileRangesAreJoined) {
+  std::size_t MostRanges = 0;
+  test::forEachSeed(
+      "RangeAssignerPropertyTest.NoKeyHasTwoHoldersWhileRangesAreJoined", 60,
+      [&](std::uint64_t Seed) {
+        RangeFaults Faults;
+        Faults.BusyKeys = true;
+        Faults.SlowOrder = 0.1;
+        Faults.EarlierAsked = 0.5;
+        Faults.LeaderKilled = 0.5;
+        RangeSimulation Simulation(Seed, Faults);
+        const auto Violation = Simulation.run(4000);
+        EXPECT_FALSE(Violation) << *Violation;
+        MostRanges = std::max(MostRanges, Simulation.mostRanges());
+      });
+  EXPECT_GT(MostRanges, 6U);
+  EXPECT_LE(MostRanges, 30U);
+}
+
 // Guards against schedules that would not notice wrong evidence.
 TEST(RangeAssignerPropertyTest, SchedulesNoticeWrongEvidence) {
   for (const EvidenceFault Fault :
--- a/tests/support/RangeSimulation.h
+++ b/tests/support/RangeSimulation.h
@@ -57,6 +57,9 @@
   /// and mostly starts again.
   double LeaderKilled = 0;
   EvidenceFault Evidence = EvidenceFault::None;
+  /// Keys become busier than a target bears, others every 10 s, so that ranges
+  /// are split, moved and joined all the time.
+  bool BusyKeys = false;
 };
 
 /// Simulates the range assigners of several leaders, targets that hold keys,
@@ -145,6 +148,8 @@
   }
   /// Number of takeovers in which all earlier leaders were known to have ended.
   auto evidencedTakeovers() const -> int { return Evidenced; }
+  /// Largest number of recorded ranges, as seen at changes of the leader.
+  auto mostRanges() const -> std::size_t { return MostRanges; }
   auto servedNow() const -> double { return heldKeys() / double{Keys}; }
 
 private:
@@ -216,6 +221,7 @@
     if (!Leaders.empty() && Faults.LeaderKilled > 0 &&
         Random.chance(Faults.LeaderKilled))
       killSoon(Leaders.back());
+    MostRanges = std::max(MostRanges, Recorded.Ranges.size());
     auto Next = std::make_shared<LeaderProcess>(Times);
     Next->Term = ++LastTerm;
     Next->Era = eraOf(Revision);
@@ -496,6 +502,11 @@
     if (Now >= Leader.PlanAt) {
       Leader.PlanAt = Now + std::chrono::milliseconds(250);
       Leader.Load.add(static_cast<std::uint32_t>(Random.below(20)), Now);
+      if (Faults.BusyKeys) {
+        const auto Tens = Now.time_since_epoch() / std::chrono::seconds(10);
+        Leader.Load.add(static_cast<std::uint32_t>(Tens * 53 % Keys), Now);
+        Leader.Load.add(static_cast<std::uint32_t>(Random.below(Keys)), Now);
+      }
       Leader.Assigner.plan(view(Leader), Leader.Load, Now);
     }
     if (Leader.Assigner.pendingWrite() && !Leader.Writing)
@@ -515,6 +526,7 @@
 
   auto view(const LeaderProcess &Leader) const -> RangeAssigner::View {
     RangeAssigner::View View;
+    View.ProcessingSeconds = Faults.BusyKeys ? 2 : 0;
     for (const auto &[Id, Each] : Targets) {
       const auto Listed = Each.listedAt(Leader.recordsOf(Now));
       if (!Listed)
@@ -772,6 +784,7 @@
   EarlierLeaders RecordedEarlier;
   TermHistory Terms{Times};
   int Evidenced = 0;
+  std::size_t MostRanges = 0;
   std::multimap<TimePoint, std::function<void()>> Events;
   RangeRecord Recorded;
   std::uint64_t LastTerm = 0;
