--- a/cli/buckthornring/ExplainCommand.cpp
+++ b/cli/buckthornring/ExplainCommand.cpp
@@ -110,6 +110,15 @@
   return Out;
 }
 
+/// The line of a hedge comes before that of its request, which tells whether
+/// the hedge won.
+auto describeHedge(const LogLine &Hedge, CommandResult &Out) -> void {
+  Out.Lines.push_back(std::to_string(Hedge.TimeMs) + " " +
+                      text(Hedge.Fields, "instance") + " " +
+                      summary(Hedge.Fields));
+  Out.Details["hedges"].push_back(Hedge.Fields);
+}
+
 auto describe(const LogLine &Request, const std::vector<LogLine> &Log,
               CommandResult &Out) -> void {
   Out.Lines.push_back(std::to_string(Request.TimeMs) + " " +
@@ -149,10 +158,14 @@
   CommandResult Out;
   Out.Result = "explained";
   Out.Details["requests"] = Json::array();
-  for (const LogLine &Each : Log)
-    if (text(Each.Fields, "event") == "request" &&
-        text(Each.Fields, "id") == Line.Arguments.front())
+  for (const LogLine &Each : Log) {
+    if (text(Each.Fields, "id") != Line.Arguments.front())
+      continue;
+    if (text(Each.Fields, "event") == "request")
       describe(Each, Log, Out);
+    if (text(Each.Fields, "event") == "hedge")
+      describeHedge(Each, Out);
+  }
   if (Out.Lines.empty())
     return CommandResult::failure(ExitCode::Different, "not-found",
                                   "no log line for request " +
