Show where a request would go and why

Cause: an operator could see where a request went, but not where one would go now, and what speaks against the other targets.

Change: GET /where at the peer address answers with route, workspace, rate, service and part of a split, the decision, candidates or the owner of the key, and what a retry would do; `buckthornring where` prints it. The selection is moved out of RequestFlow into functions (RequestSelection) that both use; where runs them on copies of the target table, the rates, the splits and the retry allowance.

--- a/cli/buckthornring/CommandLine.cpp
+++ b/cli/buckthornring/CommandLine.cpp
@@ -39,6 +39,10 @@
   explain ID [LOG...]   The log lines of a request, and the last known state of
                         each instance before them, from their logs (default:
                         standard input).
+  where                 The target to which --instance would send a request of
+                        --host and --path now, and why; sends nothing. Needs
+                        --caller-key or --workspace unless the route is open,
+                        and --key for divided services.
 
 PATH is a folder whose *.json files are merged in the order of their names, or
 one file. Files are JSON with // and /* */ comments. In a merge, objects merge
@@ -58,7 +62,8 @@
   5  the outcome of an update is unknown; run status, then retry
   6  the platform refused the value, or holds one that cannot be used
   7  diff: there are differences; status: a generation is not in force at every
-     --admin endpoint; owner: the key has no owner; explain: no line for the request
+     --admin endpoint; owner: the key has no owner; explain: no line for the
+     request; where: the request would wait or be refused
 )";
 
 auto makeOptions() -> cxxopts::Options {
@@ -85,7 +90,15 @@
       cxxopts::value<std::uint32_t>(),
       "N")("time-limit-ms", "Time limit of each call, default 2000",
            cxxopts::value<std::uint32_t>(),
-           "N")("help", "Print this text")("version", "Print the version");
+           "N")("instance", "where: peer address of the instance",
+                cxxopts::value<std::string>(), "ADDRESS")(
+      "host", "where: host of the request", cxxopts::value<std::string>(), "H")(
+      "path", "where: path of the request", cxxopts::value<std::string>(), "P")(
+      "key", "where: number of the key", cxxopts::value<std::string>(), "N")(
+      "caller-key", "where: key of the caller", cxxopts::value<std::string>(),
+      "K")("workspace", "where: workspace of the caller, instead of its key",
+           cxxopts::value<std::string>(),
+           "W")("help", "Print this text")("version", "Print the version");
   // Hidden from the help text, which lists the commands itself.
   Out.add_options("hidden")("words", "",
                             cxxopts::value<std::vector<std::string>>());
@@ -101,6 +114,20 @@
   Out.Arguments.assign(Words.begin() + 1, Words.end());
 }
 
+auto readWhere(const cxxopts::ParseResult &Parsed, CommandLine &Out) -> void {
+  const auto Value = [&Parsed](const char *Name) -> std::optional<std::string> {
+    if (Parsed.count(Name) == 0)
+      return std::nullopt;
+    return Parsed[Name].as<std::string>();
+  };
+  Out.InstanceAddress = Value("instance").value_or("");
+  Out.Host = Value("host").value_or("");
+  Out.Path = Value("path").value_or("");
+  Out.Key = Value("key");
+  Out.CallerKey = Value("caller-key");
+  Out.Workspace = Value("workspace");
+}
+
 auto readValues(const cxxopts::ParseResult &Parsed, CommandLine &Out) -> void {
   using std::chrono::milliseconds;
   if (const char *Default = std::getenv("BUCKTHORNRING_PLATFORM"))
@@ -128,6 +155,7 @@
     CommandLine Out;
     readWords(Parsed, Out);
     readValues(Parsed, Out);
+    readWhere(Parsed, Out);
     if (Out.MinGeneration > MaxMinGeneration)
       return Error("--min-generation: found " +
                    std::to_string(Out.MinGeneration) + ", allowed: at most " +
--- a/cli/buckthornring/CommandLine.h
+++ b/cli/buckthornring/CommandLine.h
@@ -20,6 +20,13 @@
   Duration WaitLimit = Duration::zero();
   std::optional<std::uint64_t> IfGeneration;
   std::uint64_t MinGeneration = 0;
+  /// Of the command where.
+  std::string InstanceAddress;
+  std::string Host;
+  std::string Path;
+  std::optional<std::string> Key;
+  std::optional<std::string> CallerKey;
+  std::optional<std::string> Workspace;
   bool Json = false;
   bool Help = false;
   bool Version = false;
--- a/cli/buckthornring/Main.cpp
+++ b/cli/buckthornring/Main.cpp
@@ -19,7 +19,7 @@
   CommandResult (*RunWithPlatform)(const CommandLine &, PlatformSession &);
 };
 
-constexpr std::array<CommandEntry, 11> CommandTable = {{
+constexpr std::array<CommandEntry, 12> CommandTable = {{
     {"check", "check PATH", 1, 1, checkCommand, nullptr},
     {"apply", "apply PATH", 1, 1, nullptr, applyCommand},
     {"diff", "diff PATH", 1, 1, nullptr, diffCommand},
@@ -33,6 +33,8 @@
     {"why", "why [REASON]", 0, 1, whyCommand, nullptr},
     {"explain", "explain REQUEST-ID [LOG...]", 1, 1000, explainCommand,
      nullptr},
+    {"where", "where --instance ADDRESS --host H --path P", 0, 0, whereCommand,
+     nullptr},
 }};
 
 auto usage(const std::string &Message) -> CommandResult {
--- a/cli/buckthornring/PlatformSession.cpp
+++ b/cli/buckthornring/PlatformSession.cpp
@@ -126,8 +126,8 @@
       readBack(Update);
 }
 
-auto fetchAdmin(const std::string &Address, const std::string &Target,
-                Duration TimeLimit) -> Result<std::string> {
+auto requestAdmin(const std::string &Address, const std::string &Target,
+                  Duration TimeLimit) -> Result<HttpResponse> {
   boost::asio::io_context Context(1);
   auto Client = HttpClient::create(Context, Address);
   if (!Client)
@@ -141,9 +141,17 @@
   });
   if (!Outcome.done())
     return Error(Outcome.Reason.empty() ? "no answer" : Outcome.Reason);
-  if (Outcome.Response.Status != 200)
-    return Error("status " + std::to_string(Outcome.Response.Status));
-  return std::move(Outcome.Response.Body);
+  return std::move(Outcome.Response);
+}
+
+auto fetchAdmin(const std::string &Address, const std::string &Target,
+                Duration TimeLimit) -> Result<std::string> {
+  auto Response = requestAdmin(Address, Target, TimeLimit);
+  if (!Response)
+    return Response.error();
+  if (Response->Status != 200)
+    return Error("status " + std::to_string(Response->Status));
+  return std::move(Response->Body);
 }
 
 } // namespace buckthornring::cli
--- a/cli/buckthornring/PlatformSession.h
+++ b/cli/buckthornring/PlatformSession.h
@@ -2,6 +2,7 @@
 
 #include "buckthornring/Config/ConfigRecord.h"
 #include "buckthornring/Config/ConfigUpdate.h"
+#include "buckthornring/IO/HttpMessage.h"
 #include "buckthornring/IO/PlatformClient.h"
 
 #include <boost/asio/io_context.hpp>
@@ -46,6 +47,11 @@
   std::unique_ptr<PlatformClient> Client;
 };
 
+/// Requests \p Target from an HTTP endpoint of an instance. Fails when there is
+/// no response.
+auto requestAdmin(const std::string &Address, const std::string &Target,
+                  Duration TimeLimit) -> Result<HttpResponse>;
+
 /// Requests \p Target from an instance's admin endpoint. Returns the body of
 /// the response, and fails when its status is not 200.
 auto fetchAdmin(const std::string &Address, const std::string &Target,
--- a/lib/Fleet/RateShares.cpp
+++ b/lib/Fleet/RateShares.cpp
@@ -190,6 +190,14 @@
   return Granted;
 }
 
+auto RateShares::tokens(const WorkspaceId &Workspace) const
+    -> std::optional<double> {
+  const auto Found = Buckets.find(Workspace);
+  if (Found == Buckets.end() || Found->second.Rate <= 0)
+    return std::nullopt;
+  return Found->second.Tokens;
+}
+
 auto RateShares::retryAfter(const WorkspaceId &Workspace) const -> Duration {
   constexpr double LongestSeconds = 2;
   const auto Found = Buckets.find(Workspace);
--- a/lib/Fleet/RateShares.h
+++ b/lib/Fleet/RateShares.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <unordered_map>
 
 namespace buckthornring {
@@ -71,6 +72,10 @@
   /// Records that the reserve is empty; it is not asked again before \p Until.
   auto onReserveEmpty(const WorkspaceId &Workspace, TimePoint Until) -> void;
 
+  /// Requests that would be admitted at once, as of the last admit(); nothing
+  /// if the workspace has no limit.
+  auto tokens(const WorkspaceId &Workspace) const -> std::optional<double>;
+
   /// Time after which the next request is likely to be admitted.
   auto retryAfter(const WorkspaceId &Workspace) const -> Duration;
 
--- a/lib/Fleet/TargetTable.cpp
+++ b/lib/Fleet/TargetTable.cpp
@@ -383,6 +383,24 @@
   return Cost;
 }
 
+auto TargetTable::excluded(const TargetState &Target,
+                           const TargetRequest &Request) const -> bool {
+  return !takesRequests(Target) ||
+         std::find(Request.ExcludedTargets.begin(),
+                   Request.ExcludedTargets.end(),
+                   Target.Record.Id) != Request.ExcludedTargets.end();
+}
+
+auto TargetTable::assess(TargetState &Target, const TargetRequest &Request,
+                         TimePoint Now) -> TargetAssessment {
+  TargetAssessment Out;
+  Out.Excluded = excluded(Target, Request);
+  Out.Reason = unavailable(Target, Request, Now);
+  Out.Expected = expectedTime(Target, Now);
+  Out.CostUs = cost(Target, Request, Out.Expected, Now);
+  return Out;
+}
+
 auto TargetTable::select(const TargetRequest &Request, TimePoint Now)
     -> TargetSelection {
   TargetSelection Best;
@@ -401,10 +419,7 @@
     std::uint32_t &Missing =
         Target->Record.DataCentre == TableSettings.DataCentre ? MissingLocal
                                                               : MissingRemote;
-    if (Missing == 0 || !takesRequests(*Target) ||
-        std::find(Request.ExcludedTargets.begin(),
-                  Request.ExcludedTargets.end(),
-                  Target->Record.Id) != Request.ExcludedTargets.end())
+    if (Missing == 0 || excluded(*Target, Request))
       continue;
     const NoTargetReason Reason = unavailable(*Target, Request, Now);
     if (Reason != NoTargetReason::None) {
--- a/lib/Fleet/TargetTable.h
+++ b/lib/Fleet/TargetTable.h
@@ -4,6 +4,7 @@
 #include "Fleet/TargetAnnouncements.h"
 #include "Fleet/TargetLoad.h"
 #include "Fleet/TargetRecord.h"
+#include "buckthornring/Common/EnumNames.h"
 #include "buckthornring/Common/Random.h"
 
 #include <functional>
@@ -80,6 +81,18 @@
   Busy,   ///< Some targets are at their request limit; none can take one now.
 };
 
+inline constexpr EnumNames<NoTargetReason, 5>
+    NoTargetReasonNames({"none", "down", "paused", "cold", "busy"});
+
+/// How a target compares for a request.
+struct TargetAssessment {
+  /// Draining, leaving, in an evacuated data centre or already tried.
+  bool Excluded = false;
+  NoTargetReason Reason = NoTargetReason::None; ///< Why it cannot take it now.
+  Duration Expected{0};
+  double CostUs = 0; ///< By which targets are compared.
+};
+
 /// What a call of TargetTable::announced() has changed.
 struct AnnouncementChange {
   bool Leaving = false; ///< The target has begun to leave.
@@ -153,6 +166,9 @@
   /// Returns the target with the lowest cost: its expected time plus penalties,
   /// among them one for other data centres.
   auto select(const TargetRequest &Request, TimePoint Now) -> TargetSelection;
+  /// Returns how select() sees the target.
+  auto assess(TargetState &Target, const TargetRequest &Request, TimePoint Now)
+      -> TargetAssessment;
   /// Selects \p Target, the owner of the request's key, if it takes the request
   /// now.
   auto selectOwner(const TargetPtr &Target, TimePoint Now) -> TargetSelection;
@@ -202,6 +218,9 @@
   /// Number of targets that a request compares, in the own data centre and in
   /// all others.
   auto sampleSize() const -> std::uint32_t;
+  /// Whether the target is not considered for the request at all.
+  auto excluded(const TargetState &Target, const TargetRequest &Request) const
+      -> bool;
   /// Why the target cannot take the request now, or None.
   auto unavailable(TargetState &Target, const TargetRequest &Request,
                    TimePoint Now) -> NoTargetReason;
--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -5,6 +5,7 @@
 #include "Fleet/StoreRevision.h"
 #include "Gateway/GatewayImpl.h"
 #include "Gateway/ObjectEra.h"
+#include "Gateway/WhereReport.h"
 #include "IO/BootClock.h"
 #include "buckthornring/Observe/PrometheusText.h"
 
@@ -621,6 +622,8 @@
   } else if (Request.path() == "/state") {
     Response.Headers.set("Content-Type", "application/json");
     Response.Body = stateJson();
+  } else if (Request.path() == "/where") {
+    Response = whereResponse(Requests, Request, bootNow());
   } else {
     Response.Status = 404;
   }
--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/RequestFlow.h"
 
 #include "Gateway/RefusalTable.h"
+#include "Gateway/RequestSelection.h"
 #include "IO/BootClock.h"
 
 #include <algorithm>
@@ -30,22 +31,6 @@
 /// is still on its way, or the keys are being moved.
 constexpr Duration OwnerRetryDelay = std::chrono::milliseconds(120);
 
-/// A request waits for a target for at most the route's TargetLatency (the
-/// latency to be reached, not that of a target) divided by this, or for
-/// MinWaitLimit if that is longer. A longer wait costs the caller more than a
-/// refusal with Retry-After.
-constexpr int WaitDivisor = 8;
-constexpr Duration MinWaitLimit = std::chrono::milliseconds(30);
-
-/// The same divisor for all requests to divided services: their key may be in a
-/// move, which takes about as long as the requests that run on the keys.
-constexpr int MoveWaitDivisor = 2;
-
-/// Time from reading a change of owner during which the new owner is assumed to
-/// be without its grant, unless the leader reports the grant earlier
-/// (GrantNotice).
-constexpr Duration AssumedMovePeriod = std::chrono::milliseconds(700);
-
 constexpr unsigned GatewayTimeout = 504;
 
 auto remainingMs(TimePoint Until, TimePoint Now) -> std::int64_t {
@@ -129,28 +114,16 @@
     refuse(RefusalReason::StaleConfiguration);
     return false;
   }
-  const std::string_view Target = Request.Head.Target;
-  Route = Config->Routes.match(Target.substr(0, Target.find('?')),
-                               requestHost(Request.Head.Fields));
-  if (!Route) {
-    refuseUnknown(RefusalReason::UnknownRoute);
-    return false;
-  }
-  Idempotent = Route->Idempotent.value_or(true);
-  Priority = Route->Priority;
-  if (Route->Open || Config->Config.Workspaces.empty())
-    return true;
-  const auto Key = Request.Head.Fields.find(Context.Protocol.Headers.CallerKey);
-  const auto *Entry = Key ? Config->Keys.find(*Key) : nullptr;
-  if (!Entry) {
-    refuseUnknown(RefusalReason::UnknownCallerKey);
-    return false;
-  }
-  Workspace = Entry->Workspace;
-  const auto Settings = Config->Config.Workspaces.find(Workspace);
-  if (Settings != Config->Config.Workspaces.end())
-    Priority = Settings->second.Priority.value_or(Priority);
-  return true;
+  const ResolvedRequest Resolved = resolveRequest(
+      *Config, requestHost(Request.Head.Fields), Request.Head.Target,
+      Request.Head.Fields.find(Context.Protocol.Headers.CallerKey));
+  Route = Resolved.Route;
+  Workspace = Resolved.Workspace;
+  Idempotent = Resolved.Idempotent;
+  Priority = Resolved.Priority;
+  if (Resolved.Refusal)
+    refuseUnknown(*Resolved.Refusal);
+  return !Resolved.Refusal;
 }
 
 // What is unknown here may be known by the newer configuration, and callers do
@@ -178,26 +151,20 @@
 }
 
 auto RequestFlow::readKey() -> bool {
-  const auto Settings = Config->Config.Services.find(Service);
-  if (Settings == Config->Config.Services.end() ||
-      Settings->second.Kind != ServiceKind::Divided)
+  if (!isDivided(*Config, Service))
     return true;
-  const auto Text =
-      Request.Head.Fields.find(Context.Protocol.Headers.KeyNumber);
-  const auto Value = Text ? parseNumber(*Text) : std::nullopt;
-  if (!Value || *Value >= Settings->second.NumberedKeys) {
+  Key = parseKey(*Config, Service,
+                 Request.Head.Fields.find(Context.Protocol.Headers.KeyNumber));
+  if (!Key) {
     refuse(RefusalReason::MissingKey);
     return false;
   }
-  Key = static_cast<std::uint32_t>(*Value);
   Context.RequestedKeys[Service].push_back(*Key);
   return true;
 }
 
 auto RequestFlow::waitLimit() const -> Duration {
-  const Duration Latency = Route->TargetLatency;
-  return std::max(MinWaitLimit,
-                  Latency / (Key ? MoveWaitDivisor : WaitDivisor));
+  return targetWaitLimit(*Route, Key.has_value());
 }
 
 auto RequestFlow::sendOrWait() -> void {
@@ -241,19 +208,12 @@
 }
 
 auto RequestFlow::selectTarget(TimePoint Now) -> TargetSelection {
-  if (Key)
-    return selectOwner(Now);
-  TargetRequest Preference{Service, Idempotent, Route->TargetLatency,
-                           TriedTargets};
-  if (suspected(Now)) {
-    TargetRequest Apart = Preference;
-    for (const TargetId &Target : Context.Crashes.targetsOfSuspects())
-      Apart.ExcludedTargets.push_back(Target);
-    TargetSelection Selected = Context.Targets.select(Apart, Now);
-    if (Selected.Target)
-      return Selected;
-  }
-  return Context.Targets.select(Preference, Now);
+  return buckthornring::selectTarget(
+      Context, Context.Targets,
+      {{Service, Idempotent, Route->TargetLatency, TriedTargets},
+       Key,
+       !Key && suspected(Now)},
+      Now);
 }
 
 auto RequestFlow::suspected(TimePoint Now) const -> bool {
@@ -265,23 +225,6 @@
          CrashSuspects::Verdict::Clear;
 }
 
-auto RequestFlow::selectOwner(TimePoint Now) -> TargetSelection {
-  const auto View = Context.Ranges.find(Service);
-  if (View == Context.Ranges.end())
-    return {};
-  const KeyRange *Range = View->second.Record.find(*Key);
-  if (!Range || Range->Owner.empty())
-    return {};
-  const auto MovingSince = View->second.MovingSince.find(Range->Fence);
-  if (MovingSince != View->second.MovingSince.end() &&
-      Now - MovingSince->second < AssumedMovePeriod)
-    return {};
-  const TargetPtr Owner = Context.Targets.find(Range->Owner);
-  if (!Owner || Owner->Record.StartedAtMs != Range->OwnerStartedAt)
-    return {};
-  return Context.Targets.selectOwner(Owner, Now);
-}
-
 auto RequestFlow::waitForTarget(TimePoint Now) -> void {
   if (Ticket != 0)
     return;
@@ -313,7 +256,7 @@
     return All;
   if (!Key)
     return std::nullopt;
-  const TimePoint OwnerEnd = selectOwner(Now).OwnerPausedUntil;
+  const TimePoint OwnerEnd = selectTarget(Now).OwnerPausedUntil;
   return OwnerEnd > Now && OwnerEnd - Now < MinPauseForHandover
              ? std::optional(OwnerEnd)
              : std::nullopt;
--- a/lib/Gateway/RequestFlow.h
+++ b/lib/Gateway/RequestFlow.h
@@ -76,7 +76,6 @@
   /// to a target yet.
   auto tooLateForStop(TimePoint Now) const -> bool;
   auto selectTarget(TimePoint Now) -> TargetSelection;
-  auto selectOwner(TimePoint Now) -> TargetSelection;
   /// Whether a target has crashed, or may have, while it ran the request.
   auto suspected(TimePoint Now) const -> bool;
   /// Whether targets have crashed while they ran it, or a copy of it.
--- a/tests/golden/CommandSessionTest.cpp
+++ b/tests/golden/CommandSessionTest.cpp
@@ -73,6 +73,18 @@
   };
 }
 
+/// Instance that answers where from files.
+auto recordedWhere() -> Endpoint::Handler {
+  return [](const HttpRequest &Request, const HttpResponder &Responder) {
+    const std::string Name = Request.query("path").value_or("/none").substr(1);
+    std::ifstream File(Folder + "/where/" + Name + ".json");
+    if (!File)
+      return Responder.respond({404, {}, R"({"error": "no route matches"})"});
+    Responder.respond(
+        {200, {}, std::string(std::istreambuf_iterator<char>(File), {})});
+  };
+}
+
 /// Platform that answers the first call with 404 and aborts all later ones.
 auto unresponsiveAfterFirst() -> Endpoint::Handler {
   // Shared, since the server copies its handler.
@@ -102,6 +114,7 @@
              {"ADMIN2", Second.address()},
              {"SILENT", Silent.address()},
              {"FULL", Full.address()},
+             {"INSTANCE", Instance.address()},
              {"CLOSED", "127.0.0.1:1"}};
   }
 
@@ -172,6 +185,7 @@
       "other{reason=\"no-owner\"} 9\n")};
   Endpoint Silent{unresponsiveAfterFirst()};
   Endpoint Full{fullPlatform()};
+  Endpoint Instance{recordedWhere()};
   Caller Client;
   std::vector<std::pair<std::string, std::string>> Names;
 };
@@ -200,7 +214,8 @@
 
 INSTANTIATE_TEST_SUITE_P(All, CommandSessionTest,
                          testing::Values("files", "usage", "changes", "races",
-                                         "faults", "lookups", "explain"),
+                                         "faults", "lookups", "explain",
+                                         "where"),
                          [](const auto &Info) {
                            return std::string(Info.param);
                          });
