Test where against an instance, and hedges with retries over the fleet

Change: a test runs the command against a gateway; another lets 65 instances use as many hedges and retries as they may. A hedge timer of a failed attempt is cancelled.

--- a/lib/Gateway/RequestHedge.cpp
+++ b/lib/Gateway/RequestHedge.cpp
@@ -12,6 +12,7 @@
 }
 
 auto RequestFlow::armHedge() -> void {
+  HedgeTimer.cancel(); // It may be that of an attempt that has failed.
   if (ActiveHops.size() != 1 || Hedge.Verdict)
     return;
   const TimePoint Now = bootNow();
--- a/tests/support/GatewayFixture.cpp
+++ b/tests/support/GatewayFixture.cpp
@@ -181,9 +181,13 @@
   return Caller.readAll();
 }
 
+auto GatewayFixture::peerAddress() const -> std::string {
+  return Instance->peerAddress();
+}
+
 auto GatewayFixture::askAsPeer(const std::string &Path) -> std::string {
   boost::asio::ip::tcp::socket Peer(Io);
-  Peer.connect(*parseEndpoint(Instance->peerAddress()));
+  Peer.connect(*parseEndpoint(peerAddress()));
   RawCaller Caller(std::move(Peer));
   Caller.send("GET " + Path +
               " HTTP/1.1\r\nHost: peer\r\nConnection: close\r\n\r\n");
--- a/tests/support/GatewayFixture.h
+++ b/tests/support/GatewayFixture.h
@@ -58,6 +58,8 @@
                 const std::string &Fields = "", const std::string &Body = "",
                 const std::string &Id = "a1") -> CallerView;
 
+  /// Address at which other instances and operators connect.
+  auto peerAddress() const -> std::string;
   /// Body of the instance's response to GET \p Path from another instance.
   auto askAsPeer(const std::string &Path) -> std::string;
 
--- a/tests/unit/HedgePlannerTest.cpp
+++ b/tests/unit/HedgePlannerTest.cpp
@@ -140,6 +140,32 @@
   EXPECT_GT(Counts.of(HedgeVerdict::TimeLimit), 0U);
 }
 
+// Guards against hedges that together with retries exceed the limit that holds
+// over the fleet: each instance uses as much of both as it may.
+TEST_F(HedgePlannerTest,
+       HedgesAndRetriesOfAllInstancesStayWithinTheRetryLimit) {
+  constexpr std::uint32_t Instances = 65;
+  constexpr int Requests = 20 * 10; // Of each instance in the window.
+  Planner.setLimits({.ExtraRequests = 1, .ExtraTime = 1});
+  int Extra = 0;
+  for (std::uint32_t Each = 0; Each < Instances; ++Each) {
+    RetryAllowance Own(RetryLimit{.Slack = 170}, LongAgo);
+    TimePoint Time = Now;
+    for (int Count = 0; Count < Requests; ++Count, Time += milliseconds(50)) {
+      Own.requestSeen(Time);
+      Planner.requestSeen(Service);
+      Planner.attemptEnded(Request, Usual, Time);
+      if (Planner.decide(Request, Other, Own, Time) == HedgeVerdict::Sent) {
+        ++Extra;
+        Planner.hedgeEnded(Service, Usual, Usual, false);
+      }
+      Extra += Own.tryTake(Instances, Time) ? 1 : 0;
+    }
+  }
+  EXPECT_LE(Extra, 0.2 * Requests * Instances + 170);
+  EXPECT_GT(Extra, 0.1 * Requests * Instances);
+}
+
 // Guards against hedges that use what retries after failures need.
 TEST_F(HedgePlannerTest, HedgesStayWithinTheRetryLimit) {
   RetryAllowance Spent(RetryLimit(), LongAgo);
--- a/tests/unit/WhereTest.cpp
+++ b/tests/unit/WhereTest.cpp
@@ -74,7 +74,10 @@
                                         "/owned/1"}[Random.below(4)];
     const std::string Id = "w" + std::to_string(Count) + ".";
     Keyed += Path == "/owned/1" ? 1 : 0;
-    const auto Said = ask("host=h&path=" + Path + "&workspace=acme&key=" + Key);
+    const auto Said = ask(std::string("host=h&workspace=acme&path=")
+                              .append(Path)
+                              .append("&key=")
+                              .append(Key));
     const auto View =
         Fixture.exchange("GET", Path, "Shard-Key: " + Key + "\r\n", "", Id);
     ASSERT_TRUE(Said.is_object() && Said["decision"]["action"] == "send")
