Measure admission at owners in virtual time

Cause: the goodput of the fleet under overload was known only from whole runs with processes, which cannot compare policies for hundreds of instances.

Change: 'bench_measure overload' simulates 1 to 600 instances in four data centres with the product's TargetTable, WaitQueue and RetryAllowance, owners with two slots and a queue of eight, and callers with one retry. It compares the earned value with a scheduler that sees all queues.

--- a/bench/measure/Main.cpp
+++ b/bench/measure/Main.cpp
@@ -15,7 +15,7 @@
   auto(*Run)() -> Measurements;
 };
 
-constexpr std::array<RegisteredMeasure, 13> Registry = {{
+constexpr std::array<RegisteredMeasure, 14> Registry = {{
     {"ownership-balance", measureOwnershipBalance},
     {"ownership-recovery", measureOwnershipRecovery},
     {"ownership-violations", measureOwnershipViolations},
@@ -28,6 +28,7 @@
     {"rate", measureRateOvershootUnderOverload},
     {"cold", measureColdStartOverload},
     {"runs", measureExecutionErrors},
+    {"overload", measureOverload},
     {"capacity", measureCapacity},
 }};
 
--- a/bench/measure/Measurement.h
+++ b/bench/measure/Measurement.h
@@ -42,6 +42,9 @@
 auto measureColdStartOverload() -> Measurements;
 auto measureExecutionErrors() -> Measurements;
 
+// Admission at owners under overload.
+auto measureOverload() -> Measurements;
+
 // Growth with the size of the fleet, for docs/CAPACITY.md.
 auto measureCapacity() -> Measurements;
 
--- /dev/null
+++ b/bench/measure/OverloadSimulation.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "OverloadScenario.h"
+
+#include "Fleet/RetryAllowance.h"
+#include "Fleet/TargetTable.h"
+#include "Gateway/WaitQueue.h"
+#include "buckthornring/Common/Random.h"
+#include "support/EventQueue.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace buckthornring::measure {
+
+/// Value that a scheduler earns which sees all queues and slots and the mean
+/// work of each kind, and sends without delay. Of the requests that still reach
+/// their latency goal it runs the one of most value for its work, else the one
+/// of most late value.
+auto idealValue(const OverloadScenario &Scenario) -> double;
+
+/// Simulates instances in four data centres that send requests of a divided
+/// service to their owners, in virtual time. The instances use the classes of
+/// the product; the steps of RequestFlow are repeated here without I/O.
+class OverloadSimulation {
+public:
+  struct Statistics {
+    double Value = 0;
+    std::uint64_t Requests = 0; ///< Tries of callers.
+    std::uint64_t Refused = 0;
+    std::uint64_t Returned = 0; ///< Tries after a refusal.
+    std::uint64_t RefusedAgain = 0;
+    std::uint64_t OwnerArrivals = 0;
+    std::uint64_t TurnedAway = 0; ///< Of OwnerArrivals, for lack of room.
+  };
+
+  OverloadSimulation(const OverloadScenario &Scenario,
+                     std::uint32_t InstanceCount, std::uint64_t Seed);
+
+  auto run() -> Statistics;
+
+private:
+  /// One try of a caller.
+  struct Try {
+    const OverloadScenario::Arrival *Origin = nullptr;
+    std::size_t Instance = 0;
+    std::uint32_t Number = 0; ///< 0: the first try.
+    std::uint32_t Rejections = 0;
+    TimePoint NextSendAt = LongAgo;
+    TimePoint WaitDeadline = LongAgo;
+    TimePoint SentAt = LongAgo;
+    double QueueAtSend = 0;
+    WaitQueue::Ticket Ticket = 0;
+    bool InFlight = false; ///< At the owner, or on the way.
+    bool Done = false;
+
+    auto kind() const -> const RequestKind & {
+      return RequestKinds.at(Origin->Kind);
+    }
+    auto deadline() const -> TimePoint { return Origin->At + kind().Deadline; }
+  };
+  using TryPtr = std::shared_ptr<Try>;
+
+  struct Instance {
+    std::unique_ptr<TargetTable> Table;
+    std::vector<TargetPtr> Owners;
+    WaitQueue Waiting;
+    std::unique_ptr<RetryAllowance> Retries;
+    std::map<std::size_t, LoadReport> UnsentLoads;
+    bool NoticeArmed = false;
+    bool DispatchArmed = false;
+  };
+  struct Owner {
+    std::size_t Running = 0;
+    std::deque<TryPtr> Waiting;
+  };
+
+  auto arrive(const TryPtr &Request) -> void;
+  auto sendOrWait(const TryPtr &Request) -> void;
+  auto trySend(const TryPtr &Request) -> bool;
+  auto armDispatch(std::size_t Index) -> void;
+  auto refuse(const TryPtr &Request) -> void;
+  auto retryAsCaller(const Try &Refused, Duration RetryAfter) -> void;
+
+  auto arriveAtOwner(const TryPtr &Request) -> void;
+  auto startNext(std::size_t Index) -> void;
+  auto respond(const TryPtr &Request, bool Rejected) -> void;
+  auto onResponse(const TryPtr &Request, bool Rejected, const LoadReport &Load)
+      -> void;
+  auto onRejected(const TryPtr &Request) -> void;
+  auto scheduleLoadNotice(std::size_t Index) -> void;
+  auto sendLoadNotice(std::size_t Index) -> void;
+
+  /// Number of instances in the data centre of an instance, itself included.
+  auto neighbours(std::size_t Index) const -> std::size_t;
+
+  const OverloadScenario &Scenario;
+  RandomSource Random;
+  testing::EventQueue Events{TimePoint()};
+  std::vector<Instance> Instances;
+  std::vector<Owner> Owners;
+  Statistics Result;
+};
+
+} // namespace buckthornring::measure
