Limit requests at owners by windows and pass load reports on

Cause: each of 71 instances had a fixed limit of one request in flight at an owner. It refused the second one for an idle owner, and all of them together could still send 71 to an owner that bears 10. The load reports that could tell them went only to instances of one data centre, at an interval that grew with their number (1.5 s in a fleet of 600).

Change: SendWindow (lib/Admission) limits the requests of one instance at one owner; below one request it is a probability for each period of a processing time. LoadNotice goes to two random neighbours and, every other time, to one instance of another data centre, each 40 ms; receivers pass it on (LoadNews). It carries the age of each report, and FleetReply names four instances of other data centres ('j'). Both fields are optional when read. An instance receives at most about 63 notices per second; it was about 100. The queue limit of owners is 2 per slot instead of 2.5.

--- a/bench/measure/OverloadSimulation.h
+++ b/bench/measure/OverloadSimulation.h
@@ -2,6 +2,7 @@
 
 #include "OverloadScenario.h"
 
+#include "Admission/LoadNews.h"
 #include "Fleet/RetryAllowance.h"
 #include "Fleet/TargetTable.h"
 #include "Gateway/WaitQueue.h"
@@ -36,7 +37,7 @@
     std::uint64_t TurnedAway = 0; ///< Of OwnerArrivals, for lack of room.
   };
 
-  OverloadSimulation(const OverloadScenario &Scenario,
+  OverloadSimulation(const OverloadScenario &Scenario, OwnerAdmission Policy,
                      std::uint32_t InstanceCount, std::uint64_t Seed);
 
   auto run() -> Statistics;
@@ -68,7 +69,9 @@
     std::vector<TargetPtr> Owners;
     WaitQueue Waiting;
     std::unique_ptr<RetryAllowance> Retries;
-    std::map<std::size_t, LoadReport> UnsentLoads;
+    LoadNews UnsentLoads;
+    /// With OwnerAdmission::EqualShares.
+    std::map<TargetId, AgedLoad> UnsentLatest;
     bool NoticeArmed = false;
     bool DispatchArmed = false;
   };
@@ -92,11 +95,13 @@
   auto onRejected(const TryPtr &Request) -> void;
   auto scheduleLoadNotice(std::size_t Index) -> void;
   auto sendLoadNotice(std::size_t Index) -> void;
+  auto noticeReceivers(std::size_t Index) -> std::vector<std::size_t>;
 
   /// Number of instances in the data centre of an instance, itself included.
   auto neighbours(std::size_t Index) const -> std::size_t;
 
   const OverloadScenario &Scenario;
+  OwnerAdmission Policy;
   RandomSource Random;
   testing::EventQueue Events{TimePoint()};
   std::vector<Instance> Instances;
--- a/lib/Fleet/FleetMessage.cpp
+++ b/lib/Fleet/FleetMessage.cpp
@@ -193,6 +193,7 @@
               {"r", Reply.RateHolders},
               {"h", Reply.NeighboursVersion},
               {"a", Reply.Neighbours},
+              {"j", Reply.Contacts},
               {"q", Reply.SharesValid},
               {"w", encodeMap(scaledShares(Reply.WorkspaceShares))},
               {"o", static_cast<std::uint32_t>(Reply.DefaultShare * 10'000)}};
@@ -222,10 +223,13 @@
 
 auto encode(const LoadNotice &Notice) -> Json {
   Json Loads = Json::object();
-  for (const auto &[Id, Load] : Notice.Loads)
-    Loads[Id.str()] = Json::array(
-        {Load.Running, Load.Waiting, Load.Slots,
-         static_cast<std::uint32_t>(Load.Slowness * SlownessSteps)});
+  for (const auto &[Id, Known] : Notice.Loads) {
+    const LoadReport &Load = Known.Load;
+    Loads[Id.str()] =
+        Json::array({Load.Running, Load.Waiting, Load.Slots,
+                     static_cast<std::uint32_t>(Load.Slowness * SlownessSteps),
+                     std::max<std::int64_t>(0, Known.Age.count() / 1000)});
+  }
   return {{"t", 6}, {"l", std::move(Loads)}};
 }
 
@@ -235,11 +239,16 @@
 
 auto decodeLoads(const Json &Value) -> LoadNotice {
   LoadNotice Notice;
-  for (const auto &[Id, Load] : Value.at("l").items())
-    Notice.Loads[TargetId(Id)] = {
-        Load.at(0).get<std::uint32_t>(), Load.at(1).get<std::uint32_t>(),
-        Load.at(2).get<std::uint32_t>(),
-        Load.at(3).get<std::uint32_t>() / SlownessSteps};
+  for (const auto &[Id, Load] : Value.at("l").items()) {
+    AgedLoad &Known = Notice.Loads[TargetId(Id)];
+    Known.Load = {Load.at(0).get<std::uint32_t>(),
+                  Load.at(1).get<std::uint32_t>(),
+                  Load.at(2).get<std::uint32_t>(),
+                  Load.at(3).get<std::uint32_t>() / SlownessSteps};
+    // Instances of earlier versions send no age.
+    if (Load.size() > 4)
+      Known.Age = std::chrono::milliseconds(Load.at(4).get<std::uint32_t>());
+  }
   return Notice;
 }
 
@@ -280,6 +289,8 @@
   Reply.LargestCapacity = Value.at("g").get<double>();
   Reply.NeighboursVersion = Value.at("h").get<std::uint64_t>();
   Reply.Neighbours = Value.at("a").get<std::vector<std::string>>();
+  // Leaders of earlier versions send none.
+  Reply.Contacts = Value.value("j", std::vector<std::string>());
   Reply.SharesValid = Value.at("q").get<bool>();
   for (const auto &[Id, Share] :
        decodeMap<WorkspaceId, std::uint32_t>(Value.at("w")))
--- a/lib/Fleet/FleetMessage.h
+++ b/lib/Fleet/FleetMessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Admission/LoadNews.h"
 #include "Fleet/CrashSuspects.h"
 #include "Fleet/TargetRecord.h"
 #include "buckthornring/Common/Ids.h"
@@ -93,6 +94,9 @@
   /// Addresses of the other instances there; empty when the receiver has this
   /// version already.
   std::vector<std::string> Neighbours;
+  /// Addresses of a few instances in other data centres, different ones for
+  /// each receiver.
+  std::vector<std::string> Contacts;
   /// Whether the shares below are to be used. A new leader does not know the
   /// demand of all instances yet, so they keep the shares that they have.
   bool SharesValid = false;
@@ -122,10 +126,10 @@
   std::uint64_t Number = 0;
 };
 
-/// Recent load reports of targets, shared with the instances of the sender's
-/// data centre.
+/// Recent load reports of targets, sent to a few instances at a time, which
+/// pass them on.
 struct LoadNotice {
-  std::map<TargetId, LoadReport> Loads;
+  std::map<TargetId, AgedLoad> Loads;
 };
 
 using FleetMessage =
--- a/lib/Fleet/TargetLoad.h
+++ b/lib/Fleet/TargetLoad.h
@@ -25,6 +25,9 @@
 
   auto reported(const LoadReport &Report, TimePoint Now) -> void;
 
+  /// Time of the last report; LongAgo: none.
+  auto reportedAt() const -> TimePoint { return ReportedAt; }
+
   /// A request failed at the target although the target was reachable.
   auto failed() -> void;
   auto succeeded() -> void;
--- a/lib/Fleet/TargetTable.cpp
+++ b/lib/Fleet/TargetTable.cpp
@@ -17,8 +17,11 @@
 constexpr double IdempotentQueuePerSlot = 2.5;
 constexpr double NonIdempotentQueuePerSlot = 2.0;
 /// A key with an owner has no other target, but a longer queue would make all
-/// its requests late.
-constexpr double OwnerQueuePerSlot = 2.5;
+/// its requests late. A queue of 2 per slot gave more goodput in a surge than
+/// 2.5 or 1.5 with SendWindow ("bench_measure overload").
+constexpr double OwnerQueuePerSlot = 2.0;
+/// With OwnerAdmission::EqualShares.
+constexpr double EqualSharesQueuePerSlot = 2.5;
 
 /// Multiple of an equal share of the owner's request limit that one instance
 /// may use. An instance learns of the requests of others only from responses,
@@ -102,6 +105,8 @@
   erase(Record.Id);
   auto Added = std::make_shared<TargetState>();
   Added->Record = Record;
+  Added->Window = SendWindow(std::hash<std::string>()(
+      TableSettings.Instance.str() + "/" + Record.Id.str()));
   Added->Announced = Announcements.of(Record, Now);
   if (Record.RemainingColdTime > Duration(0))
     Added->ColdUntil = Now + Record.RemainingColdTime;
@@ -425,11 +430,28 @@
   return Best;
 }
 
-auto TargetTable::ownerRequestLimit(const TargetState &Target) const
-    -> std::uint32_t {
-  const double Share = OwnerShareFactor * OwnerQueuePerSlot *
-                       Target.Record.Slots / Fleet.estimatedInstances();
-  return std::max(1U, static_cast<std::uint32_t>(std::lround(Share)));
+auto TargetTable::ownerShare(const TargetState &Target,
+                             double QueuePerSlot) const -> double {
+  return OwnerShareFactor * QueuePerSlot * Target.Record.Slots /
+         Fleet.estimatedInstances();
+}
+
+auto TargetTable::ownerAdmits(TargetState &Target, TimePoint Now) const
+    -> bool {
+  const double Queue = Target.Load.queue(Now);
+  const std::uint32_t InFlight = Target.Load.inFlight();
+  if (TableSettings.Admission == OwnerAdmission::EqualShares) {
+    const auto Limit = static_cast<std::uint32_t>(
+        std::lround(ownerShare(Target, EqualSharesQueuePerSlot)));
+    return Queue < EqualSharesQueuePerSlot * Target.Record.Slots &&
+           InFlight < std::max(1U, Limit);
+  }
+  if (Queue >= OwnerQueuePerSlot * Target.Record.Slots)
+    return false;
+  Target.Window.begin(ownerShare(Target, OwnerQueuePerSlot));
+  const Duration Period = Target.Load.processingTime(Now).value_or(
+      typicalProcessingTime(Target.Record.Service));
+  return Target.Window.admits(InFlight, Period, Now);
 }
 
 auto TargetTable::selectOwner(const TargetPtr &Target, TimePoint Now)
@@ -442,10 +464,7 @@
     Selected.OwnerPausedUntil = Target->Announced->pausedUntil();
   } else if (Now < Target->UnreachableUntil)
     Selected.Reason = NoTargetReason::Down;
-  else if (Target->Load.queue(Now) >=
-               OwnerQueuePerSlot * Target->Record.Slots ||
-           Target->Load.inFlight() >= ownerRequestLimit(*Target) ||
-           returnLimitReached(*Target, Now))
+  else if (returnLimitReached(*Target, Now) || !ownerAdmits(*Target, Now))
     Selected.Reason = NoTargetReason::Busy;
   else if (coldLimitReached(*Target, Now))
     Selected.Reason = NoTargetReason::Cold;
--- a/lib/Fleet/TargetTable.h
+++ b/lib/Fleet/TargetTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Admission/SendWindow.h"
 #include "Fleet/SlidingWindowCounter.h"
 #include "Fleet/TargetAnnouncements.h"
 #include "Fleet/TargetLoad.h"
@@ -40,6 +41,7 @@
 struct TargetState {
   TargetRecord Record;
   TargetLoad Load;
+  SendWindow Window{0}; ///< For owners of keys.
   /// Requests sent recently. The window is longer than the 1 s of the cold
   /// limit, since requests arrive with different delays.
   SlidingWindowCounter Sends{std::chrono::milliseconds(1300)};
@@ -55,6 +57,16 @@
   /// Never null.
   AnnouncementTable::Entry Announced = std::make_shared<TargetAnnouncements>();
 
+  /// Records a load report that this or another instance has received. Returns
+  /// false, and changes nothing, if a newer one is known.
+  auto reported(const LoadReport &Report, TimePoint ReportedAt, TimePoint Now)
+      -> bool {
+    if (ReportedAt <= Load.reportedAt())
+      return false;
+    Load.reported(Report, ReportedAt);
+    Window.reported(Report, Now);
+    return true;
+  }
   auto cold(TimePoint Now) const -> bool {
     return Now < UnverifiedUntil || Now < ColdUntil;
   }
@@ -94,6 +106,12 @@
   TimePoint OwnerPausedUntil = LongAgo;
 };
 
+/// How the requests of this instance at an owner of keys are limited.
+enum class OwnerAdmission {
+  Windows,     ///< By SendWindow.
+  EqualShares, ///< By a fixed share of the owner's limit, for comparison.
+};
+
 /// The targets of all services, and the selection of a target for a request.
 class TargetTable {
 public:
@@ -104,6 +122,7 @@
     /// restart: one heartbeat interval of the targets plus the delay of the
     /// store.
     Duration RecordDelay = std::chrono::milliseconds(2000);
+    OwnerAdmission Admission = OwnerAdmission::Windows;
   };
 
   TargetTable(Settings TableSettings, std::uint64_t Seed)
@@ -187,9 +206,14 @@
     std::optional<TargetRecord> Returned;
   };
 
-  /// Number of requests that this instance may have in flight at an owner of
+  /// Whether this instance may have one more request in flight at an owner of
   /// keys.
-  auto ownerRequestLimit(const TargetState &Target) const -> std::uint32_t;
+  auto ownerAdmits(TargetState &Target, TimePoint Now) const -> bool;
+  /// Number of requests that one instance may have in flight at an owner of
+  /// keys when it knows nothing of the others: more than an equal share of \p
+  /// QueuePerSlot.
+  auto ownerShare(const TargetState &Target, double QueuePerSlot) const
+      -> double;
   /// Whether the target has as many requests of this instance as it is to get
   /// soon after a pause.
   auto returnLimitReached(const TargetState &Target, TimePoint Now) const
--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -73,10 +73,16 @@
 constexpr std::uint32_t MaxRateTimeouts = 2;
 constexpr Duration RateKeeperDistrustPeriod = std::chrono::milliseconds(1500);
 
-/// Interval over which target loads are batched into one notice to the
-/// neighbours. Targets change their speed and queue several times a second.
+/// Interval over which target loads are batched into one notice. Targets change
+/// their speed and queue several times a second.
 constexpr Duration LoadNoticeInterval = std::chrono::milliseconds(40);
 
+/// Number of neighbours that get a notice, and the share of notices that one
+/// instance in another data centre gets too. With these, each instance receives
+/// at most 63 notices per second, in a fleet of any size.
+constexpr std::size_t LoadNoticeNeighbours = 2;
+constexpr double LoadNoticeContactShare = 0.5;
+
 /// Maximum number of keys per service in one report. A report is a datagram and
 /// has to fit into one packet.
 constexpr std::size_t MaxReportedKeys = 150;
@@ -103,6 +109,17 @@
   }
 }
 
+/// Returns \p Count random entries, or all of them.
+auto sampled(std::vector<std::string> Addresses, std::size_t Count,
+             RandomSource &Random) -> std::vector<std::string> {
+  Count = std::min(Count, Addresses.size());
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    std::swap(Addresses[Index],
+              Addresses[Index + Random.below(Addresses.size() - Index)]);
+  Addresses.resize(Count);
+  return Addresses;
+}
+
 } // namespace
 
 FleetMember::FleetMember(boost::asio::io_context &Io, FleetContext Context,
@@ -257,14 +274,12 @@
 }
 
 auto FleetMember::scheduleLoadNotice() -> void {
-  if (Neighbours.empty())
+  if (Neighbours.empty() && Contacts.empty())
     return Context.Requests.UnsentLoads.clear();
-  if (std::exchange(LoadTimerArmed, true))
+  if (Context.Requests.UnsentLoads.empty() ||
+      std::exchange(LoadTimerArmed, true))
     return;
-  // The interval grows with the number of neighbours, so that the number of
-  // notices that an instance receives per second does not.
-  const auto IntervalFactor = std::max<std::size_t>(1, Neighbours.size() / 4);
-  LoadTimer.expires_after(LoadNoticeInterval * IntervalFactor);
+  LoadTimer.expires_after(LoadNoticeInterval);
   LoadTimer.async_wait([this](const boost::system::error_code &Cancelled) {
     LoadTimerArmed = false;
     if (!Cancelled)
@@ -272,16 +287,36 @@
   });
 }
 
+auto FleetMember::loadNoticeReceivers() -> std::vector<std::string> {
+  const bool ToContact =
+      !Contacts.empty() && Random.chance(LoadNoticeContactShare);
+  // Without other data centres, neighbours take the place of contacts.
+  std::vector<std::string> Receivers = sampled(
+      Neighbours,
+      Contacts.empty() ? LoadNoticeNeighbours + 1 : LoadNoticeNeighbours,
+      Random);
+  if (ToContact || Receivers.empty())
+    for (std::string &Contact : sampled(Contacts, 1, Random))
+      Receivers.push_back(std::move(Contact));
+  return Receivers;
+}
+
 auto FleetMember::sendLoadNotice() -> void {
   Context.Peers.sendAll(
-      Neighbours, LoadNotice{std::exchange(Context.Requests.UnsentLoads, {})});
+      loadNoticeReceivers(),
+      LoadNotice{Context.Requests.UnsentLoads.take(bootNow())});
+  scheduleLoadNotice();
 }
 
 auto FleetMember::onLoadNotice(const LoadNotice &Notice) -> void {
   const TimePoint Now = bootNow();
-  for (const auto &[Id, Load] : Notice.Loads)
-    if (const TargetPtr Target = Context.Requests.Targets.find(Id))
-      Target->Load.reported(Load, Now);
+  for (const auto &[Id, Known] : Notice.Loads) {
+    const TargetPtr Target = Context.Requests.Targets.find(Id);
+    const TimePoint ReportedAt = Now - Known.Age;
+    if (Target && Target->reported(Known.Load, ReportedAt, Now))
+      Context.Requests.UnsentLoads.add(Id, Known.Load, ReportedAt);
+  }
+  scheduleLoadNotice();
   Context.Requests.WaitingRequests.dispatch();
 }
 
@@ -376,6 +411,7 @@
     NeighboursVersion = Reply.NeighboursVersion;
     Neighbours = Reply.Neighbours;
   }
+  Contacts = Reply.Contacts;
   LargestCapacity = Reply.LargestCapacity;
   // A new leader does not know yet whether a data centre needs a relay.
   if (Reply.SharesValid || !Reply.Relay.empty())
--- a/lib/Gateway/FleetMember.h
+++ b/lib/Gateway/FleetMember.h
@@ -64,7 +64,7 @@
   /// All of the router's own objects have been read again.
   auto onRouterObjectsRead() -> void;
   auto received(const FleetMessage &Message, const std::string &From) -> void;
-  /// Arranges that the neighbours are sent RequestContext::UnsentLoads soon.
+  /// Arranges that others are sent RequestContext::UnsentLoads soon.
   /// Called when loads were added to it.
   auto scheduleLoadNotice() -> void;
   /// Tells the leader at once when an owner of keys has announced something.
@@ -94,6 +94,8 @@
   auto onReply(const FleetReply &Reply) -> void;
   auto onReport(const FleetReport &Report, const std::string &From) -> void;
   auto onGrantNotice(const GrantNotice &Notice) -> void;
+  /// Selects a few instances at random, most of them neighbours.
+  auto loadNoticeReceivers() -> std::vector<std::string>;
   auto sendLoadNotice() -> void;
   auto onLoadNotice(const LoadNotice &Notice) -> void;
   /// Sends a request to the rate keeper, or to the leader's reserve. Returns
@@ -153,6 +155,7 @@
   TimePoint RateKeeperDistrustedUntil = LongAgo;
   std::vector<std::string> Neighbours;
   std::uint64_t NeighboursVersion = 0;
+  std::vector<std::string> Contacts; ///< FleetReply::Contacts.
   RandomSource Random;
   LeaderInfo CurrentLeader;
   TimePoint LastReplyAt = LongAgo;
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -21,6 +21,10 @@
 /// occupies a connection.
 constexpr std::uint32_t MaxPendingReleases = 48;
 
+/// Instances in other data centres that each instance is told of, for the
+/// exchange of load reports: enough to lose some of them.
+constexpr std::size_t ContactsOfInstance = 4;
+
 /// An instance that has not reported for this time is no longer counted as a
 /// member of the fleet.
 constexpr Duration MemberTimeout = std::chrono::seconds(6);
@@ -197,6 +201,7 @@
   Reply.Relay = Relays.Primary;
   Reply.BackupRelay = Relays.Backup;
   addNeighbours(Report, Reply);
+  addContacts(Report, Reply);
   for (const auto &[Id, Other] : Members) {
     if (Other.StoreReachable && Now - Other.ReportedAt < RelayTimeout)
       Reply.LargestCapacity = std::max(Reply.LargestCapacity, Other.Capacity);
@@ -288,6 +293,21 @@
     Reply.Neighbours.clear();
 }
 
+auto Leader::addContacts(const FleetReport &Report, FleetReply &Reply) const
+    -> void {
+  std::vector<const std::string *> Outside;
+  std::size_t Position = 0; ///< Of the receiver in its data centre.
+  for (const auto &[Id, Other] : Members)
+    if (Other.DataCentre != Report.DataCentre)
+      Outside.push_back(&addressOf(Id, Other));
+    else if (Id < Report.Instance)
+      ++Position;
+  const std::size_t Count = std::min(Outside.size(), ContactsOfInstance);
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    Reply.Contacts.push_back(
+        *Outside[(Position + Index * Outside.size() / Count) % Outside.size()]);
+}
+
 auto Leader::membersOutside(const DataCentreId &DataCentre) const
     -> std::vector<std::string> {
   std::vector<std::string> Addresses;
--- a/lib/Gateway/Leader.h
+++ b/lib/Gateway/Leader.h
@@ -143,6 +143,8 @@
   auto selectRelays(const DataCentreId &DataCentre, TimePoint Now) const
       -> RelayPair;
   /// Adds the addresses of the other instances of the sender's data centre.
+  /// Adds instances in other data centres, spread over all of them.
+  auto addContacts(const FleetReport &Report, FleetReply &Reply) const -> void;
   auto addNeighbours(const FleetReport &Report, FleetReply &Reply) const
       -> void;
   /// Records what owners of keys have announced to the sender.
--- a/lib/Gateway/RequestContext.h
+++ b/lib/Gateway/RequestContext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Admission/LoadNews.h"
 #include "Fleet/CrashSuspects.h"
 #include "Fleet/KeyLoad.h"
 #include "Fleet/KeyRanges.h"
@@ -91,8 +92,8 @@
   std::unordered_map<ServiceId, std::vector<std::uint32_t>> RequestedKeys;
   /// Owners that have responded since the last report to the leader.
   std::set<TargetId> RespondingOwners;
-  /// Latest loads of targets that have not been sent to the neighbours yet.
-  std::map<TargetId, LoadReport> UnsentLoads;
+  /// Latest loads of targets that have not been passed on yet.
+  LoadNews UnsentLoads;
   /// Called after a load was added to UnsentLoads.
   std::function<void()> OnLoadAdded;
   /// Requests the admission of one request of a workspace from the leader's
--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -355,6 +355,7 @@
   if (CurrentHop->Suspect)
     Context.Crashes.suspectStarted(Target->Record.Id);
   Target->Load.sent();
+  Target->Window.sent();
   Target->Sends.add(Now);
   ActiveHops.push_back(CurrentHop);
   LastTarget = Target->Record.Id;
@@ -497,8 +498,8 @@
   const auto Report = Context.Protocol.ReadLoad(*Text);
   if (!Report)
     return;
-  CurrentHop.Target->Load.reported(*Report, Now);
-  Context.UnsentLoads[CurrentHop.Target->Record.Id] = *Report;
+  CurrentHop.Target->reported(*Report, Now, Now);
+  Context.UnsentLoads.add(CurrentHop.Target->Record.Id, *Report, Now);
   Context.OnLoadAdded();
 }
 
@@ -562,6 +563,8 @@
   // Status 421: the target does not hold the key, or another target has the
   // address. Counted as RefusedNoLease in both cases.
   const bool Misdirected = Response.Status == 421;
+  if (Key && !Misdirected)
+    CurrentHop->Target->Window.rejected(bootNow());
   if (Key)
     NextSendAt = bootNow() + OwnerRetryDelay;
   else if (!CurrentHop->Target->Announced->paused(bootNow()))
