Keep the order of priorities for new requests and starve none

Cause: a new request was sent before more urgent ones that waited when room had appeared since the last dispatch, and a less urgent one waited as long as more urgent ones came.

Change: WaitQueue::dispatchBefore tries the waiting requests that go before a new one.

--- a/bench/measure/OverloadSimulation.cpp
+++ b/bench/measure/OverloadSimulation.cpp
@@ -113,6 +113,8 @@
 }
 
 auto OverloadSimulation::sendOrWait(const TryPtr &Request) -> void {
+  Instances[Request->Instance].Waiting.dispatchBefore(Service,
+                                                      Request->kind().Priority);
   if (trySend(Request))
     return;
   if (Policy == OwnerAdmission::Windows && lacksRoom(*Request))
@@ -154,6 +156,7 @@
   if (!Selected.Target)
     return false;
   Request->Ticket = 0;
+  At.Waiting.sent(Service, Request->kind().Priority);
   Request->SentAt = Now;
   Request->InFlight = true;
   Request->QueueAtSend = Selected.Target->Load.queue(Now);
--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -216,7 +216,10 @@
 }
 
 auto RequestFlow::sendOrWait() -> void {
-  if (Done || trySend())
+  if (Done)
+    return;
+  Context.WaitingRequests.dispatchBefore(Service, Priority);
+  if (trySend())
     return;
   waitForTarget(bootNow());
 }
@@ -246,6 +249,7 @@
     return refuseIfAllPaused(Now);
   Ticket = 0;
   WaitTimer.cancel();
+  Context.WaitingRequests.sent(Service, Priority);
   send(Selected.Target);
   return true;
 }
