--- a/lib/Gateway/GatewaySettings.cpp
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -14,6 +14,11 @@
 constexpr double MaxSeconds = 3600;
 constexpr double MaxCount = 1e6;
 constexpr double MaxProcessorShare = 1024; ///< Cores of a large machine.
+constexpr double MinMemoryMb = 32;         ///< A process at rest holds 10 MB.
+constexpr double MaxMemoryMb = 1e7;        ///< Memory of a large machine.
+/// With fewer, none would be left for callers beside targets and files.
+constexpr double MinDescriptors = 256;
+constexpr double MaxDescriptorCount = 1e7;
 
 auto readSeconds(FieldReader &Fields, const std::string &Key, Duration &Out)
     -> void {
@@ -62,6 +67,10 @@
   Root.number("processor_share", Out.ProcessorShare, 0.001, MaxProcessorShare,
               Presence::Required);
   Root.boolean("first_start", Out.FirstStart);
+  Root.number("memory_mb", Out.MemoryMb, MinMemoryMb, MaxMemoryMb,
+              Presence::Nullable);
+  Root.number("max_descriptors", Out.MaxDescriptors, MinDescriptors,
+              MaxDescriptorCount, Presence::Nullable);
   Root.object("bounds",
               [&Out](FieldReader &Fields) { readBounds(Fields, Out.Bounds); });
   Root.finish();
--- a/lib/Gateway/GatewaySettings.h
+++ b/lib/Gateway/GatewaySettings.h
@@ -35,6 +35,10 @@
   /// are preferred as leader.
   double ProcessorShare = 1;
   bool FirstStart = false; ///< The whole fleet starts for the first time.
+  /// Memory that the process may use, in millions of bytes. 0: not limited.
+  double MemoryMb = 0;
+  /// Descriptors that the process may open. 0: not limited.
+  double MaxDescriptors = 0;
   ServiceLevelBounds Bounds;
 
   /// Checks the document and reports all errors at once.
--- a/tests/process/ChildProcess.h
+++ b/tests/process/ChildProcess.h
@@ -38,6 +38,7 @@
   auto waitForEnd(std::chrono::milliseconds Limit) -> std::optional<int>;
   auto kill() -> void;
   auto isRunning() -> bool;
+  auto pid() const -> pid_t { return Pid; }
 
 private:
   pid_t Pid = -1;
