--- a/lib/Gateway/GatewaySettings.cpp
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -43,6 +43,11 @@
   readSeconds(Fields, "longest_hold_s", Out.MaxGrantHold);
 }
 
+auto readHedging(FieldReader &Fields, HedgeLimits &Out) -> void {
+  Fields.number("extra_requests", Out.ExtraRequests, 0, 1, Presence::Nullable);
+  Fields.number("extra_time", Out.ExtraTime, 0, 1, Presence::Nullable);
+}
+
 } // namespace
 
 auto GatewaySettings::describes(const SettingsDocument &Document) -> bool {
@@ -73,6 +78,10 @@
               MaxDescriptorCount, Presence::Nullable);
   Root.object("bounds",
               [&Out](FieldReader &Fields) { readBounds(Fields, Out.Bounds); });
+  Root.object(
+      "hedging",
+      [&Out](FieldReader &Fields) { readHedging(Fields, Out.Hedging); },
+      Presence::Nullable);
   Root.finish();
   if (!Errors.empty())
     return {std::nullopt, std::move(Errors)};
--- a/lib/Gateway/GatewaySettings.h
+++ b/lib/Gateway/GatewaySettings.h
@@ -3,6 +3,7 @@
 #include "Fleet/RangeAssigner.h"
 #include "Fleet/RateShares.h"
 #include "Fleet/RetryAllowance.h"
+#include "Hedge/HedgeAllowance.h"
 #include "buckthornring/Common/Ids.h"
 #include "buckthornring/Config/SettingsDocument.h"
 
@@ -40,6 +41,7 @@
   /// Descriptors that the process may open. 0: not limited.
   double MaxDescriptors = 0;
   ServiceLevelBounds Bounds;
+  HedgeLimits Hedging;
 
   /// Checks the document and reports all errors at once.
   static auto check(const SettingsDocument &Document)
--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -67,6 +67,20 @@
   EXPECT_EQ(Copy.RateHolders, 6U);
 }
 
+TEST(FleetMessageTest, AuthorityMessagesAreUnchangedAfterDecoding) {
+  const LeaderInfo Leader{InstanceId("i2"), "i2-7", "10.0.0.1:7000", 42};
+  const auto Query =
+      decodeFleetMessage(encodeFleetMessage(AuthorityQuery{Leader, "i1-5"}));
+  const auto Answer = decodeFleetMessage(
+      encodeFleetMessage(AuthorityAnswer{42, "i1-5", true, 1200}));
+  ASSERT_TRUE(Query && Answer);
+  EXPECT_EQ(std::get<AuthorityQuery>(*Query).Leader.Term, 42U);
+  EXPECT_EQ(std::get<AuthorityQuery>(*Query).Process, "i1-5");
+  const auto &Copy = std::get<AuthorityAnswer>(*Answer);
+  EXPECT_TRUE(Copy.Term == 42 && Copy.Process == "i1-5" && Copy.Ended &&
+              Copy.LastOrderAgeMs == 1200);
+}
+
 auto fullNotice() -> SuspectNotice {
   SuspectNotice Notice;
   RandomSource Random(3);
@@ -764,6 +778,27 @@
   EXPECT_EQ(Read.Value->Bounds.Retries.Window, seconds(10));
 }
 
+// Guards against instances that do not start where the platform leaves out the
+// limits on hedges or fills in null.
+TEST(GatewaySettingsTest, HedgingMayBeMissingOrNull) {
+  auto Document = nlohmann::json::parse(ValidSettings);
+  for (const char *Text :
+       {"null", "{}", R"({"extra_requests": null, "extra_time": null})"}) {
+    Document["hedging"] = nlohmann::json::parse(Text);
+    const auto Read = GatewaySettings::read(Document.dump(), "s.json");
+    ASSERT_TRUE(Read) << settingsErrorText(Read.Errors);
+    EXPECT_EQ(Read.Value->Hedging.ExtraRequests, 0.02);
+    EXPECT_EQ(Read.Value->Hedging.ExtraTime, 0.02);
+  }
+  Document["hedging"] = {{"extra_requests", 0}, {"extra_time", 0.05}};
+  const auto Read = GatewaySettings::read(Document.dump(), "s.json");
+  ASSERT_TRUE(Read) << settingsErrorText(Read.Errors);
+  EXPECT_TRUE(Read.Value->Hedging.off());
+  EXPECT_EQ(Read.Value->Hedging.ExtraTime, 0.05);
+  Document["hedging"] = {{"extra_requests", 1.5}};
+  EXPECT_FALSE(GatewaySettings::read(Document.dump(), "s.json"));
+}
+
 TEST(GatewaySettingsTest, NamesEachMissingOrWrongKeyWithItsLine) {
   std::string Text = ValidSettings;
   Text.replace(Text.find("\"i1\""), 4, "null");
