--- a/lib/Gateway/RequestFlow.h
+++ b/lib/Gateway/RequestFlow.h
@@ -100,6 +100,7 @@
   auto onConnected(const HopPtr &CurrentHop,
                    TargetConnectionPool::ConnectionPtr Connection, bool Opened)
       -> void;
+  /// The message without its body.
   auto serializeRequest(const Hop &CurrentHop, TimePoint Now) const
       -> std::string;
 
