Add the decision core of rollouts

Cause: a version could only be replaced target by target; there was no way to compare a new version with the old one and to go back.

Change: lib/Rollout decides without I/O. RolloutController (leader) moves a rollout through hold, compare, complete and stopped, by cumulative counts of all instances and a steady clock. RolloutShare (instance) bounds the requests to the new version without messages. VersionAdmission tells which versions a service's requests may run on. The verdict compares failures by a binomial test and the mean logarithms of the times, by route and in recent spans; the failures that one crash of a target may cause are left out.

--- /dev/null
+++ b/lib/Rollout/RolloutShare.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "Rollout/Rollout.h"
+
+#include <optional>
+
+namespace buckthornring {
+
+/// One instance's part in a rollout: decides which of its requests may go to
+/// the new version, and counts outcomes.
+///
+/// The instance sends at most floor(share x its requests + its part of the
+/// slack) requests to the new version in `compare`, so the sum over all
+/// instances is within the exposure bound without messages.
+class RolloutShare {
+public:
+  /// Time without a reply of the leader after which nothing goes to the new
+  /// version in `compare`.
+  static constexpr Duration ReplyTimeout = std::chrono::seconds(2);
+
+  RolloutShare(std::string To, const RolloutBounds &Bounds,
+               const InstanceId &Instance);
+
+  auto to() const -> const std::string & { return To; }
+  auto order() const -> std::uint64_t { return Notice.Order; }
+
+  /// The leader's decision. One of an earlier order is ignored; so is one that
+  /// would leave `stopped`.
+  auto decided(const RolloutNotice &Decision, TimePoint Now) -> void;
+  /// A stage that was read from the store. Only `complete` and `stopped` are
+  /// used: the rest needs a leader.
+  auto recorded(const RolloutNotice &Record) -> void;
+
+  auto stage() const -> RolloutStage { return Notice.Stage; }
+  auto period() const -> std::uint32_t { return Notice.Period; }
+  auto sharePpm() const -> std::uint32_t { return Notice.SharePpm; }
+
+  /// Whether requests may go to the new version beside the old ones at all.
+  auto comparing(TimePoint Now) const -> bool {
+    return Notice.Stage == RolloutStage::Compare &&
+           Now - DecidedAt < ReplyTimeout;
+  }
+  /// Whether the next request may go to the new version beside the old ones.
+  auto mayCompare(std::uint32_t Instances, TimePoint Now) const -> bool;
+
+  /// The first send of a request.
+  auto requestSent() -> void { ++Counts.Requests; }
+  /// A send to the new version by mayCompare().
+  auto sentToNew() -> void { ++Counts.SentToNew; }
+  /// Nothing for \p Time: the request failed.
+  auto ended(const std::string &Version, const std::string &Route,
+             std::optional<Duration> Time) -> void;
+
+  /// Returns the counts; the caller adds RunningAtOld.
+  auto report() const -> RolloutReport;
+
+private:
+  auto slackPart(std::uint32_t Instances) const -> double;
+
+  std::string To;
+  RolloutBounds Bounds;
+  double Position = 0; ///< Of this instance among all, in [0, 1).
+  double Selector = 0; ///< The same, independent of Position.
+  RolloutNotice Notice;
+  TimePoint DecidedAt = LongAgo;
+  RolloutReport Counts;
+};
+
+} // namespace buckthornring
--- /dev/null
+++ b/tests/support/RolloutSimulation.h
@@ -0,0 +1,313 @@
+#pragma once
+
+#include "Rollout/RolloutController.h"
+#include "Rollout/RolloutShare.h"
+#include "buckthornring/Common/Random.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <queue>
+#include <string>
+#include <vector>
+
+namespace buckthornring::test {
+
+/// How a version behaves.
+enum class Badness { None, Failures, Slow, Later, UnderLoad, OneRoute };
+
+inline constexpr EnumNames<Badness, 6> BadnessNames({"good", "failures", "slow",
+                                                     "later", "under-load",
+                                                     "one-route"});
+
+struct RolloutScenario {
+  std::uint32_t Instances = 60;
+  double RequestsPerSecond = 150;
+  std::uint32_t Targets = 35; ///< Of each version.
+  Duration Length = std::chrono::seconds(14);
+  Badness Kind = Badness::None;
+  bool ColdTargets = false; ///< New targets start with the order.
+  double LostMessages = 0.01;
+  /// A target of the new version crashes while the versions are compared.
+  bool Crash = false;
+};
+
+struct RolloutOutcome {
+  RolloutState State = RolloutState::None;
+  Duration EndedAt{0};
+  std::uint32_t Requests = 0; ///< From the order to its deadline.
+  std::uint32_t ToNew = 0;    ///< Of them, before the end of the rollout.
+  std::uint32_t MaxBadAtOneInstance = 0;
+  /// Latest send to the new version after its 50th bad response.
+  Duration SentAfterBad{0};
+  bool SentToOldAfterSuccess = false;
+  std::string Cause;
+  VersionComparison Comparison;
+};
+
+/// One rollout in virtual time: instances with their own requests and reports,
+/// targets with two slots and a queue, and a leader. Targets differ in speed,
+/// have noisy neighbours and slow requests as the platform's targets do.
+class RolloutSimulation {
+public:
+  RolloutSimulation(const RolloutScenario &Scenario, std::uint64_t Seed)
+      : Setup(Scenario), Random(Seed),
+        Control(makeOrder(), bounds(), false, "v1", Start) {
+    for (std::uint32_t Index = 0; Index < 2 * Setup.Targets; ++Index) {
+      Servers.push_back({0.55 + 0.95 * Random.unit(), Index >= Setup.Targets});
+      Servers.back().ColdUntil =
+          Start +
+          Duration(Setup.ColdTargets && Index >= Setup.Targets ? 3'000'000 : 0);
+    }
+    for (std::uint32_t Index = 0; Index < Setup.Instances; ++Index)
+      Nodes.push_back({InstanceId("i" + std::to_string(Index)),
+                       RolloutShare("v2", bounds(),
+                                    InstanceId(std::to_string(Seed) + "i" +
+                                               std::to_string(Index)))});
+  }
+
+  static auto bounds() -> RolloutBounds { return {0.1, 50}; }
+
+  auto run() -> RolloutOutcome {
+    for (std::uint32_t Index = 0; Index < Nodes.size(); ++Index)
+      at(Start + Duration(Random.below(400'000)),
+         [this, Index] { report(Index); });
+    at(Start, [this] { arrive(); });
+    at(Start, [this] { tick(); });
+    if (Setup.Crash)
+      at(Start + Duration(3'000'000 + Random.below(3'000'000)),
+         [this] { crash(); });
+    const TimePoint End = Start + Setup.Length + std::chrono::seconds(2);
+    while (!Events.empty() && Events.top().Time < End) {
+      const Event Next = Events.top();
+      Events.pop();
+      Now = Next.Time;
+      Next.Action();
+    }
+    Out.State = Control.dueState();
+    Out.Cause = Control.cause();
+    Out.Comparison = Control.comparison();
+    for (const Node &Each : Nodes)
+      Out.MaxBadAtOneInstance =
+          std::max(Out.MaxBadAtOneInstance, Each.BadResponses);
+    return Out;
+  }
+
+private:
+  struct Server {
+    double Factor = 1;
+    bool Fresh = false;
+    std::uint32_t Running = 0;
+    bool Noisy = false;
+    TimePoint NoiseUntil = LongAgo;
+    bool Crashed = false;
+    TimePoint ColdUntil = LongAgo;
+    std::uint32_t ColdSends = 0;
+    std::vector<TimePoint> SlotFreeAt = {LongAgo, LongAgo};
+  };
+  struct Node {
+    InstanceId Id;
+    RolloutShare Share;
+    std::uint32_t AtOld = 0;
+    std::uint32_t BadResponses = 0;
+  };
+  struct Event {
+    TimePoint Time;
+    std::uint64_t Number;
+    std::function<void()> Action;
+
+    auto operator<(const Event &Other) const -> bool {
+      return Time != Other.Time ? Time > Other.Time : Number > Other.Number;
+    }
+  };
+
+  auto makeOrder() const -> RolloutOrder {
+    RolloutOrder Order;
+    Order.Service = ServiceId("s");
+    Order.To = "v2";
+    Order.Length = Setup.Length;
+    Order.Revision = 7;
+    return Order;
+  }
+
+  auto at(TimePoint Time, std::function<void()> Action) -> void {
+    Events.push({Time, ++LastEvent, std::move(Action)});
+  }
+
+  auto lost() -> bool { return Random.chance(Setup.LostMessages); }
+
+  auto tick() -> void {
+    RolloutController::View View;
+    View.OldSlots = View.NewSlots = 2 * Setup.Targets;
+    View.MembersKnown = true;
+    for (const Node &Each : Nodes)
+      View.Members.insert(Each.Id);
+    Control.step(View, Now);
+    if (const auto Record = Control.pendingRecord(Now); Record && !Writing) {
+      Writing = true;
+      // The store is sometimes a hundred times slower.
+      const Duration Delay(Random.chance(0.1) ? 500'000 : 5'000);
+      at(Now + Delay, [this, Record] {
+        Writing = false;
+        Control.recorded(*Record, Now);
+      });
+    }
+    if (Control.dueState() != RolloutState::Running &&
+        Out.EndedAt == Duration(0))
+      Out.EndedAt = Now - Start;
+    at(Now + std::chrono::milliseconds(100), [this] { tick(); });
+  }
+
+  auto report(std::uint32_t Index) -> void {
+    Node &Sender = Nodes[Index];
+    if (!lost()) {
+      RolloutReport Report = Sender.Share.report();
+      Report.RunningAtOld = Sender.AtOld;
+      Control.recordReport(Sender.Id, "p", Report, Now);
+      if (!lost())
+        at(Now + std::chrono::milliseconds(5),
+           [this, Index, Notice = Control.notice(Now)] {
+             Nodes[Index].Share.decided(Notice, Now);
+           });
+    }
+    at(Now + std::chrono::milliseconds(400), [this, Index] { report(Index); });
+  }
+
+  auto arrive() -> void {
+    at(Now + Duration(static_cast<std::int64_t>(-std::log(1 - Random.unit()) /
+                                                Setup.RequestsPerSecond * 1e6)),
+       [this] { arrive(); });
+    if (Now - Start < Setup.Length)
+      ++Out.Requests;
+    const auto Index = static_cast<std::uint32_t>(Random.below(Nodes.size()));
+    Node &Sender = Nodes[Index];
+    Server *Chosen = nullptr;
+    const bool Complete = Sender.Share.stage() == RolloutStage::Complete;
+    if (Complete)
+      Chosen = choose(true, 0, Setup.Targets);
+    else if (Sender.Share.mayCompare(Setup.Instances, Now))
+      Chosen = chooseFew(Sender);
+    const bool Compared = Chosen && !Complete;
+    if (!Chosen)
+      Chosen = choose(Complete, 0, Setup.Targets);
+    if (!Chosen)
+      return; // All are full: the request is refused.
+    Sender.Share.requestSent();
+    if (Compared)
+      Sender.Share.sentToNew();
+    send(Index, *Chosen);
+  }
+
+  auto chooseFew(const Node &Sender) -> Server * {
+    const auto Few =
+        std::max(1U, static_cast<std::uint32_t>(Sender.Share.sharePpm() * 1e-6 *
+                                                Setup.Targets));
+    return choose(true, Sender.Share.period() * Few, Few, 2);
+  }
+
+  /// The best of six random targets among \p Count from \p First on.
+  auto choose(bool Fresh, std::uint32_t First, std::uint32_t Count,
+              std::uint32_t MaxRunning = 5) -> Server * {
+    Server *Best = nullptr;
+    double BestCost = 0;
+    for (int Sample = 0; Sample < 6; ++Sample) {
+      const auto Offset = (First + Random.below(Count)) % Setup.Targets +
+                          (Fresh ? Setup.Targets : 0);
+      Server &Each = Servers[Offset];
+      const bool Cold = Now < Each.ColdUntil;
+      if (Each.Crashed || Each.Running >= MaxRunning ||
+          (Cold && Each.ColdSends >= 10))
+        continue;
+      const double Cost = Each.Factor * (Each.Noisy ? 2 : 1) *
+                          (1 + std::max(0.0, Each.Running - 1.0) / 2);
+      if (!Best || Cost < BestCost) {
+        Best = &Each;
+        BestCost = Cost;
+      }
+    }
+    return Best;
+  }
+
+  auto send(std::uint32_t Index, Server &To) -> void {
+    if (To.Fresh) {
+      if (Now - Start < Setup.Length && Out.EndedAt == Duration(0) &&
+          Control.stage() != RolloutStage::Complete)
+        ++Out.ToNew;
+      if (FiftiethBadAt != LongAgo)
+        Out.SentAfterBad = Now - FiftiethBadAt;
+    } else if (Control.dueState() == RolloutState::Succeeded) {
+      Out.SentToOldAfterSuccess = true;
+    }
+    if (Now >= To.NoiseUntil) {
+      To.Noisy = Random.chance(0.2);
+      To.NoiseUntil = Now + std::chrono::milliseconds(400);
+    }
+    To.ColdSends += Now < To.ColdUntil ? 1 : 0;
+    const std::string Route = "/r" + std::to_string(Random.below(3));
+    const bool Bad = To.Fresh && isBad(To, Route);
+    double Ms = 94 * To.Factor * (To.Noisy ? 3 : 1) *
+                (Random.chance(0.03) ? 7 : 1) * (0.5 + Random.unit());
+    if (Bad && Setup.Kind == Badness::Slow)
+      Ms *= 3;
+    auto &Slot = *std::min_element(To.SlotFreeAt.begin(), To.SlotFreeAt.end());
+    Slot = std::max(Slot, Now) + Duration(static_cast<std::int64_t>(Ms * 1000));
+    ++To.Running;
+    Nodes[Index].AtOld += To.Fresh ? 0 : 1;
+    at(Slot, [&To] { --To.Running; });
+    const bool Late = Slot - Now > Deadline;
+    at(std::min(Slot, Now + Deadline), [this, Index, &To, Route, Bad, Late,
+                                        SentAt = Now] {
+      const bool Failed =
+          Late || To.Crashed || (Bad && Setup.Kind != Badness::Slow);
+      Node &Sender = Nodes[Index];
+      Sender.AtOld -= To.Fresh ? 0 : 1;
+      Sender.BadResponses += Bad ? 1 : 0;
+      BadResponses += Bad ? 1 : 0;
+      if (BadResponses == 50 && FiftiethBadAt == LongAgo)
+        FiftiethBadAt = Now;
+      Sender.Share.ended(To.Fresh ? "v2" : "v1", Route,
+                         Failed ? std::nullopt : std::optional(Now - SentAt));
+    });
+  }
+
+  auto isBad(const Server &To, const std::string &Route) -> bool {
+    switch (Setup.Kind) {
+    case Badness::None:
+      return false;
+    case Badness::Failures:
+      return Random.chance(0.3);
+    case Badness::Slow:
+      return true;
+    case Badness::Later:
+      return Now - Start > Setup.Length * 2 / 5 && Random.chance(0.4);
+    case Badness::UnderLoad:
+      return To.Running >= 1 && Random.chance(0.6);
+    case Badness::OneRoute:
+      return Route == "/r1" && Random.chance(0.6);
+    }
+    return false;
+  }
+
+  auto crash() -> void {
+    Server &Ended = Servers[Setup.Targets + Random.below(Setup.Targets)];
+    Ended.Crashed = true;
+  }
+
+  static constexpr Duration Deadline = std::chrono::milliseconds(1500);
+  static constexpr TimePoint Start{std::chrono::seconds(1000)};
+
+  RolloutScenario Setup;
+  RandomSource Random;
+  RolloutController Control;
+  std::vector<Server> Servers;
+  std::vector<Node> Nodes;
+  std::priority_queue<Event> Events;
+  std::uint64_t LastEvent = 0;
+  TimePoint Now = Start;
+  bool Writing = false;
+  std::uint32_t BadResponses = 0;
+  TimePoint FiftiethBadAt = LongAgo;
+  RolloutOutcome Out;
+};
+
+} // namespace buckthornring::test
