Carry out rollout orders

Cause: the decision core of rollouts had no orders, no messages and no influence on requests.

Change: orders of the kind "rollouts" are read where the settings have exposure_share, and their status is written under the revision. The leader keeps a record of each stage (rollout.SERVICE). Reports carry counts, replies the stage. Targets are selected by version; keys of a divided service move to a few targets of the new version in compare and to all of them in complete. The command "rollout" shows the state.

--- a/cli/buckthornring/CommandLine.cpp
+++ b/cli/buckthornring/CommandLine.cpp
@@ -36,6 +36,9 @@
   owner SERVICE KEY     The slice, home data centre and owner of a key.
   why [REASON]          Refusals by reason at the --admin endpoints, with their
                         meaning. REASON is the value of Btr-Refusal.
+  rollout [SERVICE]     Rollouts and, from the leader, stage, share, counts and
+                        times by version, from the peer addresses of instances
+                        that are given as --admin endpoints.
   explain ID [LOG...]   The log lines of a request, and the last known state of
                         each instance before them, from their logs (default:
                         standard input).
--- a/cli/buckthornring/Commands.h
+++ b/cli/buckthornring/Commands.h
@@ -10,6 +10,7 @@
 auto checkCommand(const CommandLine &Line) -> CommandResult;
 auto whyCommand(const CommandLine &Line) -> CommandResult;
 auto explainCommand(const CommandLine &Line) -> CommandResult;
+auto rolloutCommand(const CommandLine &Line) -> CommandResult;
 
 /// Commands that use the platform.
 auto diffCommand(const CommandLine &Line, PlatformSession &Session)
--- a/cli/buckthornring/Main.cpp
+++ b/cli/buckthornring/Main.cpp
@@ -19,7 +19,7 @@
   CommandResult (*RunWithPlatform)(const CommandLine &, PlatformSession &);
 };
 
-constexpr std::array<CommandEntry, 11> CommandTable = {{
+constexpr std::array<CommandEntry, 12> CommandTable = {{
     {"check", "check PATH", 1, 1, checkCommand, nullptr},
     {"apply", "apply PATH", 1, 1, nullptr, applyCommand},
     {"diff", "diff PATH", 1, 1, nullptr, diffCommand},
@@ -31,6 +31,7 @@
     {"drain", "drain SERVICE/TARGET", 1, 1, nullptr, drainCommand},
     {"owner", "owner SERVICE KEY", 2, 2, nullptr, ownerCommand},
     {"why", "why [REASON]", 0, 1, whyCommand, nullptr},
+    {"rollout", "rollout [SERVICE]", 0, 1, rolloutCommand, nullptr},
     {"explain", "explain REQUEST-ID [LOG...]", 1, 1000, explainCommand,
      nullptr},
 }};
--- a/lib/Fleet/FleetMessage.cpp
+++ b/lib/Fleet/FleetMessage.cpp
@@ -156,6 +156,109 @@
     To.Suspects = decodeSuspects(Value.at("u"));
 }
 
+/// Most services with rollouts and routes of one in a message, which has to fit
+/// into one packet.
+constexpr std::size_t MaxRolloutsInMessage = 8;
+constexpr std::size_t MaxRolloutRoutes = 8;
+
+/// Outcomes of a route are [requests, failures, [bucket, count, ...]].
+auto encodeOutcomes(const OutcomesByRoute &Routes) -> Json {
+  Json Out = Json::object();
+  for (const auto &[Route, Outcomes] : Routes) {
+    Json Times = Json::array();
+    for (std::size_t Index = 0; Index < TimeCounts::BucketCount; ++Index)
+      if (const std::uint32_t Count = Outcomes.Times.Buckets.at(Index)) {
+        Times.push_back(Index);
+        Times.push_back(Count);
+      }
+    Out[Route] =
+        Json::array({Outcomes.Requests, Outcomes.Failures, std::move(Times)});
+  }
+  return Out;
+}
+
+auto decodeOutcomes(const Json &Value) -> OutcomesByRoute {
+  if (!Value.is_object() || Value.size() > MaxRolloutRoutes)
+    throw Json::type_error::create(302, "too many routes", &Value);
+  OutcomesByRoute Out;
+  for (const auto &[Route, Item] : Value.items()) {
+    RolloutOutcomes &Outcomes = Out[Route];
+    Outcomes.Requests = integer<std::uint32_t>(Item.at(0));
+    Outcomes.Failures = integer<std::uint32_t>(Item.at(1));
+    const Json &Times = Item.at(2);
+    for (std::size_t Index = 0; Index < Times.size(); Index += 2) {
+      const auto Bucket = integer<std::uint32_t>(Times.at(Index));
+      if (Bucket >= TimeCounts::BucketCount)
+        throw Json::out_of_range::create(401, "no such bucket", &Times);
+      Outcomes.Times.Buckets.at(Bucket) =
+          integer<std::uint32_t>(Times.at(Index + 1));
+    }
+  }
+  return Out;
+}
+
+auto decodeStage(const Json &Value) -> RolloutStage {
+  const auto Stage = integer<std::uint32_t>(Value);
+  if (Stage >= RolloutStageNames.size())
+    throw Json::out_of_range::create(401, "no such stage", &Value);
+  return static_cast<RolloutStage>(Stage);
+}
+
+auto encodeRollouts(const std::map<ServiceId, RolloutReport> &Reports) -> Json {
+  Json Out = Json::object();
+  for (const auto &[Id, Report] : Reports) {
+    if (Out.size() >= MaxRolloutsInMessage)
+      break;
+    Out[Id.str()] =
+        Json::array({Report.Order, static_cast<std::uint32_t>(Report.Stage),
+                     Report.Requests, Report.SentToNew, Report.RunningAtOld,
+                     encodeOutcomes(Report.Old), encodeOutcomes(Report.New)});
+  }
+  return Out;
+}
+
+auto encodeRollouts(const std::map<ServiceId, RolloutNotice> &Notices) -> Json {
+  Json Out = Json::object();
+  for (const auto &[Id, Notice] : Notices) {
+    if (Out.size() >= MaxRolloutsInMessage)
+      break;
+    Out[Id.str()] = Json::array({Notice.Order, Notice.To,
+                                 static_cast<std::uint32_t>(Notice.Stage),
+                                 Notice.SharePpm, Notice.Period});
+  }
+  return Out;
+}
+
+auto checkRollouts(const Json &Value) -> void {
+  if (!Value.is_object() || Value.size() > MaxRolloutsInMessage)
+    throw Json::type_error::create(302, "too many rollouts", &Value);
+}
+
+auto decodeRolloutReports(const Json &Value)
+    -> std::map<ServiceId, RolloutReport> {
+  checkRollouts(Value);
+  std::map<ServiceId, RolloutReport> Out;
+  for (const auto &[Id, Item] : Value.items())
+    Out[ServiceId(Id)] = {
+        integer<std::uint64_t>(Item.at(0)), decodeStage(Item.at(1)),
+        integer<std::uint32_t>(Item.at(2)), integer<std::uint32_t>(Item.at(3)),
+        integer<std::uint32_t>(Item.at(4)), decodeOutcomes(Item.at(5)),
+        decodeOutcomes(Item.at(6))};
+  return Out;
+}
+
+auto decodeRolloutNotices(const Json &Value)
+    -> std::map<ServiceId, RolloutNotice> {
+  checkRollouts(Value);
+  std::map<ServiceId, RolloutNotice> Out;
+  for (const auto &[Id, Item] : Value.items())
+    Out[ServiceId(Id)] = {
+        integer<std::uint64_t>(Item.at(0)), Item.at(1).get<std::string>(),
+        decodeStage(Item.at(2)), integer<std::uint32_t>(Item.at(3)),
+        integer<std::uint32_t>(Item.at(4))};
+  return Out;
+}
+
 auto encode(const FleetReport &Report) -> Json {
   Json Out = {{"t", 1},
               {"i", Report.Instance.str()},
@@ -173,6 +276,8 @@
               {"b", encodeMap(Report.ProcessingTimeMs)}};
   if (!Report.OwnerNotices.empty())
     Out["n"] = encodeNotices(Report.OwnerNotices);
+  if (!Report.Rollouts.empty())
+    Out["o"] = encodeRollouts(Report.Rollouts);
   addSuspects(Report, Out);
   return Out;
 }
@@ -196,6 +301,8 @@
               {"q", Reply.SharesValid},
               {"w", encodeMap(scaledShares(Reply.WorkspaceShares))},
               {"o", static_cast<std::uint32_t>(Reply.DefaultShare * 10'000)}};
+  if (!Reply.Rollouts.empty())
+    Out["d"] = encodeRollouts(Reply.Rollouts);
   addSuspects(Reply, Out);
   return Out;
 }
@@ -260,6 +367,8 @@
   Report.ProcessingTimeMs = decodeMap<TargetId, std::uint32_t>(Value.at("b"));
   if (Value.contains("n"))
     Report.OwnerNotices = decodeNotices(Value.at("n"));
+  if (Value.contains("o"))
+    Report.Rollouts = decodeRolloutReports(Value.at("o"));
   readSuspects(Value, Report);
   return Report;
 }
@@ -285,6 +394,8 @@
        decodeMap<WorkspaceId, std::uint32_t>(Value.at("w")))
     Reply.WorkspaceShares[Id] = Share / 10'000.0;
   Reply.DefaultShare = Value.at("o").get<std::uint32_t>() / 10'000.0;
+  if (Value.contains("d"))
+    Reply.Rollouts = decodeRolloutNotices(Value.at("d"));
   readSuspects(Value, Reply);
   return Reply;
 }
--- a/lib/Fleet/FleetMessage.h
+++ b/lib/Fleet/FleetMessage.h
@@ -2,6 +2,7 @@
 
 #include "Fleet/CrashSuspects.h"
 #include "Fleet/TargetRecord.h"
+#include "Rollout/Rollout.h"
 #include "buckthornring/Common/Ids.h"
 #include "buckthornring/Common/Result.h"
 
@@ -63,6 +64,8 @@
   std::map<TargetId, std::uint32_t> ProcessingTimeMs;
   /// Announcements of targets of divided services that are in force.
   std::map<TargetId, OwnerNotice> OwnerNotices;
+  /// Services with a rollout in progress.
+  std::map<ServiceId, RolloutReport> Rollouts;
   std::uint64_t SuspectsDigest = 0; ///< digestOf() of the known suspects.
   /// Empty when the leader's last reply had the same digest.
   SuspectNotice Suspects;
@@ -98,6 +101,8 @@
   bool SharesValid = false;
   std::map<WorkspaceId, double> WorkspaceShares;
   double DefaultShare = 0;
+  /// Services with a rollout in progress.
+  std::map<ServiceId, RolloutNotice> Rollouts;
   std::uint64_t SuspectsDigest = 0; ///< digestOf() of the known suspects.
   SuspectNotice Suspects; ///< Empty when the report had the same digest.
 };
--- a/lib/Fleet/TargetTable.cpp
+++ b/lib/Fleet/TargetTable.cpp
@@ -402,6 +402,7 @@
         Target->Record.DataCentre == TableSettings.DataCentre ? MissingLocal
                                                               : MissingRemote;
     if (Missing == 0 || !takesRequests(*Target) ||
+        (Request.Admits && !Request.Admits(Target->Record)) ||
         std::find(Request.ExcludedTargets.begin(),
                   Request.ExcludedTargets.end(),
                   Target->Record.Id) != Request.ExcludedTargets.end())
--- a/lib/Fleet/TargetTable.h
+++ b/lib/Fleet/TargetTable.h
@@ -68,6 +68,8 @@
   bool Idempotent = true;
   Duration TargetLatency = std::chrono::seconds(1);
   std::vector<TargetId> ExcludedTargets; ///< Already tried.
+  /// Whether a target's version may get the request; empty: all may.
+  std::function<bool(const TargetRecord &)> Admits = nullptr;
 };
 
 /// Why no target was selected.
--- a/lib/Gateway/ChangeRelay.cpp
+++ b/lib/Gateway/ChangeRelay.cpp
@@ -79,6 +79,8 @@
   const auto Add = [&Objects](const StoredObject &Object) {
     Objects.push_back(Json::array(
         {Object.Name, Object.Revision, Object.Deleted, Object.Value}));
+    if (!Object.Status.is_null())
+      Objects.back().push_back(Object.Status);
   };
   if (Asked.Since) {
     const auto Changes = Feed.changesSince(*Asked.Since);
--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -196,6 +196,8 @@
       Report.Keys[Id] = std::exchange(Keys, {});
   }
   Report.OwnerNotices = ownerNotices(Now);
+  if (Context.Requests.Rollouts)
+    Report.Rollouts = Context.Requests.Rollouts->reports();
   Suspects.addTo(Report, Now);
   return Report;
 }
@@ -369,6 +371,8 @@
 }
 
 auto FleetMember::applyReply(const FleetReply &Reply) -> void {
+  if (Context.Requests.Rollouts)
+    Context.Requests.Rollouts->setNotices(Reply.Rollouts, bootNow());
   // A new leader has not heard from all instances yet.
   NewestConfigurationSeen =
       std::max(NewestConfigurationSeen, Reply.Seen.Configuration);
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -176,7 +176,19 @@
                    .field("data_centre", Settings.DataCentre.str())
                    .field("caller_address", Settings.CallerAddress)
                    .field("store_address", Settings.StoreAddress));
+  if (Settings.Bounds.Rollouts.enabled())
+    makeRollouts();
   makeFeeds();
+  if (Rollouts)
+    RolloutDecisions =
+        std::make_unique<RolloutLeader>(RolloutLeader::LeaderContext{
+            *Store, Protocol, Targets, Events, *Rollouts, *RouterObjectsFeed,
+            Settings.Bounds.Rollouts,
+            [this] {
+              RouterObjectsFeed->refresh();
+              RolloutFeed->refresh();
+            },
+            [this](const StoredObject &Object) { onRolloutChanged(Object); }});
   RangeTimes Times;
   Times.HoldPeriod = std::min(Times.HoldPeriod, Settings.Bounds.MaxGrantHold);
   LocalLeader = std::make_unique<Leader>(
@@ -194,7 +206,8 @@
           },
           [this](const GrantNotice &Notice) {
             Member->received(Notice, Settings.PeerAddress);
-          }},
+          },
+          Rollouts.get(), RolloutDecisions.get()},
       Times, Settings.Bounds.Rates);
   Requests.OnLoadAdded = [this] { Member->scheduleLoadNotice(); };
   Store->onWriteUnanswered([this] { recheckFeeds(); });
@@ -358,6 +371,8 @@
 auto Gateway::Impl::tick() -> void {
   const TimePoint Now = bootNow();
   dropMissingEvacuations(Now);
+  if (Rollouts)
+    Rollouts->tick(Now);
   const bool Dropped = Targets.dropMissing(Now);
   // Without contact, a removal of the record would not be seen.
   const bool Readmitted =
@@ -377,6 +392,8 @@
       LocalLeader->leadershipConfirmed(RouterObjectsFeed->confirmedAt());
     if (Requests.CurrentConfig)
       LocalLeader->tick(Requests.CurrentConfig->Config);
+    if (RolloutDecisions)
+      stepRollouts(Now);
   }
   TickTimer.expires_after(LocalLeader->leading() ? LeaderTickInterval
                                                  : FollowerTickInterval);
--- a/lib/Gateway/GatewayImpl.h
+++ b/lib/Gateway/GatewayImpl.h
@@ -10,10 +10,13 @@
 #include "Gateway/RelayedStore.h"
 #include "Gateway/RequestContext.h"
 #include "Gateway/RequestFlow.h"
+#include "Gateway/RolloutAgent.h"
+#include "Gateway/RolloutLeader.h"
 #include "Gateway/StoreFeed.h"
 #include "Gateway/WaitQueue.h"
 #include "buckthornring/IO/HttpClient.h"
 #include "buckthornring/IO/HttpServer.h"
+#include "buckthornring/Observe/PrometheusText.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -64,6 +67,19 @@
   /// Takes evacuations back that the store has not had again in time.
   auto dropMissingEvacuations(TimePoint Now) -> void;
   auto onRouterObjectChanged(const StoredObject &Object) -> void;
+  auto onRolloutsListed(const std::map<std::string, StoredObject> &Objects)
+      -> void;
+  auto onRolloutChanged(const StoredObject &Object) -> void;
+  /// Nothing: the entry names no order.
+  auto readRollout(const StoredObject &Object) -> std::optional<RolloutOrder>;
+  auto onRolloutRecord(const StoredObject &Object) -> void;
+  auto makeRollouts() -> void;
+  auto stepRollouts(TimePoint Now) -> void;
+  auto addRolloutMetrics(PrometheusText &Text) const -> void;
+  auto rolloutsJson() const -> std::string;
+  /// The feeds that are started once the relay is known.
+  auto laterFeeds() const -> std::vector<StoreFeed *>;
+  auto allFeeds() const -> std::vector<StoreFeed *>;
   auto onRangesChanged(const ServiceId &Service, const StoredObject &Object)
       -> void;
   /// Whether a record of key ranges that was written in an earlier era of the
@@ -135,6 +151,10 @@
   std::unique_ptr<StoreFeed> TargetFeed;
   std::unique_ptr<StoreFeed> EvacuationFeed;
   std::unique_ptr<StoreFeed> RouterObjectsFeed;
+  // Null in a deployment without rollouts.
+  std::unique_ptr<StoreFeed> RolloutFeed;
+  std::unique_ptr<RolloutAgent> Rollouts;
+  std::unique_ptr<RolloutLeader> RolloutDecisions;
   std::unique_ptr<ChangeRelay> Relay;
   std::unique_ptr<PeerSocket> Peers;
   std::unique_ptr<Leader> LocalLeader;
--- a/lib/Gateway/GatewaySettings.cpp
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -36,6 +36,10 @@
   ReadNumber("cold_slack", Out.ColdSlack);
   readSeconds(Fields, "stop_grace_s", Out.StopGrace);
   readSeconds(Fields, "longest_hold_s", Out.MaxGrantHold);
+  Fields.number("exposure_share", Out.Rollouts.ExposureShare, 0, 1,
+                Presence::Nullable);
+  ReadNumber("exposure_slack", Out.Rollouts.ExposureSlack);
+  readSeconds(Fields, "rollback_s", Out.Rollouts.RollbackTime);
 }
 
 } // namespace
--- a/lib/Gateway/GatewaySettings.h
+++ b/lib/Gateway/GatewaySettings.h
@@ -3,6 +3,7 @@
 #include "Fleet/RangeAssigner.h"
 #include "Fleet/RateShares.h"
 #include "Fleet/RetryAllowance.h"
+#include "Rollout/Rollout.h"
 #include "buckthornring/Common/Ids.h"
 #include "buckthornring/Config/SettingsDocument.h"
 
@@ -20,6 +21,8 @@
   /// Time limit from the stop signal to the end of the process.
   Duration StopGrace = std::chrono::seconds(6);
   Duration MaxGrantHold = std::chrono::seconds(10); ///< Longest grant.
+  /// Without an exposure share there are no rollouts.
+  RolloutBounds Rollouts;
 };
 
 /// Checked settings of an instance that runs on a platform's object store.
--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -42,7 +42,10 @@
 auto feedToJson(const StoreFeed &Feed) -> Json {
   Json List = Json::array();
   for (const auto &[Name, Object] : Feed.objects())
-    List.push_back(Json::array({Name, Object.Revision, Object.Value}));
+    List.push_back(Object.Status.is_null()
+                       ? Json::array({Name, Object.Revision, Object.Value})
+                       : Json::array({Name, Object.Revision, Object.Value,
+                                      Object.Status}));
   return {{"revision", Feed.revision()}, {"objects", std::move(List)}};
 }
 
@@ -50,7 +53,8 @@
   std::vector<StoredObject> Objects;
   for (const Json &Entry : Value.at("objects"))
     Objects.push_back({Entry.at(0).get<std::string>(),
-                       Entry.at(1).get<std::uint64_t>(), false, Entry.at(2)});
+                       Entry.at(1).get<std::uint64_t>(), false, Entry.at(2),
+                       Entry.size() > 3 ? Entry.at(3) : Json()});
   return Objects;
 }
 
@@ -122,6 +126,8 @@
   Relay->add(Protocol.Kinds.Targets, *TargetFeed);
   Relay->add(Protocol.Kinds.Evacuations, *EvacuationFeed);
   Relay->add(Protocol.Kinds.Own, *RouterObjectsFeed);
+  if (RolloutFeed)
+    Relay->add(Protocol.Kinds.Rollouts, *RolloutFeed);
 }
 
 auto Gateway::Impl::onStoreContactChanged(const std::string &Kind,
@@ -137,17 +143,15 @@
   }
   if (!FeedsStarted)
     return;
-  for (const auto *Feed :
-       {&ConfigurationFeed, &TargetFeed, &EvacuationFeed, &RouterObjectsFeed})
-    (*Feed)->retry();
+  for (StoreFeed *Feed : allFeeds())
+    Feed->retry();
 }
 
 auto Gateway::Impl::recheckFeeds() -> void {
   if (!FeedsStarted)
     return;
-  for (const auto *Feed :
-       {&ConfigurationFeed, &TargetFeed, &EvacuationFeed, &RouterObjectsFeed})
-    (*Feed)->recheck();
+  for (StoreFeed *Feed : allFeeds())
+    Feed->recheck();
 }
 
 auto Gateway::Impl::onConfigurationChanged(const StoredObject &Object) -> void {
@@ -227,6 +231,8 @@
                    .field("targets", Records.size())
                    .field("departed", Departed)
                    .field("revision", TargetFeed->revision()));
+  if (Rollouts)
+    Rollouts->onTargetsChanged();
   WaitingRequests.dispatch();
 }
 
@@ -238,6 +244,8 @@
                      .field("revision", Object.Revision)
                      .field("kept", Now < missingRecordExpiry()));
     Targets.remove(TargetId(Object.Name), missingRecordExpiry(), Now);
+    if (Rollouts)
+      Rollouts->onTargetsChanged();
     return;
   }
   const auto Record = Protocol.Kinds.ReadTarget(Object);
@@ -250,6 +258,8 @@
     return;
   }
   const bool NewIncarnation = Targets.apply(*Record, Now);
+  if (Rollouts)
+    Rollouts->onTargetsChanged();
   Events.write(EventLine("target-changed")
                    .field("target", Object.Name)
                    .field("service", Record->Service.str())
@@ -323,6 +333,9 @@
                             .field("reason", Size.error().message())
                             .field("revision", Object.Revision));
   }
+  if (Rollouts && !Object.Deleted &&
+      Object.Name.starts_with(RolloutLeader::RecordPrefix))
+    return onRolloutRecord(Object);
   if (!Object.Deleted && Object.Name.starts_with(RangeObjectPrefix))
     onRangesChanged(ServiceId(Object.Name.substr(RangeObjectPrefix.size())),
                     Object);
@@ -439,8 +452,8 @@
   if (std::exchange(FeedsStarted, true))
     return;
   FeedStartTimer.cancel();
-  for (const auto *Feed : {&ConfigurationFeed, &TargetFeed, &EvacuationFeed})
-    (*Feed)->start();
+  for (StoreFeed *Feed : laterFeeds())
+    Feed->start();
 }
 
 auto Gateway::Impl::useRelays(const std::string &Primary,
@@ -461,8 +474,8 @@
   RouterObjectsFeed->reread();
   if (!FeedsStarted)
     return startFeeds();
-  for (const auto *Feed : {&ConfigurationFeed, &TargetFeed, &EvacuationFeed})
-    (*Feed)->reread();
+  for (StoreFeed *Feed : laterFeeds())
+    Feed->reread();
 }
 
 auto Gateway::Impl::onChangesRequested() -> void {
@@ -518,6 +531,8 @@
     ApplyFeed("targets", *TargetFeed);
     ApplyFeed("evacuations", *EvacuationFeed);
     ApplyFeed("own", *RouterObjectsFeed);
+    if (RolloutFeed && State.contains("rollouts"))
+      ApplyFeed("rollouts", *RolloutFeed);
   } catch (const Json::exception &Failure) {
     Events.write(
         EventLine("peer-state-unreadable").field("reason", Failure.what()));
@@ -525,10 +540,13 @@
 }
 
 auto Gateway::Impl::stateJson() const -> std::string {
-  return writeJson(Json{{"configuration", feedToJson(*ConfigurationFeed)},
-                        {"targets", feedToJson(*TargetFeed)},
-                        {"evacuations", feedToJson(*EvacuationFeed)},
-                        {"own", feedToJson(*RouterObjectsFeed)}});
+  Json State = {{"configuration", feedToJson(*ConfigurationFeed)},
+                {"targets", feedToJson(*TargetFeed)},
+                {"evacuations", feedToJson(*EvacuationFeed)},
+                {"own", feedToJson(*RouterObjectsFeed)}};
+  if (RolloutFeed)
+    State["rollouts"] = feedToJson(*RolloutFeed);
+  return writeJson(State);
 }
 
 auto Gateway::Impl::metricsText() const -> std::string {
@@ -578,6 +596,8 @@
   Text.sample({}, std::uint64_t{LocalLeader->leading() ? 1U : 0U});
   Text.gaugeFamily("btr_store_reachable", "Whether the store answers");
   Text.sample({}, std::uint64_t{storeReachable() ? 1U : 0U});
+  if (Rollouts)
+    addRolloutMetrics(Text);
   Text.counterFamily("btr_store_restorations_total",
                      "Restorations of the store from a copy");
   Text.sample({}, StoreRestorations);
@@ -595,6 +615,9 @@
     Response.Headers.set("Content-Type",
                          std::string(PrometheusText::ContentType));
     Response.Body = metricsText();
+  } else if (Request.path() == "/rollouts") {
+    Response.Headers.set("Content-Type", "application/json");
+    Response.Body = rolloutsJson();
   } else if (Request.path() == "/state") {
     Response.Headers.set("Content-Type", "application/json");
     Response.Body = stateJson();
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -71,6 +71,8 @@
                    bool StoreRestored) -> void {
   Self = std::move(NewSelf);
   StartedAt = bootNow();
+  if (Context.RolloutDecisions)
+    Context.RolloutDecisions->reset();
   MayLackRecords = StoreRestored;
   ConfirmedAt = ClaimSentAt;
   RecordsStaleBefore = LongAgo;
@@ -142,6 +144,9 @@
     return Now - Entry.second.ReportedAt > MemberTimeout;
   });
   recordOwnerNotices(Report, Now);
+  if (Context.RolloutDecisions)
+    Context.RolloutDecisions->handleReport(Report.Instance, Report.Process,
+                                           Report.Rollouts, Now);
   const RelayPair Relays = selectRelays(Report.DataCentre, Now);
   // The relay of a data centre also holds its shares of the rates: divided
   // among hundreds of instances, most rates would leave less than one token to
@@ -197,6 +202,8 @@
   Reply.Relay = Relays.Primary;
   Reply.BackupRelay = Relays.Backup;
   addNeighbours(Report, Reply);
+  if (Context.RolloutDecisions)
+    Reply.Rollouts = Context.RolloutDecisions->notices(Now);
   for (const auto &[Id, Other] : Members) {
     if (Other.StoreReachable && Now - Other.ReportedAt < RelayTimeout)
       Reply.LargestCapacity = std::max(Reply.LargestCapacity, Other.Capacity);
@@ -427,7 +434,9 @@
   for (const TargetPtr &Target : Context.Targets.targetsOfService(Id)) {
     const TargetRecord &Record = Target->Record;
     View.Incarnations[Record.Id] = Record.StartedAtMs;
-    if (handsKeysOver(*Target, Now)) {
+    const bool Disallowed =
+        Context.Rollouts && !Context.Rollouts->mayOwnKeys(Record, Now);
+    if (Disallowed || handsKeysOver(*Target, Now)) {
       View.Leaving.insert(Record.Id);
       continue;
     }
@@ -480,6 +489,43 @@
   }
 }
 
+auto Leader::keysOutside(const ServiceId &Id, const std::string &To) const
+    -> bool {
+  const auto Found = Services.find(Id);
+  if (Found == Services.end())
+    return false;
+  const auto &Ranges = Found->second.Keeper.record().Ranges;
+  return std::any_of(Ranges.begin(), Ranges.end(), [&](const KeyRange &Range) {
+    // A previous owner is recorded until the next one has its grant.
+    for (const TargetId &Holder : {Range.Owner, Range.PreviousOwner}) {
+      const TargetPtr Target = Context.Targets.find(Holder);
+      if (Target && Target->Record.Version != To)
+        return true;
+    }
+    return false;
+  });
+}
+
+auto Leader::stepRollouts(const Configuration &Config, bool StoreReachable,
+                          std::uint64_t Era) -> void {
+  const TimePoint Now = bootNow();
+  RolloutLeader::Fleet Current;
+  Current.Leading = Now - StartedAt;
+  for (const auto &[Id, Instance] : Members)
+    Current.Members.insert(Id);
+  Current.StoreReachable = StoreReachable;
+  Current.Era = Era;
+  Current.KeysOutside = [this](const ServiceId &Id, const std::string &To) {
+    return keysOutside(Id, To);
+  };
+  Current.Divided = [&Config](const ServiceId &Id) {
+    const auto Found = Config.Services.find(Id);
+    return Found != Config.Services.end() &&
+           Found->second.Kind == ServiceKind::Divided;
+  };
+  Context.RolloutDecisions->tick(Current, Now);
+}
+
 auto Leader::readFleetSize(const StoredObject &Object)
     -> Result<std::uint32_t> {
   const auto Size = Object.Value.find("instances");
--- a/lib/Gateway/Leader.h
+++ b/lib/Gateway/Leader.h
@@ -8,6 +8,7 @@
 #include "Gateway/AnnouncementRecorder.h"
 #include "Gateway/OrderSender.h"
 #include "Gateway/Protocol.h"
+#include "Gateway/RolloutLeader.h"
 #include "Gateway/StoreFeed.h"
 #include "IO/EventLog.h"
 #include "buckthornring/Config/Configuration.h"
@@ -45,6 +46,9 @@
     std::function<void(const std::string &, const FleetMessage &)> Send;
     /// New owners of keys have accepted their grants.
     std::function<void(const GrantNotice &)> OnGranted;
+    /// Null: the deployment has no rollouts.
+    RolloutAgent *Rollouts = nullptr;
+    RolloutLeader *RolloutDecisions = nullptr;
   };
 
   Leader(FleetContext Context, RangeTimes Times, const RateTolerance &Tolerance)
@@ -100,6 +104,9 @@
   auto grantRate(const RateReserveRequest &Request, const Configuration &Config)
       -> RateReserveReply;
 
+  /// Decides on the rollouts. The store is of the era \p Era.
+  auto stepRollouts(const Configuration &Config, bool StoreReachable,
+                    std::uint64_t Era) -> void;
   /// Plans range changes, writes them to the store and sends the orders that
   /// are due, for each divided service.
   auto tick(const Configuration &Config) -> void;
@@ -151,6 +158,8 @@
   /// it has announced to this or another instance.
   auto handsKeysOver(const TargetState &Target, TimePoint Now) const -> bool;
   auto recordFleetSize(TimePoint Now) -> void;
+  /// Whether targets of other versions than \p To own keys of the service.
+  auto keysOutside(const ServiceId &Id, const std::string &To) const -> bool;
   /// Whether the store has the era in which this instance became the leader.
   auto inOwnEra() const -> bool;
   auto recordOf(const ServiceId &Id) const -> const StoredObject *;
--- a/lib/Gateway/Protocol.h
+++ b/lib/Gateway/Protocol.h
@@ -3,6 +3,7 @@
 #include "Fleet/RangeAssigner.h"
 #include "Fleet/TargetAnnouncements.h"
 #include "Fleet/TargetRecord.h"
+#include "Rollout/Rollout.h"
 #include "buckthornring/Config/Configuration.h"
 #include "buckthornring/IO/HttpMessage.h"
 
@@ -54,6 +55,8 @@
   std::uint64_t Revision = 0;
   bool Deleted = false;
   nlohmann::json Value;
+  /// Status beside the value, of kinds that have one; null: none.
+  nlohmann::json Status = nullptr;
 };
 
 /// Result of list and watch. Revision is the one to continue watching from.
@@ -106,6 +109,10 @@
   virtual auto write(const std::string &Kind, const std::string &Name,
                      std::uint64_t Expected, nlohmann::json Value,
                      WriteHandler Done) -> void = 0;
+  /// Replaces the status of the object when it has revision \p Expected.
+  virtual auto writeStatus(const std::string &Kind, const std::string &Name,
+                           std::uint64_t Expected, nlohmann::json Status,
+                           WriteHandler Done) -> void = 0;
 };
 
 /// Names of the object kinds in the store, and parsers for their objects.
@@ -115,6 +122,7 @@
   std::string Targets;      ///< Kind of the targets' records.
   std::string Evacuations;  ///< Kind of evacuations, named after data centres.
   std::string Own;          ///< Kind of the router's own objects.
+  std::string Rollouts;     ///< Kind of rollout orders, named after services.
 
   std::function<Result<Configuration>(const nlohmann::json &)>
       ReadConfiguration;
@@ -122,6 +130,10 @@
   std::function<std::optional<std::uint64_t>(const nlohmann::json &)>
       ReadGeneration;
   std::function<Result<TargetRecord>(const StoredObject &)> ReadTarget;
+  std::function<Result<RolloutOrder>(const StoredObject &)> ReadRollout;
+  /// Status of an order that is in a state.
+  std::function<nlohmann::json(RolloutState, const std::string &To)>
+      EncodeRolloutStatus;
 };
 
 /// Parses a load header. Returns nullopt if it is malformed.
--- a/lib/Gateway/RelayedStore.cpp
+++ b/lib/Gateway/RelayedStore.cpp
@@ -91,7 +91,8 @@
     for (const Json &Object : Value.at("objects"))
       Changes.Objects.push_back({Object.at(0).get<std::string>(),
                                  Object.at(1).get<std::uint64_t>(),
-                                 Object.at(2).get<bool>(), Object.at(3)});
+                                 Object.at(2).get<bool>(), Object.at(3),
+                                 Object.size() > 4 ? Object.at(4) : Json()});
     Changes.Status = StoreStatus::Done;
   } catch (const Json::exception &) {
     // An unreadable answer counts as none; the caller logs it.
@@ -307,14 +308,24 @@
 auto RelayedStore::write(const std::string &Kind, const std::string &Name,
                          std::uint64_t Expected, Json Value,
                          WriteHandler OnDone) -> void {
-  DirectStore->write(
-      Kind, Name, Expected, std::move(Value),
-      [this, OnDone = std::move(OnDone)](const StoreWriteResult &Answer) {
-        OnDone(Answer);
-        if (Answer.Status == StoreStatus::Unknown ||
-            Answer.Status == StoreStatus::Unreachable)
-          WriteUnanswered();
-      });
+  DirectStore->write(Kind, Name, Expected, std::move(Value),
+                     observeWrite(std::move(OnDone)));
+}
+
+auto RelayedStore::writeStatus(const std::string &Kind, const std::string &Name,
+                               std::uint64_t Expected, Json Status,
+                               WriteHandler OnDone) -> void {
+  DirectStore->writeStatus(Kind, Name, Expected, std::move(Status),
+                           observeWrite(std::move(OnDone)));
+}
+
+auto RelayedStore::observeWrite(WriteHandler OnDone) -> WriteHandler {
+  return [this, OnDone = std::move(OnDone)](const StoreWriteResult &Answer) {
+    OnDone(Answer);
+    if (Answer.Status == StoreStatus::Unknown ||
+        Answer.Status == StoreStatus::Unreachable)
+      WriteUnanswered();
+  };
 }
 
 } // namespace buckthornring
--- a/lib/Gateway/RelayedStore.h
+++ b/lib/Gateway/RelayedStore.h
@@ -41,6 +41,9 @@
   auto write(const std::string &Kind, const std::string &Name,
              std::uint64_t Expected, nlohmann::json Value, WriteHandler OnDone)
       -> void override;
+  auto writeStatus(const std::string &Kind, const std::string &Name,
+                   std::uint64_t Expected, nlohmann::json Status,
+                   WriteHandler OnDone) -> void override;
 
 private:
   struct RelayedRead;
@@ -61,6 +64,8 @@
   auto send(const std::shared_ptr<RelayedRead> &Read) -> void;
   auto sendDirectly(const std::shared_ptr<RelayedRead> &Read) -> void;
   auto moveDirectReads() -> void;
+  /// Passes the answer on and reports a write that has got none.
+  auto observeWrite(WriteHandler OnDone) -> WriteHandler;
   auto onAnswer(const std::shared_ptr<RelayedRead> &Read,
                 const HttpClient *UsedClient, const HttpOutcome &Outcome)
       -> void;
--- a/lib/Gateway/RequestContext.h
+++ b/lib/Gateway/RequestContext.h
@@ -11,6 +11,7 @@
 #include "Gateway/AnnouncementRecorder.h"
 #include "Gateway/CrashMonitor.h"
 #include "Gateway/Protocol.h"
+#include "Gateway/RolloutAgent.h"
 #include "Gateway/TargetConnectionPool.h"
 #include "Gateway/WaitQueue.h"
 #include "IO/EventLog.h"
@@ -102,6 +103,8 @@
 
   /// Whether another instance has read a newer configuration than this one.
   std::function<bool()> ConfigurationOutdated = [] { return false; };
+  /// Null: the deployment has no rollouts.
+  RolloutAgent *Rollouts = nullptr;
   /// Set when a planned stop begins.
   std::optional<StopWindow> Stop = std::nullopt;
 
--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -255,11 +255,25 @@
     TargetRequest Apart = Preference;
     for (const TargetId &Target : Context.Crashes.targetsOfSuspects())
       Apart.ExcludedTargets.push_back(Target);
-    TargetSelection Selected = Context.Targets.select(Apart, Now);
+    TargetSelection Selected = selectAllowed(Apart, Now);
     if (Selected.Target)
       return Selected;
   }
-  return Context.Targets.select(Preference, Now);
+  return selectAllowed(Preference, Now);
+}
+
+auto RequestFlow::selectAllowed(const TargetRequest &Preference, TimePoint Now)
+    -> TargetSelection {
+  // A retry after a failure of a version under comparison goes to an old one.
+  return Context.Rollouts
+             ? Context.Rollouts->select(Preference, LastTarget.empty(), Now)
+             : Context.Targets.select(Preference, Now);
+}
+
+auto RequestFlow::recordOutcome(const Hop &Ended, std::optional<Duration> Time)
+    -> void {
+  if (Context.Rollouts)
+    Context.Rollouts->ended(Ended.Target->Record, Route->PathPrefix, Time);
 }
 
 auto RequestFlow::suspected(TimePoint Now) const -> bool {
@@ -285,6 +299,8 @@
   const TargetPtr Owner = Context.Targets.find(Range->Owner);
   if (!Owner || Owner->Record.StartedAtMs != Range->OwnerStartedAt)
     return {};
+  if (Context.Rollouts && !Context.Rollouts->admitsOwner(Owner->Record, Now))
+    return {};
   return Context.Targets.selectOwner(Owner, Now);
 }
 
@@ -357,6 +373,8 @@
   Target->Load.sent();
   Target->Sends.add(Now);
   ActiveHops.push_back(CurrentHop);
+  if (Context.Rollouts)
+    Context.Rollouts->sent(Target->Record, LastTarget.empty());
   LastTarget = Target->Record.Id;
   if (!Key)
     TriedTargets.push_back(Target->Record.Id);
@@ -536,6 +554,8 @@
   removeHop(CurrentHop);
   if (Rejected)
     return onRejected(CurrentHop, Response);
+  recordOutcome(*CurrentHop,
+                Response.Status < 500 ? std::optional(Latency) : std::nullopt);
   // A target that gave up at the deadline has not run the request to its end.
   if (Response.Status != GatewayTimeout && Context.Crashes.watches(Fingerprint))
     Context.Crashes.exchangeCompleted(monitored());
@@ -595,6 +615,7 @@
     -> void {
   if (Outcome == ExchangeResult::NotSent)
     return onNotSent(CurrentHop);
+  recordOutcome(*CurrentHop, std::nullopt);
   CurrentHop->Target->Load.failed();
   if (Outcome == ExchangeResult::Lost)
     onLost(CurrentHop);
@@ -681,8 +702,10 @@
 
 auto RequestFlow::onDeadline() -> void {
   for (const HopPtr &CurrentHop : ActiveHops)
-    if (CurrentHop->SentAt != LongAgo)
+    if (CurrentHop->SentAt != LongAgo) {
       CurrentHop->Target->Load.failed();
+      recordOutcome(*CurrentHop, std::nullopt);
+    }
   refuse(RefusalReason::DeadlineExceeded);
 }
 
--- a/lib/Gateway/RequestFlow.h
+++ b/lib/Gateway/RequestFlow.h
@@ -64,6 +64,9 @@
   auto tooLateForStop(TimePoint Now) const -> bool;
   auto selectTarget(TimePoint Now) -> TargetSelection;
   auto selectOwner(TimePoint Now) -> TargetSelection;
+  /// Selects among the targets of versions that rollouts allow.
+  auto selectAllowed(const TargetRequest &Preference, TimePoint Now)
+      -> TargetSelection;
   /// Whether a target has crashed, or may have, while it ran the request.
   auto suspected(TimePoint Now) const -> bool;
   /// Whether targets have crashed while they ran it, or a copy of it.
@@ -92,6 +95,9 @@
   // Responses.
   auto onExchangeEnded(const HopPtr &CurrentHop, ExchangeResult Outcome,
                        TargetResponse Response) -> void;
+  /// Counts the end of a request that was sent, by the target's version;
+  /// nothing for \p Time: it failed.
+  auto recordOutcome(const Hop &Ended, std::optional<Duration> Time) -> void;
   auto recordLoad(const Hop &CurrentHop, const TargetResponse &Response,
                   TimePoint Now) -> void;
   auto onRejected(const HopPtr &CurrentHop, const TargetResponse &Response)
--- a/lib/Rollout/Rollout.h
+++ b/lib/Rollout/Rollout.h
@@ -14,6 +14,9 @@
 /// State of a rollout as its status tells it.
 enum class RolloutState { None, Running, Succeeded, RolledBack };
 
+inline constexpr EnumNames<RolloutState, 4>
+    RolloutStateNames({"none", "running", "succeeded", "rolled-back"});
+
 /// An operator's order to move the traffic of a service to targets of another
 /// version within a time.
 struct RolloutOrder {
--- a/lib/Rollout/RolloutController.cpp
+++ b/lib/Rollout/RolloutController.cpp
@@ -24,6 +24,10 @@
      {8, std::chrono::milliseconds(1000), 0.7},
      {0, Duration(0), 0.35}}};
 
+/// Part of the exposure bound at which the keys of a divided service leave the
+/// targets of the new version: moving them takes time.
+constexpr double KeyExposure = 0.7;
+
 /// Period after which other targets of the new version are used, so that slow
 /// and fast ones average out.
 constexpr Duration TargetPeriod = std::chrono::milliseconds(1500);
@@ -129,14 +133,23 @@
   const bool OfOtherOrder = Report.Order != 0 && Report.Order != Id;
   Known.Latest = OfOtherOrder ? RolloutReport() : Report;
   Known.At = Now;
-  if (Report.Order != Id)
-    return;
   // An earlier leader's decision may be missing from a restored record.
-  if (Report.Stage == RolloutStage::Stopped && Stage != RolloutStage::Stopped)
-    moveTo(RolloutStage::Stopped, "stopped by an earlier leader", Now);
-  else if (Report.Stage == RolloutStage::Complete &&
+  if (Report.Order == Id)
+    follow(Report.Stage, Now);
+}
+
+auto RolloutController::adopt(const RolloutRecord &Record, TimePoint Now)
+    -> void {
+  if (Record.Order == Id)
+    follow(Record.Stage, Now);
+}
+
+auto RolloutController::follow(RolloutStage Other, TimePoint Now) -> void {
+  if (Other == RolloutStage::Stopped && Stage != RolloutStage::Stopped)
+    moveTo(RolloutStage::Stopped, "stopped by another leader", Now);
+  else if (Other == RolloutStage::Complete &&
            (Stage == RolloutStage::Hold || Stage == RolloutStage::Compare))
-    moveTo(RolloutStage::Complete, "completed by an earlier leader", Now);
+    moveTo(RolloutStage::Complete, "completed by another leader", Now);
 }
 
 auto RolloutController::sumReports() -> void {
@@ -236,8 +249,10 @@
 }
 
 auto RolloutController::enoughEvidence() const -> bool {
-  return pooled(Sums.New).Requests >= MinEvidence ||
-         Sums.Requests < FewRequests;
+  const std::uint32_t Responses = pooled(Sums.New).Requests;
+  // Sends that get no response are rejected by the new targets.
+  return Responses >= MinEvidence ||
+         (Sums.Requests < FewRequests && 2 * Responses >= Sums.SentToNew);
 }
 
 auto RolloutController::moveTo(RolloutStage Next, std::string Reason,
@@ -295,6 +310,13 @@
       break;
     }
   Cause = "comparing";
+  // The keys that new targets own may get more requests than planned.
+  if (Divided &&
+      Sums.SentToNew > KeyExposure * (Bounds.ExposureShare * Sums.Requests +
+                                      Bounds.ExposureSlack)) {
+    SharePpm = 0;
+    Cause = "exposure bound";
+  }
   if (Elapsed < Order.Length - completionTime() || !Current.MembersKnown)
     return;
   if (isBad(Strictness::Final, Now))
@@ -329,8 +351,16 @@
 
 auto RolloutController::stepComplete(const View &Current, TimePoint Now)
     -> void {
-  if (Succeeded || InForce != RolloutStage::Complete)
+  if (Succeeded)
     return;
+  if (InForce != RolloutStage::Complete) {
+    // Without the store the requests stay where they are.
+    if (isBad(Strictness::Early, Now))
+      moveTo(RolloutStage::Stopped, Latest.Cause, Now);
+    else if (elapsed(Now) >= Order.Length)
+      moveTo(RolloutStage::Stopped, "deadline", Now);
+    return;
+  }
   if (badInComplete(Now))
     return moveTo(RolloutStage::Stopped, Latest.Cause, Now);
   if (!allLeftOld(Current, Now)) {
--- a/lib/Rollout/RolloutController.h
+++ b/lib/Rollout/RolloutController.h
@@ -25,6 +25,9 @@
   /// read.
   auto continueFrom(const RolloutRecord &Record, TimePoint ReadAt) -> void;
 
+  /// The store holds a record that another leader has written.
+  auto adopt(const RolloutRecord &Record, TimePoint Now) -> void;
+
   auto order() const -> const RolloutOrder & { return Order; }
   auto id() const -> std::uint64_t { return Id; }
 
@@ -81,6 +84,8 @@
     TimePoint At = LongAgo;
   };
 
+  /// Another leader has decided on a stage that is not left again.
+  auto follow(RolloutStage Other, TimePoint Now) -> void;
   auto sumReports() -> void;
   auto keepSnapshot(TimePoint Now) -> void;
   /// Whether the new version is bad by the reports of the last \p Span; null:
--- a/lib/Rollout/RolloutShare.cpp
+++ b/lib/Rollout/RolloutShare.cpp
@@ -77,6 +77,13 @@
   return Counts.SentToNew + 1 <= std::floor(Limit);
 }
 
+auto RolloutShare::mayServeKey(std::uint32_t Instances, TimePoint Now) const
+    -> bool {
+  return comparing(Now) &&
+         Counts.SentToNew + 1 <= Bounds.ExposureShare * Counts.Requests +
+                                     slackPart(Instances) / UsedSlack;
+}
+
 auto RolloutShare::ended(const std::string &Version, const std::string &Route,
                          std::optional<Duration> Time) -> void {
   OutcomesByRoute &Routes = Version == To ? Counts.New : Counts.Old;
--- a/lib/Rollout/RolloutShare.h
+++ b/lib/Rollout/RolloutShare.h
@@ -43,6 +43,10 @@
   /// Whether the next request may go to the new version beside the old ones.
   auto mayCompare(std::uint32_t Instances, TimePoint Now) const -> bool;
 
+  /// Whether a request for a key that a target of the new version owns may be
+  /// sent: the key has no other target, so the whole bound is used.
+  auto mayServeKey(std::uint32_t Instances, TimePoint Now) const -> bool;
+
   /// The first send of a request.
   auto requestSent() -> void { ++Counts.Requests; }
   /// A send to the new version by mayCompare().
--- a/lib/Rollout/VersionAdmission.cpp
+++ b/lib/Rollout/VersionAdmission.cpp
@@ -39,7 +39,8 @@
   // Where each target has a version of its own, none is the version in use.
   for (const auto &[Version, Slots] : Ready) {
     const bool Ordered = Order && Order->To == Version && !Order->ended();
-    if (2 * Slots >= Total && !Ordered)
+    const bool Most = Base.empty() || Slots > Ready.at(Base);
+    if (2 * Slots >= Total && !Ordered && Most)
       Base = Version;
   }
 }
--- a/tests/support/FakeObjectStore.h
+++ b/tests/support/FakeObjectStore.h
@@ -79,6 +79,12 @@
       return std::nullopt;
     return Found->second.Value;
   }
+  auto status(const std::string &Kind, const std::string &Name) const
+      -> nlohmann::json {
+    const std::lock_guard Guard(Mutex);
+    const auto Found = Held.Objects.find({Kind, Name});
+    return Found == Held.Objects.end() ? nullptr : Found->second.Status;
+  }
   auto calls() const -> std::size_t {
     const std::lock_guard Guard(Mutex);
     return Calls;
@@ -92,8 +98,10 @@
   friend class FakeObjectStore;
 
   auto put(const std::string &Kind, const std::string &Name,
-           nlohmann::json Value) -> StoredObject {
-    StoredObject Object{Name, ++Held.Revision, false, std::move(Value)};
+           nlohmann::json Value, nlohmann::json Status = nullptr)
+      -> StoredObject {
+    StoredObject Object{Name, ++Held.Revision, false, std::move(Value),
+                        std::move(Status)};
     Held.Objects[{Kind, Name}] = Object;
     Held.History.push_back({Kind, Object});
     return Object;
@@ -179,6 +187,28 @@
     postAnswer(std::move(Done), std::move(Write));
   }
 
+  auto writeStatus(const std::string &Kind, const std::string &Name,
+                   std::uint64_t Expected, nlohmann::json Status,
+                   WriteHandler Done) -> void override {
+    StoreWriteResult Write;
+    const std::lock_guard Guard(Contents->Mutex);
+    ++Contents->Calls;
+    ++Contents->Writes;
+    if (!Contents->Down) {
+      noteEra();
+      const auto Found = Contents->Held.Objects.find({Kind, Name});
+      if (Found == Contents->Held.Objects.end())
+        Write = {StoreStatus::Absent, std::nullopt};
+      else if (Found->second.Revision != numberOf(Expected))
+        Write = {StoreStatus::Conflict, Contents->numbered(Found->second)};
+      else
+        Write = {StoreStatus::Done,
+                 Contents->numbered(Contents->put(
+                     Kind, Name, Found->second.Value, std::move(Status)))};
+    }
+    postAnswer(std::move(Done), std::move(Write));
+  }
+
 private:
   /// Time limits of the platform's adapter.
   static constexpr auto CallTimeout = std::chrono::milliseconds(1500);
--- a/tests/support/GatewayFixture.cpp
+++ b/tests/support/GatewayFixture.cpp
@@ -50,11 +50,14 @@
   return Protocol;
 }
 
-GatewayFixture::GatewayFixture(int Restorations) {
+GatewayFixture::GatewayFixture(int Restorations,
+                               const RolloutBounds &Rollouts) {
   for (int Count = 0; Count < Restorations; ++Count)
     Contents->restore(Contents->copy());
+  GatewaySettings Initial = settings();
+  Initial.Bounds.Rollouts = Rollouts;
   auto Created = Gateway::create(
-      settings(), protocol(),
+      std::move(Initial), protocol(),
       [this](boost::asio::io_context &Context,
              const std::string &) -> Result<std::unique_ptr<ObjectStore>> {
         return std::unique_ptr<ObjectStore>(
--- a/tests/support/GatewayFixture.h
+++ b/tests/support/GatewayFixture.h
@@ -21,7 +21,8 @@
 class GatewayFixture {
 public:
   /// The store has been restored \p Restorations times before the start.
-  explicit GatewayFixture(int Restorations = 0);
+  explicit GatewayFixture(int Restorations = 0,
+                          const RolloutBounds &Rollouts = {});
   ~GatewayFixture();
 
   /// Those of the instance. All its ports are chosen by the system.
--- a/tests/support/RolloutSimulation.h
+++ b/tests/support/RolloutSimulation.h
@@ -26,6 +26,8 @@
   std::uint32_t Targets = 35; ///< Of each version.
   Duration Length = std::chrono::seconds(14);
   Badness Kind = Badness::None;
+  double FailurePart = 0.3; ///< Of the responses, for Badness::Failures.
+  double Slowdown = 3;      ///< For Badness::Slow.
   bool ColdTargets = false; ///< New targets start with the order.
   double LostMessages = 0.01;
   /// A target of the new version crashes while the versions are compared.
@@ -36,7 +38,7 @@
   RolloutState State = RolloutState::None;
   Duration EndedAt{0};
   std::uint32_t Requests = 0; ///< From the order to its deadline.
-  std::uint32_t ToNew = 0;    ///< Of them, before the end of the rollout.
+  std::uint32_t ToNew = 0;    ///< Of them, sent to the new version.
   std::uint32_t MaxBadAtOneInstance = 0;
   /// Latest send to the new version after its 50th bad response.
   Duration SentAfterBad{0};
@@ -230,8 +232,7 @@
 
   auto send(std::uint32_t Index, Server &To) -> void {
     if (To.Fresh) {
-      if (Now - Start < Setup.Length && Out.EndedAt == Duration(0) &&
-          Control.stage() != RolloutStage::Complete)
+      if (Now - Start < Setup.Length)
         ++Out.ToNew;
       if (FiftiethBadAt != LongAgo)
         Out.SentAfterBad = Now - FiftiethBadAt;
@@ -248,7 +249,7 @@
     double Ms = 94 * To.Factor * (To.Noisy ? 3 : 1) *
                 (Random.chance(0.03) ? 7 : 1) * (0.5 + Random.unit());
     if (Bad && Setup.Kind == Badness::Slow)
-      Ms *= 3;
+      Ms *= Setup.Slowdown;
     auto &Slot = *std::min_element(To.SlotFreeAt.begin(), To.SlotFreeAt.end());
     Slot = std::max(Slot, Now) + Duration(static_cast<std::int64_t>(Ms * 1000));
     ++To.Running;
@@ -275,7 +276,7 @@
     case Badness::None:
       return false;
     case Badness::Failures:
-      return Random.chance(0.3);
+      return Random.chance(Setup.FailurePart);
     case Badness::Slow:
       return true;
     case Badness::Later:
--- a/tests/unit/StoreFeedTest.cpp
+++ b/tests/unit/StoreFeedTest.cpp
@@ -33,6 +33,8 @@
   }
   auto write(const std::string &, const std::string &, std::uint64_t,
              nlohmann::json, WriteHandler) -> void override {}
+  auto writeStatus(const std::string &, const std::string &, std::uint64_t,
+                   nlohmann::json, WriteHandler) -> void override {}
 
   auto answer(StoreChanges Changes) -> void {
     const Call Next = std::move(Calls.front());
