--- a/lib/Fleet/TargetTable.cpp
+++ b/lib/Fleet/TargetTable.cpp
@@ -396,6 +396,7 @@
 auto TargetTable::excluded(const TargetState &Target,
                            const TargetRequest &Request) const -> bool {
   return !takesRequests(Target) ||
+         (Request.Admits && !Request.Admits(Target.Record)) ||
          std::find(Request.ExcludedTargets.begin(),
                    Request.ExcludedTargets.end(),
                    Target.Record.Id) != Request.ExcludedTargets.end();
--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -225,10 +225,17 @@
       Context, Context.Targets,
       {{Service, Idempotent, Route->TargetLatency, TriedTargets},
        Key,
-       !Key && suspected(Now)},
+       !Key && suspected(Now),
+       LastTarget.empty()},
       Now);
 }
 
+auto RequestFlow::recordOutcome(const Hop &Ended, std::optional<Duration> Time)
+    -> void {
+  if (Context.Rollouts)
+    Context.Rollouts->ended(Ended.Target->Record, Route->PathPrefix, Time);
+}
+
 auto RequestFlow::suspected(TimePoint Now) const -> bool {
   return LostExchanges > 0 || accused(Now);
 }
@@ -325,6 +332,8 @@
   Target->Window.sent();
   Target->Sends.add(Now);
   ActiveHops.push_back(CurrentHop);
+  if (Context.Rollouts)
+    Context.Rollouts->sent(Target->Record, LastTarget.empty());
   LastTarget = Target->Record.Id;
   if (!Key)
     TriedTargets.push_back(Target->Record.Id);
@@ -471,6 +480,8 @@
   removeHop(CurrentHop);
   if (Rejected)
     return onRejected(CurrentHop, Response);
+  recordOutcome(*CurrentHop,
+                Response.Status < 500 ? std::optional(Latency) : std::nullopt);
   // A target that gave up at the deadline has not run the request to its end.
   if (Response.Status != GatewayTimeout && Context.Crashes.watches(Fingerprint))
     Context.Crashes.exchangeCompleted(monitored());
@@ -538,6 +549,7 @@
     -> void {
   if (Outcome == ExchangeResult::NotSent)
     return onNotSent(CurrentHop);
+  recordOutcome(*CurrentHop, std::nullopt);
   CurrentHop->Target->Load.failed();
   if (Outcome == ExchangeResult::Lost)
     onLost(CurrentHop);
@@ -628,8 +640,10 @@
 
 auto RequestFlow::onDeadline() -> void {
   for (const HopPtr &CurrentHop : ActiveHops)
-    if (CurrentHop->SentAt != LongAgo)
+    if (CurrentHop->SentAt != LongAgo) {
       CurrentHop->Target->Load.failed();
+      recordOutcome(*CurrentHop, std::nullopt);
+    }
   refuse(RefusalReason::DeadlineExceeded);
 }
 
--- a/lib/Gateway/RequestFlow.h
+++ b/lib/Gateway/RequestFlow.h
@@ -117,6 +117,9 @@
   // Responses.
   auto onExchangeEnded(const HopPtr &CurrentHop, ExchangeResult Outcome,
                        TargetResponse Response) -> void;
+  /// Counts the end of a request that was sent, by the target's version;
+  /// nothing for \p Time: it failed.
+  auto recordOutcome(const Hop &Ended, std::optional<Duration> Time) -> void;
   auto recordLoad(const Hop &CurrentHop, const TargetResponse &Response,
                   TimePoint Now) -> void;
   auto onRejected(const HopPtr &CurrentHop, const TargetResponse &Response)
--- a/lib/Gateway/RequestSelection.cpp
+++ b/lib/Gateway/RequestSelection.cpp
@@ -85,18 +85,28 @@
                   const SelectionRequest &Request, TimePoint Now)
     -> TargetSelection {
   const TargetRequest &Preference = Request.Preference;
-  if (Request.Key)
-    return Targets.selectOwner(
-        ownerOf(Context, Targets, Preference.Service, *Request.Key, Now), Now);
+  if (Request.Key) {
+    const TargetPtr Owner =
+        ownerOf(Context, Targets, Preference.Service, *Request.Key, Now);
+    if (Owner && Context.Rollouts &&
+        !Context.Rollouts->admitsOwner(Owner->Record, Now))
+      return {};
+    return Targets.selectOwner(Owner, Now);
+  }
+  const auto Select = [&](const TargetRequest &Wanted) {
+    return Context.Rollouts ? Context.Rollouts->select(Targets, Wanted,
+                                                       Request.FirstSend, Now)
+                            : Targets.select(Wanted, Now);
+  };
   if (Request.Suspected) {
     TargetRequest Apart = Preference;
     for (const TargetId &Target : Context.Crashes.targetsOfSuspects())
       Apart.ExcludedTargets.push_back(Target);
-    TargetSelection Selected = Targets.select(Apart, Now);
+    TargetSelection Selected = Select(Apart);
     if (Selected.Target)
       return Selected;
   }
-  return Targets.select(Preference, Now);
+  return Select(Preference);
 }
 
 auto ownedRange(const RequestContext &Context, const ServiceId &Service,
--- a/lib/Gateway/RequestSelection.h
+++ b/lib/Gateway/RequestSelection.h
@@ -43,6 +43,9 @@
   TargetRequest Preference;
   std::optional<std::uint32_t> Key; ///< For divided services.
   bool Suspected = false;           ///< Targets may have crashed by it.
+  /// Not sent yet. A retry after a failure of a version under comparison goes
+  /// to an old one.
+  bool FirstSend = true;
 };
 
 /// Selects the target of the next send. \p Targets is the table of the context
