Count admission decisions and log when a service lacks room

Cause: nobody could see why requests for owners were held or refused.

Change: counters of the decisions (btr_owner_decisions_total), gauges of the smallest window and the longest estimated queue, and the log lines service-short-of-room and service-has-room with their inputs.

--- a/lib/Admission/SendWindow.h
+++ b/lib/Admission/SendWindow.h
@@ -42,6 +42,9 @@
   /// The target rejected a request of this instance for lack of room.
   auto rejected(TimePoint Now) -> void;
 
+  /// Whether admits() was called before.
+  auto used() const -> bool { return PeriodEnd != LongAgo; }
+
   /// The present window, in requests.
   auto size(TimePoint Now) const -> double;
 
--- a/lib/Fleet/TargetTable.cpp
+++ b/lib/Fleet/TargetTable.cpp
@@ -441,8 +441,7 @@
          Fleet.estimatedInstances();
 }
 
-auto TargetTable::ownerAdmits(TargetState &Target, TimePoint Now) const
-    -> bool {
+auto TargetTable::ownerAdmits(TargetState &Target, TimePoint Now) -> bool {
   const double Queue = Target.Load.queue(Now);
   const std::uint32_t InFlight = Target.Load.inFlight();
   if (TableSettings.Admission == OwnerAdmission::EqualShares) {
@@ -451,12 +450,30 @@
     return Queue < EqualSharesQueuePerSlot * Target.Record.Slots &&
            InFlight < std::max(1U, Limit);
   }
-  if (Queue >= OwnerQueuePerSlot * Target.Record.Slots)
+  if (Queue >= OwnerQueuePerSlot * Target.Record.Slots) {
+    ++Counts.LongQueue;
     return false;
+  }
   Target.Window.begin(ownerShare(Target, OwnerQueuePerSlot));
   const Duration Period = Target.Load.processingTime(Now).value_or(
       typicalProcessingTime(Target.Record.Service));
-  return Target.Window.admits(InFlight, Period, Now);
+  const bool Admitted = Target.Window.admits(InFlight, Period, Now);
+  ++(Admitted ? Counts.Admitted : Counts.NarrowWindow);
+  return Admitted;
+}
+
+auto TargetTable::ownerEstimates(TimePoint Now) const -> OwnerEstimates {
+  OwnerEstimates Estimates;
+  for (const auto &[Id, State] : Targets) {
+    if (!State->Window.used())
+      continue;
+    const double Size = State->Window.size(Now);
+    if (Estimates.SmallestWindow == 0 || Size < Estimates.SmallestWindow)
+      Estimates.SmallestWindow = Size;
+    Estimates.LongestQueue =
+        std::max(Estimates.LongestQueue, State->Load.queue(Now));
+  }
+  return Estimates;
 }
 
 auto TargetTable::ownerOutlook(const TargetState &Target, TimePoint Now) const
--- a/lib/Fleet/TargetTable.h
+++ b/lib/Fleet/TargetTable.h
@@ -2,6 +2,7 @@
 
 #include "Admission/ReturnTimes.h"
 #include "Admission/SendWindow.h"
+#include "Admission/ShortageMonitor.h"
 #include "Fleet/SlidingWindowCounter.h"
 #include "Fleet/TargetAnnouncements.h"
 #include "Fleet/TargetLoad.h"
@@ -183,6 +184,15 @@
   auto ownerOutlook(const TargetState &Target, TimePoint Now) const
       -> RoomOutlook;
 
+  /// Estimates over the owners of keys that this instance has sent to.
+  struct OwnerEstimates {
+    double SmallestWindow = 0; ///< 0: none.
+    double LongestQueue = 0;
+  };
+  auto ownerEstimates(TimePoint Now) const -> OwnerEstimates;
+  auto admissionCounts() -> AdmissionCounts & { return Counts; }
+  auto admissionCounts() const -> const AdmissionCounts & { return Counts; }
+
   /// When all reachable targets of the service that take requests have asked
   /// for a pause: the time at which the first target takes requests again.
   auto allPausedUntil(const ServiceId &Service, TimePoint Now) const
@@ -215,7 +225,7 @@
 
   /// Whether this instance may have one more request in flight at an owner of
   /// keys.
-  auto ownerAdmits(TargetState &Target, TimePoint Now) const -> bool;
+  auto ownerAdmits(TargetState &Target, TimePoint Now) -> bool;
   /// Number of requests that one instance may have in flight at an owner of
   /// keys when it knows nothing of the others: more than an equal share of \p
   /// QueuePerSlot.
@@ -252,6 +262,7 @@
 
   Settings TableSettings;
   RandomSource Random;
+  AdmissionCounts Counts;
   FleetSize Fleet;
   /// Sizes that were replaced recently, and when.
   std::vector<std::pair<TimePoint, FleetSize>> ReplacedSizes;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -355,6 +355,21 @@
   });
 }
 
+auto Gateway::Impl::logShortages(TimePoint Now) -> void {
+  for (const ShortageMonitor::Change &Changed :
+       Requests.Shortages.changes(Now)) {
+    const auto Estimates = Targets.ownerEstimates(Now);
+    Events.write(
+        EventLine(Changed.Short ? "service-short-of-room" : "service-has-room")
+            .field("service", Changed.Service.str())
+            .field("requests", Changed.Requests)
+            .field("refused", Changed.Refused)
+            .field("waiting", WaitingRequests.size())
+            .field("smallest_window", Estimates.SmallestWindow)
+            .field("longest_queue", Estimates.LongestQueue));
+  }
+}
+
 auto Gateway::Impl::tick() -> void {
   const TimePoint Now = bootNow();
   dropMissingEvacuations(Now);
@@ -368,6 +383,7 @@
   Suspects.expire(Now);
   reloadChangedFile(Now);
   armDispatchTimer();
+  logShortages(Now);
   Events.flush();
   updateWatchTimeout();
   if (LocalLeader->leading()) {
--- a/lib/Gateway/GatewayImpl.h
+++ b/lib/Gateway/GatewayImpl.h
@@ -14,6 +14,7 @@
 #include "Gateway/WaitQueue.h"
 #include "buckthornring/IO/HttpClient.h"
 #include "buckthornring/IO/HttpServer.h"
+#include "buckthornring/Observe/PrometheusText.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -102,9 +103,12 @@
   auto handlePeerRequest(const HttpRequest &Request, const HttpResponder &To)
       -> void;
   auto stateJson() const -> std::string;
+  auto addAdmission(PrometheusText &Text) const -> void;
   auto metricsText() const -> std::string;
 
   // Process lifecycle.
+  /// Writes a line when a service becomes short of room or has room again.
+  auto logShortages(TimePoint Now) -> void;
   auto tick() -> void;
   auto updateWatchTimeout() -> void;
   auto armTickTimer() -> void;
--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -531,6 +531,24 @@
                         {"own", feedToJson(*RouterObjectsFeed)}});
 }
 
+auto Gateway::Impl::addAdmission(PrometheusText &Text) const -> void {
+  const AdmissionCounts &Counts = Targets.admissionCounts();
+  Text.counterFamily("btr_owner_decisions_total",
+                     "Decisions on sends to owners of keys");
+  Text.sample({{"decision", "admitted"}}, Counts.Admitted);
+  Text.sample({{"decision", "long-queue"}}, Counts.LongQueue);
+  Text.sample({{"decision", "narrow-window"}}, Counts.NarrowWindow);
+  Text.sample({{"decision", "refused-at-once"}}, Counts.RefusedAtOnce);
+  Text.sample({{"decision", "not-resent"}}, Counts.NotResent);
+  const auto Estimates = Targets.ownerEstimates(bootNow());
+  Text.gaugeFamily("btr_owner_smallest_window",
+                   "Smallest window of requests at an owner");
+  Text.sample({}, Estimates.SmallestWindow);
+  Text.gaugeFamily("btr_owner_longest_queue",
+                   "Most requests estimated at an owner");
+  Text.sample({}, Estimates.LongestQueue);
+}
+
 auto Gateway::Impl::metricsText() const -> std::string {
   PrometheusText Text;
   Text.add(Totals.totals());
@@ -538,6 +556,7 @@
   Text.sample({}, Requests.Latency);
   Text.gaugeFamily("btr_waiting_requests", "Requests without a target");
   Text.sample({}, std::uint64_t{WaitingRequests.size()});
+  addAdmission(Text);
   Text.gaugeFamily("btr_running_requests", "Requests without an answer");
   Text.sample({}, std::uint64_t{Flows.size()});
   Text.counterFamily("btr_target_connections_total",
--- a/lib/Gateway/RequestContext.h
+++ b/lib/Gateway/RequestContext.h
@@ -105,6 +105,7 @@
   std::function<bool()> ConfigurationOutdated = [] { return false; };
   /// Set when a planned stop begins.
   std::optional<StopWindow> Stop = std::nullopt;
+  ShortageMonitor Shortages = {};
 
   auto retries(const ServiceId &Service) -> RetryAllowance & {
     return Retries.try_emplace(Service, RetryBounds, RetrySlackFrom)
--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -127,6 +127,7 @@
   const TimePoint Now = bootNow();
   Service = Context.Splits.next(*Route);
   Context.retries(Service).requestSeen(Now);
+  Context.Shortages.requestSeen(Service);
   if (!readKey())
     return;
   DeadlineTimer.expires_after(ResponseDeadline - Now);
@@ -318,8 +319,10 @@
   if (Ticket != 0)
     return;
   if (!Held && LastSelectionReason == NoTargetReason::Busy &&
-      ownerLacksRoom(Now))
+      ownerLacksRoom(Now)) {
+    ++Context.Targets.admissionCounts().RefusedAtOnce;
     return refuse(RefusalReason::QueueFull);
+  }
   WaitDeadline = std::min(ResponseDeadline, Now + waitLimit());
   Ticket = Context.WaitingRequests.add(
       Service, Priority,
@@ -606,9 +609,13 @@
     return;
   // Another send to an owner that stays full would only use up the allowance.
   if (Rejections >= (LacksRoom ? MaxRejectionsForRoom : MaxRejections) ||
-      (LacksRoom && ownerLacksRoom(Now)) || !Context.tryTakeRetry(Service, Now))
+      (LacksRoom && ownerLacksRoom(Now)) ||
+      !Context.tryTakeRetry(Service, Now)) {
+    if (LacksRoom)
+      ++Context.Targets.admissionCounts().NotResent;
     return refuse(Misdirected ? RefusalReason::NoOwner
                               : RefusalReason::TargetShed);
+  }
   Context.CounterStripe.add(Misdirected ? RetryReason::RefusedNoLease
                                         : RetryReason::RefusedShed);
   sendOrWait();
@@ -726,6 +733,8 @@
 auto RequestFlow::refuse(RefusalReason Reason) -> void {
   const bool MayHaveRun = PossibleRuns > 0;
   Context.CounterStripe.add(Reason);
+  if (Reason == RefusalReason::QueueFull || Reason == RefusalReason::TargetShed)
+    Context.Shortages.refused(Service);
   Context.CounterStripe.add(MayHaveRun ? RequestOutcome::RefusedUnknown
                                        : RequestOutcome::RefusedNotRun);
   CallerResponse Out;
