--- a/lib/Gateway/RequestContext.h
+++ b/lib/Gateway/RequestContext.h
@@ -110,6 +110,7 @@
   /// Set when a planned stop begins.
   std::optional<StopWindow> Stop = std::nullopt;
   HedgePlanner Hedges = HedgePlanner();
+  ShortageMonitor Shortages = {};
 
   auto retries(const ServiceId &Service) -> RetryAllowance & {
     return Retries.try_emplace(Service, RetryBounds, RetrySlackFrom)
