--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -660,7 +660,7 @@
   const auto &Objects = Context.RouterObjectsFeed.objects();
   const auto Found = Objects.find(LeaderObjectName);
   if (Condition == 0)
-    return {{}, !Context.FirstStart || !Terms.empty() || storeEra() != 0};
+    return {{}, !Context.FirstStart || !Terms.empty() || RestoredAt != LongAgo};
   const TimePoint Now = bootNow();
   if (Found != Objects.end() && Found->second.Revision == Condition &&
       !fromEarlierEra(Found->second))
