Record that the leaders before a term have ended

Leaders before that term are left out of later lists. A term above the replaced leader's is ignored.

--- a/lib/Fleet/AuthorityEvidence.cpp
+++ b/lib/Fleet/AuthorityEvidence.cpp
@@ -27,6 +27,8 @@
 }
 
 auto TermHistory::endedBefore(std::uint64_t Term, TimePoint Now) const -> bool {
+  if (EndedBefore >= Term)
+    return true;
   const Duration Longest = Times.maxAuthorityPeriod() + Times.maxHoldPeriod();
   return std::any_of(
       FirstSeen.lower_bound(Term), FirstSeen.end(),
@@ -38,8 +40,10 @@
                                 TimePoint Now) const -> EarlierLeaders {
   EarlierLeaders Out{{Replaced}, Earlier.MayBeMore};
   for (const LeaderInfo &Each : Earlier.Leaders) {
-    if (endedBefore(Out.Leaders.back().Term, Now))
-      break;
+    if (endedBefore(Out.Leaders.back().Term, Now) || Each.Term < EndedBefore) {
+      Out.MayBeMore = false;
+      return Out;
+    }
     if (Out.Leaders.size() == MaxEarlierLeaders) {
       Out.MayBeMore = true;
       break;
--- a/lib/Fleet/AuthorityEvidence.h
+++ b/lib/Fleet/AuthorityEvidence.h
@@ -3,6 +3,7 @@
 #include "Fleet/FleetMessage.h"
 #include "Fleet/RangeAssigner.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -25,6 +26,11 @@
   explicit TermHistory(RangeTimes Times) : Times(Times) {}
 
   auto seen(std::uint64_t Term, TimePoint Now) -> void;
+  /// A leader has recorded that all grants of leaders before the term have
+  /// ended.
+  auto recordedEnd(std::uint64_t Term) -> void {
+    EndedBefore = std::max(EndedBefore, Term);
+  }
   /// Whether no term was seen.
   auto empty() const -> bool { return FirstSeen.empty(); }
   /// Returns the leaders before a claim that replaces \p Replaced, whose own
@@ -39,6 +45,7 @@
 
   RangeTimes Times;
   std::map<std::uint64_t, TimePoint> FirstSeen;
+  std::uint64_t EndedBefore = 0;
 };
 
 /// Collects what the processes of earlier leaders say about the end of their
--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -655,9 +655,14 @@
       MaxClaimStagger * Random.unit() + MaxCapacityDelay * CapacityShortfall);
 }
 
-auto FleetMember::leadersBefore(std::uint64_t Condition) const
-    -> EarlierLeaders {
+auto FleetMember::leadersBefore(std::uint64_t Condition) -> EarlierLeaders {
   const auto &Objects = Context.RouterObjectsFeed.objects();
+  const auto Size = Objects.find(Leader::FleetSizeObjectName);
+  const std::uint64_t Ended =
+      Size == Objects.end() ? 0 : Leader::readEndedBefore(Size->second);
+  // A later term than that of the last leader cannot be right.
+  if (Ended <= Condition)
+    Terms.recordedEnd(Ended);
   const auto Found = Objects.find(LeaderObjectName);
   if (Condition == 0)
     return {{}, !Context.FirstStart || !Terms.empty() || RestoredAt != LongAgo};
--- a/lib/Gateway/FleetMember.h
+++ b/lib/Gateway/FleetMember.h
@@ -139,7 +139,7 @@
   auto confirmContact(TimePoint Now, TimePoint LeaderLostAt) -> bool;
   /// Returns the leaders before a claim that replaces the leader object of the
   /// revision; 0: there is none.
-  auto leadersBefore(std::uint64_t Condition) const -> EarlierLeaders;
+  auto leadersBefore(std::uint64_t Condition) -> EarlierLeaders;
   auto claimLeadership() -> void;
   auto followLeader(LeaderInfo Next) -> void;
 
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -71,6 +71,7 @@
                    bool StoreRestored, const EarlierLeaders &Earlier) -> void {
   Self = std::move(NewSelf);
   StartedAt = bootNow();
+  TermTakenAt = StartedAt;
   MayLackRecords = StoreRestored;
   ConfirmedAt = ClaimSentAt;
   RecordsStaleBefore = LongAgo;
@@ -98,6 +99,7 @@
   const TimePoint Now = bootNow();
   // Another leader may have granted keys, and its records may be lost.
   const bool Lapsed = Now - ConfirmedAt > Times.AuthorityPeriod;
+  TermTakenAt = Now;
   Self = std::move(NewSelf);
   Context.Events.write(EventLine("leadership-continued")
                            .field("term", Self.Term)
@@ -595,6 +597,13 @@
   return Size->get<std::uint32_t>();
 }
 
+auto Leader::readEndedBefore(const StoredObject &Object) -> std::uint64_t {
+  const auto Term = Object.Value.find("ended_before");
+  return Term != Object.Value.end() && Term->is_number_unsigned()
+             ? Term->get<std::uint64_t>()
+             : 0;
+}
+
 auto Leader::recordFleetSize(TimePoint Now) -> void {
   if (Now < NextSizeCheckAt)
     return;
@@ -603,15 +612,23 @@
   const auto Object =
       Context.RouterObjectsFeed.objects().find(FleetSizeObjectName);
   const bool IsRecorded = Object != Context.RouterObjectsFeed.objects().end();
+  // When all instances restart, nobody remembers when the terms began.
+  const bool EarlierEnded =
+      Now - TermTakenAt > Times.maxAuthorityPeriod() + Times.maxHoldPeriod();
+  const std::uint64_t RecordedEnd =
+      IsRecorded ? readEndedBefore(Object->second) : 0;
+  const std::uint64_t EndedBefore =
+      EarlierEnded ? Self.Term : std::min(RecordedEnd, Self.Term);
   if (IsRecorded) {
     const auto Recorded = readFleetSize(Object->second);
     if (Recorded && *Recorded >= Size &&
-        *Recorded <= MaxRecordedSizeFactor * Size)
+        *Recorded <= MaxRecordedSizeFactor * Size && EndedBefore == RecordedEnd)
       return;
   }
   Context.Store.write(
       Context.Protocol.Kinds.Own, FleetSizeObjectName,
-      IsRecorded ? Object->second.Revision : 0, {{"instances", Size}},
+      IsRecorded ? Object->second.Revision : 0,
+      {{"instances", Size}, {"ended_before", EndedBefore}},
       [this, Size](const StoreWriteResult &Answer) {
         Context.Events.write(
             EventLine("fleet-size-written")
--- a/lib/Gateway/Leader.h
+++ b/lib/Gateway/Leader.h
@@ -63,6 +63,9 @@
   static constexpr const char *FleetSizeObjectName = "fleet";
   static auto readFleetSize(const StoredObject &Object)
       -> Result<std::uint32_t>;
+  /// Returns the term before which all leaders and their grants have ended, as
+  /// recorded in the same object; 0: not recorded. It stays true for ever.
+  static auto readEndedBefore(const StoredObject &Object) -> std::uint64_t;
 
   /// Returns the name of the object that holds a service's ranges.
   static auto rangeObjectName(const ServiceId &Service) -> std::string;
@@ -238,6 +241,7 @@
   TimePoint OrdersEndedAt = CreatedAt;
   LeaderInfo Self; ///< Term 0: this instance does not lead.
   TimePoint StartedAt = LongAgo;
+  TimePoint TermTakenAt = LongAgo; ///< When Self.Term became known here.
   TimePoint ConfirmedAt = LongAgo;
   /// Range records that were read before this time may be out of date.
   TimePoint RecordsStaleBefore = LongAgo;
--- a/tests/unit/AuthorityEvidenceTest.cpp
+++ b/tests/unit/AuthorityEvidenceTest.cpp
@@ -65,6 +65,14 @@
                                         Start + Longest + milliseconds(1));
   EXPECT_EQ(Late.Leaders.size(), 1U);
   EXPECT_FALSE(Late.MayBeMore);
+  TermHistory Restarted(Times);
+  Restarted.recordedEnd(9);
+  EXPECT_TRUE(
+      Restarted.leadersBefore(leader("c", 20), Before, Start).MayBeMore);
+  Restarted.recordedEnd(11);
+  const auto Known = Restarted.leadersBefore(leader("c", 20), Before, Start);
+  EXPECT_EQ(Known.Leaders.size(), 1U);
+  EXPECT_FALSE(Known.MayBeMore);
 }
 
 } // namespace
