Let where select on copies of the targets

Cause: where copied the target table but shared the targets, and a selection may change them: it drops old sends from their windows, and the send windows of the branch admission open a new period in it. Change: TargetTable::copy() copies the targets too; where uses it.

--- a/lib/Fleet/TargetTable.cpp
+++ b/lib/Fleet/TargetTable.cpp
@@ -79,6 +79,16 @@
 
 } // namespace
 
+auto TargetTable::copy() const -> TargetTable {
+  TargetTable Out = *this;
+  for (auto &[Id, State] : Out.Targets)
+    State = std::make_shared<TargetState>(*State);
+  for (auto &[Service, Members] : Out.ByService)
+    for (TargetPtr &Member : Members)
+      Member = Out.Targets.at(Member->Record.Id);
+  return Out;
+}
+
 auto TargetTable::apply(const TargetRecord &Record, TimePoint Now) -> bool {
   const auto Existing = find(Record.Id);
   if (Existing && outdated(Record, Existing->Record)) {
--- a/lib/Fleet/TargetTable.h
+++ b/lib/Fleet/TargetTable.h
@@ -122,6 +122,10 @@
   TargetTable(Settings TableSettings, std::uint64_t Seed)
       : TableSettings(std::move(TableSettings)), Random(Seed) {}
 
+  /// Returns a table with copies of all targets, which selects as this one
+  /// would. What a selection changes in it does not change this one.
+  auto copy() const -> TargetTable;
+
   // Directory.
 
   /// Adds or replaces a record. Returns whether it belongs to a new incarnation
--- a/lib/Gateway/WhereReport.cpp
+++ b/lib/Gateway/WhereReport.cpp
@@ -1,7 +1,6 @@
 #include "Gateway/WhereReport.h"
 
 #include "Common/JsonText.h"
-#include "Gateway/RefusalTable.h"
 #include "Gateway/RequestSelection.h"
 
 #include <algorithm>
@@ -39,7 +38,7 @@
   WhereQuestion(const RequestContext &Context, const HttpRequest &Asked,
                 TimePoint Now)
       : Context(Context), Config(*Context.CurrentConfig), Asked(Asked),
-        Now(Now), Targets(Context.Targets) {}
+        Now(Now), Targets(Context.Targets.copy()) {}
 
   auto answer() -> HttpResponse;
 
@@ -60,7 +59,7 @@
   const ActiveConfig &Config;
   const HttpRequest &Asked;
   TimePoint Now;
-  TargetTable Targets; ///< Shares the targets, not the random choices.
+  TargetTable Targets;
   ResolvedRequest Resolved;
   SelectionRequest Selection;
   TargetSelection Selected;
@@ -217,9 +216,9 @@
 
 auto WhereQuestion::addCandidates() -> void {
   std::vector<std::pair<double, Json>> Found;
-  TargetTable Scratch = Targets;
+  TargetTable Scratch = Targets.copy();
   for (const TargetPtr &Target :
-       Targets.targetsOfService(Selection.Preference.Service)) {
+       Scratch.targetsOfService(Selection.Preference.Service)) {
     const TargetAssessment Assessed =
         Scratch.assess(*Target, Selection.Preference, Now);
     Json Entry = describe(Target);
