--- a/lib/Gateway/RolloutAgent.cpp
+++ b/lib/Gateway/RolloutAgent.cpp
@@ -185,6 +185,7 @@
   }
   std::sort(New.begin(), New.end());
   std::vector<TargetId> Sorted;
+  Sorted.reserve(New.size());
   for (const auto &[Hash, Target] : New)
     Sorted.push_back(Target);
   return {std::move(Sorted), Old};
