Send fewer load notices to other data centres

Cause: each instance passed load reports on to an instance of another data centre 12 times a second. Change: the instances of a data centre together send about six such notices a second, and the leader repeats the contacts only when they change.

--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -77,11 +77,14 @@
 /// their speed and queue several times a second.
 constexpr Duration LoadNoticeInterval = std::chrono::milliseconds(40);
 
-/// Number of neighbours that get a notice, and the share of notices that one
-/// instance in another data centre gets too. An instance sends at most 75
-/// notices per second with these, in a fleet of any size.
+/// Number of neighbours that get a notice. An instance sends at most 75 notices
+/// per second with it, in a fleet of any size.
 constexpr std::size_t LoadNoticeNeighbours = 2;
-constexpr double LoadNoticeContactShare = 0.5;
+/// Notices to other data centres per LoadNoticeInterval, of all instances of a
+/// data centre together. Traffic between data centres is charged by the byte:
+/// one such notice for every second one of each instance was two thirds of it
+/// in a fleet of 59.
+constexpr double ContactNoticesOfDataCentre = 0.25;
 
 /// Maximum number of keys per service in one report. A report is a datagram and
 /// has to fit into one packet.
@@ -320,7 +323,9 @@
 
 auto FleetMember::loadNoticeReceivers() -> std::vector<std::string> {
   const bool ToContact =
-      !Contacts.empty() && Random.chance(LoadNoticeContactShare);
+      !Contacts.empty() &&
+      Random.chance(ContactNoticesOfDataCentre /
+                    (1 + static_cast<double>(Neighbours.size())));
   // Without other data centres, neighbours take the place of contacts.
   std::vector<std::string> Receivers = sampled(
       Neighbours,
@@ -455,8 +460,8 @@
   if (Reply.NeighboursVersion != NeighboursVersion) {
     NeighboursVersion = Reply.NeighboursVersion;
     Neighbours = Reply.Neighbours;
+    Contacts = Reply.Contacts;
   }
-  Contacts = Reply.Contacts;
   LargestCapacity = Reply.LargestCapacity;
   // A new leader does not know yet whether a data centre needs a relay.
   if (Reply.SharesValid || !Reply.Relay.empty())
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -288,8 +288,8 @@
       }));
   Reply.Relay = Relays.Primary;
   Reply.BackupRelay = Relays.Backup;
-  addNeighbours(Report, Reply);
   addContacts(Report, Reply);
+  addNeighbours(Report, Reply);
   if (Context.RolloutDecisions)
     Reply.Rollouts = Context.RolloutDecisions->notices(Now);
   for (const auto &[Id, Other] : Members) {
@@ -378,9 +378,13 @@
       Reply.Neighbours.push_back(Address);
       Addresses.append(Address).append(",");
     }
+  for (const std::string &Contact : Reply.Contacts)
+    Addresses.append(Contact).append(";");
   Reply.NeighboursVersion = std::hash<std::string>()(Addresses);
-  if (Reply.NeighboursVersion == Report.KnownNeighboursVersion)
-    Reply.Neighbours.clear();
+  if (Reply.NeighboursVersion != Report.KnownNeighboursVersion)
+    return;
+  Reply.Neighbours.clear();
+  Reply.Contacts.clear();
 }
 
 auto Leader::addContacts(const FleetReport &Report, FleetReply &Reply) const
