--- a/tests/unit/FaultyTargetTest.cpp
+++ b/tests/unit/FaultyTargetTest.cpp
@@ -172,23 +172,9 @@
   EXPECT_EQ(Runs, 1);
 }
 
-// Guards against an earlier refusal of an order that counts as the response to
-// the next one: the leader would take a holder of keys for none.
-TEST(FaultyTargetTest, SecondCopyOfARefusalIsNoResponseToTheNextOrder) {
-  std::mutex Mutex;
-  std::set<const Socket *> Refusing;
-  int Orders = 0;
-  ScriptedTarget Target([&](Socket &To, const std::string &) {
-    const std::string Refusal =
-        "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n";
-    const std::lock_guard Guard(Mutex);
-    if (++Orders == 1) {
-      Refusing.insert(&To);
-      return ScriptedTarget::send(To, Refusal);
-    }
-    return ScriptedTarget::send(To, (Refusing.contains(&To) ? Refusal : "") +
-                                        std::string(OrderAccepted));
-  });
+/// Sends renewals to a target, one after the other. Returns their outcomes.
+auto outcomesOfOrders(const std::string &Address, int Count)
+    -> std::vector<RangeOrderOutcome> {
   boost::asio::io_context Io;
   PlatformProtocol Protocol;
   Protocol.Headers = platform::headerNames();
@@ -196,13 +182,13 @@
   OrderSender Sender(Io, Protocol);
   TargetRecord Record;
   Record.Id = TargetId("t1");
-  Record.Address = Target.address();
+  Record.Address = Address;
   RangeOrder Order;
   Order.Target = Record.Id;
   Order.HoldPeriod = 3s;
   Order.Renewal = true;
   std::vector<RangeOrderOutcome> Outcomes;
-  for (int Count = 0; Count < 2; ++Count) {
+  for (int Sent = 0; Sent < Count; ++Sent) {
     Sender.send(Record, Order,
                 [&Outcomes](RangeOrderOutcome Outcome, const std::string &) {
                   Outcomes.push_back(Outcome);
@@ -210,7 +196,27 @@
     Io.restart();
     Io.run_for(200ms);
   }
-  EXPECT_EQ(Outcomes,
+  return Outcomes;
+}
+
+// Guards against an earlier refusal of an order that counts as the response to
+// the next one: the leader would take a holder of keys for none.
+TEST(FaultyTargetTest, SecondCopyOfARefusalIsNoResponseToTheNextOrder) {
+  std::mutex Mutex;
+  std::set<const Socket *> Refusing;
+  int Orders = 0;
+  ScriptedTarget Target([&](Socket &To, const std::string &) {
+    const std::string Refusal =
+        "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n";
+    const std::lock_guard Guard(Mutex);
+    if (++Orders == 1) {
+      Refusing.insert(&To);
+      return ScriptedTarget::send(To, Refusal);
+    }
+    return ScriptedTarget::send(To, (Refusing.contains(&To) ? Refusal : "") +
+                                        std::string(OrderAccepted));
+  });
+  EXPECT_EQ(outcomesOfOrders(Target.address(), 2),
             (std::vector<RangeOrderOutcome>{RangeOrderOutcome::Refused,
                                             RangeOrderOutcome::Accepted}));
 }
@@ -223,23 +229,8 @@
     return ScriptedTarget::send(
         To, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
   });
-  boost::asio::io_context Io;
-  PlatformProtocol Protocol;
-  Protocol.Headers = platform::headerNames();
-  Protocol.Orders = {platform::encodeOrder, platform::readHandover};
-  OrderSender Sender(Io, Protocol);
-  TargetRecord Record;
-  Record.Id = TargetId("t1");
-  Record.Address = Target.address();
-  RangeOrder Order;
-  Order.Target = Record.Id;
-  std::optional<RangeOrderOutcome> Ended;
-  Sender.send(Record, Order,
-              [&Ended](RangeOrderOutcome Outcome, const std::string &) {
-                Ended = Outcome;
-              });
-  Io.run_for(200ms);
-  EXPECT_EQ(Ended, RangeOrderOutcome::Misdirected);
+  EXPECT_EQ(outcomesOfOrders(Target.address(), 1),
+            std::vector{RangeOrderOutcome::Misdirected});
 }
 
 /// Sends a part of a response to one request, then ends the connection.
