Wait for the other attempt when one of a hedged request fails

Change: a failure is not passed on while another attempt is running. Result: FailureOfOneAttemptDoesNotHideTheOthersResponse fails without the change (2 of 2 runs) and passes with it.

--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -495,10 +495,13 @@
       Context.RespondingOwners.insert(CurrentHop->Target->Record.Id);
   } else {
     CurrentHop->Target->Load.failed();
+    // The other attempt of a hedged request may still succeed.
+    if (!ActiveHops.empty())
+      return;
     if (Idempotent && !Key && tryTakeRetry(Now)) {
       // A 5xx response is counted as ConnectionLost too.
       Context.CounterStripe.add(RetryReason::ConnectionLost);
-      return ActiveHops.empty() ? sendOrWait() : void();
+      return sendOrWait();
     }
   }
   forwardResponse(*CurrentHop, std::move(Response));
--- a/tests/unit/GatewayHedgeTest.cpp
+++ b/tests/unit/GatewayHedgeTest.cpp
@@ -73,6 +73,43 @@
             std::string::npos);
 }
 
+// Guards against a failure that is passed on while the other attempt of a
+// hedged request is still running.
+TEST(GatewayHedgeTest, FailureOfOneAttemptDoesNotHideTheOthersResponse) {
+  std::mutex Mutex;
+  std::set<std::string> Seen;
+  const auto FirstFails = [&](ScriptedTarget::Tcp::socket &To,
+                              const std::string &Request) {
+    const std::string Id = GatewayFixture::requestId(Request);
+    std::string Response = GatewayFixture::response(Id, "ok");
+    // The time of usual requests earns the allowance of hedges.
+    if (!Id.starts_with("slow")) {
+      std::this_thread::sleep_for(4ms);
+    } else {
+      const bool Fails = [&] {
+        const std::lock_guard Guard(Mutex);
+        return Seen.insert(Id).second;
+      }();
+      std::this_thread::sleep_for(Fails ? 60ms : 90ms);
+      if (Fails)
+        Response.replace(Response.find(" 200 "), 5, " 500 ");
+    }
+    return ScriptedTarget::send(To, Response);
+  };
+  ScriptedTarget First{FirstFails};
+  ScriptedTarget Second{FirstFails};
+  GatewayFixture Fixture;
+  Fixture.addTarget("pay", "t1", First);
+  Fixture.addTarget("pay", "t2", Second);
+  Fixture.configure(1);
+  ASSERT_TRUE(Fixture.waitUntilServing());
+  // Each request is answered with 200, by its hedge or by a retry.
+  quickAnswers(Fixture, "GET", "/safe/slow");
+  EXPECT_EQ(
+      Fixture.askAsPeer("/metrics").find("btr_hedges_total{result=\"won\"} 0"),
+      std::string::npos);
+}
+
 // Guards against a second run of a request that must not be repeated.
 TEST(GatewayHedgeTest, NonIdempotentRequestIsNotHedged) {
   GatewayFixture Fixture;
