Free the buffers of idle connections to targets

Cause: keys that are spread over more owners keep more idle connections, and each of them kept its last request, the parsed response and a read buffer. Change: an idle connection keeps none of them.

--- a/lib/Gateway/TargetConnection.cpp
+++ b/lib/Gateway/TargetConnection.cpp
@@ -46,9 +46,6 @@
 constexpr std::size_t MinReadBytes = 512;
 constexpr std::size_t MaxReadBytes = BlockBuffer::MaxBlockBytes;
 
-/// Largest capacity of the input buffer that an idle connection keeps.
-constexpr std::size_t MaxIdleBufferBytes = 4096;
-
 /// Bytes that count as progress of a response.
 constexpr std::size_t ProgressStep = 4096;
 
@@ -182,6 +179,7 @@
                     [Self = shared_from_this()](const error_code &Failure,
                                                 std::size_t Written) {
                       Self->Pimpl->OutputBody.reset();
+                      Self->Pimpl->Output = std::string();
                       if (Failure)
                         return Self->onWriteFailed(Written);
                       Self->Pimpl->Written = true;
@@ -325,8 +323,9 @@
       Pimpl->IdleLimit =
           std::chrono::seconds(keepAliveSeconds(*KeepAliveField));
   }
-  if (Outcome == ExchangeResult::Answered && Pimpl->Buffer.size() == 0 &&
-      Pimpl->Buffer.capacity() > MaxIdleBufferBytes) {
+  // Hundreds of idle connections are kept.
+  if (Outcome == ExchangeResult::Answered && Pimpl->Buffer.size() == 0) {
+    Pimpl->ResponseParser.reset();
     Pimpl->Buffer.shrink_to_fit();
     Pimpl->Charge.set(0);
   }
