--- a/lib/Gateway/RequestSelection.cpp
+++ b/lib/Gateway/RequestSelection.cpp
@@ -129,7 +129,7 @@
   if (MovingSince != View.MovingSince.end() &&
       Now - MovingSince->second < AssumedMovePeriod)
     return nullptr;
-  const TargetPtr Owner = Targets.find(Range->Owner);
+  TargetPtr Owner = Targets.find(Range->Owner);
   if (!Owner || Owner->Record.StartedAtMs != Range->OwnerStartedAt)
     return nullptr;
   return Owner;
--- a/tests/process/ClientCrowd.cpp
+++ b/tests/process/ClientCrowd.cpp
@@ -87,7 +87,7 @@
   std::string FirstBytes;
 };
 
-ClientCrowd::ClientCrowd(tcp::endpoint Server, std::size_t Count,
+ClientCrowd::ClientCrowd(const tcp::endpoint &Server, std::size_t Count,
                          const ClientPlan &Plan) {
   for (std::size_t Index = 0; Index < Count; ++Index) {
     Clients.push_back(std::make_shared<Client>(Io, Plan));
--- a/tests/process/ClientCrowd.h
+++ b/tests/process/ClientCrowd.h
@@ -29,7 +29,7 @@
 /// Clients on connections of their own, served by one thread: run().
 class ClientCrowd {
 public:
-  ClientCrowd(boost::asio::ip::tcp::endpoint Server, std::size_t Clients,
+  ClientCrowd(const boost::asio::ip::tcp::endpoint &Server, std::size_t Clients,
               const ClientPlan &Plan);
   ~ClientCrowd();
 
