Compute the processing time of a target in one place

Cause: three functions of TargetTable chose between the target's own processing time and that of its service by the same lines; the comment on Contacts was out of date. Change: TargetTable::processingTime; two comments in FleetMessage.h. Result: no change of behaviour; 48 tests of the table, the messages, windows and hedges pass, the linter is clean on TargetTable.cpp.

--- a/lib/Fleet/FleetMessage.h
+++ b/lib/Fleet/FleetMessage.h
@@ -91,14 +91,14 @@
   /// Empty: the receiver holds shares of the workspace rates itself.
   std::string RateKeeper;
   std::uint32_t RateHolders = 1; ///< Instances that hold shares of the rates.
-  /// Changes whenever the set of instances in the receiver's data centre
-  /// changes.
+  /// Changes whenever the set of instances in the receiver's data centre, or
+  /// Contacts, changes.
   std::uint64_t NeighboursVersion = 0;
   /// Addresses of the other instances there; empty when the receiver has this
   /// version already.
   std::vector<std::string> Neighbours;
   /// Addresses of a few instances in other data centres, different ones for
-  /// each receiver.
+  /// each receiver; empty when it has this version already.
   std::vector<std::string> Contacts;
   /// Whether the shares below are to be used. A new leader does not know the
   /// demand of all instances yet, so they keep the shares that they have.
--- a/lib/Fleet/TargetTable.cpp
+++ b/lib/Fleet/TargetTable.cpp
@@ -355,12 +355,16 @@
              : Duration(static_cast<std::int64_t>(Found->second));
 }
 
+auto TargetTable::processingTime(const TargetState &Target, TimePoint Now) const
+    -> Duration {
+  return Target.Load.processingTime(Now).value_or(
+      typicalProcessingTime(Target.Record.Service));
+}
+
 auto TargetTable::expectedTime(const TargetState &Target, TimePoint Now) const
     -> Duration {
-  const double ProcessingTime = static_cast<double>(
-      Target.Load.processingTime(Now)
-          .value_or(typicalProcessingTime(Target.Record.Service))
-          .count());
+  const auto ProcessingTime =
+      static_cast<double>(processingTime(Target, Now).count());
   const double Slots = std::max(1U, Target.Record.Slots);
   const double Queue = Target.Load.queue(Now);
   const double Waiting = std::max(0.0, Queue + 1 - Slots) / Slots;
@@ -481,9 +485,8 @@
     return false;
   }
   Target.Window.begin(ownerShare(Target, OwnerQueuePerSlot));
-  const Duration Period = Target.Load.processingTime(Now).value_or(
-      typicalProcessingTime(Target.Record.Service));
-  const bool Admitted = Target.Window.admits(InFlight, Period, Now);
+  const bool Admitted =
+      Target.Window.admits(InFlight, processingTime(Target, Now), Now);
   ++(Admitted ? Counts.Admitted : Counts.NarrowWindow);
   return Admitted;
 }
@@ -504,10 +507,7 @@
 
 auto TargetTable::ownerOutlook(const TargetState &Target, TimePoint Now) const
     -> RoomOutlook {
-  const auto Period = static_cast<double>(
-      Target.Load.processingTime(Now)
-          .value_or(typicalProcessingTime(Target.Record.Service))
-          .count());
+  const auto Period = static_cast<double>(processingTime(Target, Now).count());
   const double Slots = std::max(1U, Target.Record.Slots);
   const double Excess =
       std::max(0.0, Target.Load.queue(Now) + 1 - OwnerQueuePerSlot * Slots);
--- a/lib/Fleet/TargetTable.h
+++ b/lib/Fleet/TargetTable.h
@@ -284,6 +284,10 @@
   /// The directory has no record of the target that had left.
   auto forgetReturned(Departure &Departed, TimePoint Now) -> void;
   auto typicalProcessingTime(const ServiceId &Service) const -> Duration;
+  /// Processing time of the target, or that of its service before the first
+  /// response.
+  auto processingTime(const TargetState &Target, TimePoint Now) const
+      -> Duration;
 
   Settings TableSettings;
   RandomSource Random;
