--- a/tests/unit/CallerSessionTest.cpp
+++ b/tests/unit/CallerSessionTest.cpp
@@ -42,11 +42,11 @@
     EXPECT_TRUE(runUntil([&] { return Handler.Received > Before; }));
     return Handler.LastNumber;
   }
-  auto answer(std::uint64_t Number, std::string Body,
+  auto answer(std::uint64_t Number, const std::string &Body,
               bool EndsWithClose = false) -> void {
     CallerResponse Response;
     Response.Status = 200;
-    Response.Body = std::move(Body);
+    Response.Body = Body;
     Response.EndsWithClose = EndsWithClose;
     Session->respond(Number, std::move(Response));
   }
