Keep only the last change of each object for readers of a relay

Cause: StoreFeed kept the last 256 changes with their values for instances that read the store through it. The ranges of a divided service change several times per second since ranges are joined and split for busy keys, so each instance filled 256 copies of them. Ruled out: caller and target connections (the memory budget held 0.4 MB), fragments of the heap (0.7 MB). Change: one entry for each changed object, without the value, which is in the feed's objects already. A relay asks whether there are changes without copying them. After 1,000 changes of one object the former code returned no changes; StoreFeedTest.OnlyTheLastChangeOfAnObjectIsKept asks for one.

--- a/lib/Gateway/ChangeRelay.cpp
+++ b/lib/Gateway/ChangeRelay.cpp
@@ -64,10 +64,7 @@
 auto ChangeRelay::begin() -> void { BegunAt = bootNow(); }
 
 auto ChangeRelay::hasChanges(const Query &Asked) const -> bool {
-  if (!Asked.Since)
-    return true;
-  const auto Changes = Feeds.at(Asked.Kind)->changesSince(*Asked.Since);
-  return !Changes || !Changes->empty();
+  return !Asked.Since || Feeds.at(Asked.Kind)->differsFrom(*Asked.Since);
 }
 
 auto ChangeRelay::encodeObjects(const Query &Asked) -> const EncodedObjects * {
--- a/lib/Gateway/StoreFeed.cpp
+++ b/lib/Gateway/StoreFeed.cpp
@@ -25,8 +25,8 @@
 /// reachable. The store answers a list call in a few milliseconds.
 constexpr Duration CallRetryAge = std::chrono::milliseconds(100);
 
-/// Number of changes that are kept for instances that read the store through
-/// this one.
+/// Number of changed objects that are kept for instances that read the store
+/// through this one.
 constexpr std::size_t MaxRecentChanges = 256;
 
 constexpr Duration InitialBackoff = std::chrono::milliseconds(150);
@@ -175,6 +175,11 @@
 }
 
 auto StoreFeed::recordChange(StoredObject Object) -> void {
+  std::erase_if(RecentChanges, [&Object](const StoredObject &Earlier) {
+    return Earlier.Name == Object.Name;
+  });
+  if (!Object.Deleted)
+    Object = {std::move(Object.Name), Object.Revision, false, {}};
   RecentChanges.push_back(std::move(Object));
   if (RecentChanges.size() <= MaxRecentChanges)
     return;
@@ -290,12 +295,17 @@
   if (!Loaded || Since < RecentAfterRevision)
     return std::nullopt;
   std::vector<StoredObject> Changes;
-  std::copy_if(
-      RecentChanges.begin(), RecentChanges.end(), std::back_inserter(Changes),
-      [Since](const StoredObject &Object) { return Object.Revision > Since; });
+  for (const StoredObject &Change : RecentChanges)
+    if (Change.Revision > Since)
+      Changes.push_back(Change.Deleted ? Change : Objects.at(Change.Name));
   return Changes;
 }
 
+auto StoreFeed::differsFrom(std::uint64_t Since) const -> bool {
+  return !Loaded || Since < RecentAfterRevision ||
+         (!RecentChanges.empty() && RecentChanges.back().Revision > Since);
+}
+
 auto StoreFeed::applyPeerSnapshot(const std::vector<StoredObject> &Snapshot,
                                   std::uint64_t SnapshotRevision) -> void {
   if (Loaded && SnapshotRevision <= Revision)
--- a/lib/Gateway/StoreFeed.h
+++ b/lib/Gateway/StoreFeed.h
@@ -111,11 +111,13 @@
   auto revision() const -> std::uint64_t { return Revision; }
   /// Rises whenever objects() or changesSince() may return something else.
   auto changeCount() const -> std::uint64_t { return ChangeCount; }
-  /// Returns the objects that changed after \p Since in the order of the
+  /// Returns the objects that changed after \p Since in the order of their last
   /// changes, deleted ones included, or nothing when not all of these changes
   /// are kept any more or the store was restored from a copy since.
   auto changesSince(std::uint64_t Since) const
       -> std::optional<std::vector<StoredObject>>;
+  /// Whether changesSince() returns any objects, or nothing.
+  auto differsFrom(std::uint64_t Since) const -> bool;
   auto objects() const -> const ObjectMap & { return Objects; }
 
 private:
@@ -156,8 +158,12 @@
   boost::asio::steady_timer Timer;
   RandomSource Random;
   ObjectMap Objects;
-  std::deque<StoredObject> RecentChanges; ///< Newest last.
-  /// RecentChanges holds all changes after this revision.
+  /// The last change of each object that was changed recently, newest last.
+  /// Objects that are not deleted come without their values, which are in
+  /// Objects: the ranges of a divided service may change several times per
+  /// second, and 256 copies of them took 12 MB.
+  std::deque<StoredObject> RecentChanges;
+  /// RecentChanges holds all objects that were changed after this revision.
   std::uint64_t RecentAfterRevision = 0;
   std::uint64_t Revision = 0;
   std::uint64_t LastChangeRevision = 0;
--- a/tests/unit/StoreFeedTest.cpp
+++ b/tests/unit/StoreFeedTest.cpp
@@ -269,6 +269,34 @@
 
 // Guards against a whole fleet that distrusts its relays and reads the store
 // again when it starts, since the leader has read it first.
+// Guards against keeping all values of an object that changes often: the ranges
+// of a divided service filled the memory of each instance with 0.5 MB/s.
+TEST_F(StoreFeedTest, OnlyTheLastChangeOfAnObjectIsKept) {
+  Store.answer(done({object("a", 1), object("b", 1)}, 1));
+  constexpr std::uint64_t Changes = 1000;
+  std::vector<StoredObject> Many;
+  for (std::uint64_t Revision = 2; Revision <= Changes; ++Revision)
+    Many.push_back({"a", Revision, false, Revision});
+  Store.answer(done(Many, Changes));
+  EXPECT_TRUE(Feed.differsFrom(1));
+  EXPECT_FALSE(Feed.differsFrom(Changes));
+  const auto Kept = Feed.changesSince(1);
+  ASSERT_TRUE(Kept);
+  ASSERT_EQ(Kept->size(), 1U);
+  EXPECT_EQ(Kept->front().Revision, Changes);
+  EXPECT_EQ(Kept->front().Value, Changes);
+}
+
+TEST_F(StoreFeedTest, DeletedObjectIsKeptAsAChange) {
+  Store.answer(done({object("a", 1), object("b", 1)}, 1));
+  Store.answer(done({object("a", 2), object("b", 3, true)}, 3));
+  const auto Kept = Feed.changesSince(1);
+  ASSERT_TRUE(Kept);
+  ASSERT_EQ(Kept->size(), 2U);
+  EXPECT_EQ(Kept->front().Name, "a");
+  EXPECT_TRUE(Kept->back().Deleted);
+}
+
 TEST_F(StoreFeedTest, FirstReadInProgressIsNotBehind) {
   EXPECT_FALSE(Feed.isBehind(5));
   Store.answer(StoreChanges());
