Refuse requests for keys in a data centre that is out of reach at once

Cause: an instance of a fleet of 65 sends to each of 166 owners about once in eight seconds, so after a data centre was cut off nearly every request for its keys met an owner that had not failed yet. Ruled out: keys in a move (selection 'none', 179 of them) and cold owners (26). Change: DataCentreReach takes a data centre for lost after three of its targets have not accepted a connection in 2 s and none has responded in between; one request each 300 ms probes it. A request whose owner cannot be reached until the end of its wait is refused without waiting, unless another request runs there, whose response may show that one connection failed.

--- a/lib/Fleet/TargetTable.cpp
+++ b/lib/Fleet/TargetTable.cpp
@@ -269,11 +269,12 @@
     if (!takesRequests(*Target))
       continue;
     const bool Paused = Target->Announced->paused(Now);
-    if (!Paused && Now >= Target->UnreachableUntil)
+    const TimePoint UnreachableUntil = unreachableUntil(*Target, Now);
+    if (!Paused && Now >= UnreachableUntil)
       return std::nullopt;
     AnyPaused = AnyPaused || Paused;
     const TimePoint Until =
-        std::max(Target->Announced->pausedUntil(), Target->UnreachableUntil);
+        std::max(Target->Announced->pausedUntil(), UnreachableUntil);
     First = std::min(First.value_or(Until), Until);
   }
   return AnyPaused ? First : std::nullopt;
@@ -385,7 +386,7 @@
       Request.Idempotent ? IdempotentQueuePerSlot : NonIdempotentQueuePerSlot;
   if (Target.Announced->paused(Now))
     return NoTargetReason::Paused;
-  if (Now < Target.UnreachableUntil)
+  if (Now < unreachableUntil(Target, Now))
     return NoTargetReason::Down;
   if (Target.Load.queue(Now) >= QueuePerSlot * Target.Record.Slots ||
       returnLimitReached(Target, Now))
@@ -524,7 +525,7 @@
   if (Target->Announced->paused(Now)) {
     Selected.Reason = NoTargetReason::Paused;
     Selected.OwnerPausedUntil = Target->Announced->pausedUntil();
-  } else if (Now < Target->UnreachableUntil)
+  } else if (Now < unreachableUntil(*Target, Now))
     Selected.Reason = NoTargetReason::Down;
   else if (returnLimitReached(*Target, Now) || !ownerAdmits(*Target, Now))
     Selected.Reason = NoTargetReason::Busy;
@@ -545,15 +546,42 @@
   markReachable(Target);
 }
 
+auto TargetTable::sending(TargetState &Target, TimePoint Now) -> void {
+  Target.Load.sent();
+  Target.Window.sent();
+  Target.Sends.add(Now);
+  Reach.sent(Target.Record.DataCentre, Now);
+}
+
 auto TargetTable::markUnreachable(TargetState &Target, TimePoint Now) -> void {
   Target.Backoff = std::clamp(2 * Target.Backoff, InitialBackoff, MaxBackoff);
   Target.UnreachableUntil = Now + Target.Backoff;
   Target.UnverifiedUntil = Target.UnreachableUntil + TableSettings.RecordDelay;
+  Reach.failed(Target.Record.DataCentre, Target.Record.Id, Now);
+}
+
+auto TargetTable::connected(const TargetState &Target) -> void {
+  Reach.reached(Target.Record.DataCentre);
 }
 
 auto TargetTable::markReachable(TargetState &Target) -> void {
   Target.Backoff = Duration(0);
   Target.UnreachableUntil = LongAgo;
+  connected(Target);
+}
+
+auto TargetTable::unreachableUntil(const TargetState &Target,
+                                   TimePoint Now) const -> TimePoint {
+  return std::max(Target.UnreachableUntil,
+                  Reach.unreachableUntil(Target.Record.DataCentre, Now));
+}
+
+auto TargetTable::ownerUnreachable(const TargetState &Owner, TimePoint WaitEnd,
+                                   TimePoint Now) const -> bool {
+  if (Now < Reach.unreachableUntil(Owner.Record.DataCentre, Now))
+    return true;
+  // The response to another request may show that only one connection failed.
+  return Owner.UnreachableUntil >= WaitEnd && Owner.Load.inFlight() == 0;
 }
 
 auto TargetTable::announced(const TargetRecord &Target,
--- a/lib/Fleet/TargetTable.h
+++ b/lib/Fleet/TargetTable.h
@@ -3,6 +3,7 @@
 #include "Admission/ReturnTimes.h"
 #include "Admission/SendWindow.h"
 #include "Admission/ShortageMonitor.h"
+#include "Fleet/DataCentreReach.h"
 #include "Fleet/SlidingWindowCounter.h"
 #include "Fleet/TargetAnnouncements.h"
 #include "Fleet/TargetLoad.h"
@@ -229,9 +230,21 @@
   // Observations.
 
   auto answered(TargetState &Target, Duration Latency) -> void;
+  /// Records that a request is about to be sent to the target.
+  auto sending(TargetState &Target, TimePoint Now) -> void;
   /// Records that no connection to the target could be opened.
   auto markUnreachable(TargetState &Target, TimePoint Now) -> void;
+  /// Records that the target has accepted a connection.
+  auto connected(const TargetState &Target) -> void;
   auto markReachable(TargetState &Target) -> void;
+  /// Time until which nothing is sent to the target because it, or its whole
+  /// data centre, cannot be reached; in the past: it can.
+  auto unreachableUntil(const TargetState &Target, TimePoint Now) const
+      -> TimePoint;
+  /// Whether a request for a key of \p Owner that waits until \p WaitEnd will
+  /// find it unreachable all the time.
+  auto ownerUnreachable(const TargetState &Owner, TimePoint WaitEnd,
+                        TimePoint Now) const -> bool;
   /// Records what the incarnation \p Target has announced in a response.
   auto announced(const TargetRecord &Target, const TargetNotices &Notices,
                  TimePoint Now) -> AnnouncementChange;
@@ -296,6 +309,7 @@
   /// Sizes that were replaced recently, and when.
   std::vector<std::pair<TimePoint, FleetSize>> ReplacedSizes;
   std::set<DataCentreId> Evacuated;
+  DataCentreReach Reach;
   std::unordered_map<ServiceId, ColdLimit> ColdLimits;
   std::unordered_map<TargetId, TargetPtr> Targets;
   std::unordered_map<TargetId, Departure> Departures;
--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -259,6 +259,13 @@
          Until > OutlookMargin * waitLimit();
 }
 
+auto RequestFlow::ownerUnreachable(TimePoint Now) const -> bool {
+  if (LastSelectionReason != NoTargetReason::Down)
+    return false;
+  const TargetPtr Owner = owner(Now);
+  return Owner && Context.Targets.ownerUnreachable(*Owner, WaitDeadline, Now);
+}
+
 auto RequestFlow::waitForTarget(TimePoint Now) -> void {
   if (Ticket != 0)
     return;
@@ -268,6 +275,8 @@
     return refuse(RefusalReason::QueueFull);
   }
   WaitDeadline = std::min(ResponseDeadline, Now + waitLimit());
+  if (!Held && ownerUnreachable(Now))
+    return refuse(RefusalReason::NoOwner);
   Ticket = Context.WaitingRequests.add(
       Service, Priority,
       [Self = shared_from_this()] { return Self->trySend(); });
@@ -331,9 +340,7 @@
   CurrentHop->Suspect = suspected(Now);
   if (CurrentHop->Suspect)
     Context.Crashes.suspectStarted(Target->Record.Id);
-  Target->Load.sent();
-  Target->Window.sent();
-  Target->Sends.add(Now);
+  Context.Targets.sending(*Target, Now);
   ActiveHops.push_back(CurrentHop);
   if (Context.Rollouts)
     Context.Rollouts->sent(Target->Record, LastTarget.empty());
@@ -387,6 +394,8 @@
       sendOrWait();
     return;
   }
+  if (Opened)
+    Context.Targets.connected(*CurrentHop->Target);
   CurrentHop->Connection = std::move(Connection);
   CurrentHop->Reused = !Opened;
   CurrentHop->SentAt = Now;
--- a/lib/Gateway/RequestFlow.h
+++ b/lib/Gateway/RequestFlow.h
@@ -80,6 +80,8 @@
   auto owner(TimePoint Now) const -> TargetPtr;
   /// Whether the owner of the key is not expected to have room in time.
   auto ownerLacksRoom(TimePoint Now) const -> bool;
+  /// Whether the owner of the key cannot be reached before WaitDeadline.
+  auto ownerUnreachable(TimePoint Now) const -> bool;
   /// Whether a target has crashed, or may have, while it ran the request.
   auto suspected(TimePoint Now) const -> bool;
   /// Whether targets have crashed while they ran it, or a copy of it.
