Move keys away from owners that fail their requests

Cause: an owner that answers every request with an error kept its keys, and since errors come at once its measured processing time fell to a few ms, so it counted as the fastest target and got the busiest keys. Ruled out: lost leases, which end work with 500 too (the errors came after 2 to 5 ms). Change: server errors no longer count as a sign of speed. Instances report failed responses of owners; FailingOwners decides from the reports of all of them whom to exclude, and the leader lets such owners hand their keys over.

--- a/lib/Fleet/FleetMessage.cpp
+++ b/lib/Fleet/FleetMessage.cpp
@@ -80,6 +80,23 @@
   return Out;
 }
 
+auto encodeOwnerFailures(const std::map<TargetId, OutcomeCounts> &Outcomes)
+    -> Json {
+  Json Out = Json::object();
+  for (const auto &[Id, Counts] : Outcomes)
+    Out[Id.str()] = Json::array({Counts.Successes, Counts.Failures});
+  return Out;
+}
+
+auto decodeOwnerFailures(const Json &Object)
+    -> std::map<TargetId, OutcomeCounts> {
+  std::map<TargetId, OutcomeCounts> Out;
+  for (const auto &[Id, Counts] : Object.items())
+    Out[TargetId(Id)] = {integer<std::uint32_t>(Counts.at(0)),
+                         integer<std::uint32_t>(Counts.at(1))};
+  return Out;
+}
+
 using CrashAge = std::pair<std::uint32_t, std::uint64_t>;
 
 /// Returns the latest crashes of a suspect that fit into a message, each with
@@ -276,6 +293,8 @@
               {"b", encodeMap(Report.ProcessingTimeMs)}};
   if (!Report.OwnerNotices.empty())
     Out["n"] = encodeNotices(Report.OwnerNotices);
+  if (!Report.OwnerFailures.empty())
+    Out["f"] = encodeOwnerFailures(Report.OwnerFailures);
   if (!Report.Rollouts.empty())
     Out["o"] = encodeRollouts(Report.Rollouts);
   addSuspects(Report, Out);
@@ -396,6 +415,8 @@
   Report.ProcessingTimeMs = decodeMap<TargetId, std::uint32_t>(Value.at("b"));
   if (Value.contains("n"))
     Report.OwnerNotices = decodeNotices(Value.at("n"));
+  if (Value.contains("f"))
+    Report.OwnerFailures = decodeOwnerFailures(Value.at("f"));
   if (Value.contains("o"))
     Report.Rollouts = decodeRolloutReports(Value.at("o"));
   readSuspects(Value, Report);
--- a/lib/Fleet/FleetMessage.h
+++ b/lib/Fleet/FleetMessage.h
@@ -2,6 +2,7 @@
 
 #include "Admission/LoadNews.h"
 #include "Fleet/CrashSuspects.h"
+#include "Fleet/FailingOwners.h"
 #include "Fleet/TargetRecord.h"
 #include "Rollout/Rollout.h"
 #include "buckthornring/Common/Ids.h"
@@ -63,6 +64,10 @@
   /// Processing time of a request, in ms, at the targets of divided services
   /// where it was observed since the last report.
   std::map<TargetId, std::uint32_t> ProcessingTimeMs;
+  /// Outcomes at the targets of divided services that have failed requests of
+  /// the sender since the last report. Those in ProcessingTimeMs alone have
+  /// failed none.
+  std::map<TargetId, OutcomeCounts> OwnerFailures;
   /// Announcements of targets of divided services that are in force.
   std::map<TargetId, OwnerNotice> OwnerNotices;
   /// Services with a rollout in progress.
--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -94,6 +94,10 @@
 /// keys have been moved make room for others.
 constexpr std::size_t MaxReportedNotices = 16;
 
+/// Failing owners in one report. More of them fail together only if their
+/// service does, and then no keys are moved.
+constexpr std::size_t MaxReportedFailures = 32;
+
 auto leaderToJson(const LeaderInfo &Leader, std::uint64_t Era,
                   const EarlierLeaders &Earlier) -> Json {
   Json Listed = Json::array();
@@ -228,12 +232,7 @@
   Report.Demand = Context.Requests.Rates.takeDemand();
   if (!RateKeeper.empty())
     Report.Demand.clear(); // Included in that of the rate keeper.
-  for (const TargetId &Id :
-       std::exchange(Context.Requests.RespondingOwners, {}))
-    if (const TargetPtr Target = Context.Requests.Targets.find(Id))
-      if (const auto Work = Target->Load.averageProcessingTime())
-        Report.ProcessingTimeMs[Id] =
-            static_cast<std::uint32_t>(Work->count() / 1000);
+  addOwnerOutcomes(Report);
   for (auto &[Id, Keys] : Context.Requests.RequestedKeys) {
     if (Keys.size() > MaxReportedKeys)
       Keys.resize(MaxReportedKeys);
@@ -247,6 +246,21 @@
   return Report;
 }
 
+auto FleetMember::addOwnerOutcomes(FleetReport &Report) -> void {
+  for (const auto &[Id, Outcomes] :
+       std::exchange(Context.Requests.OwnerOutcomes, {})) {
+    if (Outcomes.Failures > 0 &&
+        Report.OwnerFailures.size() < MaxReportedFailures)
+      Report.OwnerFailures[Id] = Outcomes;
+    const TargetPtr Target = Context.Requests.Targets.find(Id);
+    if (!Target || Outcomes.Successes == 0)
+      continue;
+    if (const auto Work = Target->Load.averageProcessingTime())
+      Report.ProcessingTimeMs[Id] =
+          static_cast<std::uint32_t>(Work->count() / 1000);
+  }
+}
+
 auto FleetMember::ownerNotices(TimePoint Now) const
     -> std::map<TargetId, OwnerNotice> {
   std::map<TargetId, OwnerNotice> Out;
--- a/lib/Gateway/FleetMember.h
+++ b/lib/Gateway/FleetMember.h
@@ -91,6 +91,8 @@
   auto scheduleReport() -> void;
   auto sendReport() -> void;
   auto composeReport(TimePoint Now) -> FleetReport;
+  /// Adds the outcomes at owners of keys since the last report.
+  auto addOwnerOutcomes(FleetReport &Report) -> void;
   auto ownerNotices(TimePoint Now) const -> std::map<TargetId, OwnerNotice>;
   auto onReply(const FleetReply &Reply) -> void;
   auto onReport(const FleetReport &Report, const std::string &From) -> void;
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -258,16 +258,7 @@
       for (const std::uint32_t Key : Keys)
         Found->second.Load.add(Key, Now);
   }
-  for (const auto &[Id, ProcessingTimeMs] : Report.ProcessingTimeMs)
-    if (const TargetPtr Target = Context.Targets.find(Id)) {
-      const auto Found = Services.find(Target->Record.Service);
-      if (Found == Services.end())
-        continue;
-      double &Average =
-          Found->second.ProcessingTimeMs.try_emplace(Id, ProcessingTimeMs)
-              .first->second;
-      Average += WorkSmoothingFactor * (ProcessingTimeMs - Average);
-    }
+  recordOwnerOutcomes(Report, Now);
   FleetReply Reply;
   Reply.Leader = Self;
   Reply.StoreReachable = StoreReachable;
@@ -536,6 +527,40 @@
              : Sum / static_cast<double>(State.ProcessingTimeMs.size());
 }
 
+auto Leader::recordOwnerOutcomes(const FleetReport &Report, TimePoint Now)
+    -> void {
+  const auto StateOf = [this](const TargetId &Id) -> ServiceState * {
+    const TargetPtr Target = Context.Targets.find(Id);
+    const auto Found =
+        Target ? Services.find(Target->Record.Service) : Services.end();
+    return Found == Services.end() ? nullptr : &Found->second;
+  };
+  for (const auto &[Id, ProcessingTimeMs] : Report.ProcessingTimeMs)
+    if (ServiceState *State = StateOf(Id)) {
+      double &Average =
+          State->ProcessingTimeMs.try_emplace(Id, ProcessingTimeMs)
+              .first->second;
+      Average += WorkSmoothingFactor * (ProcessingTimeMs - Average);
+      // The number of successes is reported beside failures only.
+      if (!Report.OwnerFailures.contains(Id))
+        State->Failing.record(Id, {1, 0}, Now);
+    }
+  for (const auto &[Id, Outcomes] : Report.OwnerFailures)
+    if (ServiceState *State = StateOf(Id))
+      State->Failing.record(Id, Outcomes, Now);
+}
+
+auto Leader::updateFailingOwners(const ServiceId &Id, ServiceState &State,
+                                 TimePoint Now) -> void {
+  const std::size_t Targets = Context.Targets.targetsOfService(Id).size();
+  for (const auto &[Target, Share, Length] : State.Failing.update(Targets, Now))
+    Context.Events.write(EventLine("owner-excluded")
+                             .field("service", Id.str())
+                             .field("target", Target.str())
+                             .field("failure_share", Share)
+                             .field("duration_ms", Length));
+}
+
 auto Leader::buildView(const ServiceId &Id, const ServiceState &State,
                        TimePoint Now) const -> RangeAssigner::View {
   RangeAssigner::View View;
@@ -547,7 +572,8 @@
     View.Incarnations[Record.Id] = Record.StartedAtMs;
     const bool Disallowed =
         Context.Rollouts && !Context.Rollouts->mayOwnKeys(Record, Now);
-    if (Disallowed || handsKeysOver(*Target, Now)) {
+    if (Disallowed || handsKeysOver(*Target, Now) ||
+        State.Failing.excluded(Record.Id, Now)) {
       View.Leaving.insert(Record.Id);
       continue;
     }
@@ -592,6 +618,7 @@
       continue;
     if (Now >= State->NextPlanAt && !State->WritePending) {
       State->NextPlanAt = Now + PlanInterval;
+      updateFailingOwners(Id, *State, Now);
       State->Keeper.plan(buildView(Id, *State, Now), State->Load, Now);
       logBalance(Id, *State);
     }
--- a/lib/Gateway/Leader.h
+++ b/lib/Gateway/Leader.h
@@ -142,6 +142,7 @@
     KeyLoad Load;
     /// Time of a request, moving average by target.
     std::unordered_map<TargetId, double> ProcessingTimeMs;
+    FailingOwners Failing;
     std::set<TargetId> PendingGrants;  ///< Targets with an unanswered grant.
     std::uint32_t PendingReleases = 0; ///< Unanswered releases.
     bool WritePending = false;
@@ -200,6 +201,10 @@
   auto buildView(const ServiceId &Id, const ServiceState &State,
                  TimePoint Now) const -> RangeAssigner::View;
   auto meanWorkMs(const ServiceState &State) const -> double;
+  auto recordOwnerOutcomes(const FleetReport &Report, TimePoint Now) -> void;
+  /// Excludes owners that fail much of their work.
+  auto updateFailingOwners(const ServiceId &Id, ServiceState &State,
+                           TimePoint Now) -> void;
   /// Whether the targets of a service have probably all registered: no new one
   /// has appeared for RegistrationQuietPeriod.
   auto allRegistered(const ServiceId &Id, TimePoint Now) -> bool;
--- a/lib/Gateway/RequestContext.h
+++ b/lib/Gateway/RequestContext.h
@@ -2,6 +2,7 @@
 
 #include "Admission/LoadNews.h"
 #include "Fleet/CrashSuspects.h"
+#include "Fleet/FailingOwners.h"
 #include "Fleet/KeyLoad.h"
 #include "Fleet/KeyRanges.h"
 #include "Fleet/RateShares.h"
@@ -92,8 +93,8 @@
   LatencyHistogram Latency;
   /// Keys requested since the last report to the leader.
   std::unordered_map<ServiceId, std::vector<std::uint32_t>> RequestedKeys;
-  /// Owners that have responded since the last report to the leader.
-  std::set<TargetId> RespondingOwners;
+  /// Outcomes at owners of keys since the last report to the leader.
+  std::map<TargetId, OutcomeCounts> OwnerOutcomes;
   /// Latest loads of targets that have not been passed on yet.
   LoadNews UnsentLoads;
   /// Called after a load was added to UnsentLoads.
--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -479,9 +479,14 @@
   const bool Rejected =
       Response.Fields.contains(Names.NotRun) || Response.Status == 421;
   const Duration Latency = Now - CurrentHop->SentAt;
-  CurrentHop->Target->Load.ended(
-      Rejected ? std::nullopt : std::optional(Latency), CurrentHop->QueueAtSend,
-      CurrentHop->Target->Record.Slots);
+  // A server error may come at once and shows no speed.
+  const std::uint32_t Slots = CurrentHop->Target->Record.Slots;
+  if (Response.Status >= 500 && !Rejected)
+    CurrentHop->Target->Load.abandoned(Latency, CurrentHop->QueueAtSend, Slots);
+  else
+    CurrentHop->Target->Load.ended(Rejected ? std::nullopt
+                                            : std::optional(Latency),
+                                   CurrentHop->QueueAtSend, Slots);
   recordLoad(*CurrentHop, Response, Now);
   Context.Announcements.record(CurrentHop->Target->Record, Response.Status,
                                Response.Fields);
@@ -501,9 +506,11 @@
     Context.Targets.answered(*CurrentHop->Target, Latency);
     recordAttempt(*CurrentHop, Latency, true);
     if (Key)
-      Context.RespondingOwners.insert(CurrentHop->Target->Record.Id);
+      ++Context.OwnerOutcomes[CurrentHop->Target->Record.Id].Successes;
   } else {
     CurrentHop->Target->Load.failed();
+    if (Key && Response.Status != GatewayTimeout)
+      ++Context.OwnerOutcomes[CurrentHop->Target->Record.Id].Failures;
     // The other attempt of a hedged request may still succeed.
     if (!ActiveHops.empty())
       return;
@@ -572,6 +579,8 @@
   CurrentHop->Target->Load.failed();
   if (Outcome == ExchangeResult::Lost)
     onLost(CurrentHop);
+  else if (Key)
+    ++Context.OwnerOutcomes[CurrentHop->Target->Record.Id].Failures;
   abandonHop(CurrentHop);
   if (!ActiveHops.empty())
     return;
--- a/tests/unit/FaultyTargetTest.cpp
+++ b/tests/unit/FaultyTargetTest.cpp
@@ -452,4 +452,37 @@
   EXPECT_EQ(Metrics.find("\"unreadable-handover\"} 0"), std::string::npos);
 }
 
+// Guards against an owner that fails all requests while its health is good and
+// keeps its keys: errors come at once, so it even counted as the fastest owner
+// and got the busiest keys.
+TEST(FaultyTargetTest, KeysOfAnOwnerThatFailsRequestsMove) {
+  const auto Responding = [](int Status) {
+    return [Status](Socket &To, const std::string &Request) {
+      if (Request.starts_with("POST /v1/"))
+        return ScriptedTarget::send(To, OrderAccepted);
+      return ScriptedTarget::send(
+          To, GatewayFixture::response(GatewayFixture::requestId(Request),
+                                       "done", "", Status));
+    };
+  };
+  ScriptedTarget Failing(Responding(500));
+  ScriptedTarget Sound(Responding(200));
+  GatewayFixture Fixture;
+  Fixture.addTarget("stock", "o1", Failing);
+  Fixture.configure(1);
+  // Balancing alone gives the new target a part of the keys.
+  const auto AllKeysGet = [&Fixture](const char *Status) {
+    for (const char *Key : {"7", "20000", "40000", "65000"})
+      if (!Fixture
+               .exchange("GET", "/owned/1",
+                         "Shard-Key: " + std::string(Key) + "\r\n")
+               .has(Status))
+        return false;
+    return true;
+  };
+  ASSERT_TRUE(eventually([&] { return AllKeysGet("HTTP/1.1 500"); }));
+  Fixture.addTarget("stock", "o2", Sound);
+  EXPECT_TRUE(eventually([&] { return AllKeysGet("HTTP/1.1 200"); }));
+}
+
 } // namespace
--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -39,6 +39,7 @@
   Report.Keys = {{ServiceId("s"), {1, 65535}}};
   Report.ProcessingTimeMs = {{TargetId("t"), 250}};
   Report.OwnerNotices = {{TargetId("t"), {1'700'000'000'123, true, 4500}}};
+  Report.OwnerFailures = {{TargetId("u"), {7, 3}}};
   const auto Read = decodeFleetMessage(encodeFleetMessage(Report));
   ASSERT_TRUE(Read) << Read.error().message();
   const auto &Copy = std::get<FleetReport>(*Read);
@@ -50,6 +51,7 @@
   EXPECT_EQ(Copy.Keys, Report.Keys);
   EXPECT_EQ(Copy.ProcessingTimeMs, Report.ProcessingTimeMs);
   EXPECT_EQ(Copy.OwnerNotices, Report.OwnerNotices);
+  EXPECT_EQ(Copy.OwnerFailures, Report.OwnerFailures);
 }
 
 TEST(FleetMessageTest, ReplyNamesRelaysAndRateKeeper) {
