Take any response for a sign that a data centre is in reach

Cause: only connections and results counted, so a data centre whose targets reject or fail all requests on kept connections could be taken for lost after three failed connections. Change: each response counts. Result: by reading; DataCentreReachTest is unchanged.

--- a/lib/Fleet/TargetTable.h
+++ b/lib/Fleet/TargetTable.h
@@ -234,7 +234,7 @@
   auto sending(TargetState &Target, TimePoint Now) -> void;
   /// Records that no connection to the target could be opened.
   auto markUnreachable(TargetState &Target, TimePoint Now) -> void;
-  /// Records that the target has accepted a connection.
+  /// Records that the target has accepted a connection or responded.
   auto connected(const TargetState &Target) -> void;
   auto markReachable(TargetState &Target) -> void;
   /// Time until which nothing is sent to the target because it, or its whole
--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -479,6 +479,7 @@
   const bool Rejected =
       Response.Fields.contains(Names.NotRun) || Response.Status == 421;
   const Duration Latency = Now - CurrentHop->SentAt;
+  Context.Targets.connected(*CurrentHop->Target);
   // A server error may come at once and shows no speed.
   const std::uint32_t Slots = CurrentHop->Target->Record.Slots;
   if (Response.Status >= 500 && !Rejected)
