Do not compare versions on cold targets

A good version was rolled back when its targets had just started: responses of cold targets outlast the time-out of a route and counted as failures, and their times counted as those of the version.

`compare` now waits until half of the new slots are warm, but begins at least 3 s before the verdict, and uses warm targets only as long as there are any. Times and time-outs of requests sent to a cold target are left out; other failures there count. Times are compared within each route, and a time-out counts as a time as well, so that a slow version shows.

--- a/lib/Gateway/RequestFlow.cpp
+++ b/lib/Gateway/RequestFlow.cpp
@@ -231,10 +231,17 @@
       Now);
 }
 
-auto RequestFlow::recordOutcome(const Hop &Ended, std::optional<Duration> Time)
-    -> void {
-  if (Context.Rollouts)
-    Context.Rollouts->ended(Ended.Target->Record, Route->PathPrefix, Time);
+auto RequestFlow::recordOutcome(const Hop &Ended, std::optional<Duration> Time,
+                                bool TimedOut) -> void {
+  if (!Context.Rollouts)
+    return;
+  // A retry near the deadline says little of the target's speed.
+  const Duration Limit = ResponseDeadline - Request.ReceivedAt;
+  const Duration Waited = bootNow() - Ended.SentAt;
+  if (TimedOut)
+    Time = 2 * Waited >= Limit ? std::optional(Waited) : std::nullopt;
+  Context.Rollouts->ended(Ended.Target->Record, Route->PathPrefix,
+                          {Time, TimedOut, Ended.SentCold});
 }
 
 auto RequestFlow::suspected(TimePoint Now) const -> bool {
@@ -328,6 +335,7 @@
   if (!std::exchange(CopyCounted, true))
     Context.Crashes.copyStarted(Fingerprint);
   CurrentHop->QueueAtSend = Target->Load.queue(Now);
+  CurrentHop->SentCold = Target->cold(Now);
   CurrentHop->Suspect = suspected(Now);
   if (CurrentHop->Suspect)
     Context.Crashes.suspectStarted(Target->Record.Id);
@@ -484,7 +492,8 @@
   if (Rejected)
     return onRejected(CurrentHop, Response);
   recordOutcome(*CurrentHop,
-                Response.Status < 500 ? std::optional(Latency) : std::nullopt);
+                Response.Status < 500 ? std::optional(Latency) : std::nullopt,
+                Response.Status == GatewayTimeout);
   // A target that gave up at the deadline has not run the request to its end.
   if (Response.Status != GatewayTimeout && Context.Crashes.watches(Fingerprint))
     Context.Crashes.exchangeCompleted(monitored());
@@ -559,7 +568,7 @@
     -> void {
   if (Outcome == ExchangeResult::NotSent)
     return onNotSent(CurrentHop);
-  recordOutcome(*CurrentHop, std::nullopt);
+  recordOutcome(*CurrentHop, std::nullopt, false);
   CurrentHop->Target->Load.failed();
   if (Outcome == ExchangeResult::Lost)
     onLost(CurrentHop);
@@ -652,7 +661,7 @@
   for (const HopPtr &CurrentHop : ActiveHops)
     if (CurrentHop->SentAt != LongAgo) {
       CurrentHop->Target->Load.failed();
-      recordOutcome(*CurrentHop, std::nullopt);
+      recordOutcome(*CurrentHop, std::nullopt, true);
     }
   refuse(RefusalReason::DeadlineExceeded);
 }
--- a/lib/Gateway/RequestFlow.h
+++ b/lib/Gateway/RequestFlow.h
@@ -43,7 +43,8 @@
     /// Start of the target's incarnation that the request was sent to.
     std::int64_t TargetStartedAtMs = 0;
     bool Reused = false;
-    bool Suspect = false; ///< By CrashMonitor::suspectStarted().
+    bool SentCold = false; ///< The target was cold.
+    bool Suspect = false;  ///< By CrashMonitor::suspectStarted().
     bool Hedge = false;
   };
   using HopPtr = std::shared_ptr<Hop>;
@@ -119,7 +120,9 @@
                        TargetResponse Response) -> void;
   /// Counts the end of a request that was sent, by the target's version;
   /// nothing for \p Time: it failed.
-  auto recordOutcome(const Hop &Ended, std::optional<Duration> Time) -> void;
+  /// Counts the end of a request at a target in the rollout of its service.
+  auto recordOutcome(const Hop &Ended, std::optional<Duration> Time,
+                     bool TimedOut) -> void;
   auto recordLoad(const Hop &CurrentHop, const TargetResponse &Response,
                   TimePoint Now) -> void;
   auto onRejected(const HopPtr &CurrentHop, const TargetResponse &Response)
--- a/lib/Gateway/RolloutAgent.cpp
+++ b/lib/Gateway/RolloutAgent.cpp
@@ -16,8 +16,6 @@
 /// exposure share of the old ones: a range may get more requests than others.
 constexpr double KeyTargetShare = 0.5;
 
-constexpr double Million = 1e6;
-
 } // namespace
 
 auto RolloutAgent::Service::recordOfOrder() const -> const RolloutRecord * {
@@ -152,7 +150,7 @@
 
 // All instances choose the same targets, so that few of them get the usual
 // load and badness under load shows.
-auto RolloutAgent::compared(const ServiceId &Id, Service &State)
+auto RolloutAgent::compared(const ServiceId &Id, Service &State, TimePoint Now)
     -> const std::set<TargetId> & {
   const RolloutShare &Share = *State.Share;
   if (!State.Compared.empty() && State.ComparedPeriod == Share.period() &&
@@ -162,11 +160,13 @@
   State.ComparedShare = Share.sharePpm();
   State.Compared.clear();
   const auto [New, Old] = targetsOf(Id, Share.to());
-  const auto Few = std::max<std::size_t>(
-      1, static_cast<std::size_t>(Share.sharePpm() / Million *
-                                  static_cast<double>(Old)));
-  for (std::size_t Index = 0; Index < std::min(Few, New.size()); ++Index)
-    State.Compared.insert(New[(Share.period() * Few + Index) % New.size()]);
+  std::vector<bool> Cold;
+  for (const TargetId &Each : New) {
+    const TargetPtr Target = Targets.find(Each);
+    Cold.push_back(!Target || Target->cold(Now));
+  }
+  for (const std::size_t Position : Share.compared(Cold, Old))
+    State.Compared.insert(New[Position]);
   return State.Compared;
 }
 
@@ -202,7 +202,7 @@
   Service &State = Found->second;
   if (FirstSend && State.Share &&
       State.Share->mayCompare(Targets.fleetSize().Instances, Now)) {
-    const std::set<TargetId> &Few = compared(Request.Service, State);
+    const std::set<TargetId> &Few = compared(Request.Service, State, Now);
     Request.Admits = [&Few](const TargetRecord &Record) {
       return Few.contains(Record.Id);
     };
@@ -275,10 +275,10 @@
 }
 
 auto RolloutAgent::ended(const TargetRecord &Target, const std::string &Route,
-                         std::optional<Duration> Time) -> void {
+                         const RolloutResult &Result) -> void {
   const auto Found = All.find(Target.Service);
   if (Found != All.end() && Found->second.Share)
-    Found->second.Share->ended(Target.Version, Route, Time);
+    Found->second.Share->ended(Target.Version, Route, Result);
 }
 
 auto RolloutAgent::countMalformed(const std::string &Name,
--- a/lib/Gateway/RolloutAgent.h
+++ b/lib/Gateway/RolloutAgent.h
@@ -54,9 +54,8 @@
   /// Whether the owner of a key may get a request.
   auto admitsOwner(const TargetRecord &Owner, TimePoint Now) -> bool;
   auto sent(const TargetRecord &Target, bool FirstSend) -> void;
-  /// Nothing for \p Time: the request failed after it was sent.
   auto ended(const TargetRecord &Target, const std::string &Route,
-             std::optional<Duration> Time) -> void;
+             const RolloutResult &Result) -> void;
 
   // State, also for the leader and the operator.
 
@@ -96,7 +95,7 @@
   /// number of those of other versions.
   auto targetsOf(const ServiceId &Id, const std::string &To) const
       -> std::pair<std::vector<TargetId>, std::size_t>;
-  auto compared(const ServiceId &Id, Service &State)
+  auto compared(const ServiceId &Id, Service &State, TimePoint Now)
       -> const std::set<TargetId> &;
 
   TargetTable &Targets;
--- a/lib/Gateway/RolloutLeader.cpp
+++ b/lib/Gateway/RolloutLeader.cpp
@@ -91,14 +91,18 @@
 }
 
 auto RolloutLeader::viewOf(const ServiceId &Id, const Rollout &Led,
-                           const Fleet &Current) const
+                           const Fleet &Current, TimePoint Now) const
     -> RolloutController::View {
   RolloutController::View View;
   const std::string &To = Led.Control.order().To;
-  for (const TargetPtr &Target : Context.Targets.targetsOfService(Id))
-    if (Context.Targets.takesRequests(*Target))
-      (Target->Record.Version == To ? View.NewSlots : View.OldSlots) +=
-          Target->Record.Slots;
+  for (const TargetPtr &Target : Context.Targets.targetsOfService(Id)) {
+    if (!Context.Targets.takesRequests(*Target))
+      continue;
+    const bool New = Target->Record.Version == To;
+    (New ? View.NewSlots : View.OldSlots) += Target->Record.Slots;
+    if (New && !Target->cold(Now))
+      View.WarmNewSlots += Target->Record.Slots;
+  }
   View.KeysAtOld = Current.KeysOutside(Id, To);
   View.MembersKnown = Current.Leading >= MembersKnownAfter;
   View.Members = Current.Members;
@@ -124,7 +128,7 @@
     Rollout &Led = findOrBegin(Id, Known, Current.Divided(Id), Now);
     if (const RolloutRecord *Record = Known.recordOfOrder())
       Led.Control.adopt(*Record, Now);
-    Led.Control.step(viewOf(Id, Led, Current), Now);
+    Led.Control.step(viewOf(Id, Led, Current, Now), Now);
     logStage(Id, Led, Now);
     writeRecord(Id, Led, Current, Now);
     writeStatus(Id, Led, *Known.Order, Now);
--- a/lib/Gateway/RolloutLeader.h
+++ b/lib/Gateway/RolloutLeader.h
@@ -79,8 +79,8 @@
   auto findOrBegin(const ServiceId &Id, const RolloutAgent::Service &Known,
                    bool Divided, TimePoint Now) -> Rollout &;
   auto changed(const Rollout &Led, const RolloutOrder &Order) const -> bool;
-  auto viewOf(const ServiceId &Id, const Rollout &Led,
-              const Fleet &Current) const -> RolloutController::View;
+  auto viewOf(const ServiceId &Id, const Rollout &Led, const Fleet &Current,
+              TimePoint Now) const -> RolloutController::View;
   auto writeRecord(const ServiceId &Id, Rollout &Led, const Fleet &Current,
                    TimePoint Now) -> void;
   auto writeStatus(const ServiceId &Id, Rollout &Led, const RolloutOrder &Order,
--- a/lib/Rollout/Rollout.h
+++ b/lib/Rollout/Rollout.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace buckthornring {
@@ -70,13 +71,23 @@
 struct RolloutOutcomes {
   std::uint32_t Requests = 0; ///< Without those that targets rejected unrun.
   std::uint32_t Failures = 0;
-  TimeCounts Times; ///< Of those that did not fail.
+  TimeCounts Times; ///< Of those that did not fail, or by a time-out.
 
   auto add(const RolloutOutcomes &Other) -> void;
   /// Returns this less \p Earlier, an earlier value of the same counts.
   auto since(const RolloutOutcomes &Earlier) const -> RolloutOutcomes;
 };
 
+/// How a request that was sent to a target has ended.
+struct RolloutResult {
+  /// Nothing: the request failed. With TimedOut a lower bound of the time, or
+  /// nothing if too little of the time limit was left for the target.
+  std::optional<Duration> Time;
+  /// It failed because the time limit of its route or caller had passed.
+  bool TimedOut = false;
+  bool SentCold = false; ///< The target was cold when the request was sent.
+};
+
 /// Outcomes by route.
 using OutcomesByRoute = std::map<std::string, RolloutOutcomes>;
 
--- a/lib/Rollout/RolloutController.cpp
+++ b/lib/Rollout/RolloutController.cpp
@@ -65,6 +65,13 @@
 /// requests to go there.
 constexpr double MinSlotPart = 0.5;
 
+/// Part of the new version's slots at which it is compared: a single target
+/// may be a slow one, and cold ones are not used beside others.
+constexpr double MinWarmPart = 0.5;
+/// Time before the verdict at which it is compared anyway. The share takes 2 s
+/// to grow, and 25 responses take a second of 250 requests/s.
+constexpr Duration MinComparePeriod = std::chrono::milliseconds(3000);
+
 /// Slowdown that ends a rollout in `complete`, when all targets share the load.
 constexpr double CompleteSlowness = 2.5;
 
@@ -201,21 +208,22 @@
   const std::uint32_t Excused = failuresOfACrash(Span);
   const OutcomesByRoute New =
       Earlier ? difference(Sums.New, Earlier->New) : Sums.New;
-  const auto Judge = [&](const RolloutOutcomes &Old, RolloutOutcomes Fresh,
+  const auto Judge = [&](const OutcomesByRoute &Old,
+                         const OutcomesByRoute &Fresh,
                          const std::string &Route) {
-    Fresh.Failures -= std::min(Fresh.Failures, Excused);
-    const VersionComparison Found = compareVersions(Old, Fresh, Wanted);
+    const VersionComparison Found =
+        compareVersions(Old, Fresh, Excused, Wanted);
     if (Found.Bad || Route.empty()) {
       Latest = Found;
       LatestRoute = Route;
     }
     return Found.Bad;
   };
-  if (Judge(pooled(Sums.Old), pooled(New), ""))
+  if (Judge(Sums.Old, New, ""))
     return true;
   for (const auto &[Route, Outcomes] : New) {
     const auto Old = Sums.Old.find(Route);
-    if (Old != Sums.Old.end() && Judge(Old->second, Outcomes, Route))
+    if (Old != Sums.Old.end() && Judge({*Old}, {{Route, Outcomes}}, Route))
       return true;
   }
   return false;
@@ -255,6 +263,12 @@
          (Sums.Requests < FewRequests && 2 * Responses >= Sums.SentToNew);
 }
 
+auto RolloutController::mayCompare(const View &Current, TimePoint Now) const
+    -> bool {
+  return Current.WarmNewSlots >= MinWarmPart * Current.NewSlots ||
+         elapsed(Now) >= Order.Length - completionTime() - MinComparePeriod;
+}
+
 auto RolloutController::moveTo(RolloutStage Next, std::string Reason,
                                TimePoint Now) -> void {
   Stage = Next;
@@ -298,8 +312,12 @@
   // There is nothing to compare with.
   if (Current.OldSlots == 0 && Current.MembersKnown)
     return moveTo(RolloutStage::Complete, "no target of another version", Now);
-  if (Stage == RolloutStage::Hold)
-    return moveTo(RolloutStage::Compare, "targets are ready", Now);
+  if (Stage == RolloutStage::Hold) {
+    Cause = "targets of the new version are cold";
+    if (mayCompare(Current, Now))
+      moveTo(RolloutStage::Compare, "targets are ready", Now);
+    return;
+  }
   const std::uint32_t Responses = pooled(Sums.New).Requests;
   const Duration Compared =
       InForce == RolloutStage::Compare ? Now - InForceAt : Duration(0);
@@ -322,10 +340,12 @@
   if (isBad(Strictness::Final, Now))
     return moveTo(RolloutStage::Stopped, Latest.Cause, Now);
   const bool Last = Elapsed >= latestCompletion();
-  const bool Capable = Current.NewSlots >= MinSlotPart * Current.OldSlots;
+  // Cold targets take few requests until they are warm.
+  const std::uint32_t Usable = Last ? Current.NewSlots : Current.WarmNewSlots;
+  const bool Capable = Usable >= MinSlotPart * Current.OldSlots;
   if (enoughEvidence() && Capable)
     return moveTo(RolloutStage::Complete, "not worse", Now);
-  Cause = Capable ? "too few responses" : "too few targets";
+  Cause = Capable ? "too few responses" : "too few warm targets";
   if (Last)
     moveTo(RolloutStage::Stopped, Cause, Now);
 }
--- a/lib/Rollout/RolloutController.h
+++ b/lib/Rollout/RolloutController.h
@@ -36,9 +36,10 @@
                     const RolloutReport &Report, TimePoint Now) -> void;
 
   struct View {
-    std::uint32_t OldSlots = 0; ///< Of ready targets of other versions.
-    std::uint32_t NewSlots = 0; ///< Of ready targets of the new version.
-    bool KeysAtOld = false;     ///< Other versions own keys of the service.
+    std::uint32_t OldSlots = 0;     ///< Of ready targets of other versions.
+    std::uint32_t NewSlots = 0;     ///< Of ready targets of the new version.
+    std::uint32_t WarmNewSlots = 0; ///< Of those that are not cold.
+    bool KeysAtOld = false;         ///< Other versions own keys of the service.
     bool StoreReachable = true;
     /// All instances that report to the leader, which has led for long enough
     /// to know them.
@@ -100,6 +101,7 @@
   auto stepCompare(const View &Current, TimePoint Now) -> void;
   auto stepComplete(const View &Current, TimePoint Now) -> void;
   auto enoughEvidence() const -> bool;
+  auto mayCompare(const View &Current, TimePoint Now) const -> bool;
   auto moveTo(RolloutStage Next, std::string Reason, TimePoint Now) -> void;
   auto completionTime() const -> Duration;
   auto latestCompletion() const -> Duration;
--- a/lib/Rollout/RolloutShare.cpp
+++ b/lib/Rollout/RolloutShare.cpp
@@ -1,5 +1,6 @@
 #include "Rollout/RolloutShare.h"
 
+#include <algorithm>
 #include <cmath>
 #include <functional>
 
@@ -84,16 +85,35 @@
                                      slackPart(Instances) / UsedSlack;
 }
 
+auto RolloutShare::compared(const std::vector<bool> &Cold,
+                            std::size_t OldTargets) const
+    -> std::vector<std::size_t> {
+  const bool AllCold = std::find(Cold.begin(), Cold.end(), false) == Cold.end();
+  std::vector<std::size_t> Usable;
+  for (std::size_t Index = 0; Index < Cold.size(); ++Index)
+    if (AllCold || !Cold[Index])
+      Usable.push_back(Index);
+  const auto Few = std::max<std::size_t>(
+      1, static_cast<std::size_t>(Notice.SharePpm / Million *
+                                  static_cast<double>(OldTargets)));
+  std::vector<std::size_t> Out;
+  for (std::size_t Index = 0; Index < std::min(Few, Usable.size()); ++Index)
+    Out.push_back(Usable[(Notice.Period * Few + Index) % Usable.size()]);
+  return Out;
+}
+
 auto RolloutShare::ended(const std::string &Version, const std::string &Route,
-                         std::optional<Duration> Time) -> void {
+                         const RolloutResult &Result) -> void {
+  if (Result.SentCold && Result.TimedOut)
+    return;
   OutcomesByRoute &Routes = Version == To ? Counts.New : Counts.Old;
   const bool Named = Routes.contains(Route) || Routes.size() < MaxRoutes;
   RolloutOutcomes &Outcomes = Routes[Named ? Route : OtherRoutes];
   ++Outcomes.Requests;
-  if (Time)
-    Outcomes.Times.record(*Time);
-  else
+  if (Result.TimedOut || !Result.Time)
     ++Outcomes.Failures;
+  if (Result.Time && !Result.SentCold)
+    Outcomes.Times.record(*Result.Time);
 }
 
 auto RolloutShare::report() const -> RolloutReport {
--- a/lib/Rollout/RolloutShare.h
+++ b/lib/Rollout/RolloutShare.h
@@ -2,7 +2,7 @@
 
 #include "Rollout/Rollout.h"
 
-#include <optional>
+#include <vector>
 
 namespace buckthornring {
 
@@ -47,13 +47,21 @@
   /// sent: the key has no other target, so the whole bound is used.
   auto mayServeKey(std::uint32_t Instances, TimePoint Now) const -> bool;
 
+  /// Returns the positions of the targets of the new version that `compare`
+  /// uses in this period, the same at all instances. \p Cold tells for each
+  /// target whether it is cold: these are used only if all are. As many are
+  /// used as the share is of the \p OldTargets, so they get the usual load.
+  auto compared(const std::vector<bool> &Cold, std::size_t OldTargets) const
+      -> std::vector<std::size_t>;
+
   /// The first send of a request.
   auto requestSent() -> void { ++Counts.Requests; }
   /// A send to the new version by mayCompare().
   auto sentToNew() -> void { ++Counts.SentToNew; }
-  /// Nothing for \p Time: the request failed.
+  /// Counts the end of a request. A cold target is slow whatever its version,
+  /// so its times and time-outs are left out.
   auto ended(const std::string &Version, const std::string &Route,
-             std::optional<Duration> Time) -> void;
+             const RolloutResult &Result) -> void;
 
   /// Returns the counts; the caller adds RunningAtOld.
   auto report() const -> RolloutReport;
--- a/lib/Rollout/VersionTest.cpp
+++ b/lib/Rollout/VersionTest.cpp
@@ -37,7 +37,15 @@
 struct LogTimes {
   double Count = 0;
   double Mean = 0;
-  double Variance = 0;
+  double Squares = 0; ///< Sum of the squared deviations from the mean.
+};
+
+/// Mean difference of the logarithms of two versions' times within routes.
+struct TimeDifference {
+  double OldCount = 0;
+  double NewCount = 0;
+  double Mean = 0;
+  double Error = 0;
 };
 
 auto logTimes(const TimeCounts &Times) -> LogTimes {
@@ -55,10 +63,48 @@
   if (Out.Count == 0)
     return Out;
   Out.Mean = Sum / Out.Count;
-  Out.Variance = std::max(0.0, Squares / Out.Count - Out.Mean * Out.Mean);
+  Out.Squares = std::max(0.0, Squares - Sum * Out.Mean);
+  return Out;
+}
+
+// The routes weigh as the new version's responses are spread over them.
+auto compareTimes(const OutcomesByRoute &Old, const OutcomesByRoute &New)
+    -> TimeDifference {
+  TimeDifference Out;
+  double OldSquares = 0;
+  double NewSquares = 0;
+  double OldWeights = 0; // Sum of the squared weights by the old counts.
+  for (const auto &[Route, Outcomes] : New) {
+    const auto Found = Old.find(Route);
+    if (Found == Old.end())
+      continue;
+    const LogTimes OldTimes = logTimes(Found->second.Times);
+    const LogTimes NewTimes = logTimes(Outcomes.Times);
+    if (OldTimes.Count == 0 || NewTimes.Count == 0)
+      continue;
+    Out.OldCount += OldTimes.Count;
+    Out.NewCount += NewTimes.Count;
+    Out.Mean += NewTimes.Count * (NewTimes.Mean - OldTimes.Mean);
+    OldSquares += OldTimes.Squares;
+    NewSquares += NewTimes.Squares;
+    OldWeights += NewTimes.Count * NewTimes.Count / OldTimes.Count;
+  }
+  if (Out.NewCount == 0)
+    return Out;
+  Out.Mean /= Out.NewCount;
+  Out.Error = std::sqrt(NewSquares / Out.NewCount / Out.NewCount +
+                        OldSquares / Out.OldCount * OldWeights /
+                            (Out.NewCount * Out.NewCount));
   return Out;
 }
 
+auto sumOf(const OutcomesByRoute &Routes) -> RolloutOutcomes {
+  RolloutOutcomes Sum;
+  for (const auto &[Route, Outcomes] : Routes)
+    Sum.add(Outcomes);
+  return Sum;
+}
+
 /// Probability of \p Failures or more of \p Requests at a failure rate.
 auto binomialTail(std::uint32_t Failures, std::uint32_t Requests, double Rate)
     -> double {
@@ -81,8 +127,12 @@
 
 } // namespace
 
-auto compareVersions(const RolloutOutcomes &Old, const RolloutOutcomes &New,
+auto compareVersions(const OutcomesByRoute &OldRoutes,
+                     const OutcomesByRoute &NewRoutes, std::uint32_t Excused,
                      Strictness Wanted) -> VersionComparison {
+  const RolloutOutcomes Old = sumOf(OldRoutes);
+  RolloutOutcomes New = sumOf(NewRoutes);
+  New.Failures -= std::min(New.Failures, Excused);
   const bool Early = Wanted == Strictness::Early;
   VersionComparison Out;
   const double OldRate = (Old.Failures + 1.0) / (Old.Requests + 2.0);
@@ -93,18 +143,14 @@
     Out.Bad = true;
     Out.Cause = "failures";
   }
-  const LogTimes OldTimes = logTimes(Old.Times);
-  const LogTimes NewTimes = logTimes(New.Times);
+  const TimeDifference Times = compareTimes(OldRoutes, NewRoutes);
   const std::uint32_t MinTimes = Early ? MinEarlyTimes : MinFinalTimes;
-  if (NewTimes.Count < MinTimes || OldTimes.Count < MinTimes)
+  if (Times.NewCount < MinTimes || Times.OldCount < MinTimes)
     return Out;
-  const double Difference = NewTimes.Mean - OldTimes.Mean;
-  Out.SlownessRatio = std::exp(Difference);
-  const double Error = std::sqrt(NewTimes.Variance / NewTimes.Count +
-                                 OldTimes.Variance / OldTimes.Count);
+  Out.SlownessRatio = std::exp(Times.Mean);
   const double Bound = std::log(Early ? EarlySlowness : FinalSlowness) +
-                       (Early ? EarlyErrors : FinalErrors) * Error;
-  if (!Out.Bad && Difference > Bound) {
+                       (Early ? EarlyErrors : FinalErrors) * Times.Error;
+  if (!Out.Bad && Times.Mean > Bound) {
     Out.Bad = true;
     Out.Cause = "times";
   }
--- a/lib/Rollout/VersionTest.h
+++ b/lib/Rollout/VersionTest.h
@@ -21,11 +21,14 @@
 };
 
 /// Compares the outcomes of two versions, on one route or on all of them.
+/// \p Excused failures of the new version are left out.
 ///
 /// Failures: binomial test against a rate somewhat above that of the old
 /// version. Times: the difference of the mean logarithms of the times against
-/// its standard error; a single slow request weighs little in it.
-auto compareVersions(const RolloutOutcomes &Old, const RolloutOutcomes &New,
-                     Strictness Wanted) -> VersionComparison;
+/// its standard error; a single slow request weighs little in it. Times are
+/// compared within each route, since routes differ more than versions do.
+auto compareVersions(const OutcomesByRoute &Old, const OutcomesByRoute &New,
+                     std::uint32_t Excused, Strictness Wanted)
+    -> VersionComparison;
 
 } // namespace buckthornring
