Run rollouts and jumps of the time of day in the soak

The soak had no rollout orders, and no fault of clocks. `--focus rollout` writes orders for targets of a new version that are good, fail or are slow, from the start or later, beside the loss of the leader, the loss of the store or the restart of an instance, two orders at a time. It checks what reaches the targets and what the store is told: the exposure bound, the time of the rollback, the end of good versions, and that nothing reaches targets of other versions before an order or after its end. More callers run, since the power of the comparison is stated for 150 requests/s.

`--clock-jumps` preloads a library into the instances by which their time of day jumps by up to 5 s in both directions.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -23,12 +23,14 @@
             for _ in range(count):
                 await self.add(service, service_time)
 
-    async def add(self, service, service_time, identity=None, data_centre=None):
+    async def add(self, service, service_time, identity=None, data_centre=None,
+                  version=None):
         self.count += 1
         location = data_centre or self.data_centres[
             self.count % len(self.data_centres)]
         target = Target(self.soak, identity or f"t{self.count}", service,
-                        location, service_time)
+                        location, service_time,
+                        version or self.soak.rollouts.version_in_use(service))
         await target.start()
         self.alive.append(target)
         self.latest[target.id] = target
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -6,7 +6,7 @@
 checks the invariants of invariants.py meanwhile, and ends the processes that it
 started.
 Usage: soak.py [--seed N] [--seconds S] [--instances N] [--build DIR]
-               [--focus FAULT] [--logs DIR]
+               [--focus FAULT] [--clock-jumps] [--logs DIR]
 Exits with status 1 when an invariant was violated.
 """
 
@@ -29,6 +29,8 @@
 from notices import Notices
 from pipelining import PLANNED, ROUTE_TIMEOUT, PipeliningCaller
 from proxy import Proxy
+from rollout_faults import CALLERS_PER_INSTANCE, ROLLOUT
+from rollouts import BOUNDS, Rollouts
 from store import Store
 from wire import ConnectionFailed, free_ports, message, read_message
 
@@ -84,7 +86,8 @@
                            "rate_slack": 20, "rate_window_s": 5,
                            "cold_excess": 1.5, "cold_slack": 5,
                            "stop_grace_s": STOP_GRACE,
-                           "longest_hold_s": 10}}, file)
+                           "longest_hold_s": 10}
+                | (BOUNDS if self.soak.only is ROLLOUT else {})}, file)
 
     async def start(self):
         if self.process or self.starting or self.soak.ending:
@@ -96,10 +99,16 @@
         self.starts += 1
         self.process = await asyncio.create_subprocess_exec(
             os.path.join(self.soak.build, "buckthornringd"),
-            "--settings", self.settings, stdout=self.log, stderr=self.log)
+            "--settings", self.settings, stdout=self.log, stderr=self.log,
+            env=self.environment())
         self.starting = False
         asyncio.ensure_future(self.watch(self.process))
 
+    def environment(self):
+        library = os.path.join(self.soak.build, "libclock_jumps.so")
+        return os.environ | ({"LD_PRELOAD": os.path.abspath(library)}
+                             if self.soak.clock_jumps else {})
+
     async def watch(self, process):
         status = await process.wait()
         if not self.end_expected or (self.stop_sent and status not in
@@ -162,12 +171,15 @@
         # The faults do not depend on how requests interleave.
         self.schedule = random.Random(options.seed)
         self.focus = [each for each in FAULTS if each[0] == options.focus]
-        self.planned_only = options.focus == PLANNED[0]
+        self.only = next((each for each in (PLANNED, ROLLOUT)
+                          if each[0] == options.focus), None)
         self.build, self.folder = options.build, folder
+        self.clock_jumps = options.clock_jumps
         self.free_ports = free_ports(400)
         self.invariants = Invariants()
         self.notices, self.deadly = Notices(self), Deadly(self)
         self.store = Store(self.ports(1)[0], self.random)
+        self.rollouts = Rollouts(self)
         self.instances = [Instance(self, n) for n in range(options.instances)]
         self.targets = Targets(self, DATA_CENTRES)
         self.secrets = {"acme": ["key-a", "key-a2"], "rival": ["key-b"]}
@@ -198,7 +210,7 @@
                   "safe", "target_latency_s": 0.3, "priority": 1,
                   "public": False, "match": {"path_prefix": f"/{route}/"},
                   "action": {"service": service, "timeout_s": ROUTE_TIMEOUT
-                             if self.planned_only else 2.5,
+                             if self.only is PLANNED else 2.5,
                              "max_attempts": 2}}
                  for route, service in (self.routes | bulk).items()]
         now = time.monotonic()
@@ -240,8 +252,8 @@
         while time.monotonic() < until:
             await asyncio.sleep(self.schedule.expovariate(1.2))
             focused = self.focus and self.schedule.random() < FOCUS_SHARE
-            name, fault = PLANNED if self.planned_only else \
-                self.schedule.choice(self.focus if focused else FAULTS)
+            name, fault = self.only or self.schedule.choice(
+                self.focus if focused else FAULTS)
             print(f"{time.monotonic() - self.started_at:7.2f} {name}",
                   flush=True)
             # A task keeps the context in which it was created.
@@ -282,9 +294,10 @@
             self.background(instance.probe())
             self.background(instance.known.follow())
         await self.targets.start()
-        for number in range(3 * len(self.instances)):
+        for number in range(len(self.instances) * (
+                CALLERS_PER_INSTANCE if self.only is ROLLOUT else 3)):
             self.background(Caller(self, number).run())
-        for number in range(2 * len(self.instances) * self.planned_only):
+        for number in range(2 * len(self.instances) * (self.only is PLANNED)):
             self.background(PipeliningCaller(self, number).run())
         await self.wait_until_served()
         await self.inject(seconds)
@@ -309,13 +322,17 @@
     parser.add_argument("--instances", type=int, default=5)
     parser.add_argument("--build", default="build")
     parser.add_argument("--focus", choices=sorted(
-        {each[0] for each in FAULTS + [PLANNED]}),
-        help="a fault that is to occur more often; planned: only planned work")
+        {each[0] for each in FAULTS + [PLANNED, ROLLOUT]}),
+        help="a fault that is to occur more often; planned: only planned work; "
+             "rollout: only rollouts and faults beside them")
+    parser.add_argument("--clock-jumps", action="store_true",
+                        help="have the instances' time of day jump")
     parser.add_argument("--logs", help="folder for the instances' logs")
     options = parser.parse_args()
     print(f"seed {options.seed}: tools/soak --seed {options.seed} --seconds "
           f"{options.seconds:g} --instances {options.instances}"
-          + (f" --focus {options.focus}" if options.focus else ""), flush=True)
+          + (f" --focus {options.focus}" if options.focus else "")
+          + (" --clock-jumps" if options.clock_jumps else ""), flush=True)
     with tempfile.TemporaryDirectory() as scratch:
         folder = options.logs or scratch
         os.makedirs(folder, exist_ok=True)
--- a/bench/soak/store.py
+++ b/bench/soak/store.py
@@ -36,6 +36,7 @@
             self.late_write_share = None, 0.0, 0.0, 0.0
         self.calls, self.calls_by_second = 0, collections.Counter()
         self.changed = asyncio.Event()
+        self.on_status = lambda kind, name, status: None
 
     async def start(self):
         await asyncio.start_server(self.serve, "127.0.0.1", self.port)
@@ -105,7 +106,7 @@
         self.outside[kind, name] = None
         self.write_outside(kind, name)
 
-    def put_object(self, kind, name, spec):
+    def put_object(self, kind, name, spec, status=None):
         self.revision += 1
         existing = self.objects.get((kind, name))
         created = existing["metadata"][
@@ -114,7 +115,7 @@
             "metadata": {"name": name, "revision": self.revision,
                          "created_rev": created, "finalizers": [],
                          "deleting": False},
-            "spec": spec, "status": {}}
+            "spec": spec, "status": status or {}}
         self.append_event(kind, self.objects[kind, name], False)
         return self.objects[kind, name]
 
@@ -204,6 +205,10 @@
         elif request["metadata"].get("revision") not in (
                 None, existing["metadata"]["revision"]):
             return self.answer(409, existing)
+        if parts[2:] == ["status"]:
+            self.on_status(parts[0], name, request["status"])
+            return self.answer(200, self.put_object(
+                parts[0], name, existing["spec"], request["status"]))
         return self.answer(200, self.put_object(
             parts[0], name, request["spec"]))
 
--- a/bench/soak/targets.py
+++ b/bench/soak/targets.py
@@ -25,8 +25,10 @@
 class Target:
     """One incarnation of a target; a restart creates a new object."""
 
-    def __init__(self, soak, identity, service, data_centre, service_time):
+    def __init__(self, soak, identity, service, data_centre, service_time,
+                 version):
         self.soak, self.id, self.service = soak, identity, service
+        self.version = version
         self.data_centre, self.service_time = data_centre, service_time
         self.started_ms = int(time.time() * 1000)
         self.sequence = 0
@@ -56,7 +58,7 @@
         self.sequence += 1
         self.soak.store.put("servers", self.id, {
             "service": self.service, "zone": self.data_centre,
-            "address": f"127.0.0.1:{self.proxy.port}", "version": "v1",
+            "address": f"127.0.0.1:{self.proxy.port}", "version": self.version,
             "slots": SLOTS, "state": "draining" if self.draining
             and not self.hides_leaving else "ready",
             "warmup_left_s": 0, "seq": self.sequence, "born": self.started_ms})
@@ -193,6 +195,7 @@
             key is not None and not self.holds(int(key)))
         if not misdirected:
             self.soak.notices.on_arrival(self, attempt)
+            self.soak.rollouts.on_arrival(self, attempt)
             if time.monotonic() < self.pause_until:
                 writer.write(self.turn_away(attempt))
                 return True
@@ -230,6 +233,7 @@
             self.soak.notices.on_leaving_response(self, attempt)
         writer.write(self.response_to(record, 500 if failed else 200, head,
                                       body_for(attempt)))
+        self.soak.rollouts.on_response(self, failed)
         if record and not failed:
             record.completed = time.monotonic()
         if random.random() < self.duplicate_share:
