Count clock errors in the wait for an earlier leader

A new leader waited for the authority of the earlier one by its own clock, 10 s, although TermHistory counts 2% of error for both clocks. With the earlier leader's clock slow and the new one's fast, the wait ended up to 0.4 s before that authority.

takeOver() and restored() use maxAuthorityPeriod(). The new test failed before with a grant after 13.25 s. Two tests that computed the end of the wait from AuthorityPeriod use the longer time.

--- a/lib/Fleet/RangeAssigner.cpp
+++ b/lib/Fleet/RangeAssigner.cpp
@@ -78,7 +78,7 @@
   const std::uint64_t Era = eraOf(AtRevision);
   // Earlier owners that the copy lacks may hold keys until then.
   WaitingForEarlierOwners = Current.Era != Era;
-  EarlierOwnersUntil = Now + Times.AuthorityPeriod + Times.maxHoldPeriod();
+  EarlierOwnersUntil = Now + Times.maxAuthorityPeriod() + Times.maxHoldPeriod();
   Current.enterEra(Era);
   if (WaitingForEarlierOwners)
     Current.NextFence += MaxLostTokens;
@@ -131,7 +131,8 @@
 auto RangeAssigner::restored(std::uint64_t AtRevision, TimePoint Now) -> void {
   EarlierLeadersKnown = false;
   // The authority of a leader whose claim the copy lacks ends by then.
-  const TimePoint Latest = Now + Times.AuthorityPeriod + Times.maxHoldPeriod();
+  const TimePoint Latest =
+      Now + Times.maxAuthorityPeriod() + Times.maxHoldPeriod();
   if (WaitingForEarlierOwners) {
     Revision = AtRevision;
     EarlierOwnersUntil = Latest;
--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -749,7 +749,7 @@
   EXPECT_TRUE(Renewed(Returned, Returned + milliseconds(100)));
   EXPECT_TRUE(Renewed(Returned, Start + Times.AuthorityPeriod));
   const TimePoint EarlierEnd =
-      Returned + Times.AuthorityPeriod + Times.maxHoldPeriod();
+      Returned + Times.maxAuthorityPeriod() + Times.maxHoldPeriod();
   EXPECT_FALSE(Renewed(EarlierEnd, EarlierEnd));
   Assigner.plan(View, KeyLoad(), EarlierEnd + milliseconds(1));
   ASSERT_TRUE(Assigner.pendingWrite());
--- a/tests/unit/RangeAssignerTest.cpp
+++ b/tests/unit/RangeAssignerTest.cpp
@@ -67,7 +67,7 @@
   LeaderDouble Leader(recordOf("a", 20));
   const auto Stale = viewOf({target("a", 10), target("b", 1)});
   const TimePoint EarlierLeaderEnd =
-      Start + RangeTimes().AuthorityPeriod + RangeTimes().maxHoldPeriod();
+      Start + RangeTimes().maxAuthorityPeriod() + RangeTimes().maxHoldPeriod();
   for (TimePoint Now = Start; Now <= EarlierLeaderEnd;
        Now += milliseconds(250)) {
     Leader.plan(Stale, Now);
@@ -75,6 +75,25 @@
   }
 }
 
+// Guards against two holders when an earlier leader's clock is slow and this
+// one's is fast: the wait was shorter than the authority of the other one.
+TEST(RangeAssignerTest, TakeoverWaitsForTheAuthorityByAnotherClock) {
+  LeaderDouble Leader(recordOf("a", 10));
+  const auto View = viewOf({target("b", 1)});
+  const RangeTimes Times;
+  const TimePoint EarlierLeaderEnd =
+      Start +
+      std::chrono::duration_cast<Duration>(Times.AuthorityPeriod *
+                                           (1 + 2 * Times.ClockRateError)) +
+      Times.maxHoldPeriod();
+  for (TimePoint Now = Start; Now <= EarlierLeaderEnd;
+       Now += milliseconds(50)) {
+    Leader.plan(View, Now);
+    ASSERT_FALSE(Leader.grant("b", Now)) << (Now - Start).count();
+  }
+  EXPECT_TRUE(Leader.grant("b", EarlierLeaderEnd + milliseconds(1)));
+}
+
 // Guards against two holders after a target has restarted under its id while
 // it was cut off from the directory: it had accepted renewals meant for its
 // earlier incarnation, and its restart was taken for their end.
@@ -157,7 +176,7 @@
   LeaderDouble Leader(recordOf("a", 20));
   const auto View = viewOf({target("a", 10)});
   const TimePoint EarlierLeaderEnd =
-      Start + RangeTimes().AuthorityPeriod + RangeTimes().maxHoldPeriod();
+      Start + RangeTimes().maxAuthorityPeriod() + RangeTimes().maxHoldPeriod();
   TimePoint Now = Start;
   for (; Now <= EarlierLeaderEnd; Now += milliseconds(250)) {
     Leader.plan(View, Now);
