Simulate undivided services and losses in the overload measure

Cause: "bench_measure overload" knew only a divided service, so that changes to the selection of targets of other services could not be judged, and no pattern lost a target or an instance.

Change: The scenario may have an undivided service (122 targets for 71 instances, in proportion for other sizes) with an ideal scheduler of its own. New patterns: cold return, grey targets, all targets shedding 55 of 100 arrivals for 8.5 s, loss of a data centre, loss of a tenth of the instances. Failed requests and all rejections are printed as well.

--- a/bench/measure/OverloadMeasures.cpp
+++ b/bench/measure/OverloadMeasures.cpp
@@ -47,14 +47,14 @@
   const auto Run =
       OverloadSimulation(Scenario, Policy.Admission, Case.Instances, Case.Seed)
           .run();
-  const std::string Suffix = "." +
+  const std::string Suffix = (Scenario.divided() ? "." : ".undivided.") +
                              std::string(LoadPatternNames.name(Case.Pattern)) +
                              "." + std::to_string(Case.Instances);
   return {{"overload.goodput" + Suffix, Policy.Name, Case.Seed,
            Run.Value / Ideal, "ratio", requiredGoodput(Case.Instances),
            Bound::AtLeast},
           {"overload.turned_away" + Suffix, Policy.Name, Case.Seed,
-           100 * share(Run.TurnedAway, Run.OwnerArrivals), "per 100 arrivals",
+           100 * share(Run.TurnedAway, Run.Arrivals), "per 100 arrivals",
            MaxTurnedAwayPer100, Bound::AtMost},
           {"overload.refused_again" + Suffix, Policy.Name, Case.Seed,
            share(Run.RefusedAgain, Run.Returned), "ratio", MaxRefusedAgain,
@@ -64,28 +64,63 @@
            MaxRefusedAgain, Bound::AtMost},
           {"overload.refused" + Suffix, Policy.Name, Case.Seed,
            100 * share(Run.Refused, Run.Requests), "per 100 requests", 100,
-           Bound::AtMost}};
+           Bound::AtMost},
+          {"overload.failed" + Suffix, Policy.Name, Case.Seed,
+           100 * share(Run.Failed, Run.Requests), "per 100 requests", 100,
+           Bound::AtMost},
+          {"overload.rejected" + Suffix, Policy.Name, Case.Seed,
+           100 * share(Run.TurnedAway + Run.Shed, Run.Arrivals + Run.Shed),
+           "per 100 arrivals", 100, Bound::AtMost}};
+}
+
+// Large fleets take most of the time.
+auto measured(std::uint64_t Seed, std::uint32_t Instances) -> bool {
+  return Seed == Seeds[0] || Instances <= MaxInstancesOfOtherSeeds;
+}
+
+auto append(Measurements Added, Measurements &Results) -> void {
+  for (Measurement &Value : Added)
+    Results.push_back(std::move(Value));
+}
+
+auto measureDivided(LoadPattern Pattern, Measurements &Results) -> void {
+  for (const std::uint64_t Seed : Seeds) {
+    const OverloadScenario Scenario(Pattern, Seed);
+    const double Ideal = idealValue(Scenario);
+    for (const AdmissionPolicy &Policy : Policies)
+      for (const std::uint32_t Instances : FleetSizes)
+        if (measured(Seed, Instances))
+          append(
+              measureCase(Scenario, Ideal, Policy, {Pattern, Seed, Instances}),
+              Results);
+  }
+}
+
+auto measureUndivided(LoadPattern Pattern, Measurements &Results) -> void {
+  for (const std::uint64_t Seed : Seeds)
+    for (const std::uint32_t Instances : FleetSizes) {
+      if (!measured(Seed, Instances))
+        continue;
+      const OverloadScenario Scenario(
+          Pattern, Seed, ServiceDivision::Undivided,
+          OverloadScenario::undividedTargets(Instances));
+      append(measureCase(Scenario, idealValue(Scenario), Policies[1],
+                         {Pattern, Seed, Instances}),
+             Results);
+    }
 }
 
 } // namespace
 
 auto measureOverload() -> Measurements {
   Measurements Results;
-  for (std::size_t Index = 0; Index < LoadPatternNames.size(); ++Index)
-    for (const std::uint64_t Seed : Seeds) {
-      const auto Pattern = static_cast<LoadPattern>(Index);
-      const OverloadScenario Scenario(Pattern, Seed);
-      const double Ideal = idealValue(Scenario);
-      for (const AdmissionPolicy &Policy : Policies)
-        for (const std::uint32_t Instances : FleetSizes) {
-          // Large fleets take most of the time.
-          if (Seed != Seeds[0] && Instances > MaxInstancesOfOtherSeeds)
-            continue;
-          for (Measurement &Value :
-               measureCase(Scenario, Ideal, Policy, {Pattern, Seed, Instances}))
-            Results.push_back(std::move(Value));
-        }
-    }
+  for (std::size_t Index = 0; Index < LoadPatternNames.size(); ++Index) {
+    const auto Pattern = static_cast<LoadPattern>(Index);
+    measureDivided(Pattern, Results);
+    // Keys have no meaning for the other service.
+    if (Pattern != LoadPattern::HotKey)
+      measureUndivided(Pattern, Results);
+  }
   return Results;
 }
 
--- a/bench/measure/OverloadScenario.cpp
+++ b/bench/measure/OverloadScenario.cpp
@@ -26,6 +26,12 @@
 
 constexpr TimePoint TroubleBegin{std::chrono::milliseconds(2500)};
 constexpr TimePoint TroubleEnd{std::chrono::milliseconds(5500)};
+constexpr Duration LongTrouble = std::chrono::milliseconds(8500);
+constexpr Duration AfterTrouble = std::chrono::milliseconds(2500);
+
+/// Time from the end of a target's process to its next start.
+constexpr Duration RestartTime = std::chrono::seconds(1);
+constexpr double ColdFactor = 2; ///< Cold targets work at half speed.
 
 constexpr double SurgeFactor = 2.5;
 constexpr double LowSurgeFactor = 3;
@@ -35,24 +41,28 @@
 constexpr double FavouredShare = 0.5;       ///< Of the requests.
 constexpr std::size_t FavouredDivisor = 10; ///< Of the instances.
 constexpr double ImpatientShare = 1.0 / 3;
-
-auto troubled(TimePoint Now) -> bool {
-  return Now >= TroubleBegin && Now < TroubleEnd;
-}
+constexpr std::size_t RestartInterval = 4;
+constexpr std::size_t GreyInterval = 10;
+constexpr double GreyFailureShare = 0.5;
+constexpr double SheddingAllShare = 0.55;
+constexpr std::size_t LostDataCentre = 1;
+constexpr std::size_t LostInstanceInterval = 10;
 
 } // namespace
 
-OverloadScenario::OverloadScenario(LoadPattern Pattern, std::uint64_t Seed)
-    : Pattern(Pattern), Seed(Seed) {
+OverloadScenario::OverloadScenario(LoadPattern Pattern, std::uint64_t Seed,
+                                   ServiceDivision Division,
+                                   std::size_t TargetCount)
+    : Pattern(Pattern), Seed(Seed), Division(Division) {
   RandomSource Random(Seed);
-  for (std::size_t Owner = 0; Owner < OwnerCount; ++Owner)
+  for (std::size_t Owner = 0; Owner < TargetCount; ++Owner)
     Speeds.push_back(FastestFactor +
                      (SlowestFactor - FastestFactor) * Random.unit());
   constexpr double UsualWork =
       (1 - LongFactor * LongShare) / (1 - LongShare); ///< Relative to the mean.
-  for (std::size_t Owner = 0; Owner < OwnerCount; ++Owner)
+  for (std::size_t Owner = 0; Owner < TargetCount; ++Owner)
     for (std::size_t Kind = 0; Kind < RequestKinds.size(); ++Kind)
-      for (TimePoint At{}; At < End;) {
+      for (TimePoint At{}; At < end();) {
         // Poisson arrivals; the demand changes slowly against their distance.
         const double Rate = demand(Owner, Kind, At);
         At += Duration(static_cast<std::int64_t>(-std::log(1 - Random.unit()) *
@@ -97,7 +107,8 @@
 
 auto OverloadScenario::slowness(std::size_t Owner, TimePoint Now) const
     -> double {
-  return Speeds[Owner] * noise(Owner, Now);
+  return Speeds[Owner] * noise(Owner, Now) *
+         (cold(Owner, Now) ? ColdFactor : 1);
 }
 
 auto OverloadScenario::instance(std::size_t Instances,
@@ -109,9 +120,76 @@
                : Instances);
 }
 
-auto OverloadScenario::sheds(std::size_t Owner, TimePoint Now) const -> bool {
-  return Pattern == LoadPattern::Shedding && Owner % SheddingInterval == 0 &&
-         troubled(Now);
+auto OverloadScenario::undividedTargets(std::size_t Instances) -> std::size_t {
+  constexpr std::size_t UsualTargets = 122;
+  constexpr std::size_t UsualInstances = 71;
+  return (Instances * UsualTargets + UsualInstances / 2) / UsualInstances;
+}
+
+auto OverloadScenario::troubleEnd() const -> TimePoint {
+  return Pattern == LoadPattern::SheddingAll ? TroubleBegin + LongTrouble
+                                             : TroubleEnd;
+}
+
+auto OverloadScenario::end() const -> TimePoint {
+  return troubleEnd() + AfterTrouble;
+}
+
+auto OverloadScenario::troubled(TimePoint Now) const -> bool {
+  return Now >= TroubleBegin && Now < troubleEnd();
+}
+
+auto OverloadScenario::shedShare(std::size_t Target, TimePoint Now) const
+    -> double {
+  if (!troubled(Now))
+    return 0;
+  if (Pattern == LoadPattern::SheddingAll)
+    return SheddingAllShare;
+  return Pattern == LoadPattern::Shedding && Target % SheddingInterval == 0 ? 1
+                                                                            : 0;
+}
+
+auto OverloadScenario::failureShare(std::size_t Target, TimePoint Now) const
+    -> double {
+  return Pattern == LoadPattern::Grey && Target % GreyInterval == 0 &&
+                 troubled(Now)
+             ? GreyFailureShare
+             : 0;
+}
+
+auto OverloadScenario::losesTarget(std::size_t Target) const -> bool {
+  return (Pattern == LoadPattern::ColdReturn &&
+          Target % RestartInterval == 0) ||
+         (Pattern == LoadPattern::DataCentreLoss &&
+          Target % DataCentres == LostDataCentre);
+}
+
+auto OverloadScenario::losesInstance(std::size_t Instance,
+                                     std::size_t Instances) const -> bool {
+  return (Pattern == LoadPattern::InstanceLoss && Instances > 1 &&
+          Instance % LostInstanceInterval == 0) ||
+         (Pattern == LoadPattern::DataCentreLoss && Instances > 1 &&
+          Instance % DataCentres == LostDataCentre);
+}
+
+auto OverloadScenario::lostAt() const -> TimePoint { return TroubleBegin; }
+
+auto OverloadScenario::instancesReturnAt() const -> TimePoint {
+  return TroubleEnd;
+}
+
+auto OverloadScenario::targetsReturnAt() const -> TimePoint {
+  return Pattern == LoadPattern::ColdReturn ? TroubleBegin + RestartTime
+                                            : TroubleEnd;
+}
+
+auto OverloadScenario::down(std::size_t Target, TimePoint Now) const -> bool {
+  return losesTarget(Target) && Now >= lostAt() && Now < targetsReturnAt();
+}
+
+auto OverloadScenario::cold(std::size_t Target, TimePoint Now) const -> bool {
+  return losesTarget(Target) && Now >= targetsReturnAt() &&
+         Now < targetsReturnAt() + ColdPeriod;
 }
 
 } // namespace buckthornring::measure
