End ordinary connections that wait for each other's memory

Cause: the time in which a connection waits for memory did not count as stalled, so connections of at most 64 KiB that all wait were ended by time-outs only. Change: the wait of a caller's connection counts as stalled if nothing has arrived that it could read. If no stalled or large connection can be ended and for 1 s none was resumed and less than 1/128 of the budget became free, waiting small ones are ended, those with most left first.

--- a/lib/Gateway/CallerSessionOutput.cpp
+++ b/lib/Gateway/CallerSessionOutput.cpp
@@ -159,7 +159,10 @@
   Found.Bytes = std::max(Receiving, Sending);
   if (Found.Bytes == 0)
     return Found;
-  Found.Stalled = (Pimpl->Paused ? Pimpl->PausedAt : Now) - Pimpl->ProgressAt;
+  // The time in which the connection does not read counts only if there is
+  // nothing to read.
+  const bool Held = Pimpl->Paused && hasUnreadInput(Pimpl->Socket);
+  Found.Stalled = (Held ? Pimpl->PausedAt : Now) - Pimpl->ProgressAt;
   if (Sending >= Receiving) {
     Found.Use = MemoryUse::Sending;
     Found.Remaining = Sending;
--- a/lib/Memory/MemoryBudget.cpp
+++ b/lib/Memory/MemoryBudget.cpp
@@ -86,10 +86,12 @@
     return;
   }
   if (LastRelief == LongAgo)
-    LastRelief = Now;
-  if (resumeWaiting()) {
-    LastRelief = Now;
-    return;
+    restartWait(Now);
+  if (resumeWaiting())
+    return restartWait(Now);
+  if (Used + Limit / ProgressDivisor <= StuckBytes) {
+    StuckSince = Now;
+    StuckBytes = Used;
   }
   if (Now - LastRelief < WaitPeriod)
     return;
@@ -98,6 +100,11 @@
   resumeWaiting();
 }
 
+auto MemoryBudget::restartWait(TimePoint Now) -> void {
+  LastRelief = StuckSince = Now;
+  StuckBytes = Used;
+}
+
 auto MemoryBudget::resumeWaiting() -> bool {
   bool Resumed = false;
   const std::size_t Before = Waiting.size();
@@ -133,14 +140,35 @@
   return Found;
 }
 
+auto MemoryBudget::ordinaryWaiting(TimePoint Now) const
+    -> std::vector<Candidate> {
+  std::vector<Candidate> Found;
+  for (const Waiter &Each : Waiting) {
+    const Candidate Waits{Each.Holder, Each.Holder->memoryState(Now)};
+    if (Waits.State.Use == MemoryUse::Receiving && Waits.ordinary() &&
+        Waits.State.Bytes > 0)
+      Found.push_back(Waits);
+  }
+  std::stable_sort(Found.begin(), Found.end(),
+                   [](const Candidate &Left, const Candidate &Right) {
+                     return Left.State.Remaining > Right.State.Remaining;
+                   });
+  return Found;
+}
+
 auto MemoryBudget::releaseSome(TimePoint Now) -> void {
+  if (!release(candidates(Now)) && Now - StuckSince >= OrdinaryWaitPeriod)
+    release(ordinaryWaiting(Now));
+}
+
+auto MemoryBudget::release(const std::vector<Candidate> &Order) -> bool {
   // What is given back lasts for a while, so that most of those that wait can
   // complete.
   const std::size_t Goal = Limit / ReserveDivisor;
   std::size_t Released = 0;
-  for (const Candidate &Each : candidates(Now)) {
+  for (const Candidate &Each : Order) {
     if (Released >= Goal)
-      return;
+      break;
     // An earlier release may have ended it.
     if (std::find(Holders.begin(), Holders.end(), Each.Holder) == Holders.end())
       continue;
@@ -151,6 +179,7 @@
     Totals.ReleasedBytes += Freed;
     Released += Freed;
   }
+  return Released > 0;
 }
 
 } // namespace buckthornring
--- a/lib/Memory/MemoryBudget.h
+++ b/lib/Memory/MemoryBudget.h
@@ -31,7 +31,7 @@
     std::size_t Bytes = 0;     ///< Held.
     std::size_t Remaining = 0; ///< Still to be received or sent, if known.
     /// Time for which the peer has sent or read hardly anything, without the
-    /// time in which the connection itself did not read.
+    /// time in which the connection itself did not read what had arrived.
     Duration Stalled{0};
   };
 
@@ -78,6 +78,14 @@
   /// others have to give theirs back.
   static constexpr Duration WaitPeriod = std::chrono::milliseconds(100);
 
+  /// The same before waiting connections with ordinary requests are ended
+  /// although they have not stalled: longer than most requests run, whose ends
+  /// free memory too.
+  static constexpr Duration OrdinaryWaitPeriod = std::chrono::seconds(1);
+  /// Memory that has to become free within that time, as a part of the limit.
+  /// Short requests that come and go meanwhile free less.
+  static constexpr std::size_t ProgressDivisor = 128;
+
   /// \p Limit in bytes; 0: no limit.
   explicit MemoryBudget(std::size_t Limit = 0) : Limit(Limit) {}
 
@@ -122,7 +130,13 @@
 
   auto fits(std::size_t Held, std::size_t Wanted) const -> bool;
   auto resumeWaiting() -> bool;
+  auto restartWait(TimePoint Now) -> void;
   auto releaseSome(TimePoint Now) -> void;
+  /// Makes connections give back their memory, in this order, until an eighth
+  /// of the limit is free. Returns whether any was freed.
+  auto release(const std::vector<Candidate> &Order) -> bool;
+  /// Waiting connections with ordinary requests, most left to transfer first.
+  auto ordinaryWaiting(TimePoint Now) const -> std::vector<Candidate>;
   auto candidates(TimePoint Now) const -> std::vector<Candidate>;
 
   std::size_t Limit;
@@ -132,6 +146,8 @@
   std::vector<Waiter> Waiting; ///< In the order of their arrival.
   bool Resuming = false;       ///< The first of those that wait asks again.
   TimePoint LastRelief = LongAgo;
+  TimePoint StuckSince = LongAgo; ///< Valid while isShort().
+  std::size_t StuckBytes = 0;     ///< Used then.
   std::function<void()> OnShort;
   Counts Totals;
 };
--- a/tests/unit/CallerMemoryTest.cpp
+++ b/tests/unit/CallerMemoryTest.cpp
@@ -1,4 +1,5 @@
 #include "Gateway/CallerSession.h"
+#include "IO/BootClock.h"
 #include "support/CountingHandler.h"
 
 #include <boost/asio/buffer.hpp>
@@ -114,6 +115,19 @@
   Budget->remove(Limit);
 }
 
+// Guards against a caller that has stopped sending and does not count as
+// stalled because its connection waits for memory, and against one that does
+// although the connection does not read what it has sent.
+TEST_F(CallerMemoryTest, PausedCallerCountsAsStalledOnlyWithoutInput) {
+  Budget->add(Limit);
+  send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\nb");
+  ASSERT_TRUE(runUntil([this] { return Budget->isShort(); }));
+  EXPECT_GT(Session->memoryState(bootNow() + 10s).Stalled, 9s);
+  send(std::string(900, 'b'));
+  EXPECT_LT(Session->memoryState(bootNow() + 10s).Stalled, 9s);
+  Budget->remove(Limit);
+}
+
 // Guards against a request behind a paused one that is taken for its body.
 TEST_F(CallerMemoryTest, PipelinedRequestsBehindAPausedOneAreRead) {
   Budget->add(Limit);
--- a/tests/unit/MemoryBudgetTest.cpp
+++ b/tests/unit/MemoryBudgetTest.cpp
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 using namespace buckthornring;
 using namespace std::chrono_literals;
@@ -177,6 +178,72 @@
   Budget.remove(Limit);
 }
 
+/// Connections of ordinary size that fill the budget and wait for each other.
+class OrdinaryShortageTest : public testing::Test {
+protected:
+  static constexpr std::size_t Connections = 160;
+
+  OrdinaryShortageTest() {
+    for (std::size_t Count = 0; Count < Connections; ++Count) {
+      Holders.push_back(std::make_unique<FakeHolder>(Budget));
+      Holders.back()->hold(Limit / Connections, 0ms, 1000);
+    }
+    for (const auto &Each : Holders)
+      EXPECT_TRUE(Each->wait(8'192));
+  }
+  /// Relieves the budget as often as the instance does.
+  auto relieveFor(Duration Period) -> void {
+    const TimePoint End = Now + Period;
+    for (; Now <= End; Now += 20ms)
+      Budget.relieve(Now);
+  }
+  auto released() const -> std::size_t {
+    std::size_t Total = 0;
+    for (const auto &Each : Holders)
+      Total += static_cast<std::size_t>(Each->Releases);
+    return Total;
+  }
+
+  MemoryBudget Budget{Limit};
+  std::vector<std::unique_ptr<FakeHolder>> Holders;
+  TimePoint Now = Start;
+};
+
+// Guards against connections of ordinary size that wait for each other until
+// their time-outs.
+TEST_F(OrdinaryShortageTest, EndsThoseWithMostLeftWhenAllWait) {
+  Holders[3]->Current.Remaining = 50'000;
+  relieveFor(MemoryBudget::OrdinaryWaitPeriod - 40ms);
+  EXPECT_EQ(released(), 0U);
+  relieveFor(200ms);
+  EXPECT_EQ(Holders[3]->Releases, 1);
+  EXPECT_FALSE(Budget.isShort());
+  // An eighth of the budget is enough for the others.
+  EXPECT_LE(released(), Connections / 8);
+}
+
+// Guards against the end of a request with progress while others have stalled.
+TEST_F(OrdinaryShortageTest, EndsOnlyStalledOnesWhereThereAreAny) {
+  for (std::size_t Index = 0; Index < Connections / 8; ++Index)
+    Holders[Index]->Current.Stalled = 1s;
+  relieveFor(3s);
+  for (std::size_t Index = Connections / 8; Index < Holders.size(); ++Index)
+    EXPECT_EQ(Holders[Index]->Releases, 0);
+  EXPECT_GT(released(), 0U);
+  EXPECT_FALSE(Budget.isShort());
+}
+
+// Guards against the end of ordinary requests that only wait for those that
+// run.
+TEST_F(OrdinaryShortageTest, WaitsWhileRunningRequestsFreeMemory) {
+  Budget.add(1'000'000);
+  for (int Count = 0; Count < 10; ++Count) {
+    relieveFor(MemoryBudget::OrdinaryWaitPeriod / 2);
+    Budget.remove(100'000);
+  }
+  EXPECT_EQ(released(), 0U);
+}
+
 // Guards against calls of a connection that has ended while it waited.
 TEST(MemoryBudgetTest, EndedConnectionsAreNotResumed) {
   MemoryBudget Budget(Limit);
