Finish rollouts in time when the leader is lost

The record holds the elapsed time of its last stage, so a leader that had restarted continued from it and `succeeded` was late. The verdict was also taken too late for a replacement of the leader after it.

Instances report the time since they first saw the order and the revision that they know, which tells an earlier order apart; a leader uses the longest time. Reports of older builds have neither, and the record counts. An order of the same fields without the status of the earlier one is a new one. The verdict is taken half of the length, 2.5 to 6 s, before the deadline (0.35 before), `succeeded` is written from 4.5 s before it on (3 s), and a new leader knows the instances after 0.9 s (1.3 s).

--- a/lib/Fleet/FleetMessage.cpp
+++ b/lib/Fleet/FleetMessage.cpp
@@ -209,10 +209,17 @@
   for (const auto &[Id, Report] : Reports) {
     if (Out.size() >= MaxRolloutsInMessage)
       break;
-    Out[Id.str()] =
+    Json Item =
         Json::array({Report.Order, static_cast<std::uint32_t>(Report.Stage),
                      Report.Requests, Report.SentToNew, Report.RunningAtOld,
                      encodeOutcomes(Report.Old), encodeOutcomes(Report.New)});
+    if (Report.Age) {
+      // 49 days are the longest time of a message.
+      Item.push_back(std::min<Duration::rep>(
+          *Report.Age / std::chrono::milliseconds(1), UINT32_MAX));
+      Item.push_back(Report.SeenRevision);
+    }
+    Out[Id.str()] = std::move(Item);
   }
   return Out;
 }
@@ -238,12 +245,21 @@
     -> std::map<ServiceId, RolloutReport> {
   checkRollouts(Value);
   std::map<ServiceId, RolloutReport> Out;
-  for (const auto &[Id, Item] : Value.items())
-    Out[ServiceId(Id)] = {
-        integer<std::uint64_t>(Item.at(0)), decodeStage(Item.at(1)),
-        integer<std::uint32_t>(Item.at(2)), integer<std::uint32_t>(Item.at(3)),
-        integer<std::uint32_t>(Item.at(4)), decodeOutcomes(Item.at(5)),
-        decodeOutcomes(Item.at(6))};
+  for (const auto &[Id, Item] : Value.items()) {
+    RolloutReport &Report = Out[ServiceId(Id)];
+    Report.Order = integer<std::uint64_t>(Item.at(0));
+    Report.Stage = decodeStage(Item.at(1));
+    Report.Requests = integer<std::uint32_t>(Item.at(2));
+    Report.SentToNew = integer<std::uint32_t>(Item.at(3));
+    Report.RunningAtOld = integer<std::uint32_t>(Item.at(4));
+    Report.Old = decodeOutcomes(Item.at(5));
+    Report.New = decodeOutcomes(Item.at(6));
+    if (Item.size() < 9)
+      continue; // Of a build that reports no time.
+    const std::chrono::milliseconds Age(integer<std::uint32_t>(Item.at(7)));
+    Report.Age = Age;
+    Report.SeenRevision = integer<std::uint64_t>(Item.at(8));
+  }
   return Out;
 }
 
--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -242,7 +242,7 @@
   }
   Report.OwnerNotices = ownerNotices(Now);
   if (Context.Requests.Rollouts)
-    Report.Rollouts = Context.Requests.Rollouts->reports();
+    Report.Rollouts = Context.Requests.Rollouts->reports(Now);
   Suspects.addTo(Report, Now);
   return Report;
 }
--- a/lib/Gateway/RolloutAgent.cpp
+++ b/lib/Gateway/RolloutAgent.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/RolloutAgent.h"
 
+#include "Fleet/StoreRevision.h"
+
 #include <algorithm>
 #include <cmath>
 #include <functional>
@@ -53,8 +55,13 @@
     return;
   if (Order && State.Order && Order->Revision <= State.Order->Revision)
     return;
+  // An order of the same fields without the status of the earlier one is new.
+  const bool StatusLost =
+      Order && State.Order && Order->State == RolloutState::None &&
+      State.Order->State != RolloutState::None &&
+      eraOf(Order->Revision) == eraOf(State.Order->Revision);
   const bool SameOrder = Order && State.Order && !State.Order->ended() &&
-                         Order->To == State.Order->To &&
+                         !StatusLost && Order->To == State.Order->To &&
                          Order->Length == State.Order->Length;
   State.Order = Order;
   State.Admission.setOrder(Order);
@@ -116,12 +123,15 @@
   }
 }
 
-auto RolloutAgent::reports() const -> std::map<ServiceId, RolloutReport> {
+auto RolloutAgent::reports(TimePoint Now) const
+    -> std::map<ServiceId, RolloutReport> {
   std::map<ServiceId, RolloutReport> Out;
   for (const auto &[Id, State] : All) {
     if (!State.Share)
       continue;
     RolloutReport Report = State.Share->report();
+    Report.Age = Now - State.OrderSeenAt;
+    Report.SeenRevision = State.Order->Revision;
     for (const TargetPtr &Target : Targets.targetsOfService(Id))
       if (Target->Record.Version != State.Share->to())
         Report.RunningAtOld += Target->Load.inFlight();
--- a/lib/Gateway/RolloutAgent.h
+++ b/lib/Gateway/RolloutAgent.h
@@ -40,7 +40,7 @@
 
   // The leader.
 
-  auto reports() const -> std::map<ServiceId, RolloutReport>;
+  auto reports(TimePoint Now) const -> std::map<ServiceId, RolloutReport>;
   auto setNotices(const std::map<ServiceId, RolloutNotice> &Notices,
                   TimePoint Now) -> void;
 
--- a/lib/Gateway/RolloutLeader.cpp
+++ b/lib/Gateway/RolloutLeader.cpp
@@ -12,8 +12,9 @@
 namespace {
 
 /// Time after the start of a leadership by which all instances have reported
-/// three times, so that they are known.
-constexpr Duration MembersKnownAfter = std::chrono::milliseconds(1300);
+/// twice, so that they are known. It is part of the time that a rollout needs
+/// after the loss of a leader, so it is not longer.
+constexpr Duration MembersKnownAfter = std::chrono::milliseconds(900);
 
 /// Delay before a write is repeated that was refused or got no answer.
 constexpr Duration WriteRetryDelay = std::chrono::milliseconds(300);
--- a/lib/Rollout/Rollout.h
+++ b/lib/Rollout/Rollout.h
@@ -101,6 +101,10 @@
   std::uint32_t RunningAtOld = 0; ///< Unanswered requests at other versions.
   OutcomesByRoute Old;
   OutcomesByRoute New;
+  /// Time since the instance first saw the order. Older builds report none.
+  std::optional<Duration> Age;
+  /// Latest revision of the order that the instance has read.
+  std::uint64_t SeenRevision = 0;
 };
 
 /// The leader's decision on a rollout, for all instances.
--- a/lib/Rollout/RolloutController.cpp
+++ b/lib/Rollout/RolloutController.cpp
@@ -42,19 +42,21 @@
     {std::chrono::milliseconds(2000), std::chrono::milliseconds(4000)}};
 
 /// Time before the deadline at which the verdict is taken, as a part of the
-/// length within bounds: all instances have to learn of it (0.4 s for a report
-/// and its reply, more if they are lost), requests in progress have to end, and
-/// a lost leader may have to be replaced (2 s). Keys take longer to move.
-constexpr double CompletionPart = 0.35;
-constexpr double DividedCompletionPart = 0.45;
+/// length within bounds: a lost leader may have to be replaced (2.6 s) and the
+/// next one to learn of the instances (0.9 s), all instances have to learn of
+/// the verdict (0.4 s for a report and its reply, more if they are lost), and
+/// requests in progress have to end. Keys take longer to move.
+constexpr double CompletionPart = 0.5;
+constexpr double DividedCompletionPart = 0.5;
 constexpr Duration MinCompletionTime = std::chrono::milliseconds(2500);
-constexpr Duration MaxCompletionTime = std::chrono::milliseconds(5000);
+constexpr Duration MaxCompletionTime = std::chrono::milliseconds(6000);
 constexpr Duration MaxDividedCompletionTime = std::chrono::milliseconds(8000);
 
 /// Time in `complete` before `succeeded` is written, and the time before the
-/// deadline from which it is written without further waiting.
+/// deadline from which it is written without further waiting: a lost leader
+/// may have to be replaced.
 constexpr Duration MinCompletePeriod = std::chrono::milliseconds(1000);
-constexpr Duration SuccessMargin = std::chrono::milliseconds(3000);
+constexpr Duration SuccessMargin = std::chrono::milliseconds(4500);
 
 /// Responses of the new version that the verdict asks for, unless the service
 /// gets too few requests for them.
@@ -67,7 +69,7 @@
 
 /// Part of the new version's slots at which it is compared: a single target
 /// may be a slow one, and cold ones are not used beside others.
-constexpr double MinWarmPart = 0.5;
+constexpr double MinWarmPart = 0.3;
 /// Time before the verdict at which it is compared anyway. The share takes 2 s
 /// to grow, and 25 responses take a second of 250 requests/s.
 constexpr Duration MinComparePeriod = std::chrono::milliseconds(3000);
@@ -140,11 +142,21 @@
   const bool OfOtherOrder = Report.Order != 0 && Report.Order != Id;
   Known.Latest = OfOtherOrder ? RolloutReport() : Report;
   Known.At = Now;
+  learnAge(Report, Now);
   // An earlier leader's decision may be missing from a restored record.
   if (Report.Order == Id)
     follow(Report.Stage, Now);
 }
 
+// An instance that has not read this order yet may report the age of an
+// earlier one of the same service.
+auto RolloutController::learnAge(const RolloutReport &Report, TimePoint Now)
+    -> void {
+  const bool OfThisOrder = Report.Order == Id || Report.Order == 0;
+  if (Report.Age && OfThisOrder && Report.SeenRevision >= Id)
+    StartedAt = std::min(StartedAt, Now - *Report.Age);
+}
+
 auto RolloutController::adopt(const RolloutRecord &Record, TimePoint Now)
     -> void {
   if (Record.Order == Id)
--- a/lib/Rollout/RolloutController.h
+++ b/lib/Rollout/RolloutController.h
@@ -85,6 +85,8 @@
     TimePoint At = LongAgo;
   };
 
+  /// Takes over the time since the order from an instance that knows it longer.
+  auto learnAge(const RolloutReport &Report, TimePoint Now) -> void;
   /// Another leader has decided on a stage that is not left again.
   auto follow(RolloutStage Other, TimePoint Now) -> void;
   auto sumReports() -> void;
--- a/tests/property/RolloutPropertyTest.cpp
+++ b/tests/property/RolloutPropertyTest.cpp
@@ -50,6 +50,26 @@
   });
 }
 
+// Guards against a good version that succeeds late, or not at all, because the
+// leader was lost.
+TEST_P(GoodVersion, SucceedsBeforeItsDeadlineWhenTheLeaderIsLost) {
+  forEachSeed("*GoodVersion.*", Seeds, [](std::uint64_t Seed) {
+    RolloutScenario Scenario = scenario(GetParam(), Badness::None);
+    Scenario.ColdTargets = Seed % 2 == 0;
+    Scenario.Length = Duration(12'000'000 + Seed % 5 * 1'000'000);
+    Scenario.LeaderLostAt = Duration(static_cast<std::int64_t>(
+        RandomSource(Seed).below(Scenario.Length.count())));
+    const RolloutOutcome Outcome = RolloutSimulation(Scenario, Seed).run();
+    EXPECT_EQ(Outcome.State, RolloutState::Succeeded)
+        << describe(Scenario, Outcome);
+    EXPECT_LT(Outcome.EndedAt, Scenario.Length)
+        << "lost at " << Scenario.LeaderLostAt->count() / 1000 << " ms of "
+        << Scenario.Length.count() / 1000 << ", ended at "
+        << Outcome.EndedAt.count() / 1000;
+    EXPECT_FALSE(Outcome.SentToOldAfterSuccess);
+  });
+}
+
 INSTANTIATE_TEST_SUITE_P(Sizes, GoodVersion, testing::Values(60, 300, 600));
 
 class BadVersion
--- a/tests/unit/RolloutRecordsTest.cpp
+++ b/tests/unit/RolloutRecordsTest.cpp
@@ -75,5 +75,32 @@
   EXPECT_FALSE(RolloutRecord::parse(Json{{"stage", "compare"}}));
 }
 
+// Guards against a rollout that a new leader lets run late, and against the age
+// of an earlier order or an older build's report that change its time.
+TEST(RolloutRecordsTest, NextLeaderUsesTheLongestAge) {
+  using std::chrono::seconds;
+  RolloutOrder Order;
+  Order.To = "v2";
+  Order.Length = seconds(12);
+  Order.Revision = 5;
+  const TimePoint Now{seconds(50)};
+  RolloutController Next(Order, {0.1, 50}, false, "v1", Now);
+  const auto Report = [&](std::uint64_t Known, std::optional<Duration> Age,
+                          std::uint64_t Seen) {
+    RolloutReport Out;
+    Out.Order = Known;
+    Out.Age = Age;
+    Out.SeenRevision = Seen;
+    Next.recordReport(InstanceId("i"), "p", Out, Now);
+  };
+  Report(5, std::nullopt, 0);
+  Report(0, seconds(30), 4);
+  Report(4, seconds(30), 6);
+  EXPECT_EQ(Next.elapsed(Now), Duration(0));
+  Report(0, seconds(6), 6);
+  Report(5, seconds(5), 5);
+  EXPECT_EQ(Next.elapsed(Now), seconds(6));
+}
+
 } // namespace
 } // namespace buckthornring::test
