--- a/tests/unit/RolloutRecordsTest.cpp
+++ b/tests/unit/RolloutRecordsTest.cpp
@@ -29,6 +29,19 @@
                    ->ended());
 }
 
+// Guards against an order that the next leader does not find in the record and
+// begins anew.
+TEST(RolloutRecordsTest, LengthIsTheSameInTheRecord) {
+  const auto Order = platform::readRollout(
+      object({{"service", "pay"}, {"to", "v2"}, {"duration_s", 8.1234567}}));
+  ASSERT_TRUE(Order);
+  RolloutRecord Record;
+  Record.Length = Order->Length;
+  const auto Read = RolloutRecord::parse(Record.toJson());
+  ASSERT_TRUE(Read);
+  EXPECT_EQ(Read->Length, Order->Length);
+}
+
 // Guards against entries of other writers that stop the reader or count as an
 // order.
 TEST(RolloutRecordsTest, MalformedEntryNamesNoOrder) {
