Expose recent refusals and waiting requests of a service

The shortage monitor and the wait queue only told whether a service was short of room or had waiting requests, so no report could show figures. ShortageMonitor::latest() returns the counts of the last complete period, since the running ones drop to zero every 2 s, and WaitQueue::countByPriority() the waiting requests by priority.

--- a/lib/Admission/ShortageMonitor.cpp
+++ b/lib/Admission/ShortageMonitor.cpp
@@ -1,5 +1,7 @@
 #include "Admission/ShortageMonitor.h"
 
+#include <utility>
+
 namespace buckthornring {
 
 namespace {
@@ -33,10 +35,19 @@
       Current.Short = Begins;
       Changes.push_back({Service, Begins, Current.Requests, Current.Refused});
     }
-    Current.Requests = 0;
-    Current.Refused = 0;
+    Current.LatestRequests = std::exchange(Current.Requests, 0);
+    Current.LatestRefused = std::exchange(Current.Refused, 0);
   }
   return Changes;
 }
 
+auto ShortageMonitor::latest(const ServiceId &Service) const -> Change {
+  const auto Known = States.find(Service);
+  if (Known == States.end())
+    return {Service};
+  const State &Current = Known->second;
+  return {Service, Current.Short, Current.LatestRequests,
+          Current.LatestRefused};
+}
+
 } // namespace buckthornring
--- a/lib/Admission/ShortageMonitor.h
+++ b/lib/Admission/ShortageMonitor.h
@@ -37,11 +37,17 @@
   /// Returns the changes since the last call. Called several times a second.
   auto changes(TimePoint Now) -> std::vector<Change>;
 
+  /// Returns the counts of the last complete period, and whether the service is
+  /// short of room.
+  auto latest(const ServiceId &Service) const -> Change;
+
 private:
   struct State {
     std::uint32_t Requests = 0;
     std::uint32_t Refused = 0;
     bool Short = false;
+    std::uint32_t LatestRequests = 0; ///< In the last complete period.
+    std::uint32_t LatestRefused = 0;
   };
 
   std::map<ServiceId, State> States;
--- a/lib/Gateway/WaitQueue.h
+++ b/lib/Gateway/WaitQueue.h
@@ -76,6 +76,15 @@
     const auto First = Entries.lower_bound(Key{Service, 0, 0});
     return First != Entries.end() && std::get<0>(First->first) == Service;
   }
+  /// Waiting requests of the service by priority.
+  auto countByPriority(const ServiceId &Service) const
+      -> std::map<std::uint32_t, std::size_t> {
+    std::map<std::uint32_t, std::size_t> Out;
+    for (auto Next = Entries.lower_bound(Key{Service, 0, 0});
+         Next != Entries.end() && std::get<0>(Next->first) == Service; ++Next)
+      ++Out[std::get<1>(Next->first)];
+    return Out;
+  }
 
 private:
   using Key = std::tuple<ServiceId, std::uint32_t, Ticket>;
--- a/tests/unit/ShortageMonitorTest.cpp
+++ b/tests/unit/ShortageMonitorTest.cpp
@@ -24,6 +24,8 @@
   ASSERT_EQ(Begin.size(), 1U);
   EXPECT_TRUE(Begin.front().Short);
   EXPECT_EQ(Begin.front().Refused, 30U);
+  EXPECT_TRUE(Monitor.latest(Service).Short);
+  EXPECT_EQ(Monitor.latest(Service).Requests, 100U);
   EXPECT_TRUE(Period(100, 30).empty());
   const auto End = Period(100, 2);
   ASSERT_EQ(End.size(), 1U);
