Serve the status of services at GET /status

Operators had no view of room, demand and waiting requests by service. The peer address of an instance now answers GET /status with the targets of each service by state, slots and estimated requests of those that take requests, recent requests and refusals, waiting requests by priority and, for divided services, keys without an owner.

--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -5,6 +5,7 @@
 #include "Fleet/StoreRevision.h"
 #include "Gateway/GatewayImpl.h"
 #include "Gateway/ObjectEra.h"
+#include "Gateway/StatusReport.h"
 #include "Gateway/WhereReport.h"
 #include "IO/BootClock.h"
 #include "buckthornring/Observe/PrometheusText.h"
@@ -681,6 +682,8 @@
     Response.Body = stateJson();
   } else if (Request.path() == "/where") {
     Response = whereResponse(Requests, Request, bootNow());
+  } else if (Request.path() == "/status") {
+    Response = statusResponse(Requests, bootNow());
   } else {
     Response.Status = 404;
   }
