--- a/cli/buckthornring/CommandLine.cpp
+++ b/cli/buckthornring/CommandLine.cpp
@@ -32,7 +32,9 @@
 Commands that show:
   status                The accepted generation, the instances that the platform
                         lists, and the generation in force at each --admin
-                        endpoint.
+                        endpoint. With --instance, instead: the services as
+                        one instance sees them, with targets, room, refusals and
+                        waiting requests; needs no platform.
   owner SERVICE KEY     The slice, home data centre and owner of a key.
   why [REASON]          Refusals by reason at the --admin endpoints, with their
                         meaning. REASON is the value of Btr-Refusal.
@@ -93,7 +95,7 @@
       cxxopts::value<std::uint32_t>(),
       "N")("time-limit-ms", "Time limit of each call, default 2000",
            cxxopts::value<std::uint32_t>(),
-           "N")("instance", "where: peer address of the instance",
+           "N")("instance", "where, status: peer address of the instance",
                 cxxopts::value<std::string>(), "ADDRESS")(
       "host", "where: host of the request", cxxopts::value<std::string>(), "H")(
       "path", "where: path of the request", cxxopts::value<std::string>(), "P")(
--- a/cli/buckthornring/CommandLine.h
+++ b/cli/buckthornring/CommandLine.h
@@ -20,8 +20,8 @@
   Duration WaitLimit = Duration::zero();
   std::optional<std::uint64_t> IfGeneration;
   std::uint64_t MinGeneration = 0;
+  std::string InstanceAddress; ///< Of the commands where and status.
   /// Of the command where.
-  std::string InstanceAddress;
   std::string Host;
   std::string Path;
   std::optional<std::string> Key;
--- a/cli/buckthornring/Commands.h
+++ b/cli/buckthornring/Commands.h
@@ -11,6 +11,8 @@
 auto whyCommand(const CommandLine &Line) -> CommandResult;
 auto explainCommand(const CommandLine &Line) -> CommandResult;
 auto whereCommand(const CommandLine &Line) -> CommandResult;
+/// The command status with --instance.
+auto instanceStatusCommand(const CommandLine &Line) -> CommandResult;
 auto rolloutCommand(const CommandLine &Line) -> CommandResult;
 
 /// Commands that use the platform.
--- a/cli/buckthornring/Main.cpp
+++ b/cli/buckthornring/Main.cpp
@@ -54,6 +54,8 @@
   if (Line.Arguments.size() < Entry->MinArguments ||
       Line.Arguments.size() > Entry->MaxArguments)
     return usage(std::string("expected: ") + Entry->Usage);
+  if (Line.Command == "status" && !Line.InstanceAddress.empty())
+    return instanceStatusCommand(Line);
   if (Entry->RunLocally != nullptr)
     return Entry->RunLocally(Line);
   if (Line.PlatformAddress.empty())
