--- a/tests/unit/StatusReportTest.cpp
+++ b/tests/unit/StatusReportTest.cpp
@@ -31,11 +31,12 @@
   Crashed.crash();
   Fixture.configure(1);
   ASSERT_TRUE(Fixture.waitUntilServing());
+  nlohmann::json Pay;
   ASSERT_TRUE(eventually([&] {
     Fixture.exchange("GET", "/safe/1");
-    return service(Fixture, "pay")["targets"].value("unreachable", 0) == 1;
+    Pay = service(Fixture, "pay");
+    return Pay["targets"].value("unreachable", 0) == 1;
   }));
-  const auto Pay = service(Fixture, "pay");
   EXPECT_EQ(Pay["divided"], false);
   EXPECT_EQ(Pay["targets"]["all"], 2);
   EXPECT_EQ(Pay["targets"]["taking_requests"], 1);
@@ -50,9 +51,11 @@
   RawCaller Caller = Fixture.connect();
   Caller.send(
       GatewayFixture::request("GET", "/owned/1", "w1", "Shard-Key: 7\r\n"));
-  EXPECT_TRUE(eventually(
-      [&] { return service(Fixture, "stock")["waiting"].size() == 1; }));
-  const auto Stock = service(Fixture, "stock");
+  nlohmann::json Stock;
+  ASSERT_TRUE(eventually([&] {
+    Stock = service(Fixture, "stock");
+    return Stock["waiting"].size() == 1;
+  }));
   EXPECT_EQ(Stock["divided"], true);
   EXPECT_EQ(Stock["waiting"][0].value("requests", 0), 1) << Stock.dump(1);
   EXPECT_EQ(Stock["without_owner"]["keys"], 65536);
