Share the answers of instances, JSON responses and shell commands of tests

The endpoint also copied the names of the services into a set, although their map is sorted. Change: askInstance, number and text (cli/buckthornring/InstanceQuery), jsonResponse (lib/Gateway/JsonResponse.h), runShell (tests/support/ShellCommand). An error that is no text is shown as JSON by status too, as where does; no instance sends one.

--- a/cli/buckthornring/InstanceStatusCommand.cpp
+++ b/cli/buckthornring/InstanceStatusCommand.cpp
@@ -1,6 +1,5 @@
 #include "Commands.h"
-
-#include <cmath>
+#include "InstanceQuery.h"
 
 namespace buckthornring::cli {
 
@@ -8,10 +7,6 @@
 
 namespace {
 
-auto number(const Json &Value) -> std::string {
-  return Json(std::round(Value.get<double>() * 10) / 10).dump();
-}
-
 auto targetsLine(const Json &Service) -> std::string {
   const Json &Targets = Service.at("targets");
   std::string Out = "  targets: " + Targets.at("all").dump() + ", " +
@@ -79,23 +74,7 @@
   if (!Line.AdminAddresses.empty())
     return CommandResult::failure(ExitCode::Usage, "usage",
                                   "--instance and --admin exclude each other");
-  const auto Response =
-      requestAdmin(Line.InstanceAddress, "/status", Line.TimeLimit);
-  if (!Response)
-    return CommandResult::failure(ExitCode::Unreachable, "unreachable",
-                                  "no answer from " + Line.InstanceAddress +
-                                      ": " + Response.error().message());
-  Json Answer = Json::parse(Response->Body, nullptr, false);
-  try {
-    if (Answer.is_object() && Answer.contains("error"))
-      return CommandResult::failure(ExitCode::Invalid, "invalid",
-                                    Answer["error"].get<std::string>());
-    return show(std::move(Answer));
-  } catch (const Json::exception &) {
-    return CommandResult::failure(
-        ExitCode::Rejected, "unusable",
-        Line.InstanceAddress + " is not the peer address of an instance");
-  }
+  return askInstance(Line, "/status", show);
 }
 
 } // namespace buckthornring::cli
--- a/cli/buckthornring/WhereCommand.cpp
+++ b/cli/buckthornring/WhereCommand.cpp
@@ -1,6 +1,5 @@
 #include "Commands.h"
-
-#include <cmath>
+#include "InstanceQuery.h"
 
 namespace buckthornring::cli {
 
@@ -8,15 +7,6 @@
 
 namespace {
 
-auto number(const Json &Value) -> std::string {
-  const double Rounded = std::round(Value.get<double>() * 10) / 10;
-  return Json(Rounded).dump();
-}
-
-auto text(const Json &Value) -> std::string {
-  return Value.is_string() ? Value.get<std::string>() : Value.dump();
-}
-
 auto query(const CommandLine &Line) -> std::string {
   std::string Out = "/where?host=" + encodePercent(Line.Host) +
                     "&path=" + encodePercent(Line.Path);
@@ -163,23 +153,7 @@
   if (Line.InstanceAddress.empty() || Line.Host.empty() || Line.Path.empty())
     return CommandResult::failure(ExitCode::Usage, "usage",
                                   "--instance, --host and --path are needed");
-  const auto Response =
-      requestAdmin(Line.InstanceAddress, query(Line), Line.TimeLimit);
-  if (!Response)
-    return CommandResult::failure(ExitCode::Unreachable, "unreachable",
-                                  "no answer from " + Line.InstanceAddress +
-                                      ": " + Response.error().message());
-  Json Answer = Json::parse(Response->Body, nullptr, false);
-  if (Answer.is_object() && Answer.contains("error"))
-    return CommandResult::failure(ExitCode::Invalid, "invalid",
-                                  text(Answer["error"]));
-  try {
-    return show(std::move(Answer));
-  } catch (const Json::exception &) {
-    return CommandResult::failure(
-        ExitCode::Rejected, "unusable",
-        Line.InstanceAddress + " is not the peer address of an instance");
-  }
+  return askInstance(Line, query(Line), show);
 }
 
 } // namespace buckthornring::cli
--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -4,6 +4,7 @@
 #include "Common/JsonText.h"
 #include "Fleet/StoreRevision.h"
 #include "Gateway/GatewayImpl.h"
+#include "Gateway/JsonResponse.h"
 #include "Gateway/ObjectEra.h"
 #include "Gateway/StatusReport.h"
 #include "Gateway/WhereReport.h"
@@ -675,11 +676,9 @@
                          std::string(PrometheusText::ContentType));
     Response.Body = metricsText();
   } else if (Request.path() == "/rollouts") {
-    Response.Headers.set("Content-Type", "application/json");
-    Response.Body = rolloutsJson();
+    Response = jsonResponse(rolloutsJson());
   } else if (Request.path() == "/state") {
-    Response.Headers.set("Content-Type", "application/json");
-    Response.Body = stateJson();
+    Response = jsonResponse(stateJson());
   } else if (Request.path() == "/where") {
     Response = whereResponse(Requests, Request, bootNow());
   } else if (Request.path() == "/status") {
--- a/lib/Gateway/StatusReport.cpp
+++ b/lib/Gateway/StatusReport.cpp
@@ -1,10 +1,9 @@
 #include "Gateway/StatusReport.h"
 
 #include "Common/JsonText.h"
+#include "Gateway/JsonResponse.h"
 #include "Gateway/RequestSelection.h"
 
-#include <set>
-
 namespace buckthornring {
 
 using Json = nlohmann::json;
@@ -30,14 +29,6 @@
   std::uint32_t Keys = 0;
 };
 
-auto respond(unsigned Status, const Json &Value) -> HttpResponse {
-  HttpResponse Out;
-  Out.Status = Status;
-  Out.Headers.set("Content-Type", "application/json");
-  Out.Body = writeJson(Value);
-  return Out;
-}
-
 auto countTargets(const TargetTable &Targets, const ServiceId &Service,
                   TimePoint Now) -> TargetCounts {
   TargetCounts Out;
@@ -123,19 +114,16 @@
 auto statusResponse(const RequestContext &Context, TimePoint Now)
     -> HttpResponse {
   if (!Context.CurrentConfig)
-    return respond(503,
-                   Json{{"error", "the instance has no configuration yet"}});
+    return jsonResponse(
+        writeJson(Json{{"error", "the instance has no configuration yet"}}),
+        503);
   const Configuration &Config = Context.CurrentConfig->Config;
-  std::set<ServiceId> Names;
-  for (const auto &[Service, Settings] : Config.Services)
-    Names.insert(Service);
   Json Out = {{"instance", Context.Instance},
               {"configuration", Config.Generation},
               {"services", Json::array()}};
-  for (const ServiceId &Service : Names)
-    Out["services"].push_back(
-        describe(Context, Service, Config.Services.at(Service), Now));
-  return respond(200, Out);
+  for (const auto &[Service, Settings] : Config.Services)
+    Out["services"].push_back(describe(Context, Service, Settings, Now));
+  return jsonResponse(writeJson(Out));
 }
 
 } // namespace buckthornring
--- a/lib/Gateway/WhereReport.cpp
+++ b/lib/Gateway/WhereReport.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/WhereReport.h"
 
 #include "Common/JsonText.h"
+#include "Gateway/JsonResponse.h"
 #include "Gateway/RequestSelection.h"
 
 #include <algorithm>
@@ -19,16 +20,8 @@
   return static_cast<double>(Time.count()) / 1000;
 }
 
-auto respond(unsigned Status, const Json &Value) -> HttpResponse {
-  HttpResponse Out;
-  Out.Status = Status;
-  Out.Headers.set("Content-Type", "application/json");
-  Out.Body = writeJson(Value);
-  return Out;
-}
-
 auto failure(unsigned Status, const std::string &Message) -> HttpResponse {
-  return respond(Status, Json{{"error", Message}});
+  return jsonResponse(writeJson(Json{{"error", Message}}), Status);
 }
 
 /// One question of where a request would go, with copies of the state that the
@@ -87,7 +80,7 @@
     addCandidates();
   addDecision();
   addRetry();
-  return respond(200, Out);
+  return jsonResponse(writeJson(Out));
 }
 
 auto WhereQuestion::readRequest() -> std::optional<HttpResponse> {
--- a/tests/golden/CommandSessionTest.cpp
+++ b/tests/golden/CommandSessionTest.cpp
@@ -1,5 +1,6 @@
 #include "process/Caller.h"
 #include "process/ChildProcess.h"
+#include "support/ShellCommand.h"
 
 #include "buckthornring/IO/HttpServer.h"
 
@@ -7,8 +8,6 @@
 
 #include <gtest/gtest.h>
 
-#include <array>
-#include <cstdio>
 #include <cstdlib>
 #include <fstream>
 #include <functional>
@@ -17,8 +16,6 @@
 #include <thread>
 #include <utility>
 
-#include <sys/wait.h>
-
 using namespace buckthornring;
 using namespace buckthornring::test;
 
@@ -130,16 +127,10 @@
     const auto Command =
         "cd '" + Folder + "' && env -u BUCKTHORNRING_PLATFORM '" +
         BTR_BINARY_DIR + "/buckthornring' " + Arguments + " 2>&1";
-    auto *Pipe = ::popen(Command.c_str(), "r");
-    std::string Output;
-    std::array<char, 4096> Buffer{};
-    while (const auto Size = std::fread(Buffer.data(), 1, Buffer.size(), Pipe))
-      Output.append(Buffer.data(), Size);
-    const int End = ::pclose(Pipe);
+    auto [Output, Status] = runShell(Command);
     for (const auto &[Name, Address] : Names)
       Output = replaceAll(Output, Address, Name);
-    return Output + "[exit " +
-           std::to_string(WIFEXITED(End) ? WEXITSTATUS(End) : -1) + "]\n";
+    return Output + "[exit " + std::to_string(Status) + "]\n";
   }
 
   auto prepare(const std::string &Rest) -> std::string {
--- a/tests/golden/WhereCommandTest.cpp
+++ b/tests/golden/WhereCommandTest.cpp
@@ -1,27 +1,18 @@
 #include "support/GatewayFixture.h"
+#include "support/ShellCommand.h"
 
 #include <gtest/gtest.h>
 
-#include <array>
-#include <cstdio>
-
 using namespace buckthornring::test;
 
 namespace {
 
 /// Output of the command and its exit status.
 auto where(const GatewayFixture &Fixture, const std::string &Options)
-    -> std::pair<std::string, int> {
-  const std::string Command =
-      std::string("'") + BTR_BINARY_DIR + "/buckthornring' where --instance " +
-      Fixture.peerAddress() + " --host h " + Options + " 2>&1";
-  auto *Pipe = ::popen(Command.c_str(), "r");
-  std::string Output;
-  std::array<char, 4096> Buffer{};
-  while (const auto Size = std::fread(Buffer.data(), 1, Buffer.size(), Pipe))
-    Output.append(Buffer.data(), Size);
-  const int End = ::pclose(Pipe);
-  return {Output, WEXITSTATUS(End)};
+    -> ShellResult {
+  return runShell(std::string("'") + BTR_BINARY_DIR +
+                  "/buckthornring' where --instance " + Fixture.peerAddress() +
+                  " --host h " + Options + " 2>&1");
 }
 
 // Guards against a command that cannot read the answers of an instance.
