Take no response of a target with an invalid status as an answer

Callers saw: a target in trouble sent "HTTP/1.1 000 X" with the request's id, and its callers got "HTTP/1.1 0 <unknown-status>" with the target's body. The same with 001, 099, 600 and 999. A response with the status 000 before the final one was skipped like a late response to another request.

Cause: Beast's parser accepts any three digits, and TargetConnection checked only whether the status is that of an interim response. UpstreamConnection, the reader of the older control path, rejected what is below 200 and forwarded 600 and above.

Change: a status outside of 100 to 599 makes the response malformed as soon as its head has arrived (RFC 9110, section 15). Why this works: both readers check it before anything of the response is used. The connection is closed, so no later byte of it is read, and the request gets 502 or another attempt, as after any malformed response.

--- a/lib/Gateway/TargetConnection.cpp
+++ b/lib/Gateway/TargetConnection.cpp
@@ -270,6 +270,8 @@
 auto TargetConnection::onPartRead(const error_code &Failure) -> void {
   if (Failure)
     return onReadFailed(Failure);
+  if (!hasValidStatus())
+    return finish(ExchangeResult::Malformed);
   Pimpl->Charge.set(Pimpl->Buffer.capacity());
   if (!Pimpl->Budget->resize(Pimpl->BodyBytes,
                              Pimpl->ResponseParser->get().body().size()))
@@ -279,6 +281,13 @@
   readMore();
 }
 
+auto TargetConnection::hasValidStatus() const -> bool {
+  if (!Pimpl->ResponseParser->is_header_done())
+    return true;
+  const unsigned Status = Pimpl->ResponseParser->get().result_int();
+  return isInterimStatus(Status) || isFinalStatus(Status);
+}
+
 auto TargetConnection::memoryState(TimePoint Now) const -> MemoryHolder::State {
   MemoryHolder::State Found;
   if (Pimpl->Closed || !Pimpl->Done || !Pimpl->ResponseParser ||
@@ -321,7 +330,7 @@
 auto TargetConnection::onResponse() -> void {
   const auto &Message = Pimpl->ResponseParser->get();
   const unsigned Status = Message.result_int();
-  if (Status >= 100 && Status < 200)
+  if (isInterimStatus(Status))
     return Status == 101 || ++Pimpl->InterimResponses > MaxInterimResponses
                ? finish(ExchangeResult::Malformed)
                : readNextResponse();
--- a/lib/Gateway/TargetConnection.h
+++ b/lib/Gateway/TargetConnection.h
@@ -144,6 +144,8 @@
   auto readMore() -> void;
   auto onPartRead(const boost::system::error_code &Failure) -> void;
   auto receivedBytes() const -> std::size_t;
+  /// Whether the status is a valid one, or has not arrived yet.
+  auto hasValidStatus() const -> bool;
   auto onReadFailed(const boost::system::error_code &Failure) -> void;
   auto onResponse() -> void;
   auto finish(ExchangeResult Outcome) -> void;
--- a/lib/IO/HttpWire.h
+++ b/lib/IO/HttpWire.h
@@ -16,6 +16,17 @@
 /// Interim (1xx) responses after which a peer counts as faulty.
 inline constexpr int MaxInterimResponses = 8;
 
+/// Whether a response with this status precedes the final one.
+inline auto isInterimStatus(unsigned Status) -> bool {
+  return Status >= 100 && Status < 200;
+}
+
+/// Whether a final response may have this status. Beast accepts any three
+/// digits; the others have no meaning (RFC 9110, section 15).
+inline auto isFinalStatus(unsigned Status) -> bool {
+  return Status >= 200 && Status < 600;
+}
+
 /// Whether a field is omitted from sent messages: those that the sender sets
 /// itself, and malformed ones. A line break, for example, would start a new
 /// field.
--- a/lib/IO/UpstreamConnection.cpp
+++ b/lib/IO/UpstreamConnection.cpp
@@ -125,10 +125,10 @@
         State &Impl = *Self->Impl;
         const unsigned Status = Impl.Response->get().result_int();
         // 101 is final; it cannot follow, since Upgrade is never forwarded.
-        if (!Failure && Status >= 100 && Status < 200 && Status != 101 &&
+        if (!Failure && isInterimStatus(Status) && Status != 101 &&
             ++Impl.InterimResponses <= MaxInterimResponses)
           return Self->readHead(std::move(Done));
-        Done(!Failure && Status >= 200 &&
+        Done(!Failure && isFinalStatus(Status) &&
              copyHead(*Impl.Response, Impl.HeadOnly, Impl.Head));
       });
 }
--- a/tests/unit/FaultyTargetTest.cpp
+++ b/tests/unit/FaultyTargetTest.cpp
@@ -1,11 +1,9 @@
 #include "Gateway/OrderSender.h"
-#include "Gateway/TargetConnection.h"
 #include "HeaderFields.h"
 #include "Records.h"
 #include "support/GatewayFixture.h"
+#include "support/TargetExchange.h"
 
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
@@ -13,7 +11,6 @@
 #include <atomic>
 #include <map>
 #include <mutex>
-#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -233,37 +230,6 @@
             std::vector{RangeOrderOutcome::Misdirected});
 }
 
-/// Sends a part of a response to one request, then ends the connection.
-auto exchangeWithCutResponse(const std::string &Part, bool Reset, bool HeadOnly)
-    -> std::optional<ExchangeResult> {
-  boost::asio::io_context Io;
-  ScriptedTarget::Tcp::acceptor Listener(
-      Io, ScriptedTarget::Tcp::endpoint(boost::asio::ip::address_v4::loopback(),
-                                        0));
-  auto Connection = std::make_shared<TargetConnection>(
-      Io.get_executor(), std::make_shared<BodyBudget>(1024));
-  Connection->connect(Listener.local_endpoint(), 1s, {}, [](bool) {});
-  Socket Accepted = Listener.accept();
-  Io.run();
-  std::optional<ExchangeResult> Outcome;
-  Connection->exchange(
-      GatewayFixture::request("GET", "/", "a1"), "Attempt-Id", "a1", HeadOnly,
-      [&](ExchangeResult Result, const TargetResponse &) { Outcome = Result; });
-  Io.restart();
-  Io.poll();
-  std::string Request;
-  boost::asio::read_until(Accepted, boost::asio::dynamic_buffer(Request),
-                          "\r\n\r\n");
-  boost::asio::write(Accepted, boost::asio::buffer(Part));
-  if (Reset)
-    Accepted.set_option(boost::asio::socket_base::linger(true, 0));
-  Accepted.close();
-  Io.restart();
-  Io.run_for(2s);
-  Connection->close();
-  return Outcome;
-}
-
 // Guards against a response that ends anywhere before its end, in its head or
 // in its body, and counts as complete.
 TEST(FaultyTargetTest, ResponseCutAtAnyByteIsNotComplete) {
@@ -291,13 +257,14 @@
         "Content-Length: 1\r\n\r\nx"}}};
   for (const auto &[Name, Each] : Cases) {
     SCOPED_TRACE(Name);
-    EXPECT_EQ(exchangeWithCutResponse(Each.Text, false, Each.HeadOnly),
-              ExchangeResult::Answered);
+    EXPECT_EQ(
+        exchangeWithTarget({Each.Text}, AfterResponse::Close, Each.HeadOnly),
+        ExchangeResult::Answered);
     for (std::size_t Size = 0; Size < Each.Text.size(); ++Size)
-      for (const bool Reset : {false, true})
-        EXPECT_EQ(exchangeWithCutResponse(Each.Text.substr(0, Size), Reset,
-                                          Each.HeadOnly),
-                  ExchangeResult::Lost)
+      for (const auto End : {AfterResponse::Close, AfterResponse::Reset})
+        EXPECT_EQ(
+            exchangeWithTarget({Each.Text.substr(0, Size)}, End, Each.HeadOnly),
+            ExchangeResult::Lost)
             << Size;
   }
 }
