Take no response of the store or an instance with an invalid status as an answer

What was seen: a write that the store answered with the status 000 counted as refused, so its writer went on as if it had no effect; a read as refused instead of unreachable. A target of the older control path whose health check was answered with 000 counted as healthy. No caller of the gateway gets these responses.

Cause: as for the responses of targets: Beast accepts any three digits, and HttpExchange skipped interim responses and took every other status. That includes 101, which nothing asks for.

Change: a status outside of 200 to 599 fails the call. Why this works: all calls to the store, to other instances, and the health checks, leases and commands of the older path read their responses here, and treat a failure after the request was sent as "may have run".

--- a/lib/IO/HttpExchange.cpp
+++ b/lib/IO/HttpExchange.cpp
@@ -166,11 +166,13 @@
           return;
         }
         const auto Status = Self->Response->get().result_int();
-        if (Status >= 100 && Status < 200 && Status != 101) {
+        if (isInterimStatus(Status) && Status != 101) {
           if (++Self->InterimResponses > MaxInterimResponses)
             return Self->fail("too many interim responses");
           return Self->readHead();
         }
+        if (!isFinalStatus(Status))
+          return Self->fail("invalid status " + std::to_string(Status));
         Self->enterPhase(HttpPhase::Receiving);
         if (!Self->Finished)
           Self->readBody();
--- a/tests/unit/BrokenResponseTest.cpp
+++ b/tests/unit/BrokenResponseTest.cpp
@@ -1,16 +1,21 @@
+#include "Store.h"
+#include "buckthornring/IO/HttpClient.h"
 #include "support/GatewayFixture.h"
 #include "support/RequestPath.h"
 #include "support/TargetExchange.h"
 
+#include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
 
 #include <initializer_list>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
 using namespace buckthornring;
 using namespace buckthornring::test;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -93,6 +98,31 @@
   }
 }
 
+/// Outcome of a call to the store or to another instance.
+auto callOutcome(const std::string &Response) -> HttpOutcome {
+  ScriptedTarget Server(ScriptedTarget::answering(Response));
+  boost::asio::io_context Io;
+  const auto Client = HttpClient::create(Io, Server.address()).value();
+  std::optional<HttpOutcome> Result;
+  Client->request({}, {}, [&](HttpOutcome Outcome) {
+    Result = std::move(Outcome);
+    Io.stop();
+  });
+  Io.run_for(10s);
+  EXPECT_TRUE(Result);
+  return Result.value_or(HttpOutcome());
+}
+
+auto expectNoOutcome(const Responses &All) -> void {
+  for (const auto &[Name, Text] : All) {
+    SCOPED_TRACE(Name);
+    const HttpOutcome Outcome = callOutcome(Text);
+    EXPECT_FALSE(Outcome.done()) << Outcome.Response.Status;
+    EXPECT_FALSE(Outcome.TimedOut);
+    EXPECT_TRUE(Outcome.mayHaveRun());
+  }
+}
+
 // Guards against a response with the status 000 that callers got as an answer.
 TEST(BrokenResponseTest, InvalidStatusIsNoAnswerOfATarget) {
   expectMalformed(invalidStatuses());
@@ -103,4 +133,25 @@
   expectNotForwardedByEntry(invalidStatuses());
 }
 
+// Guards against a write that counts as refused although its effect is unknown.
+TEST(BrokenResponseTest, InvalidStatusIsNoAnswerOfTheStore) {
+  Responses All = invalidStatuses();
+  // Only to be sent when the client asks to change the protocol.
+  All["101"] = "HTTP/1.1 101 Switching Protocols\r\n\r\n";
+  expectNoOutcome(All);
+  ScriptedTarget Server(ScriptedTarget::answering(All["000"]));
+  boost::asio::io_context Io;
+  const auto Store = platform::Store::create(Io, Server.address()).value();
+  std::optional<StoreStatus> Written;
+  std::optional<StoreStatus> Listed;
+  Store->write("things", "main", 1, {}, [&](const StoreWriteResult &Result) {
+    Written = Result.Status;
+  });
+  Store->list("things",
+              [&](const StoreChanges &Changes) { Listed = Changes.Status; });
+  Io.run_for(5s);
+  EXPECT_EQ(Written, StoreStatus::Unknown);
+  EXPECT_EQ(Listed, StoreStatus::Unreachable);
+}
+
 } // namespace
