Keep the process when the last chunk of a response arrives in parts

What was seen: an instance aborts when the only chunk of a target's response is the last one and "0\r\n" arrives before the rest. All its callers lose their connections.

Cause: Beast 1.81 asserts in parse_chunk_header that it has five bytes when it is called again, and the release build keeps assertions. TargetConnection called the parser again with the bytes that were not enough before.

Why now: to find faults in heads and trailer fields, a response has to be parsed one part at a time.

Change: TargetConnection reads by itself, parses one part at a time, only after new input, and inside of a chunked body only with five bytes or more. Why this works: at least "0" and two line ends are missing until the end of such a body, so the wait always ends with it or with the connection.

--- a/lib/Gateway/TargetConnection.cpp
+++ b/lib/Gateway/TargetConnection.cpp
@@ -8,9 +8,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 
 #include <algorithm>
 #include <charconv>
@@ -45,6 +45,11 @@
 constexpr std::size_t MinReadBytes = 512;
 constexpr std::size_t MaxReadBytes = BlockBuffer::MaxBlockBytes;
 
+/// Least number of bytes that are missing from a chunked body before its end
+/// ("0", two line ends). Beast stops the process if it has to parse the last
+/// chunk again with fewer.
+constexpr std::size_t MinChunkedRest = 5;
+
 /// Bytes that count as progress of a response.
 constexpr std::size_t ProgressStep = 4096;
 
@@ -215,16 +220,14 @@
   Pimpl->ResponseParser->header_limit(MaxResponseHeadBytes);
   Pimpl->ResponseParser->body_limit(MaxResponseBodyBytes);
   Pimpl->ResponseParser->skip(Pimpl->HeadOnly);
-  // What is left in the buffer after a read needs more input.
-  Pimpl->ResponseParser->eager(true);
 }
 
 auto TargetConnection::readNextResponse() -> void {
   Pimpl->ResponseParser.reset();
-  if (Pimpl->Buffer.size() > 0)
-    readAvailable();
-  else
-    awaitInput();
+  if (Pimpl->Buffer.size() == 0)
+    return awaitInput();
+  beginResponse();
+  parseBuffered();
 }
 
 auto TargetConnection::receivedBytes() const -> std::size_t {
@@ -254,22 +257,56 @@
   if (!Current.ResponseParser)
     beginResponse();
   Current.Buffer.reserve(MinReadBytes);
+  const std::size_t Space =
+      boost::beast::read_size(Current.Buffer, 4 * MaxReadBytes);
+  if (Space == 0)
+    return onReadFailed(http::error::buffer_overflow);
   error_code Failure;
-  const std::size_t Count = http::read_some(Current.Socket, Current.Buffer,
-                                            *Current.ResponseParser, Failure);
-  Current.ProgressBytes += Count;
-  if (Current.ProgressBytes >= ProgressStep) {
-    Current.ProgressBytes = 0;
-    Current.ProgressAt = bootNow();
-  }
+  const std::size_t Count =
+      Current.Socket.read_some(Current.Buffer.prepare(Space), Failure);
   if (Failure == asio::error::would_block)
     return awaitInput();
-  onPartRead(Failure);
+  Current.Buffer.commit(Count);
+  recordProgress(Count);
+  if (Failure == asio::error::eof) {
+    Failure = http::error::end_of_stream;
+    if (Current.ResponseParser->got_some())
+      Current.ResponseParser->put_eof(Failure);
+  }
+  if (Failure)
+    return onReadFailed(Failure);
+  parseBuffered();
 }
 
-auto TargetConnection::onPartRead(const error_code &Failure) -> void {
-  if (Failure)
+auto TargetConnection::recordProgress(std::size_t Bytes) -> void {
+  Pimpl->ProgressBytes += Bytes;
+  if (Pimpl->ProgressBytes < ProgressStep)
+    return;
+  Pimpl->ProgressBytes = 0;
+  Pimpl->ProgressAt = bootNow();
+}
+
+auto TargetConnection::mayParse() const -> bool {
+  const Parser &Response = *Pimpl->ResponseParser;
+  const std::size_t Size = Pimpl->Buffer.size();
+  if (Response.is_done() || Size == 0)
+    return false;
+  return !Response.is_header_done() || !Response.chunked() ||
+         Size >= MinChunkedRest;
+}
+
+auto TargetConnection::parseBuffered() -> void {
+  Connection &Current = *Pimpl;
+  error_code Failure;
+  while (!Failure && mayParse())
+    Current.Buffer.consume(
+        Current.ResponseParser->put(Current.Buffer.cdata(), Failure));
+  if (Failure && Failure != http::error::need_more)
     return onReadFailed(Failure);
+  onPartRead();
+}
+
+auto TargetConnection::onPartRead() -> void {
   if (!hasValidStatus())
     return finish(ExchangeResult::Malformed);
   Pimpl->Charge.set(Pimpl->Buffer.capacity());
--- a/lib/Gateway/TargetConnection.h
+++ b/lib/Gateway/TargetConnection.h
@@ -138,11 +138,17 @@
   /// hundreds of requests may be in progress.
   auto awaitInput() -> void;
   auto beginResponse() -> void;
-  /// Reads what has arrived, or parses what is in the buffer.
+  /// Reads and parses what has arrived.
   auto readAvailable() -> void;
+  auto recordProgress(std::size_t Bytes) -> void;
+  /// Whether the parser may get what is in the buffer.
+  auto mayParse() const -> bool;
+  /// Parses what is in the buffer, one part at a time: head, chunk size, data,
+  /// last chunk with trailer fields.
+  auto parseBuffered() -> void;
   auto readNextResponse() -> void;
   auto readMore() -> void;
-  auto onPartRead(const boost::system::error_code &Failure) -> void;
+  auto onPartRead() -> void;
   auto receivedBytes() const -> std::size_t;
   /// Whether the status is a valid one, or has not arrived yet.
   auto hasValidStatus() const -> bool;
