Take no response with a folded line as an answer

Callers saw: a target in trouble sent a head in which the name of a field began with a blank (" X-Noise: 1"). They got it as an answer, with the line in the value of the field before it ("Response-Signature: s X-Noise: 1"). With " Transfer-Encoding: chunked" they got the chunk sizes as part of the body, and with " Content-Length: 5" a body without a length. The same after a chunked body: the line was passed on in the trailer field before it.

Cause: Beast's parser takes a line that begins with a blank for the continuation of the field before it, joins both, and does not tell. Names with a blank or a control byte anywhere else are rejected by the parser.

Each of the eight responses is also rejected when it arrives in two parts, cut at any byte, and bodies with such lines are answers at any cut.

Change: ResponseBuffer looks at the bytes that the parser has consumed. TargetConnection takes a response as malformed if a part that adds nothing to the body has a folded line. HttpExchange and UpstreamConnection check heads. HttpExchange takes the fields of the head alone, so trailer fields of the store and of instances no longer change them (RFC 9110, section 6.5.1); UpstreamConnection has never forwarded trailer fields.

Why this works: the check sees the same bytes as the parser before anything of them is used. RFC 9112, section 5.2, allows a gateway to answer such a response with 502.

--- a/include/buckthornring/IO/HttpClient.h
+++ b/include/buckthornring/IO/HttpClient.h
@@ -97,8 +97,8 @@
 /// a complete response. The connection of a failed, timed-out or cancelled
 /// exchange is closed, so that a late response is never matched to another
 /// request. A response that is delimited only by the closing of the connection
-/// is treated as truncated. One with a status outside of 200 to 599 is a
-/// failure.
+/// is treated as truncated. One with a status outside of 200 to 599, or with a
+/// folded line in its head, is a failure. Trailer fields are not read.
 class HttpClient {
 public:
   using Callback = std::function<void(HttpOutcome)>;
--- a/lib/Gateway/TargetConnection.cpp
+++ b/lib/Gateway/TargetConnection.cpp
@@ -3,11 +3,11 @@
 #include "Gateway/BlockBody.h"
 #include "IO/BootClock.h"
 #include "IO/HttpWire.h"
+#include "IO/ResponseBuffer.h"
 #include "IO/SocketOptions.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -80,7 +80,7 @@
 
   asio::ip::tcp::socket Socket;
   std::unique_ptr<asio::steady_timer> Timer; ///< While connecting.
-  boost::beast::flat_buffer Buffer;
+  ResponseBuffer Buffer;
   std::shared_ptr<BodyBudget> Budget;
   std::size_t BodyBytes = 0; ///< Taken from the budget.
   std::shared_ptr<MemoryBudget> Memory;
@@ -297,10 +297,16 @@
 
 auto TargetConnection::parseBuffered() -> void {
   Connection &Current = *Pimpl;
+  Parser &Response = *Current.ResponseParser;
   error_code Failure;
-  while (!Failure && mayParse())
-    Current.Buffer.consume(
-        Current.ResponseParser->put(Current.Buffer.cdata(), Failure));
+  while (!Failure && mayParse()) {
+    const std::size_t BodyBytes = Response.get().body().size();
+    Current.Buffer.consume(Response.put(Current.Buffer.cdata(), Failure));
+    // Lines of a body may begin with a blank.
+    if (Current.Buffer.takeFoldedLine() &&
+        Response.get().body().size() == BodyBytes)
+      return finish(ExchangeResult::Malformed);
+  }
   if (Failure && Failure != http::error::need_more)
     return onReadFailed(Failure);
   onPartRead();
--- a/lib/IO/HttpExchange.cpp
+++ b/lib/IO/HttpExchange.cpp
@@ -165,6 +165,8 @@
           Self->fail("connection lost before the response: " + Code.message());
           return;
         }
+        if (Self->Buffer.takeFoldedLine())
+          return Self->fail("folded line in the response's head");
         const auto Status = Self->Response->get().result_int();
         if (isInterimStatus(Status) && Status != 101) {
           if (++Self->InterimResponses > MaxInterimResponses)
@@ -173,6 +175,7 @@
         }
         if (!isFinalStatus(Status))
           return Self->fail("invalid status " + std::to_string(Status));
+        Self->Fields = readFields(Self->Response->get().base());
         Self->enterPhase(HttpPhase::Receiving);
         if (!Self->Finished)
           Self->readBody();
@@ -219,7 +222,7 @@
   auto &Message = Response->get();
   Outcome.Phase = HttpPhase::Done;
   Outcome.Response.Status = Message.result_int();
-  Outcome.Response.Headers = readFields(Message.base());
+  Outcome.Response.Headers = std::move(Fields);
   Outcome.Response.Body = std::move(Message.body());
   if (Response->keep_alive() && Buffer.size() == 0 &&
       Client->IdleConnections.size() < Client->Options.MaxIdleConnections)
--- a/lib/IO/HttpExchange.h
+++ b/lib/IO/HttpExchange.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "IO/HttpWire.h"
+#include "IO/ResponseBuffer.h"
 #include "buckthornring/IO/HttpClient.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -76,8 +76,9 @@
   HttpClient::Callback OnOutcome;
   boost::asio::ip::tcp::socket Socket;
   boost::asio::steady_timer Timer;
-  boost::beast::flat_buffer Buffer{MaxUnparsedBytes};
+  ResponseBuffer Buffer{MaxUnparsedBytes};
   std::optional<Parser> Response;
+  HttpHeaders Fields; ///< Of the response's head, without trailer fields.
   std::string Output;
   std::chrono::steady_clock::time_point StartedAt;
   std::chrono::steady_clock::time_point BodyBegunAt;
--- a/lib/IO/UpstreamConnection.cpp
+++ b/lib/IO/UpstreamConnection.cpp
@@ -1,11 +1,11 @@
 #include "IO/UpstreamConnection.h"
 
 #include "IO/HttpWire.h"
+#include "IO/ResponseBuffer.h"
 #include "IO/SocketOptions.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -55,7 +55,7 @@
 
   asio::ip::tcp::socket Socket;
   asio::steady_timer Timer;
-  boost::beast::flat_buffer Buffer{MaxUnparsedBytes};
+  ResponseBuffer Buffer{MaxUnparsedBytes};
   std::optional<Parser> Response;
   ResponseHead Head;
   std::array<char, BodyChunkBytes> Body{};
@@ -113,6 +113,7 @@
 
 auto UpstreamConnection::readHead(Handler Done) -> void {
   Impl->Response.emplace();
+  Impl->Buffer.takeFoldedLine(); // Of the body of an earlier response.
   Impl->Response->header_limit(ResponseHeadLimit);
   Impl->Response->body_limit(boost::none);
   Impl->Response->skip(Impl->HeadOnly);
@@ -124,11 +125,12 @@
           return;
         State &Impl = *Self->Impl;
         const unsigned Status = Impl.Response->get().result_int();
+        const bool Valid = !Impl.Buffer.takeFoldedLine() && !Failure;
         // 101 is final; it cannot follow, since Upgrade is never forwarded.
-        if (!Failure && isInterimStatus(Status) && Status != 101 &&
+        if (Valid && isInterimStatus(Status) && Status != 101 &&
             ++Impl.InterimResponses <= MaxInterimResponses)
           return Self->readHead(std::move(Done));
-        Done(!Failure && isFinalStatus(Status) &&
+        Done(Valid && isFinalStatus(Status) &&
              copyHead(*Impl.Response, Impl.HeadOnly, Impl.Head));
       });
 }
--- a/tests/unit/BrokenResponseTest.cpp
+++ b/tests/unit/BrokenResponseTest.cpp
@@ -27,6 +27,8 @@
 const std::string Ok = "HTTP/1.1 200 OK\r\n";
 const std::string Fields = "Attempt-Id: a1\r\nResponse-Signature: s\r\n";
 const std::string Sized = "Content-Length: 5\r\n\r\nwhole";
+const std::string Chunked =
+    "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n";
 const std::string Sound = Ok + Fields + Sized;
 
 auto join(std::initializer_list<std::string_view> Parts) -> std::string {
@@ -46,6 +48,22 @@
   return All;
 }
 
+/// Lines that begin with a blank, as if a name did.
+auto foldedLines() -> Responses {
+  return {{"blank", Ok + Fields + " X-Noise: 1\r\n" + Sized},
+          {"tab", Ok + Fields + "\tX-Noise: 1\r\n" + Sized},
+          {"nothing else", Ok + Fields + " \r\n" + Sized},
+          {"length", Ok + Fields + " " + Sized},
+          {"chunked", Ok + Fields + " " + Chunked + "\r\n"},
+          {"interim response",
+           "HTTP/1.1 102 Processing\r\nA: 1\r\n X-Noise: 1\r\n\r\n" + Sound}};
+}
+
+auto foldedTrailers() -> Responses {
+  return {{"blank", Ok + Fields + Chunked + "A: 1\r\n X-Noise: 1\r\n\r\n"},
+          {"tab", Ok + Fields + Chunked + "A: 1\r\n\tX-Noise: 1\r\n\r\n"}};
+}
+
 /// Expects that none of the responses counts as an answer of a target, at once
 /// and not only when the target closes the connection.
 auto expectMalformed(const Responses &All) -> void {
@@ -154,4 +172,77 @@
   EXPECT_EQ(Listed, StoreStatus::Unreachable);
 }
 
+// Guards against a line that is appended to the value of the field before it.
+// Callers got it there, and with a length or an encoding in it a body that was
+// not the target's.
+TEST(BrokenResponseTest, FoldedLineIsNoAnswerOfATarget) {
+  expectMalformed(foldedLines());
+  expectMalformed(foldedTrailers());
+  expectNotForwarded(foldedLines());
+  expectNotForwarded(foldedTrailers());
+}
+
+TEST(BrokenResponseTest, FoldedLineIsFoundInAnyParts) {
+  for (const Responses &All : {foldedLines(), foldedTrailers()})
+    for (const auto &[Name, Text] : All) {
+      SCOPED_TRACE(Name);
+      for (std::size_t Size = 1; Size < Text.size(); ++Size)
+        EXPECT_EQ(exchangeWithTarget({Text.substr(0, Size), Text.substr(Size)},
+                                     AfterResponse::StayOpen),
+                  ExchangeResult::Malformed)
+            << Size;
+    }
+}
+
+// Guards against a body that is taken for fields.
+TEST(BrokenResponseTest, BlankAtTheBeginOfALineOfABodyIsNoFault) {
+  const std::string Body = "a\r\n b\r\n\tc";
+  const std::string Head = Ok + Fields;
+  const std::string ChunkedHead = Head + "Transfer-Encoding: chunked\r\n\r\n";
+  for (const std::string &Text :
+       {join({Head, "Content-Length: 9\r\n\r\n", Body}),
+        join({ChunkedHead, "9\r\n", Body, "\r\n0\r\n\r\n"}),
+        join({ChunkedHead, "3;e=1\r\na\r\n\r\n6\r\n", Body.substr(3),
+              "\r\n0\r\nA: 1\r\n\r\n"})})
+    for (std::size_t Size = 1; Size < Text.size(); ++Size)
+      EXPECT_EQ(exchangeWithTarget({Text.substr(0, Size), Text.substr(Size)},
+                                   AfterResponse::StayOpen),
+                ExchangeResult::Answered)
+          << Text << Size;
+}
+
+TEST(BrokenResponseTest, FoldedLineIsNoAnswerOfATargetOfAnEntryInstance) {
+  expectNotForwardedByEntry(foldedLines());
+}
+
+TEST(BrokenResponseTest, FoldedLineIsNoAnswerOfTheStore) {
+  expectNoOutcome(foldedLines());
+}
+
+// Guards against fields after a body that replace or change those of the head.
+TEST(BrokenResponseTest, TrailerFieldsOfTheStoreAreNotRead) {
+  for (const auto &[Name, Text] : foldedTrailers()) {
+    SCOPED_TRACE(Name);
+    const HttpOutcome Outcome = callOutcome(Text);
+    EXPECT_EQ(Outcome.Response.Headers.find("Attempt-Id"), "a1");
+    EXPECT_FALSE(Outcome.Response.Headers.contains("A"));
+  }
+}
+
+// Responses are passed on while they arrive. Fields after the body are not.
+TEST(BrokenResponseTest, EntryInstanceForwardsNoTrailerFields) {
+  const auto Forwarded = [](const std::string &Response) {
+    ScriptedTarget Target(ScriptedTarget::answering(Response));
+    RequestPath Path;
+    Path.addTarget("pay", "p1", Target);
+    Path.publish();
+    auto View = Path.exchange("POST", "/pay/1", RequestPath::Key, "b");
+    EXPECT_TRUE(View.has("HTTP/1.1 200 ")) << View.Bytes;
+    EXPECT_FALSE(View.has("Noise")) << View.Bytes;
+    return View;
+  };
+  for (const auto &[Name, Text] : foldedTrailers())
+    EXPECT_TRUE(Forwarded(Text).has("whole\r\n0\r\n\r\n")) << Name;
+}
+
 } // namespace
