Take no response on a link with another status than 200 as a reply

What was seen: an instance of the older control path takes the body of a response with the status 000, 099, 500 or 999 as the reply of its peer. No caller gets it.

Cause: LinkSession did not read the status; instances send 200 only. nghttp2 accepts any three digits. It rejects names with a blank or a control byte.

Change: a response with another status resets its stream, so the request fails like one whose peer closed the stream. Why this works: the header callback sees the status before any data of the stream.

--- a/lib/IO/LinkSession.cpp
+++ b/lib/IO/LinkSession.cpp
@@ -15,6 +15,9 @@
 
 constexpr std::uint32_t MaxConcurrentStreams = 1024;
 
+/// The status of every reply.
+constexpr std::string_view ReplyStatus = "200";
+
 // The default window of 64 KiB would stall a slice map of 100 KB for one round
 // trip, so the window covers the largest message.
 constexpr std::int32_t WindowBytes = 1 << 20;
@@ -51,6 +54,7 @@
   if (const int Code = nghttp2_session_callbacks_new(&Table); Code != 0)
     return Code;
   nghttp2_session_callbacks_set_on_frame_recv_callback(Table, onFrame);
+  nghttp2_session_callbacks_set_on_header_callback(Table, onHeader);
   nghttp2_session_callbacks_set_on_data_chunk_recv_callback(Table, onData);
   nghttp2_session_callbacks_set_on_stream_close_callback(Table, onStreamClose);
   const int Code = SessionRole == Role::Client
@@ -98,7 +102,7 @@
   if (Closed || Found == Streams.end())
     return;
   Found->second.Outgoing = std::move(Message);
-  const std::array<nghttp2_nv, 1> Headers = {header(":status", "200")};
+  const std::array<nghttp2_nv, 1> Headers = {header(":status", ReplyStatus)};
   nghttp2_data_provider Provider = dataProvider();
   nghttp2_submit_response(Session, Id, Headers.data(), Headers.size(),
                           &Provider);
@@ -218,6 +222,20 @@
   return 0;
 }
 
+auto LinkSession::onHeader(nghttp2_session *, const nghttp2_frame *,
+                           const std::uint8_t *Name, std::size_t NameLength,
+                           const std::uint8_t *Value, std::size_t ValueLength,
+                           std::uint8_t, void *) -> int {
+  const auto Text = [](const std::uint8_t *Bytes, std::size_t Length) {
+    return std::string_view(reinterpret_cast<const char *>(Bytes), Length);
+  };
+  // Requests have no status.
+  return Text(Name, NameLength) == ":status" &&
+                 Text(Value, ValueLength) != ReplyStatus
+             ? NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE
+             : 0;
+}
+
 auto LinkSession::onData(nghttp2_session *Session, std::uint8_t, StreamId Id,
                          const std::uint8_t *Data, std::size_t Length,
                          void *Self) -> int {
--- a/lib/IO/LinkSession.h
+++ b/lib/IO/LinkSession.h
@@ -87,6 +87,11 @@
 
   static auto onFrame(nghttp2_session *, const nghttp2_frame *Frame, void *Self)
       -> int;
+  /// Resets the stream of a response that is no reply.
+  static auto onHeader(nghttp2_session *, const nghttp2_frame *Frame,
+                       const std::uint8_t *Name, std::size_t NameLength,
+                       const std::uint8_t *Value, std::size_t ValueLength,
+                       std::uint8_t Flags, void *Self) -> int;
   static auto onData(nghttp2_session *, std::uint8_t Flags, StreamId Id,
                      const std::uint8_t *Data, std::size_t Length, void *Self)
       -> int;
