Test responses whose field names hold a blank or a control byte

Names with a blank or a control byte at their begin, in the middle or at their end, in a head, in that of an interim response and after a chunked body, and such a name of a length or an encoding. No reader takes them as an answer: Beast's parser rejects the line. The exception, a line that begins with a blank behind another field, is changed with the folded lines.

An instance of the older control path has sent the head when such a line comes after the body; it resets the caller's connection, and the caller gets neither the line nor a whole response.

--- a/tests/unit/BrokenResponseTest.cpp
+++ b/tests/unit/BrokenResponseTest.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <initializer_list>
 #include <map>
 #include <optional>
@@ -64,6 +65,45 @@
           {"tab", Ok + Fields + Chunked + "A: 1\r\n\tX-Noise: 1\r\n\r\n"}};
 }
 
+/// The bytes that are blank or control bytes.
+auto invalidBytes() -> std::string {
+  std::string Bytes = "\x7f";
+  for (char Byte = 0; Byte <= ' '; ++Byte)
+    Bytes += Byte;
+  return Bytes;
+}
+
+/// Names of fields with one of \p Bytes at any place, in a head, in that of an
+/// interim response and after a chunked body.
+auto invalidNames(const std::string &Bytes) -> Responses {
+  Responses All;
+  for (const char Byte : Bytes) {
+    const std::string Text(1, Byte);
+    const std::map<std::string, std::string> Names = {
+        {"begin", Text + "X-Noise"},
+        {"middle", "X-" + Text + "Noise"},
+        {"end", "X-Noise" + Text}};
+    for (const auto &[Place, Name] : Names) {
+      const std::string Line = Name + ": 1\r\n";
+      const std::string Case = join(
+          {"byte ", std::to_string(Byte), " at the ", Place, " of a name, "});
+      All[Case + "head"] = join({Ok, Line, Fields, Sized});
+      All[Case + "interim response"] =
+          join({"HTTP/1.1 102 Processing\r\n", Line, "\r\n", Sound});
+      All[Case + "trailer"] = join({Ok, Fields, Chunked, Line, "\r\n"});
+    }
+  }
+  All["length"] = Ok + Fields + "Content-Length : 5\r\n\r\nwhole";
+  All["encoding"] =
+      Ok + Fields +
+      "Transfer-Encoding\x01: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n";
+  return All;
+}
+
+auto isTrailer(const Responses::value_type &Each) -> bool {
+  return Each.first.ends_with("trailer");
+}
+
 /// Expects that none of the responses counts as an answer of a target, at once
 /// and not only when the target closes the connection.
 auto expectMalformed(const Responses &All) -> void {
@@ -229,7 +269,22 @@
   }
 }
 
-// Responses are passed on while they arrive. Fields after the body are not.
+// Guards against a name with a blank or a control byte, which hides a length or
+// an encoding from one reader and shows it to the next.
+TEST(BrokenResponseTest, InvalidNameIsNoAnswer) {
+  expectMalformed(invalidNames(invalidBytes()));
+  expectNoOutcome(invalidNames(invalidBytes()));
+  expectNotForwarded(invalidNames(" \x01"));
+}
+
+TEST(BrokenResponseTest, InvalidNameIsNoAnswerOfATargetOfAnEntryInstance) {
+  Responses Heads = invalidNames(invalidBytes());
+  std::erase_if(Heads, isTrailer);
+  expectNotForwardedByEntry(Heads);
+}
+
+// Responses are passed on while they arrive. Fields after the body are not, and
+// a fault in them breaks the response off.
 TEST(BrokenResponseTest, EntryInstanceForwardsNoTrailerFields) {
   const auto Forwarded = [](const std::string &Response) {
     ScriptedTarget Target(ScriptedTarget::answering(Response));
@@ -243,6 +298,10 @@
   };
   for (const auto &[Name, Text] : foldedTrailers())
     EXPECT_TRUE(Forwarded(Text).has("whole\r\n0\r\n\r\n")) << Name;
+  Responses Trailers = invalidNames(invalidBytes());
+  std::erase_if(Trailers, std::not_fn(isTrailer));
+  for (const auto &[Name, Text] : Trailers)
+    EXPECT_TRUE(Forwarded(Text).Reset) << Name;
 }
 
 } // namespace
