--- a/tests/unit/LastChunkTest.cpp
+++ b/tests/unit/LastChunkTest.cpp
@@ -1,12 +1,16 @@
+#include "support/GatewayFixture.h"
 #include "support/TargetExchange.h"
 
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <cstdlib>
 #include <string>
+#include <thread>
 
 using namespace buckthornring;
 using namespace buckthornring::test;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -33,6 +37,23 @@
          ExchangeResult::Answered;
 }
 
+auto requestInPartsIsServed() -> bool {
+  ScriptedTarget Target(GatewayFixture::answering());
+  GatewayFixture Fixture;
+  Fixture.addTarget("pay", "t1", Target);
+  Fixture.configure(1);
+  if (!Fixture.waitUntilServing())
+    return false;
+  RawCaller Caller = Fixture.connect();
+  Caller.send(GatewayFixture::request("POST", "/unsafe/1", "a1",
+                                      "Transfer-Encoding: chunked\r\n"));
+  for (const char *Part : {"0", "\r", "\n", "\r", "\n"}) {
+    std::this_thread::sleep_for(20ms);
+    Caller.send(Part);
+  }
+  return Caller.readUntil("\r\n\r\n").has("HTTP/1.1 200 ");
+}
+
 // Guards against an end of the process when the only chunk of a response, the
 // last one, arrives in parts.
 TEST_F(LastChunkTest, OfAResponseMayArriveInParts) {
@@ -40,4 +61,10 @@
               testing::ExitedWithCode(0), "");
 }
 
+// The same for a request.
+TEST_F(LastChunkTest, OfARequestMayArriveInParts) {
+  EXPECT_EXIT(std::_Exit(requestInPartsIsServed() ? 0 : 1),
+              testing::ExitedWithCode(0), "");
+}
+
 } // namespace
