--- a/tests/unit/FaultyTargetTest.cpp
+++ b/tests/unit/FaultyTargetTest.cpp
@@ -230,6 +230,17 @@
             std::vector{RangeOrderOutcome::Misdirected});
 }
 
+// Guards against a response with the status 000 that counts as a refusal: the
+// leader would take a holder of keys for none.
+TEST(FaultyTargetTest, ResponseWithAnInvalidStatusLeavesAnOrderUnanswered) {
+  ScriptedTarget Target([](Socket &To, const std::string &) {
+    return ScriptedTarget::send(To,
+                                "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n");
+  });
+  EXPECT_EQ(outcomesOfOrders(Target.address(), 1),
+            std::vector{RangeOrderOutcome::Unanswered});
+}
+
 // Guards against a response that ends anywhere before its end, in its head or
 // in its body, and counts as complete.
 TEST(FaultyTargetTest, ResponseCutAtAnyByteIsNotComplete) {
