Cut the messages of the JSON parser off

What was seen: the log line on an entry of the store that cannot be read is as long as the entry, since the parser's messages quote the last token.

Cause: parseJson() passed the messages on whole.

Change: jsonError() cuts them off after 200 bytes.

JsonTextTest.ReasonsOfParseErrorsAreShort allows 300.

--- a/lib/Common/JsonText.cpp
+++ b/lib/Common/JsonText.cpp
@@ -150,7 +150,7 @@
   try {
     return Json::parse(Text);
   } catch (const Json::exception &Failure) {
-    return Error(Failure.what());
+    return jsonError(Failure);
   }
 }
 
@@ -160,10 +160,15 @@
   try {
     return Json::from_cbor(Bytes.begin(), Bytes.end());
   } catch (const Json::exception &Failure) {
-    return Error(Failure.what());
+    return jsonError(Failure);
   }
 }
 
+auto jsonError(const Json::exception &Failure) -> Error {
+  constexpr std::size_t MaxMessageBytes = 200;
+  return Error(std::string(Failure.what()).substr(0, MaxMessageBytes));
+}
+
 auto writeJson(const Json &Value) -> std::string {
   return Value.dump(-1, ' ', /*ensure_ascii=*/false,
                     Json::error_handler_t::replace);
--- a/lib/Common/JsonText.h
+++ b/lib/Common/JsonText.h
@@ -26,6 +26,10 @@
 /// is not UTF-8, which the decoder does not check.
 auto parseCbor(std::string_view Bytes) -> Result<nlohmann::json>;
 
+/// Message of an exception of the JSON library, cut off: those of the parser
+/// quote the last token, which may be as long as the text.
+auto jsonError(const nlohmann::json::exception &Failure) -> Error;
+
 /// Writes a value as a JSON text. Bytes that are not UTF-8 are replaced, where
 /// Json::dump would throw.
 auto writeJson(const nlohmann::json &Value) -> std::string;
--- a/tests/unit/JsonTextTest.cpp
+++ b/tests/unit/JsonTextTest.cpp
@@ -16,6 +16,14 @@
   EXPECT_TRUE(parseJson(writeJson(Value)));
 }
 
+// Guards against log lines of the size of an object in the store: the messages
+// of the parser quote the text.
+TEST(JsonTextTest, ReasonsOfParseErrorsAreShort) {
+  const auto Read = parseJson("\"" + std::string(100'000, 'x'));
+  ASSERT_FALSE(Read);
+  EXPECT_LT(Read.error().message().size(), 300U);
+}
+
 TEST(JsonTextTest, CborTextThatIsNotUtf8IsRejected) {
   const auto Encoded = [](const std::string &Text) {
     std::string Bytes;
