Keep only what is read of the objects in the store

Cause: the whole value of each object was parsed and kept, whether or not anybody reads it. Parsed, "[[{"":{}}]]" takes about 30 times its text. Lists held it in the collected pages, in the new and in the old map, the relay encoded it for its readers, and /state and /changes brought it to other instances.

Change: ObjectSchema names the members that are read, for each kind and name. parseJsonParts() skips all others while it parses, cuts long strings off and bounds the number of values. It reads the store's responses, those of relays, and the state of peers; these are split into objects first, so that no list is parsed as a whole. Records of ranges that are of another form are dropped. The feed moves objects instead of copying them, and keeps no values of changes. Objects with names above 512 bytes are left out; a list is continued after its last name all the same.

Why this works: what remains of an object is bounded by what its reader uses.

--- a/lib/Fleet/KeyRanges.cpp
+++ b/lib/Fleet/KeyRanges.cpp
@@ -13,6 +13,13 @@
 /// Fencing tokens of each era, far more than an era needs.
 constexpr std::uint64_t TokensPerEra = std::uint64_t{1} << 32;
 
+/// Longer owners are cut off. The ids of targets have at most 255 bytes.
+constexpr std::size_t MaxOwnerBytes = 512;
+
+/// Most values of a record: an object of 1 MiB, the platform's limit, holds
+/// fewer, since a range takes at least 56 bytes for its 6 values.
+constexpr std::size_t MaxValues = 150'000;
+
 } // namespace
 
 auto RangeRecord::find(std::uint32_t Key) const -> const KeyRange * {
@@ -62,8 +69,16 @@
           {"ranges", std::move(List)}};
 }
 
-auto RangeRecord::parse(const Json &Value, std::uint32_t Keys)
-    -> Result<RangeRecord> {
+auto RangeRecord::parts() -> JsonParts {
+  return {.Members = {"era", "term", "next_fence", "ranges", "from", "to",
+                      "owner", "owner_started_at", "fence", "donor",
+                      "donor_started_at", "donor_fence"},
+          .Depth = 3,
+          .Values = MaxValues,
+          .StringBytes = MaxOwnerBytes};
+}
+
+auto RangeRecord::read(const Json &Value) -> Result<RangeRecord> {
   RangeRecord Record;
   try {
     Record.Era = Value.value("era", std::uint64_t{0});
@@ -87,7 +102,13 @@
   } catch (const Json::exception &Failure) {
     return Error(std::string("invalid range record: ") + Failure.what());
   }
-  if (!Record.valid(Keys))
+  return Record;
+}
+
+auto RangeRecord::parse(const Json &Value, std::uint32_t Keys)
+    -> Result<RangeRecord> {
+  auto Record = read(Value);
+  if (Record && !Record->valid(Keys))
     return Error(
         "invalid range record: ranges overlap or leave gaps, or a fencing "
         "token is not below next_fence");
--- a/lib/Fleet/KeyRanges.h
+++ b/lib/Fleet/KeyRanges.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Common/JsonParts.h"
 #include "buckthornring/Common/Ids.h"
 #include "buckthornring/Common/Result.h"
 
@@ -55,6 +56,10 @@
   auto enterEra(std::uint64_t NewEra) -> void;
 
   auto json() const -> nlohmann::json;
+  /// The parts of a recorded value that are read.
+  static auto parts() -> JsonParts;
+  /// Reads a value without looking at which keys its ranges cover.
+  static auto read(const nlohmann::json &Value) -> Result<RangeRecord>;
   /// Fails with the reason when the value is not a valid record for \p Keys
   /// keys.
   static auto parse(const nlohmann::json &Value, std::uint32_t Keys)
--- a/lib/Gateway/ChangeRelay.cpp
+++ b/lib/Gateway/ChangeRelay.cpp
@@ -1,18 +1,15 @@
 #include "Gateway/ChangeRelay.h"
 
-#include "Common/JsonText.h"
+#include "Gateway/ObjectText.h"
 #include "IO/BootClock.h"
 #include "IO/Deflate.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace buckthornring {
 
-using Json = nlohmann::json;
-
 namespace {
 
 /// Age of the last proof of contact beyond which nothing is served. A relay
@@ -72,23 +69,18 @@
   EncodedObjects &Last = LastEncoded[Asked.Kind];
   if (Last.Asked == Asked && Last.ChangeCount == Feed.changeCount())
     return &Last;
-  Json Objects = Json::array();
-  const auto Add = [&Objects](const StoredObject &Object) {
-    Objects.push_back(Json::array(
-        {Object.Name, Object.Revision, Object.Deleted, Object.Value}));
-    if (!Object.Status.is_null())
-      Objects.back().push_back(Object.Status);
-  };
+  ObjectListWriter Objects(ObjectListForm::Changes);
   if (Asked.Since) {
     const auto Changes = Feed.changesSince(*Asked.Since);
     if (!Changes)
       return nullptr;
-    std::for_each(Changes->begin(), Changes->end(), Add);
+    for (const StoredObject &Object : *Changes)
+      Objects.add(Object);
   } else {
     for (const auto &[Name, Object] : Feed.objects())
-      Add(Object);
+      Objects.add(Object);
   }
-  Last = {Asked, Feed.changeCount(), writeJson(Objects), false};
+  Last = {Asked, Feed.changeCount(), std::move(Objects).text(), false};
   Last.Compressed =
       Asked.AcceptsDeflate && Last.Text.size() >= MinCompressedBytes;
   if (Last.Compressed)
--- a/lib/Gateway/FleetMember.cpp
+++ b/lib/Gateway/FleetMember.cpp
@@ -153,6 +153,16 @@
 
 } // namespace
 
+auto FleetMember::leaderObjectParts() -> JsonParts {
+  // Far more than the earlier leaders that are listed have.
+  constexpr std::size_t MaxValues = 200;
+  return {.Members = {"instance", "process", "address", "era", "earlier",
+                      "earlier_complete"},
+          .Depth = 3,
+          .Values = MaxValues,
+          .StringBytes = ObjectSchema::MaxStringBytes};
+}
+
 FleetMember::FleetMember(boost::asio::io_context &Io, FleetContext Context,
                          std::uint64_t Seed)
     : Context(std::move(Context)),
--- a/lib/Gateway/FleetMember.h
+++ b/lib/Gateway/FleetMember.h
@@ -84,6 +84,8 @@
   }
 
   static constexpr const char *LeaderObjectName = "leader";
+  /// What is read of that object.
+  static auto leaderObjectParts() -> JsonParts;
 
 private:
   auto makeSuspectExchange() -> SuspectExchange;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -133,7 +133,7 @@
   if (!CreatedStore)
     return CreatedStore.error();
   Store = std::make_unique<RelayedStore>(Io, std::move(CreatedStore).value(),
-                                         Events);
+                                         Protocol.Kinds.Schema, Events);
   const auto CallerEndpoint = parseEndpoint(Settings.CallerAddress);
   error_code Failure;
   Listener.open(CallerEndpoint->protocol(), Failure);
--- a/lib/Gateway/GatewayImpl.h
+++ b/lib/Gateway/GatewayImpl.h
@@ -124,6 +124,9 @@
   auto handlePeerRequest(const HttpRequest &Request, const HttpResponder &To)
       -> void;
   auto stateJson() const -> std::string;
+  /// The feeds whose objects are sent to peers, by their names there.
+  auto statefulFeeds() const
+      -> std::vector<std::pair<std::string_view, StoreFeed *>>;
   auto addAdmission(PrometheusText &Text) const -> void;
   auto metricsText() const -> std::string;
 
--- a/lib/Gateway/GatewayState.cpp
+++ b/lib/Gateway/GatewayState.cpp
@@ -6,20 +6,18 @@
 #include "Gateway/GatewayImpl.h"
 #include "Gateway/JsonResponse.h"
 #include "Gateway/ObjectEra.h"
+#include "Gateway/ObjectText.h"
 #include "Gateway/StatusReport.h"
 #include "Gateway/WhereReport.h"
 #include "IO/BootClock.h"
 #include "buckthornring/Observe/PrometheusText.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace buckthornring {
 
-using Json = nlohmann::json;
-
 namespace {
 
 /// Time after the end of a store outage within which target records that
@@ -40,25 +38,24 @@
 
 constexpr Duration PeerCallTimeout = std::chrono::milliseconds(1000);
 
-constexpr std::string_view RangeObjectPrefix = "ranges.";
-
-auto feedToJson(const StoreFeed &Feed) -> Json {
-  Json List = Json::array();
+auto stateOf(const StoreFeed &Feed) -> std::string {
+  ObjectListWriter List(ObjectListForm::State);
   for (const auto &[Name, Object] : Feed.objects())
-    List.push_back(Object.Status.is_null()
-                       ? Json::array({Name, Object.Revision, Object.Value})
-                       : Json::array({Name, Object.Revision, Object.Value,
-                                      Object.Status}));
-  return {{"revision", Feed.revision()}, {"objects", std::move(List)}};
+    List.add(Object);
+  return "{\"revision\":" + std::to_string(Feed.revision()) +
+         ",\"objects\":" + std::move(List).text() + "}";
 }
 
-auto objectsFromJson(const Json &Value) -> std::vector<StoredObject> {
-  std::vector<StoredObject> Objects;
-  for (const Json &Entry : Value.at("objects"))
-    Objects.push_back({Entry.at(0).get<std::string>(),
-                       Entry.at(1).get<std::uint64_t>(), false, Entry.at(2),
-                       Entry.size() > 3 ? Entry.at(3) : Json()});
-  return Objects;
+/// Returns an empty text if there is no such member.
+auto memberText(std::string_view Object, std::string_view Name)
+    -> std::string_view {
+  const auto Members = splitObject(Object);
+  if (!Members)
+    return {};
+  const auto Found = std::find_if(
+      Members->begin(), Members->end(),
+      [Name](const JsonMember &Each) { return Each.Name == Name; });
+  return Found == Members->end() ? std::string_view() : Found->Value;
 }
 
 auto addHedges(PrometheusText &Text, const HedgePlanner::Counts &Hedges)
@@ -364,9 +361,10 @@
   if (Rollouts && !Object.Deleted &&
       Object.Name.starts_with(RolloutLeader::RecordPrefix))
     return onRolloutRecord(Object);
-  if (!Object.Deleted && Object.Name.starts_with(RangeObjectPrefix))
-    onRangesChanged(ServiceId(Object.Name.substr(RangeObjectPrefix.size())),
-                    Object);
+  if (!Object.Deleted && Object.Name.starts_with(Leader::RangeObjectPrefix))
+    onRangesChanged(
+        ServiceId(Object.Name.substr(Leader::RangeObjectPrefix.size())),
+        Object);
 }
 
 auto Gateway::Impl::useVoidRanges(const ServiceId &Service,
@@ -541,40 +539,44 @@
                       });
 }
 
+auto Gateway::Impl::statefulFeeds() const
+    -> std::vector<std::pair<std::string_view, StoreFeed *>> {
+  std::vector<std::pair<std::string_view, StoreFeed *>> Feeds = {
+      {"configuration", ConfigurationFeed.get()},
+      {"targets", TargetFeed.get()},
+      {"evacuations", EvacuationFeed.get()},
+      {"own", RouterObjectsFeed.get()}};
+  if (RolloutFeed)
+    Feeds.emplace_back("rollouts", RolloutFeed.get());
+  return Feeds;
+}
+
 auto Gateway::Impl::applyPeerState(const std::string &Body) -> void {
-  const auto Parsed = parseJson(Body);
-  if (!Parsed) {
-    Events.write(EventLine("peer-state-unreadable")
-                     .field("reason", Parsed.error().message()));
-    return;
-  }
-  try {
-    const Json &State = *Parsed;
-    const auto ApplyFeed = [&State](const char *Name, StoreFeed &Feed) {
-      const Json &Entry = State.at(Name);
-      Feed.applyPeerSnapshot(objectsFromJson(Entry),
-                             Entry.at("revision").get<std::uint64_t>());
-    };
-    ApplyFeed("configuration", *ConfigurationFeed);
-    ApplyFeed("targets", *TargetFeed);
-    ApplyFeed("evacuations", *EvacuationFeed);
-    ApplyFeed("own", *RouterObjectsFeed);
-    if (RolloutFeed && State.contains("rollouts"))
-      ApplyFeed("rollouts", *RolloutFeed);
-  } catch (const Json::exception &Failure) {
-    Events.write(
-        EventLine("peer-state-unreadable").field("reason", Failure.what()));
+  for (const auto &[Name, Feed] : statefulFeeds()) {
+    const std::string_view State = memberText(Body, Name);
+    // A peer without rollouts does not send them.
+    if (State.empty() && Feed == RolloutFeed.get())
+      continue;
+    const auto Revision = parseJson(memberText(State, "revision"));
+    auto Objects =
+        readObjectList(memberText(State, "objects"), ObjectListForm::State,
+                       Feed->kind(), Protocol.Kinds.Schema);
+    if (!Revision || !Revision->is_number_unsigned() || !Objects)
+      return Events.write(
+          EventLine("peer-state-unreadable").field("objects", Name));
+    Feed->applyPeerSnapshot(std::move(*Objects),
+                            Revision->get<std::uint64_t>());
   }
 }
 
 auto Gateway::Impl::stateJson() const -> std::string {
-  Json State = {{"configuration", feedToJson(*ConfigurationFeed)},
-                {"targets", feedToJson(*TargetFeed)},
-                {"evacuations", feedToJson(*EvacuationFeed)},
-                {"own", feedToJson(*RouterObjectsFeed)}};
-  if (RolloutFeed)
-    State["rollouts"] = feedToJson(*RolloutFeed);
-  return writeJson(State);
+  std::string Out = "{";
+  for (const auto &[Name, Feed] : statefulFeeds())
+    Out.append(Out.size() > 1 ? ",\"" : "\"")
+        .append(Name)
+        .append("\":")
+        .append(stateOf(*Feed));
+  return Out + "}";
 }
 
 auto Gateway::Impl::addAdmission(PrometheusText &Text) const -> void {
--- a/lib/Gateway/Leader.cpp
+++ b/lib/Gateway/Leader.cpp
@@ -25,7 +25,7 @@
 } // namespace
 
 auto Leader::rangeObjectName(const ServiceId &Service) -> std::string {
-  return "ranges." + Service.str();
+  return std::string(RangeObjectPrefix) + Service.str();
 }
 
 auto Leader::start(LeaderInfo NewSelf, TimePoint ClaimSentAt,
@@ -255,6 +255,13 @@
   return Size->get<std::uint32_t>();
 }
 
+auto Leader::fleetSizeObjectParts() -> JsonParts {
+  constexpr std::size_t MaxValues = 16;
+  return {.Members = {"instances", "ended_before"},
+          .Depth = 1,
+          .Values = MaxValues};
+}
+
 auto Leader::readEndedBefore(const StoredObject &Object) -> std::uint64_t {
   const auto Term = Object.Value.find("ended_before");
   return Term != Object.Value.end() && Term->is_number_unsigned()
--- a/lib/Gateway/Leader.h
+++ b/lib/Gateway/Leader.h
@@ -71,6 +71,11 @@
   /// recorded in the same object; 0: not recorded. It stays true for ever.
   static auto readEndedBefore(const StoredObject &Object) -> std::uint64_t;
 
+  /// What is read of that object.
+  static auto fleetSizeObjectParts() -> JsonParts;
+
+  /// Names of the objects with the ranges of services begin with it.
+  static constexpr std::string_view RangeObjectPrefix = "ranges.";
   /// Returns the name of the object that holds a service's ranges.
   static auto rangeObjectName(const ServiceId &Service) -> std::string;
 
--- a/lib/Gateway/Protocol.h
+++ b/lib/Gateway/Protocol.h
@@ -3,6 +3,7 @@
 #include "Fleet/RangeAssigner.h"
 #include "Fleet/TargetAnnouncements.h"
 #include "Fleet/TargetRecord.h"
+#include "Gateway/ObjectSchema.h"
 #include "Rollout/Rollout.h"
 #include "buckthornring/Config/Configuration.h"
 #include "buckthornring/IO/HttpMessage.h"
@@ -123,6 +124,7 @@
   std::string Evacuations;  ///< Kind of evacuations, named after data centres.
   std::string Own;          ///< Kind of the router's own objects.
   std::string Rollouts;     ///< Kind of rollout orders, named after services.
+  ObjectSchema Schema;      ///< What is read of them.
 
   std::function<Result<Configuration>(const nlohmann::json &)>
       ReadConfiguration;
--- a/lib/Gateway/RelayedStore.cpp
+++ b/lib/Gateway/RelayedStore.cpp
@@ -2,6 +2,7 @@
 
 #include "Common/JsonText.h"
 #include "Gateway/ChangeRelay.h"
+#include "Gateway/ObjectText.h"
 #include "IO/BootClock.h"
 #include "IO/Deflate.h"
 
@@ -52,52 +53,74 @@
   return std::to_string(Span.count() / 1000);
 }
 
-auto readNumber(const HttpResponse &Response, const char *Name)
-    -> std::optional<std::int64_t> {
-  const auto Text = Response.Headers.find(Name);
+auto parseNumber(std::string_view Text) -> std::optional<std::int64_t> {
   std::int64_t Value = 0;
-  if (!Text ||
-      std::from_chars(Text->data(), Text->data() + Text->size(), Value).ec !=
-          std::errc())
+  if (std::from_chars(Text.data(), Text.data() + Text.size(), Value).ec !=
+      std::errc())
     return std::nullopt;
   return Value;
 }
 
-/// Null if \p Text cannot be read.
-auto parsed(std::string_view Text) -> Json {
-  auto Value = parseJson(Text);
-  return Value ? std::move(Value).value() : Json();
+auto readNumber(const HttpResponse &Response, const char *Name)
+    -> std::optional<std::int64_t> {
+  const auto Text = Response.Headers.find(Name);
+  return Text ? parseNumber(*Text) : std::nullopt;
 }
 
-/// Returns the response in its uncompressed form.
-auto readBody(const HttpResponse &Response) -> Json {
-  if (!Response.Headers.contains("Content-Encoding"))
-    return parsed(Response.Body);
+/// The parts of a relay's answer.
+struct ChangesText {
+  std::int64_t Revision = 0;
+  std::int64_t AgeUs = 0;
+  std::string Objects; ///< The list, not parsed yet.
+};
+
+auto readCompressed(const HttpResponse &Response)
+    -> std::optional<ChangesText> {
   const auto Revision = readNumber(Response, ChangeRelay::RevisionField);
   const auto Age = readNumber(Response, ChangeRelay::AgeField);
-  const auto Objects = inflateText(Response.Body, MaxInflatedBytes);
+  auto Objects = inflateText(Response.Body, MaxInflatedBytes);
   if (!Revision || !Age || !Objects)
-    return Json();
-  return {
-      {"revision", *Revision}, {"age_us", *Age}, {"objects", parsed(*Objects)}};
+    return std::nullopt;
+  return ChangesText{*Revision, *Age, std::move(*Objects)};
 }
 
-auto readChanges(const HttpResponse &Response) -> StoreChanges {
-  StoreChanges Changes;
-  try {
-    const Json Value = readBody(Response);
-    Changes.Revision = Value.at("revision").get<std::uint64_t>();
-    Changes.Age = Duration(Value.at("age_us").get<std::int64_t>());
-    for (const Json &Object : Value.at("objects"))
-      Changes.Objects.push_back({Object.at(0).get<std::string>(),
-                                 Object.at(1).get<std::uint64_t>(),
-                                 Object.at(2).get<bool>(), Object.at(3),
-                                 Object.size() > 4 ? Object.at(4) : Json()});
-    Changes.Status = StoreStatus::Done;
-  } catch (const Json::exception &) {
-    // An unreadable answer counts as none; the caller logs it.
-    Changes = StoreChanges();
+auto readUncompressed(std::string_view Body) -> std::optional<ChangesText> {
+  const auto Members = splitObject(Body);
+  if (!Members)
+    return std::nullopt;
+  ChangesText Out;
+  std::size_t Found = 0;
+  for (const auto &[Name, Value] : *Members) {
+    if (Name == "objects")
+      Out.Objects = Value;
+    else if (Name == "revision" && parseNumber(Value))
+      Out.Revision = *parseNumber(Value);
+    else if (Name == "age_us" && parseNumber(Value))
+      Out.AgeUs = *parseNumber(Value);
+    else
+      continue;
+    ++Found;
   }
+  return Found == 3 ? std::optional(std::move(Out)) : std::nullopt;
+}
+
+/// An unreadable answer counts as none; the caller logs it.
+auto readChanges(const HttpResponse &Response, std::string_view Kind,
+                 const ObjectSchema &Schema) -> StoreChanges {
+  const auto Answer = Response.Headers.contains("Content-Encoding")
+                          ? readCompressed(Response)
+                          : readUncompressed(Response.Body);
+  if (!Answer || Answer->Revision < 0)
+    return {};
+  auto Objects =
+      readObjectList(Answer->Objects, ObjectListForm::Changes, Kind, Schema);
+  if (!Objects)
+    return {};
+  StoreChanges Changes;
+  Changes.Status = StoreStatus::Done;
+  Changes.Revision = static_cast<std::uint64_t>(Answer->Revision);
+  Changes.Age = Duration(Answer->AgeUs);
+  Changes.Objects = std::move(*Objects);
   return Changes;
 }
 
@@ -263,7 +286,7 @@
     return Read->OnDone(std::move(HistoryLost));
   }
   if (Outcome.done() && Outcome.Response.Status == 200) {
-    auto Changes = readChanges(Outcome.Response);
+    auto Changes = readChanges(Outcome.Response, Read->Kind, Schema);
     if (Changes.Status == StoreStatus::Done)
       return Read->OnDone(std::move(Changes));
   }
@@ -293,6 +316,7 @@
                          Duration Wait, ChangesHandler OnDone) -> ReadPtr {
   const auto Read = std::make_shared<RelayedRead>();
   Read->Kind = Kind;
+  Read->Kind = Kind;
   Read->Query =
       "kind=" + encodePercent(Kind) + "&since=" + std::to_string(Revision);
   Read->Wait = Wait;
--- a/lib/Gateway/RelayedStore.h
+++ b/lib/Gateway/RelayedStore.h
@@ -21,8 +21,10 @@
 class RelayedStore final : public ObjectStore {
 public:
   RelayedStore(boost::asio::io_context &Io,
-               std::unique_ptr<ObjectStore> DirectStore, EventLog &Events)
-      : Io(Io), DirectStore(std::move(DirectStore)), Events(Events) {}
+               std::unique_ptr<ObjectStore> DirectStore, ObjectSchema Schema,
+               EventLog &Events)
+      : Io(Io), DirectStore(std::move(DirectStore)), Schema(std::move(Schema)),
+        Events(Events) {}
 
   /// Reads through the instance at \p Primary from now on, and through the one
   /// at \p Backup while the first does not respond. Empty: there is none. Open
@@ -72,6 +74,7 @@
 
   boost::asio::io_context &Io;
   std::unique_ptr<ObjectStore> DirectStore;
+  ObjectSchema Schema; ///< What is kept of the answers of relays.
   EventLog &Events;
   std::array<Relay, 2> Relays; ///< Primary and backup.
   std::vector<std::weak_ptr<RelayedRead>> DirectReads;
--- a/lib/Gateway/StoreFeed.cpp
+++ b/lib/Gateway/StoreFeed.cpp
@@ -92,12 +92,12 @@
   RequestedAt = bootNow();
   BackingOff = false;
   Listing = true;
-  OpenRead = Store.list(Settings.Kind,
-                        [this, Number = ++CallNumber,
-                         AliveFlag = Alive](const StoreChanges &Changes) {
-                          if (*AliveFlag && Number == CallNumber)
-                            onList(Changes);
-                        });
+  OpenRead =
+      Store.list(Settings.Kind, [this, Number = ++CallNumber,
+                                 AliveFlag = Alive](StoreChanges Changes) {
+        if (*AliveFlag && Number == CallNumber)
+          onList(std::move(Changes));
+      });
 }
 
 auto StoreFeed::retry() -> void {
@@ -126,31 +126,33 @@
 
 auto StoreFeed::refresh() -> void {
   Store.list(Settings.Kind, [this, SentAt = bootNow(),
-                             AliveFlag = Alive](const StoreChanges &Changes) {
+                             AliveFlag = Alive](StoreChanges Changes) {
     // After a failure the open watch delivers the changes.
     if (!*AliveFlag || Changes.Status != StoreStatus::Done)
       return;
     ConfirmedAt = std::max(ConfirmedAt, SentAt - Changes.Age);
-    applySnapshot(Changes.Objects, Changes.Revision);
+    applySnapshot(std::move(Changes.Objects), Changes.Revision);
   });
 }
 
-auto StoreFeed::onList(const StoreChanges &Changes) -> void {
+auto StoreFeed::onList(StoreChanges Changes) -> void {
   if (Changes.Status != StoreStatus::Done)
     return onFailure(Changes.Status);
   onSuccess(Changes.Age);
-  applySnapshot(Changes.Objects, Changes.Revision);
+  applySnapshot(std::move(Changes.Objects), Changes.Revision);
   continueAfter(Duration(0));
 }
 
-auto StoreFeed::applySnapshot(const std::vector<StoredObject> &Snapshot,
+auto StoreFeed::applySnapshot(std::vector<StoredObject> Snapshot,
                               std::uint64_t SnapshotRevision) -> void {
   if (Loaded && SnapshotRevision < Revision)
     return;
   ++ChangeCount;
   ObjectMap Listed;
-  for (const StoredObject &Object : Snapshot)
-    Listed[Object.Name] = Object;
+  for (StoredObject &Object : Snapshot) {
+    StoredObject &Entry = Listed[Object.Name];
+    Entry = std::move(Object);
+  }
   keepNewer(Listed, SnapshotRevision);
   if (Loaded && eraOf(SnapshotRevision) > eraOf(Revision))
     onRestored(SnapshotRevision);
@@ -178,9 +180,8 @@
   std::erase_if(RecentChanges, [&Object](const StoredObject &Earlier) {
     return Earlier.Name == Object.Name;
   });
-  if (!Object.Deleted)
-    Object = {std::move(Object.Name), Object.Revision, false, {}};
-  RecentChanges.push_back(std::move(Object));
+  RecentChanges.push_back(
+      {std::move(Object.Name), Object.Revision, Object.Deleted, {}});
   if (RecentChanges.size() <= MaxRecentChanges)
     return;
   RecentAfterRevision = RecentChanges.front().Revision;
@@ -214,12 +215,12 @@
     const auto Existing = Objects.find(Name);
     if (Existing == Objects.end() ||
         Existing->second.Revision < Object.Revision)
-      Changed.push_back(Object);
+      Changed.push_back({Name, Object.Revision, false, {}});
   }
   // The store does not report the revision at which an object was removed.
   for (const auto &[Name, Existing] : Objects)
     if (!Listed.contains(Name))
-      Changed.push_back({Name, SnapshotRevision, true, Existing.Value});
+      Changed.push_back({Name, SnapshotRevision, true, {}});
   std::sort(Changed.begin(), Changed.end(),
             [](const StoredObject &First, const StoredObject &Second) {
               return First.Revision < Second.Revision;
@@ -232,15 +233,15 @@
   cancelOpenRead();
   RequestedAt = bootNow();
   Listing = false;
-  OpenRead = Store.watch(Settings.Kind, Revision, Settings.WatchTimeout,
-                         [this, Number = ++CallNumber,
-                          AliveFlag = Alive](const StoreChanges &Changes) {
-                           if (*AliveFlag && Number == CallNumber)
-                             onChanges(Changes);
-                         });
+  OpenRead = Store.watch(
+      Settings.Kind, Revision, Settings.WatchTimeout,
+      [this, Number = ++CallNumber, AliveFlag = Alive](StoreChanges Changes) {
+        if (*AliveFlag && Number == CallNumber)
+          onChanges(std::move(Changes));
+      });
 }
 
-auto StoreFeed::onChanges(const StoreChanges &Changes) -> void {
+auto StoreFeed::onChanges(StoreChanges Changes) -> void {
   if (Changes.Status == StoreStatus::HistoryLost)
     return list();
   if (Changes.Status != StoreStatus::Done)
@@ -250,8 +251,8 @@
     return list();
   onSuccess(Changes.Age);
   bool Changed = false;
-  for (const StoredObject &Object : Changes.Objects)
-    Changed = apply(Object) || Changed;
+  for (StoredObject &Object : Changes.Objects)
+    Changed = apply(std::move(Object)) || Changed;
   Revision = std::max(Revision, Changes.Revision);
   if (Changed)
     Callbacks.OnAdvanced();
@@ -278,15 +279,17 @@
     Object.Value = Existing->second.Value;
   ++ChangeCount;
   LastChangeRevision = std::max(LastChangeRevision, Object.Revision);
-  recordChange(Object);
+  recordChange({Object.Name, Object.Revision, Object.Deleted, {}});
   if (Object.Deleted) {
     if (Existing == Objects.end())
       return false;
     Objects.erase(Existing);
-  } else {
-    Objects[Object.Name] = Object;
+    Callbacks.OnChange(Object);
+    return true;
   }
-  Callbacks.OnChange(Object);
+  StoredObject &Entry = Objects[Object.Name];
+  Entry = std::move(Object);
+  Callbacks.OnChange(Entry);
   return true;
 }
 
@@ -306,11 +309,11 @@
          (!RecentChanges.empty() && RecentChanges.back().Revision > Since);
 }
 
-auto StoreFeed::applyPeerSnapshot(const std::vector<StoredObject> &Snapshot,
+auto StoreFeed::applyPeerSnapshot(std::vector<StoredObject> Snapshot,
                                   std::uint64_t SnapshotRevision) -> void {
   if (Loaded && SnapshotRevision <= Revision)
     return;
-  applySnapshot(Snapshot, SnapshotRevision);
+  applySnapshot(std::move(Snapshot), SnapshotRevision);
 }
 
 } // namespace buckthornring
--- a/lib/Gateway/StoreFeed.h
+++ b/lib/Gateway/StoreFeed.h
@@ -60,10 +60,11 @@
   auto operator=(const StoreFeed &) -> StoreFeed & = delete;
 
   auto start() -> void { list(); }
+  auto kind() const -> const std::string & { return Settings.Kind; }
 
   /// Adopts the objects that another instance has read from the store up to \p
   /// Revision, if that is newer.
-  auto applyPeerSnapshot(const std::vector<StoredObject> &Objects,
+  auto applyPeerSnapshot(std::vector<StoredObject> Objects,
                          std::uint64_t Revision) -> void;
 
   /// Another feed has reached the store: retries at once instead of waiting for
@@ -124,12 +125,12 @@
   /// Ends the open call, which would otherwise take its share of the link.
   auto cancelOpenRead() -> void;
   auto list() -> void;
-  auto onList(const StoreChanges &Changes) -> void;
+  auto onList(StoreChanges Changes) -> void;
   auto watch() -> void;
   /// Makes the next call after an answered one, \p Delay later if it is a
   /// watch.
   auto continueAfter(Duration Delay) -> void;
-  auto onChanges(const StoreChanges &Changes) -> void;
+  auto onChanges(StoreChanges Changes) -> void;
   auto apply(StoredObject Object) -> bool;
   auto recordChange(StoredObject Object) -> void;
   /// Records the differences between the known objects and \p Listed as
@@ -143,7 +144,7 @@
       -> bool {
     return Settings.IsNewer && Settings.IsNewer(Known, Held);
   }
-  auto applySnapshot(const std::vector<StoredObject> &Snapshot,
+  auto applySnapshot(std::vector<StoredObject> Snapshot,
                      std::uint64_t SnapshotRevision) -> void;
   /// The store was restored from a copy, whose objects are about to replace the
   /// known ones.
@@ -158,10 +159,9 @@
   boost::asio::steady_timer Timer;
   RandomSource Random;
   ObjectMap Objects;
-  /// The last change of each object that was changed recently, newest last.
-  /// Objects that are not deleted come without their values, which are in
-  /// Objects: the ranges of a divided service may change several times per
-  /// second, and 256 copies of them took 12 MB.
+  /// The last change of each object that was changed recently, newest last,
+  /// without the values, which are in Objects: the ranges of a divided service
+  /// may change several times per second, and 256 copies of them took 12 MB.
   std::deque<StoredObject> RecentChanges;
   /// RecentChanges holds all objects that were changed after this revision.
   std::uint64_t RecentAfterRevision = 0;
--- a/lib/Rollout/RolloutRecord.cpp
+++ b/lib/Rollout/RolloutRecord.cpp
@@ -15,6 +15,12 @@
 /// Longest time in a record, 10 years; larger ones are mistakes.
 constexpr std::int64_t MaxMs = 315'360'000'000;
 
+/// More than the values of a record.
+constexpr std::size_t MaxValues = 100;
+
+/// Longer strings are cut off. Versions in orders have at most 255 bytes.
+constexpr std::size_t MaxStringBytes = 512;
+
 auto readMs(const Json &Value) -> Duration {
   const auto Ms = integer<std::int64_t>(Value);
   if (Ms < 0 || Ms > MaxMs)
@@ -39,6 +45,14 @@
           {"era", Era}};
 }
 
+auto RolloutRecord::parts() -> JsonParts {
+  return {.Members = {"order", "to", "base", "length_ms", "elapsed_ms", "stage",
+                      "share_ppm", "cause", "requests", "old", "new", "era"},
+          .Depth = 2,
+          .Values = MaxValues,
+          .StringBytes = MaxStringBytes};
+}
+
 auto RolloutRecord::parse(const Json &Value) -> Result<RolloutRecord> {
   RolloutRecord Out;
   try {
--- a/lib/Rollout/RolloutRecord.h
+++ b/lib/Rollout/RolloutRecord.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Common/JsonParts.h"
 #include "Rollout/Rollout.h"
 #include "buckthornring/Common/Result.h"
 
@@ -24,6 +25,8 @@
   std::uint64_t Era = 0; ///< Era of the store that the writer knew.
 
   auto toJson() const -> nlohmann::json;
+  /// The parts of a recorded value that are read.
+  static auto parts() -> JsonParts;
   /// Fails on a record that is malformed.
   static auto parse(const nlohmann::json &Value) -> Result<RolloutRecord>;
 };
--- a/tests/process/RouterProcess.cpp
+++ b/tests/process/RouterProcess.cpp
@@ -55,6 +55,11 @@
                     std::to_string(Ports.front()) + ".json")) {
   configure();
   writeSettings(MachineLimits);
+  restart();
+}
+
+auto RouterProcess::restart() -> void {
+  Process.reset();
   Process = std::make_unique<ChildProcess>(
       "buckthornringd",
       std::vector<std::string>{"--settings", SettingsFile.string()});
--- a/tests/process/RouterProcess.h
+++ b/tests/process/RouterProcess.h
@@ -47,6 +47,9 @@
   auto peerEndpoint() const -> boost::asio::ip::tcp::endpoint;
 
   auto running() -> bool { return Process->isRunning(); }
+  auto store() -> StoreContents & { return Store.contents(); }
+  /// Ends the process and starts it anew.
+  auto restart() -> void;
   /// Largest resident memory so far (VmHWM) and the present one (VmRSS), in
   /// bytes.
   auto peakMemory() const -> std::size_t { return statusBytes("VmHWM:"); }
--- a/tests/process/StoreServer.cpp
+++ b/tests/process/StoreServer.cpp
@@ -10,6 +10,10 @@
 
 constexpr std::string_view Prefix = "/v1/objects/";
 
+/// A page of a list ends with the object that reaches this size, as on the
+/// platform.
+constexpr std::size_t PageBytes = 1'000'000;
+
 auto objectJson(const StoredObject &Object) -> Json {
   return {{"metadata",
            {{"name", Object.Name}, {"revision", numberOf(Object.Revision)}}},
@@ -26,18 +30,39 @@
   To.respond(std::move(Response));
 }
 
-auto respondChanges(const HttpResponder &To, const StoreChanges &Changes,
-                    bool AsEvents) -> void {
+auto respondEvents(const HttpResponder &To, const StoreChanges &Changes)
+    -> void {
   if (Changes.Status != StoreStatus::Done)
     return respond(To, 410, Json::object());
-  Json Entries = Json::array();
+  Json Events = Json::array();
   for (const StoredObject &Object : Changes.Objects)
-    Entries.push_back(AsEvents ? Json{{"object", objectJson(Object)},
-                                      {"deleted", Object.Deleted}}
-                               : objectJson(Object));
+    Events.push_back(
+        {{"object", objectJson(Object)}, {"deleted", Object.Deleted}});
+  respond(To, 200,
+          {{"events", std::move(Events)},
+           {"store_revision", numberOf(Changes.Revision)}});
+}
+
+/// Sends the page that begins after an object's name.
+auto respondPage(const HttpResponder &To, const StoreChanges &Changes,
+                 const std::string &After) -> void {
+  if (Changes.Status != StoreStatus::Done)
+    return respond(To, 410, Json::object());
+  Json Items = Json::array();
+  std::size_t Bytes = 0;
+  bool HasMore = false;
+  for (const StoredObject &Object : Changes.Objects) {
+    if (Object.Name <= After)
+      continue;
+    HasMore = Bytes >= PageBytes;
+    if (HasMore)
+      break;
+    Items.push_back(objectJson(Object));
+    Bytes += Items.back().dump().size();
+  }
   respond(To, 200,
-          {{AsEvents ? "events" : "items", std::move(Entries)},
-           {"has_more", false},
+          {{"items", std::move(Items)},
+           {"has_more", HasMore},
            {"store_revision", numberOf(Changes.Revision)}});
 }
 
@@ -75,17 +100,17 @@
 auto StoreServer::read(const HttpRequest &Request, const std::string &Kind,
                        const HttpResponder &To) -> void {
   const auto Since = Request.query("watch");
-  const auto Done = [To, AsEvents =
-                             Since.has_value()](const StoreChanges &Changes) {
-    respondChanges(To, Changes, AsEvents);
-  };
   if (!Since)
-    Store.list(Kind, Done);
+    Store.list(Kind, [To, After = Request.query("after").value_or("")](
+                         const StoreChanges &Changes) {
+      respondPage(To, Changes, After);
+    });
   else
-    Store.watch(Kind, std::stoull(*Since),
-                std::chrono::milliseconds(
-                    std::stoul(Request.query("wait_ms").value_or("0"))),
-                Done);
+    Store.watch(
+        Kind, std::stoull(*Since),
+        std::chrono::milliseconds(
+            std::stoul(Request.query("wait_ms").value_or("0"))),
+        [To](const StoreChanges &Changes) { respondEvents(To, Changes); });
 }
 
 auto StoreServer::write(const HttpRequest &Request, const std::string &Kind,
--- a/tests/unit/RelayedStoreTest.cpp
+++ b/tests/unit/RelayedStoreTest.cpp
@@ -18,6 +18,13 @@
 
 const std::string Kind = "things";
 
+/// Of objects with members, only "n" is read.
+auto schema() -> ObjectSchema {
+  ObjectSchema Schema;
+  Schema.add(Kind, {.IsPrefix = true, .Value = {.Members = {"n"}, .Depth = 1}});
+  return Schema;
+}
+
 /// Two instances: a relay that reads the store for others, and a follower that
 /// reads through it.
 class RelayedStoreTest : public testing::Test {
@@ -33,7 +40,7 @@
                 [this] { Relay.onFeedAdvanced(); }}),
         Relay(Io, Source),
         Store(Io, std::make_unique<FakeObjectStore>(Io, DirectContents),
-              Events),
+              schema(), Events),
         Follower(Io, Store, {Kind, 25s, 2, 100ms},
                  {[](const auto &) {}, [](const StoredObject &) {},
                   [](bool, const char *) {}}) {
@@ -89,6 +96,22 @@
   EXPECT_EQ(DirectContents->calls(), 0U);
 }
 
+// Guards against entries that fill the memory of each reader of a relay, which
+// may be of a release that keeps them whole.
+TEST_F(RelayedStoreTest, OnlyWhatIsReadOfAnObjectIsKept) {
+  const nlohmann::json Unread = nlohmann::json::array({{{"", 1}}, {{"", 2}}});
+  RelayContents->set(Kind, "list", Unread);
+  RelayContents->set(Kind, "wide", {{"n", 5}, {"unread", Unread}});
+  Follower.start();
+  ASSERT_TRUE(until([this] { return followerHas("wide"); }));
+  EXPECT_EQ(Follower.objects().at("list").Value,
+            nlohmann::json::array({nullptr, nullptr}));
+  EXPECT_EQ(Follower.objects().at("wide").Value, nlohmann::json({{"n", 5}}));
+  RelayContents->set(Kind, "later", {{"n", 6}, {"unread", Unread}});
+  ASSERT_TRUE(until([this] { return followerHas("later"); }, 2s));
+  EXPECT_EQ(Follower.objects().at("later").Value, nlohmann::json({{"n", 6}}));
+}
+
 TEST_F(RelayedStoreTest, ConfirmationIsNoNewerThanTheRelays) {
   Follower.start();
   ASSERT_TRUE(until([this] { return Follower.loaded(); }));
