--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -7,7 +7,6 @@
 import asyncio
 import json
 import os
-import re
 import signal
 import socket
 import sys
@@ -76,7 +75,8 @@
 class Store:
     """The platform's metadata store."""
 
-    PAGE = 50
+    PAGE = 500
+    PAGE_BYTES = 1000000
 
     def __init__(self):
         self.objects, self.log, self.revision = {}, [], 1
@@ -138,10 +138,14 @@
                                         int(options.get("wait_ms", 0)) / 1000)
             names = sorted(name for each, name in self.objects
                            if each == kind and name > options.get("after", ""))
+            items, size = [], 0
+            for name in names[:self.PAGE]:
+                size += len(json.dumps(self.objects[kind, name]))
+                if items and size > self.PAGE_BYTES:
+                    break
+                items.append(self.objects[kind, name])
             return json_response(200, {
-                "items": [self.objects[kind, name]
-                          for name in names[:self.PAGE]],
-                "has_more": len(names) > self.PAGE,
+                "items": items, "has_more": len(names) > len(items),
                 "store_revision": self.revision})
         request = json.loads(body) if body else {}
         metadata = request.get("metadata", {})
@@ -309,12 +313,6 @@
             await asyncio.sleep(0.2)
         return False
 
-    def signal(self, number):
-        if self.process.returncode is None:
-            self.record.add(f"{self.name} gets "
-                            f"{signal.Signals(number).name}")
-            self.process.send_signal(number)
-
     def ended(self):
         return self.process.returncode is not None
 
@@ -324,16 +322,6 @@
             self.process.kill()
             await self.process.wait()
 
-    def memory_bytes(self):
-        """The most memory that the process has held so far."""
-        try:
-            with open(f"/proc/{self.process.pid}/status",
-                      encoding="ascii") as file:
-                found = re.search(r"VmHWM:\s+(\d+)", file.read())
-        except OSError:
-            return 0
-        return int(found.group(1)) * 1024 if found else 0
-
     def log_lines(self, *events):
         found = []
         with open(os.path.join(self.folder, self.name + ".log"),
