--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts of review/11 and review/12 start. They are
+# Builds the stand-ins that the scripts of review/11, 12 and 14 start. They are
 # Python programs and need no build: this checks that python3 can read them.
 set -e
 cd "$(dirname "$0")"
